--- /dev/null
+++ b/internal/core/effect/effect.go
@@ -0,0 +1,99 @@
+// Package effect holds everything that a node can do, one struct per effect.
+//
+// # Usage
+//
+// The reducer returns effects as data, in the order in which they are to be carried out. The control loop hands each to
+// the edge that carries it out; what comes of it returns as an event:
+//
+//	for _, e := range effects {
+//		dispatch(e)
+//	}
+package effect
+
+import (
+	"jayfold.dev/jayfold/internal/core/fleet"
+	"jayfold.dev/jayfold/internal/core/message"
+)
+
+// Effect is one of the effect structs of this package.
+type Effect interface{ isEffect() }
+
+// Forward sends an attempt to the node beside its target.
+type Forward struct {
+	Attempt fleet.Attempt
+	// Revision is this node's tables revision.
+	Revision fleet.Revision
+}
+
+// Answer passes the answer of an attempt on to the caller.
+type Answer struct {
+	Request fleet.RequestID
+	Attempt fleet.AttemptID
+}
+
+// Refuse answers a caller with a problem.
+type Refuse struct {
+	Request fleet.RequestID
+	Problem fleet.Problem
+}
+
+// Abandon cancels an attempt whose answer is no longer wanted.
+type Abandon struct {
+	Attempt fleet.AttemptID
+}
+
+// Run starts an admitted attempt on a target of this host.
+type Run struct {
+	Attempt fleet.Attempt
+	// Address is the target's address.
+	Address string
+}
+
+// RefuseAttempt answers an ingress without running its attempt.
+type RefuseAttempt struct {
+	Attempt fleet.AttemptID
+	Problem fleet.Problem
+	Report  fleet.Report
+}
+
+// CancelRun cancels an attempt that runs on a target of this host.
+type CancelRun struct {
+	Attempt fleet.AttemptID
+}
+
+// ReportRun gives the report that goes with the answer of a finished run.
+type ReportRun struct {
+	Attempt fleet.AttemptID
+	Report  fleet.Report
+}
+
+// Send hands a message to another node.
+type Send struct {
+	To      fleet.NodeID
+	Address string
+	Message message.Message
+	// Incarnation and Revision are this node's own; the root reducer sets them.
+	Incarnation fleet.Incarnation
+	Revision    fleet.Revision
+}
+
+// Stop ends the process: nothing is in flight any more.
+type Stop struct{}
+
+// ShowStatus answers event.StatusAsked.
+type ShowStatus struct {
+	Query  uint64
+	Status Status
+}
+
+func (Forward) isEffect()       {}
+func (Answer) isEffect()        {}
+func (Refuse) isEffect()        {}
+func (Abandon) isEffect()       {}
+func (Run) isEffect()           {}
+func (RefuseAttempt) isEffect() {}
+func (CancelRun) isEffect()     {}
+func (ReportRun) isEffect()     {}
+func (Send) isEffect()          {}
+func (Stop) isEffect()          {}
+func (ShowStatus) isEffect()    {}
--- /dev/null
+++ b/internal/core/event/platform.go
@@ -0,0 +1,59 @@
+package event
+
+import "jayfold.dev/jayfold/internal/core/fleet"
+
+// HeadRead says which revision the platform has. It answers effect.WatchHead, also when nothing changed.
+type HeadRead struct {
+	// Head has revision 0 when no tables were ever applied.
+	Head fleet.Head
+	// Version is the platform's version of the head object.
+	Version uint64
+}
+
+// TablesDecoded says that a revision was read, checked and decoded. It answers effect.FetchTables and
+// effect.DecodeTables.
+type TablesDecoded struct {
+	Tables fleet.Tables
+	// Content is the encoded form, kept to pass it on to peers.
+	Content []byte
+}
+
+// TablesRejected says that the content of a revision does not decode or is not valid.
+type TablesRejected struct {
+	Revision fleet.Revision
+	Detail   string
+}
+
+// MembersListed answers effect.ListMembers.
+type MembersListed struct {
+	Members []fleet.Member
+}
+
+// MemberRegistered answers effect.RegisterMember.
+type MemberRegistered struct{}
+
+// PlatformCall names a kind of call on the platform.
+type PlatformCall string
+
+// The calls on the platform.
+const (
+	CallWatchHead      PlatformCall = "WatchHead"
+	CallFetchTables    PlatformCall = "FetchTables"
+	CallListMembers    PlatformCall = "ListMembers"
+	CallRegisterMember PlatformCall = "RegisterMember"
+)
+
+// PlatformFailed says that a call on the platform failed.
+type PlatformFailed struct {
+	Call PlatformCall
+	// Unknown means that the call was a write that may have taken effect.
+	Unknown bool
+	Detail  string
+}
+
+func (HeadRead) isBody()         {}
+func (TablesDecoded) isBody()    {}
+func (TablesRejected) isBody()   {}
+func (MembersListed) isBody()    {}
+func (MemberRegistered) isBody() {}
+func (PlatformFailed) isBody()   {}
--- /dev/null
+++ b/internal/core/event/target.go
@@ -0,0 +1,37 @@
+package event
+
+import "jayfold.dev/jayfold/internal/core/fleet"
+
+// TargetAnnounced says that a target on this host sent a heartbeat.
+type TargetAnnounced struct {
+	Announcement fleet.Announcement
+}
+
+// TargetWithdrawn says that a target on this host asked to be removed.
+type TargetWithdrawn struct {
+	Name string
+}
+
+// AdmissionAsked says that an ingress asks to run an attempt on a target of this host.
+type AdmissionAsked struct {
+	Attempt fleet.Attempt
+	// From is the ingress.
+	From fleet.NodeID
+}
+
+// AdmissionCanceled says that the ingress gave up an attempt, or that its connection broke.
+type AdmissionCanceled struct {
+	Attempt fleet.AttemptID
+}
+
+// RunFinished says that an attempt on a target of this host ended.
+type RunFinished struct {
+	Attempt fleet.AttemptID
+	Outcome fleet.Outcome
+}
+
+func (TargetAnnounced) isBody()   {}
+func (TargetWithdrawn) isBody()   {}
+func (AdmissionAsked) isBody()    {}
+func (AdmissionCanceled) isBody() {}
+func (RunFinished) isBody()       {}
--- /dev/null
+++ b/internal/core/fleet/member.go
@@ -0,0 +1,62 @@
+package fleet
+
+// Status is the liveness of a member.
+type Status uint8
+
+// The statuses, in the order in which they override one another at the same incarnation and sequence.
+const (
+	Alive Status = iota
+	Suspect
+	Leaving
+	Dead
+)
+
+var statusNames = [...]string{Alive: "Alive", Suspect: "Suspect", Leaving: "Leaving", Dead: "Dead"}
+
+// String returns the status's name.
+func (s Status) String() string {
+	if int(s) >= len(statusNames) {
+		return "Unknown"
+	}
+	return statusNames[s]
+}
+
+// Member is the record of one node. Only that node writes it, but for Status, which its peers judge.
+type Member struct {
+	Node             NodeID
+	AvailabilityZone AvailabilityZone
+	// PeerAddress is the address for messages between nodes.
+	PeerAddress string
+	// ForwardAddress is the address for requests between nodes.
+	ForwardAddress string
+	Incarnation    Incarnation
+	// Sequence counts the node's changes to its record within an incarnation.
+	Sequence uint64
+	Status   Status
+	// Targets are the targets on the node's host, in id order.
+	Targets []Target
+}
+
+// Newer reports whether m overrides other, a record of the same node.
+func (m Member) Newer(other Member) bool {
+	if m.Incarnation != other.Incarnation {
+		return m.Incarnation > other.Incarnation
+	}
+	if m.Sequence != other.Sequence {
+		return m.Sequence > other.Sequence
+	}
+	return m.Status > other.Status
+}
+
+// WithStatus returns the record with another status.
+func (m Member) WithStatus(s Status) Member {
+	m.Status = s
+	return m
+}
+
+// WithTargets returns the record with other targets, under the next sequence number.
+func (m Member) WithTargets(targets []Target) Member {
+	m.Targets = targets
+	m.Sequence++
+	return m
+}
--- /dev/null
+++ b/internal/core/fleet/request.go
@@ -0,0 +1,65 @@
+package fleet
+
+import "time"
+
+// Request is a caller's request without its headers and body, which stay with the traffic goroutine.
+type Request struct {
+	ID     RequestID
+	Method string
+	Host   string
+	Path   string
+	Caller Caller
+	// Idempotent is what the caller's header says.
+	Idempotent Option[bool]
+	Key        IdempotencyKey
+	// Timeout is the caller's own limit; 0 means none.
+	Timeout     time.Duration
+	Fingerprint Fingerprint
+}
+
+// Attempt is one try at a request on one target.
+type Attempt struct {
+	ID     AttemptID
+	Target TargetID
+	Pool   PoolName
+	Node   NodeID
+	// Address is the forward address of the node beside the target.
+	Address    string
+	Class      Class
+	Idempotent bool
+	Caller     Caller
+	// Deadline is in the time of the node that holds this value; it travels as the remaining budget.
+	Deadline time.Time
+	// Baseline is the pool's p95 for the class; 0 means not known yet.
+	Baseline    time.Duration
+	Fingerprint Fingerprint
+	Key         IdempotencyKey
+}
+
+// WithDeadline returns the attempt with another deadline.
+func (a Attempt) WithDeadline(deadline time.Time) Attempt {
+	a.Deadline = deadline
+	return a
+}
+
+// Outcome is how an attempt ended, as the one who waited for it knows it.
+type Outcome struct {
+	// Status is the HTTP status of the answer; 0 means that there is none.
+	Status int
+	// Problem is set when there is no whole answer of the target.
+	Problem Option[Problem]
+	// Took is the time from the start to the end.
+	Took time.Duration
+	// Streaming means that the answer is larger than the buffer and is passed on as it comes.
+	Streaming bool
+	// Crashed means that the target's process died while the attempt ran.
+	Crashed bool
+}
+
+// Verdict returns whether the attempt may have run.
+func (o Outcome) Verdict() Verdict {
+	if problem, ok := o.Problem.Get(); ok {
+		return problem.Verdict
+	}
+	return Ran
+}
--- /dev/null
+++ b/internal/core/fleet/target.go
@@ -0,0 +1,45 @@
+package fleet
+
+// TargetState is what a target announces of itself.
+type TargetState uint8
+
+// The states of a target.
+const (
+	Ready TargetState = iota
+	TargetDraining
+)
+
+var targetStateNames = [...]string{Ready: "Ready", TargetDraining: "Draining"}
+
+// String returns the name used in announcements.
+func (s TargetState) String() string {
+	if int(s) >= len(targetStateNames) {
+		return "Unknown"
+	}
+	return targetStateNames[s]
+}
+
+// Target is a back-end process as the fleet knows it.
+type Target struct {
+	ID    TargetID
+	Pool  PoolName
+	State TargetState
+	Slots int
+	// Ejected is the sidecar's word at the time of the record; it is a hint to others.
+	Ejected bool
+}
+
+// Announcement is what a target says to the node on its host.
+type Announcement struct {
+	Name string
+	Pool PoolName
+	// Address is the host and port on which the target takes requests.
+	Address     string
+	Slots       int
+	Connections int
+	State       TargetState
+	// Instance changes at each start of the target's process.
+	Instance string
+	// InFlight is the target's own count of its running requests. It only breaks ties.
+	InFlight int
+}
--- /dev/null
+++ b/internal/core/message/message.go
@@ -0,0 +1,128 @@
+// Package message holds the messages between nodes, one struct per message.
+//
+// # Usage
+//
+// A reducer sends a message as an effect and gets one as an event. Each is one-way; a reply is a message of its own:
+//
+//	effect.Send{To: peer, Address: address, Message: message.Ping{Sequence: 7}}
+//
+// The peer edge adds the envelope and encodes it; nothing in this package knows the encoding.
+package message
+
+import (
+	"time"
+
+	"jayfold.dev/jayfold/internal/core/fleet"
+)
+
+// Message is one of the message structs of this package.
+type Message interface{ isMessage() }
+
+// Envelope is a message with what rides on every message.
+type Envelope struct {
+	From        fleet.NodeID
+	Incarnation fleet.Incarnation
+	// Address is the sender's address for messages between nodes.
+	Address string
+	// Revision is the sender's tables revision.
+	Revision fleet.Revision
+	Message  Message
+}
+
+// Ping asks a peer for an Ack and carries changed member records.
+type Ping struct {
+	Sequence uint64
+	Members  []fleet.Member
+}
+
+// Ack answers a Ping or a PingRequest.
+type Ack struct {
+	Sequence uint64
+	// Subject is the node that was probed.
+	Subject fleet.NodeID
+	Members []fleet.Member
+}
+
+// PingRequest asks a peer to probe Subject for the sender.
+type PingRequest struct {
+	Sequence uint64
+	Subject  fleet.NodeID
+	Address  string
+}
+
+// SyncRequest asks a peer for the member records that the sender lacks.
+type SyncRequest struct {
+	// Digest gives the records that the sender has.
+	Digest []MemberVersion
+}
+
+// MemberVersion names one version of a member record.
+type MemberVersion struct {
+	Node        fleet.NodeID
+	Incarnation fleet.Incarnation
+	Sequence    uint64
+}
+
+// Sync answers a SyncRequest.
+type Sync struct {
+	Members []fleet.Member
+}
+
+// LeaseRequest asks for an in-service lease: Grantor stays in service while Asker is ejected.
+type LeaseRequest struct {
+	Number  uint64
+	Asker   fleet.TargetID
+	Grantor fleet.TargetID
+	Pool    fleet.PoolName
+}
+
+// LeaseGrant answers a LeaseRequest. The lease ends Duration after the asker sent the request.
+type LeaseGrant struct {
+	Number   uint64
+	Asker    fleet.TargetID
+	Grantor  fleet.TargetID
+	Duration time.Duration
+}
+
+// LeaseRefusal answers a LeaseRequest.
+type LeaseRefusal struct {
+	Number  uint64
+	Asker   fleet.TargetID
+	Grantor fleet.TargetID
+}
+
+// LeaseRelease says that the asker no longer needs the lease.
+type LeaseRelease struct {
+	Asker   fleet.TargetID
+	Grantor fleet.TargetID
+}
+
+// LeaseRecall asks the holder of a lease to release it, because the grantor is in worse health.
+type LeaseRecall struct {
+	Asker   fleet.TargetID
+	Grantor fleet.TargetID
+}
+
+// TablesRequest asks a peer for its tables, when they are newer than Revision.
+type TablesRequest struct {
+	Revision fleet.Revision
+}
+
+// TablesContent carries one encoded revision of the tables.
+type TablesContent struct {
+	Revision fleet.Revision
+	Content  []byte
+}
+
+func (Ping) isMessage()          {}
+func (Ack) isMessage()           {}
+func (PingRequest) isMessage()   {}
+func (SyncRequest) isMessage()   {}
+func (Sync) isMessage()          {}
+func (LeaseRequest) isMessage()  {}
+func (LeaseGrant) isMessage()    {}
+func (LeaseRefusal) isMessage()  {}
+func (LeaseRelease) isMessage()  {}
+func (LeaseRecall) isMessage()   {}
+func (TablesRequest) isMessage() {}
+func (TablesContent) isMessage() {}
--- /dev/null
+++ b/internal/core/node/fleet.go
@@ -0,0 +1,39 @@
+package node
+
+import (
+	"jayfold.dev/jayfold/internal/core/effect"
+	"jayfold.dev/jayfold/internal/core/event"
+	"jayfold.dev/jayfold/internal/core/message"
+)
+
+// messageReceived hands a message to the part that speaks its protocol.
+func (s State) messageReceived(ev event.Event, body event.MessageReceived) (State, []effect.Effect) {
+	envelope := body.Envelope
+	s, effects := s.revisionSeen(ev, event.RevisionSeen{From: envelope.From, Revision: envelope.Revision})
+	var more []effect.Effect
+	switch envelope.Message.(type) {
+	case message.TablesRequest, message.TablesContent:
+		s.tables, more = s.tables.Received(ev.At, envelope)
+	case message.LeaseRequest, message.LeaseGrant, message.LeaseRefusal, message.LeaseRelease, message.LeaseRecall:
+		s.ejection, more = s.ejection.Received(s.ejectionContext(ev), envelope.From, envelope.Message)
+	default:
+		s.membership, more = s.membership.Received(ev.At, envelope)
+	}
+	return s, append(effects, more...)
+}
+
+func (s State) sendFailed(ev event.Event, body event.SendFailed) (State, []effect.Effect) {
+	next, effects := s.membership.SendFailed(ev.At, body.To)
+	s.membership = next
+	return s, effects
+}
+
+func (s State) revisionSeen(ev event.Event, body event.RevisionSeen) (State, []effect.Effect) {
+	address, ok := s.membership.PeerAddress(body.From)
+	if !ok {
+		return s, nil
+	}
+	next, effects := s.tables.Seen(ev.At, body.From, address, body.Revision)
+	s.tables = next
+	return s, effects
+}
--- /dev/null
+++ b/internal/core/node/ingress.go
@@ -0,0 +1,57 @@
+package node
+
+import (
+	"jayfold.dev/jayfold/internal/core/attempt"
+	"jayfold.dev/jayfold/internal/core/effect"
+	"jayfold.dev/jayfold/internal/core/event"
+	"jayfold.dev/jayfold/internal/core/fleet"
+	"jayfold.dev/jayfold/internal/core/routing"
+)
+
+func (s State) attemptContext(ev event.Event) attempt.Context {
+	return attempt.Context{Now: ev.At, Random: ev.Random, Directory: s.membership.Directory()}
+}
+
+// requestArrived refuses a request that cannot be routed or that crashes targets, and starts any other.
+func (s State) requestArrived(ev event.Event, body event.RequestArrived) (State, []effect.Effect) {
+	request := body.Request
+	if s.Revision() == 0 {
+		return s, refuse(request, fleet.NoTables, "this node has no tables yet")
+	}
+	route, ok := s.tables.Router().Match(request)
+	if !ok {
+		return s, refuse(request, fleet.NoRoute, "no route matches "+request.Method+" "+request.Path)
+	}
+	if s.quarantine.Has(ev.At, request.Fingerprint) {
+		return s, refuse(request, fleet.Quarantined, "requests like this one have crashed several targets")
+	}
+	idempotent := routing.Idempotent(route, request)
+	next, effects := s.attempts.Arrived(s.attemptContext(ev), request, route, idempotent)
+	s.attempts = next
+	return s, effects
+}
+
+func refuse(request fleet.Request, cause fleet.Cause, detail string) []effect.Effect {
+	return []effect.Effect{effect.Refuse{
+		Request: request.ID,
+		Problem: fleet.NewProblem(cause, fleet.NotRun, detail),
+	}}
+}
+
+func (s State) requestCanceled(body event.RequestCanceled) (State, []effect.Effect) {
+	next, effects := s.attempts.Canceled(body.Request)
+	s.attempts = next
+	return s, effects
+}
+
+func (s State) attemptFinished(ev event.Event, body event.AttemptFinished) (State, []effect.Effect) {
+	next, effects := s.attempts.Finished(s.attemptContext(ev), body.Attempt, body.Outcome, body.Report)
+	s.attempts = next
+	report, ok := body.Report.Get()
+	if !ok || len(report.Quarantine) == 0 {
+		return s, effects
+	}
+	learned, more := s.quarantine.Learned(ev.At, report.Quarantine)
+	s.quarantine = learned
+	return s, append(effects, more...)
+}
--- /dev/null
+++ b/internal/core/node/platform.go
@@ -0,0 +1,24 @@
+package node
+
+import (
+	"jayfold.dev/jayfold/internal/core/effect"
+	"jayfold.dev/jayfold/internal/core/event"
+)
+
+// platformAnswered hands an answer of the platform to the part that asked.
+func (s State) platformAnswered(ev event.Event) (State, []effect.Effect) {
+	var effects []effect.Effect
+	switch body := ev.Body.(type) {
+	case event.HeadRead:
+		s.tables, effects = s.tables.HeadRead(ev.At, ev.Random, body.Head, body.Version)
+	case event.TablesDecoded:
+		s.tables, effects = s.tables.Decoded(ev.At, body.Tables, body.Content)
+	case event.TablesRejected:
+		s.tables, effects = s.tables.Rejected(ev.At, body.Revision, body.Detail)
+	case event.MembersListed:
+		s.membership, effects = s.membership.Listed(ev.At, body.Members)
+	case event.PlatformFailed:
+		s.tables, effects = s.tables.PlatformFailed(ev.At, ev.Random)
+	}
+	return s, effects
+}
--- /dev/null
+++ b/internal/core/node/shutdown.go
@@ -0,0 +1,44 @@
+package node
+
+import (
+	"time"
+
+	"jayfold.dev/jayfold/internal/core/effect"
+	"jayfold.dev/jayfold/internal/core/event"
+)
+
+// leaveGrace is how long a leaving node keeps taking requests of callers, so that its peers and the callers' balancers
+// learn that it leaves. The users allow a few seconds.
+const leaveGrace = 2 * time.Second
+
+// shutdown is a graceful stop in progress.
+type shutdown struct {
+	started time.Time
+	stopped bool
+}
+
+// begun reports whether the node is leaving.
+func (sd shutdown) begun() bool { return !sd.started.IsZero() }
+
+// shutdownStarted leaves the fleet: the targets of this host take no new attempt, and what is in flight finishes.
+func (s State) shutdownStarted(ev event.Event) (State, []effect.Effect) {
+	if s.shutdown.begun() {
+		return s, nil
+	}
+	s.shutdown.started = ev.At
+	var refused, released, left []effect.Effect
+	s.admission, refused = s.admission.Drained(ev.At)
+	s.ejection, released = s.ejection.Drained(s.ejectionContext(ev))
+	s.membership, left = s.membership.Left(ev.At)
+	effects := append(s.completeReports(ev.At, refused), released...)
+	return s, append(effects, left...)
+}
+
+// tick stops the process when the grace is over and nothing is in flight.
+func (sd shutdown) tick(now time.Time, inFlight int) (shutdown, []effect.Effect) {
+	if !sd.begun() || sd.stopped || inFlight > 0 || now.Sub(sd.started) < leaveGrace {
+		return sd, nil
+	}
+	sd.stopped = true
+	return sd, []effect.Effect{effect.Stop{}}
+}
--- /dev/null
+++ b/internal/core/node/state.go
@@ -0,0 +1,118 @@
+// Package node joins the parts of a node's decisions into one reducer.
+//
+// # Usage
+//
+//	state := node.New(record)
+//	state, effects := state.Reduce(event.Event{At: now, Random: random, Body: event.Tick{}})
+//
+// Reduce is a pure function: the same events give the same states and effects, so a recorded sequence of events replays
+// to the same state. Each file of this package hands the events of one concern to the part that decides on them.
+package node
+
+import (
+	"jayfold.dev/jayfold/internal/core/admission"
+	"jayfold.dev/jayfold/internal/core/attempt"
+	"jayfold.dev/jayfold/internal/core/detection"
+	"jayfold.dev/jayfold/internal/core/effect"
+	"jayfold.dev/jayfold/internal/core/ejection"
+	"jayfold.dev/jayfold/internal/core/event"
+	"jayfold.dev/jayfold/internal/core/fleet"
+	"jayfold.dev/jayfold/internal/core/membership"
+	"jayfold.dev/jayfold/internal/core/quarantine"
+	"jayfold.dev/jayfold/internal/core/tables"
+)
+
+// State is everything that one node knows. It is immutable.
+type State struct {
+	attempts   attempt.State
+	admission  admission.State
+	detection  detection.State
+	ejection   ejection.State
+	membership membership.State
+	quarantine quarantine.State
+	tables     tables.State
+	shutdown   shutdown
+}
+
+// New returns the state of a node that has just started with the given member record.
+func New(self fleet.Member) State {
+	return State{
+		attempts:   attempt.New(self.AvailabilityZone),
+		admission:  admission.New(self.Node),
+		detection:  detection.New(),
+		ejection:   ejection.New(self.Node),
+		membership: membership.New(self),
+		quarantine: quarantine.New(),
+		tables:     tables.New(),
+	}
+}
+
+// Reduce returns the state after an event and the effects of the event.
+func (s State) Reduce(ev event.Event) (State, []effect.Effect) {
+	next, effects := s.dispatch(ev)
+	return next, next.stamp(effects)
+}
+
+// stamp adds the node's incarnation and tables revision to everything that goes to another node.
+func (s State) stamp(effects []effect.Effect) []effect.Effect {
+	for i, e := range effects {
+		switch e := e.(type) {
+		case effect.Send:
+			e.Incarnation = s.Self().Incarnation
+			e.Revision = s.Revision()
+			effects[i] = e
+		case effect.Forward:
+			e.Revision = s.Revision()
+			effects[i] = e
+		case effect.RefuseAttempt:
+			e.Report.Revision = s.Revision()
+			effects[i] = e
+		case effect.ReportRun:
+			e.Report.Revision = s.Revision()
+			effects[i] = e
+		}
+	}
+	return effects
+}
+
+// dispatch hands an event to the concern it belongs to.
+func (s State) dispatch(ev event.Event) (State, []effect.Effect) {
+	switch body := ev.Body.(type) {
+	case event.Tick:
+		return s.tick(ev)
+	case event.ShutdownStarted:
+		return s.shutdownStarted(ev)
+	case event.RequestArrived:
+		return s.requestArrived(ev, body)
+	case event.RequestCanceled:
+		return s.requestCanceled(body)
+	case event.AttemptFinished:
+		return s.attemptFinished(ev, body)
+	case event.AdmissionAsked:
+		return s.admissionAsked(ev, body)
+	case event.AdmissionCanceled:
+		return s.admissionCanceled(ev, body)
+	case event.RunFinished:
+		return s.runFinished(ev, body)
+	case event.TargetAnnounced:
+		return s.targetAnnounced(ev, body)
+	case event.TargetWithdrawn:
+		return s.targetWithdrawn(ev, body)
+	case event.MessageReceived:
+		return s.messageReceived(ev, body)
+	case event.SendFailed:
+		return s.sendFailed(ev, body)
+	case event.RevisionSeen:
+		return s.revisionSeen(ev, body)
+	case event.StatusAsked:
+		return s, []effect.Effect{effect.ShowStatus{Query: body.Query, Status: s.Status(ev.At)}}
+	default:
+		return s.platformAnswered(ev)
+	}
+}
+
+// Revision returns the tables revision in force on this node.
+func (s State) Revision() fleet.Revision { return s.tables.Current().Revision }
+
+// Self returns the node's own member record.
+func (s State) Self() fleet.Member { return s.membership.Self() }
--- /dev/null
+++ b/internal/core/node/status.go
@@ -0,0 +1,71 @@
+package node
+
+import (
+	"time"
+
+	"jayfold.dev/jayfold/internal/core/effect"
+	"jayfold.dev/jayfold/internal/core/fleet"
+)
+
+// Status returns a view of the state for operators.
+func (s State) Status(now time.Time) effect.Status {
+	self := s.membership.Self()
+	return effect.Status{
+		Node:             self.Node,
+		AvailabilityZone: self.AvailabilityZone,
+		Incarnation:      self.Incarnation,
+		Revision:         s.Revision(),
+		Newest:           s.tables.Newest(),
+		Platform:         s.tables.PlatformReachable(),
+		Draining:         s.shutdown.begun(),
+		InFlight:         s.attempts.InFlight() + s.admission.InFlight(),
+		Services:         s.services(),
+		Targets:          s.localTargets(now),
+		Members:          s.membership.Members(),
+		Quarantine:       s.quarantine.Status(),
+	}
+}
+
+func (s State) services() []effect.ServiceStatus {
+	current := s.tables.Current()
+	services := make([]effect.ServiceStatus, 0, current.Pools.Len())
+	for name, pool := range current.Pools.All() {
+		candidates := s.membership.Directory().Pool(name)
+		services = append(services, effect.ServiceStatus{
+			Service:   pool.Service,
+			Pool:      name,
+			Floor:     pool.Floor,
+			Known:     len(candidates),
+			InService: inService(candidates),
+		})
+	}
+	return services
+}
+
+func inService(candidates []fleet.Candidate) int {
+	count := 0
+	for _, c := range candidates {
+		if !c.Target.Ejected {
+			count++
+		}
+	}
+	return count
+}
+
+func (s State) localTargets(now time.Time) []effect.TargetStatus {
+	targets := s.admission.Targets()
+	shown := make([]effect.TargetStatus, 0, len(targets))
+	for _, t := range targets {
+		t.Ejected = s.ejection.Ejected(now, t.ID)
+		evidence := s.detection.Evidence(t.ID)
+		shown = append(shown, effect.TargetStatus{
+			Target:   t,
+			Load:     s.admission.Load(t.ID),
+			Judged:   evidence.Judged,
+			Bad:      evidence.Bad,
+			Score:    evidence.Score,
+			Baseline: evidence.Baseline,
+		})
+	}
+	return shown
+}
