edge/tablesfile: read, check and encode the tables

Cause: Operators need every problem of a tables file at once, with its place; nodes need one checked encoded form.

Change: configfile reads JSON with comments by lists of fields and notes positions; tablesfile parses the two files, checks them across entries and encodes a revision as compressed JSON.

Conclusion: Files, platform values and values of peers are checked by the same rules.

--- /dev/null
+++ b/internal/edge/configfile/object.go
@@ -0,0 +1,98 @@
+package configfile
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/tailscale/hujson"
+)
+
+// Reader takes in a value, or returns what is wrong with it.
+type Reader func(Value) Problems
+
+// Field is one field that an object may have.
+type Field struct {
+	name     string
+	required bool
+	read     Reader
+}
+
+// Required returns a field that must be there.
+func Required(name string, read Reader) Field { return Field{name: name, required: true, read: read} }
+
+// Optional returns a field that may be left out.
+func Optional(name string, read Reader) Field { return Field{name: name, read: read} }
+
+// Object reads an object with the given fields.
+func (v Value) Object(fields ...Field) Problems {
+	if !v.present() {
+		return nil
+	}
+	object, ok := v.node.Value.(*hujson.Object)
+	if !ok {
+		return v.Problem("is %s; want an object with %s", v.kind(), names(fields))
+	}
+	var problems Problems
+	seen := make(map[string]bool, len(fields))
+	for _, member := range object.Members {
+		problems = append(problems, v.member(member, fields, seen)...)
+	}
+	for _, field := range fields {
+		if field.required && !seen[field.name] {
+			problems = append(problems, v.Problem("field %s is missing", field.name)...)
+		}
+	}
+	return problems
+}
+
+// member reads one member of an object and notes its name in seen.
+func (v Value) member(member hujson.ObjectMember, fields []Field, seen map[string]bool) Problems {
+	name := member.Name.Value.(hujson.Literal).String()
+	path := strings.TrimPrefix(v.field+"."+name, ".")
+	if seen[name] {
+		return v.child(path, member.Name).Problem("the field is there twice")
+	}
+	seen[name] = true
+	for _, field := range fields {
+		if field.name == name {
+			return field.read(v.child(path, member.Value))
+		}
+	}
+	return v.child(path, member.Name).Problem("unknown field; want %s", names(fields))
+}
+
+func names(fields []Field) string {
+	all := make([]string, len(fields))
+	for i, field := range fields {
+		all[i] = field.name
+	}
+	return strings.Join(all, ", ")
+}
+
+// Array returns a reader that gives each element of an array to read.
+func Array(read func(Value) Problems) Reader {
+	return func(v Value) Problems {
+		array, ok := v.node.Value.(*hujson.Array)
+		if !ok {
+			return v.Problem("is %s; want an array", v.kind())
+		}
+		var problems Problems
+		for i, element := range array.Elements {
+			problems = append(problems, read(v.child(fmt.Sprintf("%s[%d]", v.field, i), element))...)
+		}
+		return problems
+	}
+}
+
+// Object returns a reader of an object with the given fields.
+func Object(fields ...Field) Reader {
+	return func(v Value) Problems { return v.Object(fields...) }
+}
+
+// Position returns a reader that notes where the value stands, for problems found later, and reads it with read.
+func Position(at *Value, read Reader) Reader {
+	return func(v Value) Problems {
+		*at = v
+		return read(v)
+	}
+}
--- /dev/null
+++ b/internal/edge/tablesfile/check.go
@@ -0,0 +1,81 @@
+package tablesfile
+
+import (
+	"strings"
+
+	"jayfold.dev/jayfold/internal/core/fleet"
+	"jayfold.dev/jayfold/internal/edge/configfile"
+)
+
+// check finds the problems between entries.
+func (d *draft) check() configfile.Problems {
+	problems := d.checkRouteNames()
+	problems = append(problems, d.checkOverlaps()...)
+	pools, poolProblems := d.checkPoolNames()
+	if !d.poolsUnknown {
+		problems = append(problems, d.checkReferences(pools)...)
+	}
+	return append(problems, poolProblems...)
+}
+
+func (d *draft) checkRouteNames() configfile.Problems {
+	var problems configfile.Problems
+	seen := map[string]bool{}
+	for _, entry := range d.routes {
+		name := entry.route.Name
+		if name != "" && seen[name] {
+			problems = append(problems, entry.name.Problem("another route is called %q", name)...)
+		}
+		seen[name] = true
+	}
+	return problems
+}
+
+// checkOverlaps finds routes of which the order in the file would decide: same host, same prefix and a shared method.
+func (d *draft) checkOverlaps() configfile.Problems {
+	type condition struct{ host, prefix, method string }
+	var problems configfile.Problems
+	owners := map[condition]string{}
+	for _, entry := range d.routes {
+		r := entry.route
+		if r.PathPrefix == "" {
+			continue
+		}
+		methods := r.Methods
+		if len(methods) == 0 {
+			methods = []string{"any method"}
+		}
+		for _, m := range methods {
+			c := condition{strings.ToLower(r.Host), strings.TrimSuffix(r.PathPrefix, "/"), m}
+			if owner, taken := owners[c]; taken {
+				problems = append(problems, entry.whole.Problem("matches the same requests (%s) as route %q", m, owner)...)
+			}
+			owners[c] = r.Name
+		}
+	}
+	return problems
+}
+
+func (d *draft) checkPoolNames() (fleet.Set[fleet.PoolName], configfile.Problems) {
+	var problems configfile.Problems
+	var names fleet.Set[fleet.PoolName]
+	for _, entry := range d.pools {
+		name := entry.pool.Name
+		if name != "" && names.Has(name) {
+			problems = append(problems, entry.name.Problem("another pool is called %q", name)...)
+		}
+		names = names.With(name)
+	}
+	return names, problems
+}
+
+func (d *draft) checkReferences(pools fleet.Set[fleet.PoolName]) configfile.Problems {
+	var problems configfile.Problems
+	for _, entry := range d.routes {
+		name := entry.route.Pool
+		if name != "" && !pools.Has(name) {
+			problems = append(problems, entry.pool.Problem("no pool is called %q", name)...)
+		}
+	}
+	return problems
+}
--- /dev/null
+++ b/internal/edge/tablesfile/encode.go
@@ -0,0 +1,141 @@
+package tablesfile
+
+import (
+	"bytes"
+	"compress/gzip"
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"jayfold.dev/jayfold/internal/core/fleet"
+	"jayfold.dev/jayfold/internal/edge/configfile"
+)
+
+// maxDecoded bounds the size of the encoded form after decompression. The design size needs about 0.8 MB.
+const maxDecoded = 8 << 20
+
+// highestRevision keeps revisions exact in every JSON reader.
+const highestRevision = 1 << 53
+
+type wireTables struct {
+	Revision fleet.Revision
+	Routes   []wireRoute
+	Pools    []wirePool
+}
+
+type wireRoute struct {
+	Name       string
+	Host       string `json:",omitempty"`
+	PathPrefix string
+	Methods    []string `json:",omitempty"`
+	Pool       fleet.PoolName
+	Class      string
+	Idempotent *bool `json:",omitempty"`
+	Deadline   string
+}
+
+type wirePool struct {
+	Name                  fleet.PoolName
+	Service               string
+	Floor                 int
+	FalseEjectionInterval string
+}
+
+// Encode returns the form of the tables for the platform and for peers: compressed JSON. Compression keeps a change at the
+// design size within the control traffic allowed to a node.
+func Encode(t fleet.Tables) []byte {
+	var out bytes.Buffer
+	w := gzip.NewWriter(&out)
+	wire := wireTables{Revision: t.Revision, Routes: wireRoutes(t), Pools: wirePools(t)}
+	// Neither step can fail: the buffer takes every write and the wire types have no value that JSON lacks.
+	_ = json.NewEncoder(w).Encode(wire)
+	_ = w.Close()
+	return out.Bytes()
+}
+
+func wireRoutes(t fleet.Tables) []wireRoute {
+	routes := make([]wireRoute, 0, len(t.Routes))
+	for _, r := range t.Routes {
+		wire := wireRoute{
+			Name:       r.Name,
+			Host:       r.Host,
+			PathPrefix: r.PathPrefix,
+			Methods:    r.Methods,
+			Pool:       r.Pool,
+			Class:      r.Class.String(),
+			Deadline:   r.Deadline.String(),
+		}
+		if idempotent, ok := r.Idempotent.Get(); ok {
+			wire.Idempotent = &idempotent
+		}
+		routes = append(routes, wire)
+	}
+	return routes
+}
+
+func wirePools(t fleet.Tables) []wirePool {
+	pools := make([]wirePool, 0, t.Pools.Len())
+	for _, p := range t.Pools.All() {
+		pools = append(pools, wirePool{
+			Name:                  p.Name,
+			Service:               p.Service,
+			Floor:                 p.Floor,
+			FalseEjectionInterval: p.FalseEjectionInterval.String(),
+		})
+	}
+	return pools
+}
+
+// Decode reads and checks the encoded form of a revision.
+func Decode(revision fleet.Revision, content []byte) (fleet.Tables, error) {
+	plain, err := decompress(content)
+	if err != nil {
+		return fleet.Tables{}, err
+	}
+	value, problems := configfile.Parse(fmt.Sprintf("revision %d", revision), plain)
+	var d draft
+	var found fleet.Revision
+	problems = append(problems, value.Object(
+		configfile.Required("Revision", configfile.Int(&found, 1, highestRevision)),
+		configfile.Required("Routes", configfile.Array(d.readRoute)),
+		configfile.Required("Pools", configfile.Array(d.readPool)),
+	)...)
+	problems = append(problems, d.check()...)
+	if err := problems.Err(); err != nil {
+		return fleet.Tables{}, err
+	}
+	if found != revision {
+		return fleet.Tables{}, fmt.Errorf("the content is revision %d; want %d", found, revision)
+	}
+	return d.tables().WithRevision(revision), nil
+}
+
+func decompress(content []byte) ([]byte, error) {
+	r, err := gzip.NewReader(bytes.NewReader(content))
+	if err != nil {
+		return nil, fmt.Errorf("the content is not compressed: %w", err)
+	}
+	plain, err := io.ReadAll(io.LimitReader(r, maxDecoded+1))
+	if err != nil {
+		return nil, fmt.Errorf("the content does not decompress: %w", err)
+	}
+	if len(plain) > maxDecoded {
+		return nil, fmt.Errorf("the content is larger than %d bytes", maxDecoded)
+	}
+	return plain, nil
+}
+
+// Render returns the tables as the two files that operators edit.
+func Render(t fleet.Tables) (routes, pools []byte) {
+	return indented(struct{ Routes []wireRoute }{wireRoutes(t)}), indented(struct{ Pools []wirePool }{wirePools(t)})
+}
+
+func indented(v any) []byte {
+	var out bytes.Buffer
+	encoder := json.NewEncoder(&out)
+	encoder.SetEscapeHTML(false)
+	encoder.SetIndent("", "  ")
+	// The wire types have no value that JSON lacks.
+	_ = encoder.Encode(v)
+	return out.Bytes()
+}
--- /dev/null
+++ b/internal/edge/tablesfile/entry.go
@@ -0,0 +1,74 @@
+package tablesfile
+
+import (
+	"time"
+
+	"jayfold.dev/jayfold/internal/core/fleet"
+	"jayfold.dev/jayfold/internal/edge/configfile"
+)
+
+// The bounds of the fields.
+const (
+	// A deadline below 1 ms ends before the fastest link between availability zones answers.
+	shortestDeadline = time.Millisecond
+	// Sidecars remember attempt ids for twice the longest deadline, which bounds their memory.
+	longestDeadline = time.Minute
+	// A floor of 0 would allow every target of a pool to be ejected.
+	leastFloor = 1
+	mostFloor  = 10_000
+	// Below a minute the detector ejects healthy targets all the time.
+	shortestFalseEjectionInterval = time.Minute
+	longestFalseEjectionInterval  = 10 * 365 * 24 * time.Hour
+)
+
+// readRoute reads one entry of the routes table.
+func (d *draft) readRoute(v configfile.Value) configfile.Problems {
+	entry := routeEntry{whole: v}
+	r := &entry.route
+	problems := v.Object(
+		configfile.Required("Name", configfile.Position(&entry.name, configfile.Text(&r.Name, identifier))),
+		configfile.Optional("Host", configfile.Text(&r.Host, host)),
+		configfile.Required("PathPrefix", configfile.Text(&r.PathPrefix, pathPrefix)),
+		configfile.Optional("Methods", configfile.Array(func(v configfile.Value) configfile.Problems {
+			return readMethod(v, r)
+		})),
+		configfile.Required("Pool", configfile.Position(&entry.pool, configfile.Text(&r.Pool, identifier))),
+		configfile.Required("Class", configfile.Parsed(&r.Class, fleet.ParseClass)),
+		configfile.Optional("Idempotent", configfile.Bool(func(b bool) { r.Idempotent = fleet.Some(b) })),
+		configfile.Required("Deadline", configfile.Duration(&r.Deadline, shortestDeadline, longestDeadline)),
+	)
+	if r.Class == fleet.Order && r.Idempotent.Or(false) {
+		problems = append(problems, v.Problem("Idempotent is true and Class is Order; an order runs at most once")...)
+	}
+	d.routes = append(d.routes, entry)
+	return problems
+}
+
+func readMethod(v configfile.Value, r *fleet.Route) configfile.Problems {
+	var m string
+	if problems := configfile.Text(&m, method)(v); problems != nil {
+		return problems
+	}
+	for _, other := range r.Methods {
+		if other == m {
+			return v.Problem("%q is there twice", m)
+		}
+	}
+	r.Methods = append(r.Methods, m)
+	return nil
+}
+
+// readPool reads one entry of the pools table.
+func (d *draft) readPool(v configfile.Value) configfile.Problems {
+	var entry poolEntry
+	p := &entry.pool
+	problems := v.Object(
+		configfile.Required("Name", configfile.Position(&entry.name, configfile.Text(&p.Name, identifier))),
+		configfile.Required("Service", configfile.Text(&p.Service, identifier)),
+		configfile.Required("Floor", configfile.Int(&p.Floor, leastFloor, mostFloor)),
+		configfile.Required("FalseEjectionInterval", configfile.Duration(
+			&p.FalseEjectionInterval, shortestFalseEjectionInterval, longestFalseEjectionInterval)),
+	)
+	d.pools = append(d.pools, entry)
+	return problems
+}
--- /dev/null
+++ b/internal/edge/tablesfile/parse.go
@@ -0,0 +1,74 @@
+// Package tablesfile reads and writes the routes and pools tables: as two files that operators edit, and as the encoded
+// form that goes to the platform and to peers.
+//
+// # Usage
+//
+//	tables, err := tablesfile.Parse(
+//		tablesfile.File{Name: "routes.json", Content: routes},
+//		tablesfile.File{Name: "pools.json", Content: pools},
+//	)
+//	content := tablesfile.Encode(tables.WithRevision(8))
+//	tables, err = tablesfile.Decode(8, content)
+//
+// Both forms are checked by the same rules. The error of either holds every problem as configfile.Problems.
+package tablesfile
+
+import (
+	"jayfold.dev/jayfold/internal/core/fleet"
+	"jayfold.dev/jayfold/internal/edge/configfile"
+)
+
+// File is a file with its content.
+type File struct {
+	Name    string
+	Content []byte
+}
+
+// Parse reads and checks both tables files. The tables get revision 0.
+func Parse(routes, pools File) (fleet.Tables, error) {
+	var d draft
+	routesValue, problems := configfile.Parse(routes.Name, routes.Content)
+	problems = append(problems, routesValue.Object(configfile.Required("Routes", configfile.Array(d.readRoute)))...)
+	poolsValue, poolsProblems := configfile.Parse(pools.Name, pools.Content)
+	d.poolsUnknown = len(poolsProblems) > 0
+	problems = append(problems, poolsProblems...)
+	problems = append(problems, poolsValue.Object(configfile.Required("Pools", configfile.Array(d.readPool)))...)
+	problems = append(problems, d.check()...)
+	if err := problems.Err(); err != nil {
+		return fleet.Tables{}, err
+	}
+	return d.tables(), nil
+}
+
+// draft holds the entries of both tables with their places, while they are read.
+type draft struct {
+	routes []routeEntry
+	pools  []poolEntry
+	// poolsUnknown means that the pools file could not be parsed, so that no route can be checked against it.
+	poolsUnknown bool
+}
+
+type routeEntry struct {
+	route fleet.Route
+	// whole, name and pool are where the entry and its fields stand.
+	whole configfile.Value
+	name  configfile.Value
+	pool  configfile.Value
+}
+
+type poolEntry struct {
+	pool fleet.Pool
+	name configfile.Value
+}
+
+// tables returns the entries as tables. They must have been checked.
+func (d *draft) tables() fleet.Tables {
+	var t fleet.Tables
+	for _, entry := range d.routes {
+		t.Routes = append(t.Routes, entry.route)
+	}
+	for _, entry := range d.pools {
+		t.Pools = t.Pools.With(entry.pool.Name, entry.pool)
+	}
+	return t
+}
