--- /dev/null
+++ b/internal/process/settings/draft.go
@@ -0,0 +1,132 @@
+package settings
+
+import (
+	"errors"
+	"net/netip"
+	"net/url"
+	"regexp"
+	"time"
+
+	"jayfold.dev/jayfold/internal/edge/configfile"
+)
+
+// The bounds of the limits.
+const (
+	leastBodyBytes   = 1 << 10
+	mostBodyBytes    = 64 << 20
+	leastHeaderBytes = 1 << 10
+	mostHeaderBytes  = 1 << 20
+	shortestTimeout  = 100 * time.Millisecond
+	longestTimeout   = 10 * time.Minute
+)
+
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$`)
+
+// draft holds the settings with the places of their addresses, while they are read.
+type draft struct {
+	settings  Settings
+	addresses []placed
+}
+
+// placed is a listen address with its place.
+type placed struct {
+	at      configfile.Value
+	address netip.AddrPort
+	// advertised means that other nodes reach the address by Host.
+	advertised bool
+}
+
+func (d *draft) fields() []configfile.Field {
+	s := &d.settings
+	return []configfile.Field{
+		configfile.Required("Node", configfile.Text(&s.Node, name)),
+		configfile.Required("AvailabilityZone", configfile.Text(&s.AvailabilityZone, name)),
+		configfile.Required("Host", configfile.Parsed(&s.Host, parseHost)),
+		configfile.Required("Listen", configfile.Object(
+			configfile.Required("Callers", d.address(&s.Listen.Callers, false)),
+			configfile.Required("Targets", d.address(&s.Listen.Targets, false)),
+			configfile.Required("Peers", d.address(&s.Listen.Peers, true)),
+			configfile.Required("Forward", d.address(&s.Listen.Forward, true)),
+			configfile.Required("Operators", d.address(&s.Listen.Operators, false)),
+		)),
+		configfile.Required("Platform", configfile.Parsed(&s.Platform, parsePlatform)),
+		configfile.Optional("LogLevel", configfile.OneOf(&s.LogLevel, "Debug", "Info", "Warn", "Error")),
+		configfile.Optional("Limits", configfile.Object(limits(&s.Limits)...)),
+	}
+}
+
+func limits(l *Limits) []configfile.Field {
+	return []configfile.Field{
+		configfile.Optional("MaxBodyBytes", configfile.Int(&l.MaxBodyBytes, leastBodyBytes, mostBodyBytes)),
+		configfile.Optional("MaxHeaderBytes", configfile.Int(&l.MaxHeaderBytes, leastHeaderBytes, mostHeaderBytes)),
+		configfile.Optional("HeaderTimeout", configfile.Duration(&l.HeaderTimeout, shortestTimeout, longestTimeout)),
+		configfile.Optional("BodyTimeout", configfile.Duration(&l.BodyTimeout, shortestTimeout, longestTimeout)),
+	}
+}
+
+// address returns a reader of a listen address that notes its place.
+func (d *draft) address(to *netip.AddrPort, advertised bool) configfile.Reader {
+	return func(v configfile.Value) configfile.Problems {
+		problems := configfile.Parsed(to, parseListen)(v)
+		if problems == nil {
+			d.addresses = append(d.addresses, placed{at: v, address: *to, advertised: advertised})
+		}
+		return problems
+	}
+}
+
+// check finds the problems between fields.
+func (d *draft) check() configfile.Problems {
+	var problems configfile.Problems
+	for i, p := range d.addresses {
+		for _, other := range d.addresses[:i] {
+			if overlap(p.address, other.address) {
+				problems = append(problems, p.at.Problem("another listener has %s", other.address)...)
+			}
+		}
+		ip := p.address.Addr()
+		if p.advertised && d.settings.Host.IsValid() && !ip.IsUnspecified() && ip != d.settings.Host {
+			problems = append(problems, p.at.Problem("%s is not reachable by other nodes; want Host (%s) or an unspecified address",
+				ip, d.settings.Host)...)
+		}
+	}
+	return problems
+}
+
+// overlap reports whether two listeners cannot have these addresses at the same time.
+func overlap(a, b netip.AddrPort) bool {
+	sameIP := a.Addr() == b.Addr() || a.Addr().IsUnspecified() || b.Addr().IsUnspecified()
+	return a.Port() == b.Port() && sameIP
+}
+
+func name(s string) string {
+	if namePattern.MatchString(s) {
+		return ""
+	}
+	return "1 to 64 letters, digits, dots, hyphens and underscores that start with a letter or digit"
+}
+
+func parseHost(s string) (netip.Addr, error) {
+	ip, err := netip.ParseAddr(s)
+	if err != nil || ip.IsUnspecified() || ip.IsMulticast() {
+		return netip.Addr{}, errors.New("want the IP address of this host, such as 10.0.1.11")
+	}
+	return ip, nil
+}
+
+func parseListen(s string) (netip.AddrPort, error) {
+	address, err := netip.ParseAddrPort(s)
+	if err != nil || address.Port() == 0 {
+		return netip.AddrPort{}, errors.New("want an IP address and a port, such as 127.0.0.1:8080")
+	}
+	return address, nil
+}
+
+func parsePlatform(s string) (string, error) {
+	u, err := url.Parse(s)
+	if err != nil || u.Scheme != "http" || u.Host == "" || u.User != nil || (u.Path != "" && u.Path != "/") ||
+		u.RawQuery != "" || u.Fragment != "" {
+		return "", errors.New("want an http URL without a path, such as http://10.0.1.2:7000")
+	}
+	return "http://" + u.Host, nil
+}
