edge/platform: add the client of the object API

Cause: The reducer's platform effects and the command line need a client that survives lost responses.

Change: Effects run on goroutines of their own with deadlines; tables are applied by chunks and one conditional write of the head, which is read back when its outcome is unknown; stale chunks are deleted by version.

Conclusion: 8 subtests pass with the race detector against the stand-in.

--- /dev/null
+++ b/internal/edge/platform/client.go
@@ -0,0 +1,159 @@
+// Package platform is the client of the platform's object API. It carries out the effects that call the platform, and
+// reads and applies tables for the command line.
+//
+// # Usage
+//
+//	client := platform.New(platform.Settings{
+//		Base: "http://10.0.0.1:7000",
+//		HTTP: &http.Client{},
+//		Post: loop.Post,
+//		Log:  log.Log,
+//	})
+//	defer client.Close()
+//	client.WatchHead(effect.WatchHead{Version: 7})
+//
+// The methods named for effects return at once; what comes of the call is posted as an event. Every call has a deadline.
+package platform
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"jayfold.dev/jayfold/internal/core/effect"
+	"jayfold.dev/jayfold/internal/core/event"
+	"jayfold.dev/jayfold/internal/edge/tablesfile"
+)
+
+// Settings are what a client depends on.
+type Settings struct {
+	// Base is the URL of the platform, without a path.
+	Base string
+	HTTP *http.Client
+	// Post takes the events. It is not used by the blocking functions.
+	Post func(event.Body)
+	// Log takes reports of values that do not decode.
+	Log log.Interface
+}
+
+// Client calls the platform.
+type Client struct {
+	objects objects
+	post    func(event.Body)
+	log     log.Interface
+	ctx     context.Context
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+}
+
+// New returns a client. Close ends its calls.
+func New(s Settings) *Client {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Client{
+		objects: objects{base: strings.TrimSuffix(s.Base, "/"), http: s.HTTP},
+		post:    s.Post,
+		log:     s.Log,
+		ctx:     ctx,
+		cancel:  cancel,
+	}
+}
+
+// Close ends all calls and waits for them. They post no event any more.
+func (c *Client) Close() {
+	c.cancel()
+	c.running.Wait()
+}
+
+// WatchHead carries out the effect.
+func (c *Client) WatchHead(e effect.WatchHead) {
+	c.start(e.After, func(ctx context.Context) event.Body {
+		found, err := c.objects.watch(ctx, headKey, e.Version)
+		if err != nil {
+			return failed(event.CallWatchHead, err)
+		}
+		if found.version == e.Version || found.version == 0 {
+			return event.HeadRead{Version: found.version}
+		}
+		head, err := decodeHead(found.value)
+		if err != nil {
+			return failed(event.CallWatchHead, err)
+		}
+		return event.HeadRead{Head: head.head(), Version: found.version}
+	})
+}
+
+// FetchTables carries out the effect.
+func (c *Client) FetchTables(e effect.FetchTables) {
+	c.start(e.After, func(ctx context.Context) event.Body {
+		content, err := c.content(ctx, e.Head.Chunks)
+		var corrupt corruptChunk
+		if errors.As(err, &corrupt) {
+			return event.TablesRejected{Revision: e.Head.Revision, Detail: err.Error()}
+		}
+		if err != nil {
+			return failed(event.CallFetchTables, err)
+		}
+		tables, err := tablesfile.Decode(e.Head.Revision, content)
+		if err != nil {
+			return event.TablesRejected{Revision: e.Head.Revision, Detail: err.Error()}
+		}
+		return event.TablesDecoded{Tables: tables, Content: content}
+	})
+}
+
+// ListMembers carries out the effect. Records that do not decode are logged and left out.
+func (c *Client) ListMembers(e effect.ListMembers) {
+	c.start(e.After, func(ctx context.Context) event.Body {
+		listed, err := c.objects.list(ctx, memberPrefix)
+		if err != nil {
+			return failed(event.CallListMembers, err)
+		}
+		return event.MembersListed{Members: c.decodeMembers(listed)}
+	})
+}
+
+// RegisterMember carries out the effect.
+func (c *Client) RegisterMember(e effect.RegisterMember) {
+	c.start(e.After, func(ctx context.Context) event.Body {
+		key := memberPrefix + string(e.Member.Node)
+		if err := c.objects.put(ctx, key, encodeMember(e.Member), condition{}); err != nil {
+			return failed(event.CallRegisterMember, err)
+		}
+		return event.MemberRegistered{}
+	})
+}
+
+// start runs a call after a delay on a goroutine of its own and posts its event.
+func (c *Client) start(after time.Duration, call func(context.Context) event.Body) {
+	c.running.Go(func() {
+		if !sleep(c.ctx, after) {
+			return
+		}
+		if body := call(c.ctx); c.ctx.Err() == nil {
+			c.post(body)
+		}
+	})
+}
+
+// sleep waits, and reports whether it came to the end.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func failed(call event.PlatformCall, err error) event.PlatformFailed {
+	var failure Failure
+	errors.As(err, &failure)
+	return event.PlatformFailed{Call: call, Unknown: failure.Unknown, Detail: err.Error()}
+}
--- /dev/null
+++ b/internal/edge/platform/client_test.go
@@ -0,0 +1,201 @@
+package platform_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
+	"github.com/matryer/is"
+
+	"jayfold.dev/jayfold/internal/core/effect"
+	"jayfold.dev/jayfold/internal/core/event"
+	"jayfold.dev/jayfold/internal/core/fleet"
+	"jayfold.dev/jayfold/internal/edge/platform"
+	lab "jayfold.dev/jayfold/internal/lab/platform"
+)
+
+// world is a client with the stand-in that it calls.
+type world struct {
+	server *lab.Server
+	base   string
+	client *platform.Client
+	events chan event.Body
+	logged *memory.Handler
+}
+
+func newWorld(t *testing.T) world {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	w := world{
+		server: lab.New(lab.Limits{}, time.Now),
+		base:   "http://" + listener.Addr().String(),
+		events: make(chan event.Body, 16),
+		logged: memory.New(),
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- w.server.Serve(ctx, listener) }()
+	w.client = platform.New(platform.Settings{
+		Base: w.base,
+		HTTP: &http.Client{},
+		Post: func(body event.Body) { w.events <- body },
+		Log:  &log.Logger{Handler: w.logged, Level: log.DebugLevel},
+	})
+	t.Cleanup(func() {
+		w.client.Close()
+		cancel()
+		is.New(t).NoErr(<-ended)
+	})
+	return w
+}
+
+// next returns the next event.
+func (w world) next(t *testing.T) event.Body {
+	t.Helper()
+	select {
+	case body := <-w.events:
+		return body
+	case <-time.After(10 * time.Second):
+		t.Fatal("no event came")
+		return nil
+	}
+}
+
+func tablesOf(pool fleet.PoolName) fleet.Tables {
+	return fleet.Tables{
+		Routes: []fleet.Route{{Name: "all", PathPrefix: "/", Pool: pool, Deadline: time.Second}},
+		Pools: fleet.Map[fleet.PoolName, fleet.Pool]{}.With(pool, fleet.Pool{
+			Name: pool, Service: "catalogue", Floor: 4, FalseEjectionInterval: 24 * time.Hour,
+		}),
+	}
+}
+
+// put writes a raw value to the stand-in.
+func (w world) put(t *testing.T, key, value string) {
+	t.Helper()
+	assert := is.New(t)
+	req, err := http.NewRequest(http.MethodPut, w.base+"/v1/objects/"+key, strings.NewReader(value))
+	assert.NoErr(err)
+	res, err := http.DefaultClient.Do(req)
+	assert.NoErr(err)
+	assert.NoErr(res.Body.Close())
+	assert.Equal(res.StatusCode, http.StatusOK)
+}
+
+// assertRevision checks which pool the newest revision has.
+func assertRevision(t *testing.T, w world, revision fleet.Revision, pool fleet.PoolName) {
+	t.Helper()
+	assert := is.New(t)
+	found, err := w.client.ReadTables(t.Context())
+	assert.NoErr(err)
+	assert.Equal(found.Revision, revision)
+	_, ok := found.Pool(pool)
+	assert.True(ok)
+}
+
+func TestApply(t *testing.T) {
+	t.Run("a revision comes back as it was applied", func(t *testing.T) {
+		w := newWorld(t)
+		revision, err := w.client.ApplyTables(t.Context(), tablesOf("a"), 0, "change-1")
+		is.New(t).NoErr(err)
+		is.New(t).Equal(revision, fleet.Revision(1))
+		assertRevision(t, w, 1, "a")
+	})
+
+	t.Run("of two racing operators exactly one wins and the other is told", func(t *testing.T) {
+		w := newWorld(t)
+		results := make(chan error, 2)
+		for _, pool := range []fleet.PoolName{"a", "b"} {
+			go func() {
+				_, err := w.client.ApplyTables(context.Background(), tablesOf(pool), 0, "change-"+string(pool))
+				results <- err
+			}()
+		}
+		var conflict platform.Conflict
+		first, second := <-results, <-results
+		is.New(t).True((first == nil) != (second == nil))
+		is.New(t).True(errors.As(errors.Join(first, second), &conflict))
+		is.New(t).Equal(conflict, platform.Conflict{Expected: 0, Found: 1})
+	})
+
+	t.Run("a write whose response is lost is not repeated and not reported as a conflict", func(t *testing.T) {
+		w := newWorld(t)
+		w.server.SetFaults(lab.Faults{LoseResponses: 2})
+		revision, err := w.client.ApplyTables(t.Context(), tablesOf("a"), 0, "change-1")
+		is.New(t).NoErr(err)
+		is.New(t).Equal(revision, fleet.Revision(1))
+		is.New(t).Equal(w.server.Counters().Lost, 2)
+		assertRevision(t, w, 1, "a")
+	})
+
+	t.Run("an outage fails the change and leaves the tables as they were", func(t *testing.T) {
+		w := newWorld(t)
+		_, err := w.client.ApplyTables(t.Context(), tablesOf("a"), 0, "change-1")
+		is.New(t).NoErr(err)
+		w.server.SetFaults(lab.Faults{Outage: true})
+		_, err = w.client.ApplyTables(t.Context(), tablesOf("b"), 1, "change-2")
+		var failure platform.Failure
+		is.New(t).True(errors.As(err, &failure))
+		w.server.SetFaults(lab.Faults{})
+		assertRevision(t, w, 1, "a")
+	})
+}
+
+func TestEffects(t *testing.T) {
+	t.Run("a waiting watch tells of a change, and the change is fetched", func(t *testing.T) {
+		w := newWorld(t)
+		w.client.WatchHead(effect.WatchHead{})
+		_, err := w.client.ApplyTables(t.Context(), tablesOf("a"), 0, "change-1")
+		is.New(t).NoErr(err)
+		read, ok := w.next(t).(event.HeadRead)
+		is.New(t).True(ok)
+		is.New(t).Equal(read.Head.Revision, fleet.Revision(1))
+		w.client.FetchTables(effect.FetchTables{Head: read.Head})
+		decoded, ok := w.next(t).(event.TablesDecoded)
+		is.New(t).True(ok)
+		is.New(t).Equal(decoded.Tables.Revision, fleet.Revision(1))
+	})
+
+	t.Run("an outage ends a waiting watch with an event", func(t *testing.T) {
+		w := newWorld(t)
+		w.client.WatchHead(effect.WatchHead{})
+		for w.server.Counters().Watches == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		w.server.SetFaults(lab.Faults{Outage: true})
+		failed, ok := w.next(t).(event.PlatformFailed)
+		is.New(t).True(ok)
+		is.New(t).Equal(failed.Call, event.CallWatchHead)
+	})
+
+	t.Run("a head that does not decode is reported", func(t *testing.T) {
+		w := newWorld(t)
+		w.put(t, "tables/head", `{"Revision":`)
+		w.client.WatchHead(effect.WatchHead{})
+		failed, ok := w.next(t).(event.PlatformFailed)
+		is.New(t).True(ok)
+		is.New(t).Equal(failed.Call, event.CallWatchHead)
+	})
+
+	t.Run("a member record that does not decode does not hide the others", func(t *testing.T) {
+		w := newWorld(t)
+		member := fleet.Member{Node: "n1", PeerAddress: "127.0.0.1:1", Incarnation: 3, Targets: []fleet.Target{
+			{ID: "n1/t1", Pool: "a", Slots: 4},
+		}}
+		w.client.RegisterMember(effect.RegisterMember{Member: member})
+		is.New(t).Equal(w.next(t), event.MemberRegistered{})
+		w.put(t, "members/n2", "nonsense")
+		w.client.ListMembers(effect.ListMembers{})
+		is.New(t).Equal(w.next(t), event.MembersListed{Members: []fleet.Member{member}})
+		is.New(t).Equal(len(w.logged.Entries), 1)
+	})
+}
--- /dev/null
+++ b/internal/edge/platform/head.go
@@ -0,0 +1,89 @@
+package platform
+
+import (
+	"encoding/json"
+	"fmt"
+	"regexp"
+
+	"jayfold.dev/jayfold/internal/core/fleet"
+)
+
+const (
+	// headKey is the key of the head object.
+	headKey = "tables/head"
+	// chunkPrefix begins the keys of chunks; the SHA-256 sum in hexadecimal follows.
+	chunkPrefix = "tables/chunk/"
+	// maxChunks bounds the chunks of one revision: 4 MiB, about forty times the design size.
+	maxChunks = 16
+	// remembered is the number of earlier changes that the head names, so that a writer whose response was lost finds its
+	// change id even when others have written since.
+	remembered = 16
+)
+
+// wireHead is the value of the head object.
+type wireHead struct {
+	Revision fleet.Revision
+	Chunks   []string
+	ChangeID string
+	// Earlier are the changes before this one, the latest first.
+	Earlier []wireChange `json:",omitempty"`
+}
+
+// wireChange is an earlier value of the head.
+type wireChange struct {
+	Revision fleet.Revision
+	ChangeID string
+	// Chunks are the chunks that have not been deleted from the platform.
+	Chunks []string `json:",omitempty"`
+}
+
+var sumPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
+
+func decodeHead(value []byte) (wireHead, error) {
+	var h wireHead
+	if err := json.Unmarshal(value, &h); err != nil {
+		return wireHead{}, fmt.Errorf("the value of %s does not decode: %w", headKey, err)
+	}
+	if h.Revision < 1 || len(h.Chunks) < 1 || len(h.Chunks) > maxChunks {
+		return wireHead{}, fmt.Errorf("the value of %s has revision %d and %d chunks; want at least 1 and 1 to %d",
+			headKey, h.Revision, len(h.Chunks), maxChunks)
+	}
+	for _, sum := range h.Chunks {
+		if !sumPattern.MatchString(sum) {
+			return wireHead{}, fmt.Errorf("the value of %s names chunk %q; want a SHA-256 sum", headKey, sum)
+		}
+	}
+	return h, nil
+}
+
+// head returns what the core needs of the value.
+func (h wireHead) head() fleet.Head {
+	return fleet.Head{Revision: h.Revision, Chunks: h.Chunks, ChangeID: h.ChangeID}
+}
+
+// has returns the revision that a change became, if this head or an earlier one came of it.
+func (h wireHead) has(changeID string) (fleet.Revision, bool) {
+	if h.ChangeID == changeID {
+		return h.Revision, true
+	}
+	for _, change := range h.Earlier {
+		if change.ChangeID == changeID {
+			return change.Revision, true
+		}
+	}
+	return 0, false
+}
+
+// next returns the head of the next revision.
+func (h wireHead) next(chunks []string, changeID string) wireHead {
+	earlier := h.Earlier
+	if h.Revision > 0 {
+		earlier = append([]wireChange{{Revision: h.Revision, ChangeID: h.ChangeID, Chunks: h.Chunks}}, earlier...)
+	}
+	return wireHead{
+		Revision: h.Revision + 1,
+		Chunks:   chunks,
+		ChangeID: changeID,
+		Earlier:  earlier[:min(len(earlier), remembered)],
+	}
+}
--- /dev/null
+++ b/internal/edge/platform/member.go
@@ -0,0 +1,128 @@
+package platform
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+
+	"jayfold.dev/jayfold/internal/core/fleet"
+)
+
+// memberPrefix begins the keys of member records.
+const memberPrefix = "members/"
+
+type wireMember struct {
+	Node             fleet.NodeID
+	AvailabilityZone fleet.AvailabilityZone
+	PeerAddress      string
+	ForwardAddress   string
+	Incarnation      fleet.Incarnation
+	Sequence         uint64
+	Status           string
+	Targets          []wireTarget
+}
+
+type wireTarget struct {
+	ID      fleet.TargetID
+	Pool    fleet.PoolName
+	State   string
+	Slots   int
+	Ejected bool `json:",omitempty"`
+}
+
+var (
+	statuses     = []fleet.Status{fleet.Alive, fleet.Suspect, fleet.Leaving, fleet.Dead}
+	targetStates = []fleet.TargetState{fleet.Ready, fleet.TargetDraining}
+)
+
+func encodeMember(m fleet.Member) []byte {
+	wire := wireMember{
+		Node:             m.Node,
+		AvailabilityZone: m.AvailabilityZone,
+		PeerAddress:      m.PeerAddress,
+		ForwardAddress:   m.ForwardAddress,
+		Incarnation:      m.Incarnation,
+		Sequence:         m.Sequence,
+		Status:           m.Status.String(),
+		Targets:          make([]wireTarget, 0, len(m.Targets)),
+	}
+	for _, t := range m.Targets {
+		wire.Targets = append(wire.Targets, wireTarget{t.ID, t.Pool, t.State.String(), t.Slots, t.Ejected})
+	}
+	// The wire types have no value that JSON lacks.
+	value, _ := json.Marshal(wire)
+	return value
+}
+
+// decodeMembers returns the records that decode and logs the others.
+func (c *Client) decodeMembers(listed []object) []fleet.Member {
+	members := make([]fleet.Member, 0, len(listed))
+	for _, o := range listed {
+		m, err := decodeMember(strings.TrimPrefix(o.key, memberPrefix), o.value)
+		if err != nil {
+			c.log.WithField("Key", o.key).WithError(err).Warn("platform: member record left out")
+			continue
+		}
+		members = append(members, m)
+	}
+	return members
+}
+
+func decodeMember(node string, value []byte) (fleet.Member, error) {
+	var wire wireMember
+	if err := json.Unmarshal(value, &wire); err != nil {
+		return fleet.Member{}, fmt.Errorf("the member record does not decode: %w", err)
+	}
+	if string(wire.Node) != node || node == "" {
+		return fleet.Member{}, fmt.Errorf("the member record is of node %q; want %q", wire.Node, node)
+	}
+	status, err := named("status", wire.Status, statuses)
+	if err != nil {
+		return fleet.Member{}, err
+	}
+	m := fleet.Member{
+		Node:             wire.Node,
+		AvailabilityZone: wire.AvailabilityZone,
+		PeerAddress:      wire.PeerAddress,
+		ForwardAddress:   wire.ForwardAddress,
+		Incarnation:      wire.Incarnation,
+		Sequence:         wire.Sequence,
+		Status:           status,
+	}
+	for _, w := range wire.Targets {
+		t, err := decodeTarget(wire.Node, w)
+		if err != nil {
+			return fleet.Member{}, err
+		}
+		m.Targets = append(m.Targets, t)
+	}
+	// The directory relies on the order.
+	slices.SortFunc(m.Targets, func(a, b fleet.Target) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	return m, nil
+}
+
+func decodeTarget(node fleet.NodeID, w wireTarget) (fleet.Target, error) {
+	if w.ID.Node() != node {
+		return fleet.Target{}, fmt.Errorf("target %q does not belong to node %q", w.ID, node)
+	}
+	state, err := named("target state", w.State, targetStates)
+	if err != nil {
+		return fleet.Target{}, err
+	}
+	if w.Slots < 0 {
+		return fleet.Target{}, fmt.Errorf("target %q has %d slots", w.ID, w.Slots)
+	}
+	return fleet.Target{ID: w.ID, Pool: w.Pool, State: state, Slots: w.Slots, Ejected: w.Ejected}, nil
+}
+
+// named returns the value with the given name.
+func named[T fmt.Stringer](what, name string, values []T) (T, error) {
+	for _, value := range values {
+		if value.String() == name {
+			return value, nil
+		}
+	}
+	var none T
+	return none, fmt.Errorf("unknown %s %q", what, name)
+}
--- /dev/null
+++ b/internal/edge/platform/objects.go
@@ -0,0 +1,230 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const (
+	// callTimeout bounds every call but a watch. The platform answers in milliseconds when it is well.
+	callTimeout = 5 * time.Second
+	// watchWait is how long the platform holds a watch without a change.
+	watchWait = 30 * time.Second
+	// watchTimeout bounds a watch, so that a silent connection is noticed.
+	watchTimeout = watchWait + callTimeout
+	// maxObject is above the platform's limit of 1 MB for a value.
+	maxObject = 2 << 20
+	// maxList is above the size of 540 member records of 14 targets each.
+	maxList = 32 << 20
+)
+
+// objects makes the calls of the object API.
+type objects struct {
+	base string
+	http *http.Client
+}
+
+// object is one object of the platform. Version 0 means that there is none.
+type object struct {
+	key     string
+	version uint64
+	value   []byte
+}
+
+// condition is what must hold for a write to take effect.
+type condition struct {
+	name  string
+	value string
+}
+
+// unchanged asks that the object still has the given version; 0 means that it must not exist.
+func unchanged(version uint64) condition {
+	if version == 0 {
+		return condition{name: "If-None-Match", value: "*"}
+	}
+	return condition{name: "If-Match", value: strconv.Quote(strconv.FormatUint(version, 10))}
+}
+
+// wireList is the answer of a list.
+type wireList struct {
+	Objects []wireObject
+}
+
+type wireObject struct {
+	Key     string
+	Version uint64
+	Value   []byte
+}
+
+// errConflict says that the condition of a write did not hold.
+var errConflict = errors.New("the object has changed")
+
+// Failure is a call on the platform that did not succeed.
+type Failure struct {
+	// Call is the method and the key.
+	Call string
+	// Unknown means that the call was a write that may have taken effect.
+	Unknown bool
+	Err     error
+}
+
+// Error implements error.
+func (f Failure) Error() string { return "platform: " + f.Call + ": " + f.Err.Error() }
+
+// Unwrap returns the cause.
+func (f Failure) Unwrap() error { return f.Err }
+
+// get reads an object.
+func (o objects) get(ctx context.Context, key string) (object, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return o.read(ctx, key, "")
+}
+
+// watch waits until the object has another version. It returns the object with that version and no value when nothing
+// changed.
+func (o objects) watch(ctx context.Context, key string, version uint64) (object, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+	defer cancel()
+	return o.read(ctx, key, fmt.Sprintf("?after=%d&wait=%s", version, watchWait))
+}
+
+func (o objects) read(ctx context.Context, key, query string) (object, error) {
+	a, err := o.do(ctx, http.MethodGet, "/"+escape(key)+query, nil, condition{}, maxObject)
+	if err != nil {
+		return object{}, err
+	}
+	switch a.status {
+	case http.StatusNotFound:
+		return object{key: key}, nil
+	case http.StatusOK, http.StatusNotModified:
+		version, err := a.version()
+		if err != nil {
+			return object{}, Failure{Call: "GET " + key, Err: err}
+		}
+		return object{key: key, version: version, value: a.body}, nil
+	default:
+		return object{}, Failure{Call: "GET " + key, Err: a.statusError()}
+	}
+}
+
+// answer is a whole answer of the platform.
+type answer struct {
+	status int
+	text   string
+	etag   string
+	body   []byte
+}
+
+func (a answer) version() (uint64, error) {
+	if a.etag == "" && a.status == http.StatusNotModified {
+		// A watch on an object that does not exist has no version to name.
+		return 0, nil
+	}
+	version, err := strconv.ParseUint(strings.Trim(a.etag, `"`), 10, 64)
+	if err != nil || version == 0 {
+		return 0, fmt.Errorf("the ETag %q is not a version", a.etag)
+	}
+	return version, nil
+}
+
+func (a answer) statusError() error { return errors.New("the platform answered " + a.text) }
+
+// list reads all objects whose keys begin with prefix.
+func (o objects) list(ctx context.Context, prefix string) ([]object, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	a, err := o.do(ctx, http.MethodGet, "?prefix="+url.QueryEscape(prefix), nil, condition{}, maxList)
+	if err != nil {
+		return nil, err
+	}
+	if a.status != http.StatusOK {
+		return nil, Failure{Call: "GET " + prefix + "*", Err: a.statusError()}
+	}
+	var wire wireList
+	if err := json.Unmarshal(a.body, &wire); err != nil {
+		return nil, Failure{Call: "GET " + prefix + "*", Err: fmt.Errorf("the list does not decode: %w", err)}
+	}
+	listed := make([]object, 0, len(wire.Objects))
+	for _, w := range wire.Objects {
+		listed = append(listed, object{key: w.Key, version: w.Version, value: w.Value})
+	}
+	return listed, nil
+}
+
+// put writes an object. A condition that does not hold is errConflict.
+func (o objects) put(ctx context.Context, key string, value []byte, c condition) error {
+	return o.write(ctx, http.MethodPut, key, value, c)
+}
+
+// remove deletes an object. One that is gone already is no error.
+func (o objects) remove(ctx context.Context, key string, c condition) error {
+	return o.write(ctx, http.MethodDelete, key, nil, c)
+}
+
+func (o objects) write(ctx context.Context, method, key string, value []byte, c condition) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	a, err := o.do(ctx, method, "/"+escape(key), value, c, maxObject)
+	if err != nil {
+		return err
+	}
+	switch status := a.status; {
+	case status < http.StatusMultipleChoices, status == http.StatusNotFound && method == http.MethodDelete:
+		return nil
+	case status == http.StatusPreconditionFailed:
+		return Failure{Call: method + " " + key, Err: errConflict}
+	default:
+		unknown := status >= http.StatusInternalServerError
+		return Failure{Call: method + " " + key, Unknown: unknown, Err: a.statusError()}
+	}
+}
+
+// do makes one call and reads the whole answer.
+func (o objects) do(
+	ctx context.Context, method, path string, value []byte, c condition, most int64,
+) (answer, error) {
+	call := method + " " + path
+	req, err := http.NewRequestWithContext(ctx, method, o.base+"/v1/objects"+path, bytes.NewReader(value))
+	if err != nil {
+		return answer{}, Failure{Call: call, Err: err}
+	}
+	if c.name != "" {
+		req.Header.Set(c.name, c.value)
+	}
+	write := method != http.MethodGet
+	res, err := o.http.Do(req)
+	if err != nil {
+		return answer{}, Failure{Call: call, Unknown: write && !refused(err), Err: err}
+	}
+	defer func() { _ = res.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(res.Body, most+1))
+	if err == nil && int64(len(body)) > most {
+		err = fmt.Errorf("the answer is larger than %d bytes", most)
+	}
+	if err != nil {
+		return answer{}, Failure{Call: call, Unknown: write, Err: err}
+	}
+	return answer{status: res.StatusCode, text: res.Status, etag: res.Header.Get("ETag"), body: body}, nil
+}
+
+// refused reports whether no connection came about, so that nothing was sent.
+func refused(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// escape escapes a key for a path and keeps its slashes.
+func escape(key string) string {
+	return strings.ReplaceAll(url.PathEscape(key), "%2F", "/")
+}
--- /dev/null
+++ b/internal/edge/platform/stale.go
@@ -0,0 +1,53 @@
+package platform
+
+import (
+	"context"
+	"slices"
+)
+
+// findStale returns the chunks that no reader needs once next is the head, with their versions, and next without the
+// names of chunks that are gone already. A reader may still fetch the revision before next, so its chunks stay.
+//
+// A writer that reads the head after next took effect writes all its chunks anew, which gives them newer versions than
+// the ones returned here. So deleting only these versions never takes a chunk from a later revision.
+func (c *Client) findStale(ctx context.Context, head, next wireHead) (wireHead, []object) {
+	needed := slices.Concat(next.Chunks, head.Chunks)
+	next.Earlier = slices.Clone(next.Earlier)
+	var stale []object
+	for i, change := range next.Earlier {
+		if change.Revision == head.Revision {
+			continue
+		}
+		found := c.findChunks(ctx, change.Chunks, needed)
+		if found == nil {
+			next.Earlier[i].Chunks = nil
+		}
+		stale = append(stale, found...)
+	}
+	return next, stale
+}
+
+// findChunks returns the chunks that are still there and not needed. One that cannot be read counts as there, with
+// version 0, so that the next change tries again.
+func (c *Client) findChunks(ctx context.Context, sums, needed []string) []object {
+	var found []object
+	for _, name := range sums {
+		if slices.Contains(needed, name) {
+			continue
+		}
+		chunk, err := c.objects.get(ctx, chunkPrefix+name)
+		if err != nil || chunk.version > 0 {
+			found = append(found, object{key: chunkPrefix + name, version: chunk.version})
+		}
+	}
+	return found
+}
+
+// removeStale deletes chunks. A failure is not reported: the head still names the chunk, and the next change tries again.
+func (c *Client) removeStale(ctx context.Context, stale []object) {
+	for _, chunk := range stale {
+		if chunk.version > 0 {
+			_ = c.objects.remove(ctx, chunk.key, unchanged(chunk.version))
+		}
+	}
+}
--- /dev/null
+++ b/internal/edge/platform/tables.go
@@ -0,0 +1,175 @@
+package platform
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+
+	"jayfold.dev/jayfold/internal/core/fleet"
+	"jayfold.dev/jayfold/internal/edge/tablesfile"
+)
+
+const (
+	// chunkSize is a quarter of the platform's limit for a value.
+	chunkSize = 256 << 10
+	// writeTries bounds how often a write is sent when its outcome stays unknown.
+	writeTries = 4
+)
+
+// Conflict says that another operator's change came first.
+type Conflict struct {
+	// Expected is the revision that the change was made for; Found is on the platform.
+	Expected fleet.Revision
+	Found    fleet.Revision
+}
+
+// Error implements error.
+func (c Conflict) Error() string {
+	return fmt.Sprintf("the tables were changed by someone else: revision %d is on the platform, and the change was made "+
+		"for revision %d", c.Found, c.Expected)
+}
+
+// corruptChunk says that a chunk is not what its key says.
+type corruptChunk struct {
+	sum string
+}
+
+func (c corruptChunk) Error() string {
+	return "the value of " + chunkPrefix + c.sum + " has another SHA-256 sum"
+}
+
+// ReadTables reads the newest revision. Revision 0 means that there is none.
+func (c *Client) ReadTables(ctx context.Context) (fleet.Tables, error) {
+	head, _, err := c.readHead(ctx)
+	if err != nil || head.Revision == 0 {
+		return fleet.Tables{}, err
+	}
+	content, err := c.content(ctx, head.Chunks)
+	if err != nil {
+		return fleet.Tables{}, err
+	}
+	return tablesfile.Decode(head.Revision, content)
+}
+
+// ApplyTables writes tables as the revision after expected and returns the new revision. The change id must be new. When
+// another change came first it returns Conflict and nothing is in force.
+func (c *Client) ApplyTables(
+	ctx context.Context, tables fleet.Tables, expected fleet.Revision, changeID string,
+) (fleet.Revision, error) {
+	head, version, err := c.readHead(ctx)
+	if err != nil {
+		return 0, err
+	}
+	if head.Revision != expected {
+		return 0, Conflict{Expected: expected, Found: head.Revision}
+	}
+	chunks := split(tablesfile.Encode(tables.WithRevision(expected + 1)))
+	if len(chunks) > maxChunks {
+		return 0, fmt.Errorf("the tables take %d chunks of %d bytes; want at most %d", len(chunks), chunkSize, maxChunks)
+	}
+	sums, err := c.writeChunks(ctx, chunks)
+	if err != nil {
+		return 0, err
+	}
+	next, stale := c.findStale(ctx, head, head.next(sums, changeID))
+	revision, err := c.writeHead(ctx, next, version)
+	if err != nil {
+		return 0, err
+	}
+	c.removeStale(ctx, stale)
+	return revision, nil
+}
+
+// readHead returns the head and its version. Version 0 means that there is none.
+func (c *Client) readHead(ctx context.Context) (wireHead, uint64, error) {
+	found, err := c.objects.get(ctx, headKey)
+	if err != nil || found.version == 0 {
+		return wireHead{}, 0, err
+	}
+	head, err := decodeHead(found.value)
+	return head, found.version, err
+}
+
+// writeHead writes the head in the place of the given version. When the outcome of the write is unknown it reads the head
+// back first: a second write is sent only while the old version still stands, and the condition keeps it from taking
+// effect twice.
+func (c *Client) writeHead(ctx context.Context, head wireHead, version uint64) (fleet.Revision, error) {
+	// The wire types have no value that JSON lacks.
+	value, _ := json.Marshal(head)
+	var err error
+	for range writeTries {
+		err = c.objects.put(ctx, headKey, value, unchanged(version))
+		if err == nil {
+			return head.Revision, nil
+		}
+		if !unknown(err) && !errors.Is(err, errConflict) {
+			return 0, err
+		}
+		found, foundVersion, readErr := c.readHead(ctx)
+		if readErr != nil {
+			return 0, fmt.Errorf("it is not known whether change %s took effect: %w", head.ChangeID, errors.Join(err, readErr))
+		}
+		if revision, done := found.has(head.ChangeID); done {
+			return revision, nil
+		}
+		if foundVersion != version {
+			return 0, Conflict{Expected: head.Revision - 1, Found: found.Revision}
+		}
+	}
+	return 0, fmt.Errorf("it is not known whether change %s took effect: %w", head.ChangeID, err)
+}
+
+// writeChunks writes every chunk and returns their sums. A repeated write changes nothing, since the key is the sum.
+func (c *Client) writeChunks(ctx context.Context, chunks [][]byte) ([]string, error) {
+	sums := make([]string, 0, len(chunks))
+	for _, chunk := range chunks {
+		sum := sha256.Sum256(chunk)
+		name := hex.EncodeToString(sum[:])
+		if err := c.writeChunk(ctx, name, chunk); err != nil {
+			return nil, err
+		}
+		sums = append(sums, name)
+	}
+	return sums, nil
+}
+
+func (c *Client) writeChunk(ctx context.Context, name string, chunk []byte) error {
+	var err error
+	for range writeTries {
+		if err = c.objects.put(ctx, chunkPrefix+name, chunk, condition{}); !unknown(err) {
+			return err
+		}
+	}
+	return err
+}
+
+// content reads the chunks with the given sums.
+func (c *Client) content(ctx context.Context, sums []string) ([]byte, error) {
+	var content []byte
+	for _, name := range sums {
+		found, err := c.objects.get(ctx, chunkPrefix+name)
+		if err != nil {
+			return nil, err
+		}
+		if found.version == 0 {
+			return nil, Failure{Call: "GET " + chunkPrefix + name, Err: errors.New("the chunk is not there")}
+		}
+		if sum := sha256.Sum256(found.value); hex.EncodeToString(sum[:]) != name {
+			return nil, corruptChunk{sum: name}
+		}
+		content = append(content, found.value...)
+	}
+	return content, nil
+}
+
+func split(content []byte) [][]byte { return slices.Collect(slices.Chunk(content, chunkSize)) }
+
+// unknown reports whether err is of a write that may have taken effect.
+func unknown(err error) bool {
+	var failure Failure
+	return errors.As(err, &failure) && failure.Unknown
+}
