core/orders: remember keyed orders and claim them on the platform

Cause: a caller that gets no answer sends its order again, and the order must run at most once. Change: the home's sidecar remembers key and outcome for 10 minutes; a claim on the platform, within a budget of writes, makes another sidecar refuse the order after the home changed. Weighed: batched claim objects by bucket (homes contend for one version, and a batch delays each order) and home memory alone (a crash of the home's node doubles the order).

--- /dev/null
+++ b/internal/core/effect/orders.go
@@ -0,0 +1,24 @@
+package effect
+
+import "jayfold.dev/jayfold/internal/core/fleet"
+
+// ClaimOrder creates the claim object of a keyed order on the platform, if there is none. Event: event.OrderClaimed.
+type ClaimOrder struct {
+	Name    string
+	Attempt fleet.AttemptID
+}
+
+// ReleaseOrder deletes the claim object of a keyed order.
+type ReleaseOrder struct {
+	Name string
+}
+
+// Replay answers an attempt with the kept answer of an earlier one.
+type Replay struct {
+	Attempt fleet.AttemptID
+	Of      fleet.AttemptID
+}
+
+func (ClaimOrder) isEffect()   {}
+func (ReleaseOrder) isEffect() {}
+func (Replay) isEffect()       {}
--- a/internal/core/node/state.go
+++ b/internal/core/node/state.go
@@ -18,6 +18,7 @@
 	"jayfold.dev/jayfold/internal/core/event"
 	"jayfold.dev/jayfold/internal/core/fleet"
 	"jayfold.dev/jayfold/internal/core/membership"
+	"jayfold.dev/jayfold/internal/core/orders"
 	"jayfold.dev/jayfold/internal/core/quarantine"
 	"jayfold.dev/jayfold/internal/core/tables"
 )
@@ -29,6 +30,7 @@
 	detection  detection.State
 	ejection   ejection.State
 	membership membership.State
+	orders     orders.State
 	quarantine quarantine.State
 	tables     tables.State
 	shutdown   shutdown
@@ -42,6 +44,7 @@
 		detection:  detection.New(),
 		ejection:   ejection.New(self.Node),
 		membership: membership.New(self),
+		orders:     orders.New(self.Node),
 		quarantine: quarantine.New(),
 		tables:     tables.New(),
 	}
@@ -50,6 +53,7 @@
 // Reduce returns the state after an event and the effects of the event.
 func (s State) Reduce(ev event.Event) (State, []effect.Effect) {
 	next, effects := s.dispatch(ev)
+	next, effects = next.settleOrders(effects)
 	return next, next.stamp(effects)
 }
 
@@ -89,11 +93,13 @@
 	case event.AttemptFinished:
 		return s.attemptFinished(ev, body)
 	case event.AdmissionAsked:
-		return s.admissionAsked(ev, body)
+		return s.attemptAsked(ev, body)
 	case event.AdmissionCanceled:
-		return s.admissionCanceled(ev, body)
+		return s.attemptCanceled(ev, body)
 	case event.RunFinished:
-		return s.runFinished(ev, body)
+		return s.runEnded(ev, body)
+	case event.OrderClaimed:
+		return s.orderClaimed(ev, body)
 	case event.TargetAnnounced:
 		return s.targetAnnounced(ev, body)
 	case event.TargetWithdrawn:
--- /dev/null
+++ b/internal/core/orders/admission.go
@@ -0,0 +1,142 @@
+package orders
+
+import (
+	"time"
+
+	"jayfold.dev/jayfold/internal/core/effect"
+	"jayfold.dev/jayfold/internal/core/fleet"
+)
+
+// Asked decides on a keyed attempt that came from an ingress. Admission itself refuses an attempt that it has seen.
+func (s State) Asked(now time.Time, attempt fleet.Attempt) (State, Step) {
+	name := Name(attempt)
+	known, ok := s.records.Get(name)
+	if !ok {
+		return s.first(now, name, attempt)
+	}
+	if known.phase == running && known.attempt.ID == attempt.ID {
+		return s, admit(attempt)
+	}
+	if known.fingerprint != attempt.Fingerprint {
+		return s, refuse(attempt, fleet.NotRun, "the idempotency key is in use by another order")
+	}
+	known.used = now
+	s = s.withRecord(name, known)
+	switch known.phase {
+	case answered:
+		return s, act(effect.Replay{Attempt: attempt.ID, Of: known.attempt.ID})
+	case claiming, running:
+		return s, refuse(attempt, fleet.MayHaveRun, "the order is being run")
+	default:
+		return s, refuse(attempt, fleet.MayHaveRun, "the order may have run; its outcome is not known")
+	}
+}
+
+// first starts an order that this sidecar has not seen: with a claim while the budget lasts, and without one otherwise.
+func (s State) first(now time.Time, name string, attempt fleet.Attempt) (State, Step) {
+	if s.records.Len() >= maxRecords {
+		return s, refuse(attempt, fleet.NotRun, "too many idempotency keys are in use")
+	}
+	r := record{attempt: attempt, fingerprint: attempt.Fingerprint, used: now}
+	left, allowed := s.budget.take(now)
+	s.budget = left
+	if !allowed {
+		return s.start(name, r, attempt)
+	}
+	r.phase = claiming
+	s.waiting = s.waiting.With(attempt.ID, name)
+	return s.withRecord(name, r), act(effect.ClaimOrder{Name: name, Attempt: attempt.ID})
+}
+
+func (s State) start(name string, r record, attempt fleet.Attempt) (State, Step) {
+	r.phase = running
+	r.attempt = attempt
+	s.started = s.started.With(attempt.ID, name)
+	return s.withRecord(name, r), admit(attempt)
+}
+
+// Claimed takes in the platform's answer to a claim.
+func (s State) Claimed(now time.Time, id fleet.AttemptID, result fleet.ClaimResult) (State, Step) {
+	name, ok := s.waiting.Get(id)
+	if !ok {
+		return s, Step{}
+	}
+	s.waiting = s.waiting.Without(id)
+	r, _ := s.records.Get(name)
+	switch result {
+	case fleet.ClaimCreated:
+		r.claimed = true
+		return s.start(name, r, r.attempt)
+	case fleet.ClaimExists:
+		r.phase = unknown
+		return s.withRecord(name, r), refuse(r.attempt, fleet.MayHaveRun, "the order was sent to another node before")
+	default:
+		s.budget = s.budget.failed(now)
+		return s.start(name, r, r.attempt)
+	}
+}
+
+// Canceled ends an attempt that still waits for its claim. It reports whether there was one.
+func (s State) Canceled(id fleet.AttemptID) (State, Step, bool) {
+	name, ok := s.waiting.Get(id)
+	if !ok {
+		return s, Step{}, false
+	}
+	r, _ := s.records.Get(name)
+	s.waiting = s.waiting.Without(id)
+	s.records = s.records.Without(name)
+	problem := fleet.NewProblem(fleet.Canceled, fleet.NotRun, "the order was canceled before it started")
+	return s, act(refusal(r.attempt, problem), effect.ReleaseOrder{Name: name}), true
+}
+
+// Refused takes in that admission refused an attempt before it started, so that the order may be sent again.
+func (s State) Refused(id fleet.AttemptID, problem fleet.Problem) (State, []effect.Effect) {
+	if problem.Verdict != fleet.NotRun || problem.Cause == fleet.Duplicate {
+		return s, nil
+	}
+	return s.ended(id, free)
+}
+
+// Finished takes in how a started attempt ended.
+func (s State) Finished(id fleet.AttemptID, outcome fleet.Outcome) (State, []effect.Effect) {
+	switch outcome.Verdict() {
+	case fleet.NotRun:
+		return s.ended(id, free)
+	case fleet.Ran:
+		return s.ended(id, answered)
+	default:
+		return s.ended(id, unknown)
+	}
+}
+
+// ended moves a running order to another phase. An order that did not run is forgotten and gives its claim back, so that
+// another home may run it.
+func (s State) ended(id fleet.AttemptID, next phase) (State, []effect.Effect) {
+	name, ok := s.started.Get(id)
+	if !ok {
+		return s, nil
+	}
+	s.started = s.started.Without(id)
+	r, _ := s.records.Get(name)
+	if next != free {
+		r.phase = next
+		return s.withRecord(name, r), nil
+	}
+	s.records = s.records.Without(name)
+	if !r.claimed {
+		return s, nil
+	}
+	return s, []effect.Effect{effect.ReleaseOrder{Name: name}}
+}
+
+func refuse(attempt fleet.Attempt, verdict fleet.Verdict, detail string) Step {
+	return act(refusal(attempt, fleet.NewProblem(fleet.KeyConflict, verdict, detail)))
+}
+
+func refusal(attempt fleet.Attempt, problem fleet.Problem) effect.Effect {
+	return effect.RefuseAttempt{
+		Attempt: attempt.ID,
+		Problem: problem,
+		Report:  fleet.Report{Target: attempt.Target, Class: attempt.Class},
+	}
+}
--- /dev/null
+++ b/internal/core/orders/expiry.go
@@ -0,0 +1,29 @@
+package orders
+
+import (
+	"time"
+
+	"jayfold.dev/jayfold/internal/core/effect"
+)
+
+// sweepInterval is the time between two searches for expired records.
+const sweepInterval = 10 * time.Second
+
+// Tick forgets orders that were not sent for Retention, and gives their claims back.
+func (s State) Tick(now time.Time) (State, []effect.Effect) {
+	if now.Sub(s.swept) < sweepInterval {
+		return s, nil
+	}
+	s.swept = now
+	var effects []effect.Effect
+	for name, r := range s.records.All() {
+		if r.phase == claiming || r.phase == running || now.Sub(r.used) < Retention {
+			continue
+		}
+		s.records = s.records.Without(name)
+		if r.claimed {
+			effects = append(effects, effect.ReleaseOrder{Name: name})
+		}
+	}
+	return s, effects
+}
--- /dev/null
+++ b/internal/core/orders/state.go
@@ -0,0 +1,105 @@
+// Package orders lets an order that its caller sends again run at most once. An idempotency key names the order; the
+// sidecar of the key's home target remembers the key and what became of it, and a claim on the platform keeps another
+// sidecar from running it when the home changes.
+//
+// # Usage
+//
+//	state := orders.New(self)
+//	state, step := state.Asked(now, attempt)
+//	state, step = state.Claimed(now, attemptID, fleet.ClaimCreated)
+//	state, effects := state.Finished(attemptID, outcome)
+//
+// A step says whether the attempt goes on to admission.
+//
+// # What is promised
+//
+// While the home's sidecar lives, an order with a key runs at most once within Retention, and a resend gets the first
+// answer. When the home changes, the claim on the platform makes the new home refuse the resend with the verdict
+// MayHaveRun. Not covered: an order that is sent first during an outage of the platform, or beyond the claim budget, and sent
+// again after its home's node died; a resend after Retention; an order without a key.
+package orders
+
+import (
+	"time"
+
+	"jayfold.dev/jayfold/internal/core/effect"
+	"jayfold.dev/jayfold/internal/core/fleet"
+)
+
+// Retention is how long a key and its outcome are remembered after the order was last sent.
+const Retention = 10 * time.Minute
+
+// maxRecords bounds the keys that one sidecar remembers. Beyond it a new keyed order is refused as NotRun.
+const maxRecords = 20000
+
+// State is what a sidecar knows of the keyed orders that it was sent.
+type State struct {
+	self    fleet.NodeID
+	records fleet.Map[string, record]
+	// waiting gives the order's name for each attempt that waits for its claim.
+	waiting fleet.Map[fleet.AttemptID, string]
+	// started gives the order's name for each attempt that was handed to admission and has not ended.
+	started fleet.Map[fleet.AttemptID, string]
+	budget  budget
+	// swept is when expired records were last dropped.
+	swept time.Time
+}
+
+// phase is how far an order has come.
+type phase uint8
+
+const (
+	// claiming waits for the platform.
+	claiming phase = iota
+	// running was handed to admission and has not ended.
+	running
+	// free provably did not run; such an order is forgotten.
+	free
+	// answered ran, and its answer is kept.
+	answered
+	// unknown may have run, and no answer came.
+	unknown
+)
+
+// record is one keyed order.
+type record struct {
+	phase       phase
+	attempt     fleet.Attempt
+	fingerprint fleet.Fingerprint
+	// claimed means that this node holds the claim on the platform.
+	claimed bool
+	used    time.Time
+}
+
+// New returns the state of a sidecar that remembers no order.
+func New(self fleet.NodeID) State {
+	return State{self: self, budget: newBudget()}
+}
+
+// Len returns the number of orders remembered.
+func (s State) Len() int { return s.records.Len() }
+
+func (s State) withRecord(name string, r record) State {
+	s.records = s.records.With(name, r)
+	return s
+}
+
+// Name returns the name of the attempt's order: the caller and its key, so that callers cannot meet each other's orders.
+func Name(attempt fleet.Attempt) string {
+	return string(attempt.Caller) + "/" + string(attempt.Key)
+}
+
+// Step is what to do next with a keyed attempt.
+type Step struct {
+	// Admit is the attempt that goes on to admission, when there is one.
+	Admit   fleet.Option[fleet.Attempt]
+	Effects []effect.Effect
+}
+
+func admit(attempt fleet.Attempt) Step {
+	return Step{Admit: fleet.Some(attempt)}
+}
+
+func act(effects ...effect.Effect) Step {
+	return Step{Effects: effects}
+}
