edge/target: add the announcement server and the target client

Cause: a node needs a way to learn of the targets on its host and to run admitted attempts on them. Change: PUT and DELETE /v1/targets/NAME post events after all fields are checked. Client.Run sends an attempt over net/http with a tracked connection, so that a failed request gives NotRun only when no write had begun; every body reader lacks GetBody, so that net/http's Transport never resends. effect.Run carries the target's Connections bound.

--- a/internal/core/admission/state.go
+++ b/internal/core/admission/state.go
@@ -81,7 +81,8 @@
 	l.inFlight++
 	s.targets = s.targets.With(attempt.Target, l)
 	s.running = s.running.With(attempt.ID, Run{Attempt: attempt, Started: now})
-	return s, []effect.Effect{effect.Run{Attempt: attempt, Address: l.announcement.Address}}
+	run := effect.Run{Attempt: attempt, Address: l.announcement.Address, Connections: l.announcement.Connections}
+	return s, []effect.Effect{run}
 }
 
 func (s State) refuse(attempt fleet.Attempt, cause fleet.Cause) []effect.Effect {
--- a/internal/core/effect/effect.go
+++ b/internal/core/effect/effect.go
@@ -47,6 +47,8 @@
 	Attempt fleet.Attempt
 	// Address is the target's address.
 	Address string
+	// Connections is the most connections that the target allows.
+	Connections int
 }
 
 // RefuseAttempt answers an ingress without running its attempt.
--- /dev/null
+++ b/internal/edge/target/client_test.go
@@ -0,0 +1,228 @@
+package target_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jayfold.dev/jayfold/internal/core/effect"
+	"jayfold.dev/jayfold/internal/core/fleet"
+	"jayfold.dev/jayfold/internal/edge/target"
+)
+
+func newClient() *target.Client { return target.NewClient(target.NewDial(), time.Now) }
+
+// runOf returns an admitted attempt on the target at the address.
+func runOf(address string, budget time.Duration) effect.Run {
+	return effect.Run{
+		Attempt:     fleet.Attempt{ID: "r1.1", Deadline: time.Now().Add(budget)},
+		Address:     address,
+		Connections: 2,
+	}
+}
+
+// send runs a request and returns the whole body.
+func send(ctx context.Context, c *target.Client, run effect.Run, r *http.Request) (string, error) {
+	response, err := c.Run(ctx, run, r)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return string(body), err
+}
+
+func assertProblem(is *is.I, err error, cause fleet.Cause, verdict fleet.Verdict) {
+	is.Helper()
+	var problem fleet.Problem
+	is.True(errors.As(err, &problem)) // the error is a problem
+	is.Equal(problem.Cause, cause)
+	is.Equal(problem.Verdict, verdict)
+}
+
+// listen serves each connection on a loopback port and returns the address.
+func listen(t *testing.T, serve func(net.Conn)) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// Guards against net/http sending a request a second time by itself when a reused connection breaks: an order would run
+// twice. The server answers the first request on a connection and drops the connection after reading the second.
+func TestClientNeverResends(t *testing.T) {
+	cases := []struct{ name, method, body, key string }{
+		{"get", http.MethodGet, "", ""},
+		{"delete", http.MethodDelete, "", ""},
+		{"get with key", http.MethodGet, "", "k"},
+		{"post with key", http.MethodPost, "order", "k"},
+		{"empty post with key", http.MethodPost, "", "k"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var runs atomic.Int64
+			address := listen(t, func(conn net.Conn) {
+				defer func() { _ = conn.Close() }()
+				reader := bufio.NewReader(conn)
+				for first := true; ; first = false {
+					request, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, request.Body)
+					if runs.Add(1); !first {
+						return
+					}
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+				}
+			})
+			client := newClient()
+			request := func() *http.Request {
+				r, err := http.NewRequest(c.method, "http://shop/items", strings.NewReader(c.body))
+				is.NoErr(err)
+				if c.key != "" {
+					r.Header.Set("Idempotency-Key", c.key)
+				}
+				return r
+			}
+			body, err := send(t.Context(), client, runOf(address, 5*time.Second), request())
+			is.NoErr(err)
+			is.Equal(body, "ok")
+			_, err = send(t.Context(), client, runOf(address, 5*time.Second), request())
+			assertProblem(is, err, fleet.Broken, fleet.MayHaveRun)
+			time.Sleep(20 * time.Millisecond)
+			is.Equal(runs.Load(), int64(2)) // one run per Run
+		})
+	}
+}
+
+// Guards against a verdict that allows a second run of an order that may have run, and against one that forbids it when
+// nothing was written.
+func TestClientVerdicts(t *testing.T) {
+	silent := func(conn net.Conn) { _, _ = io.Copy(io.Discard, conn) }
+	order := func() *http.Request {
+		return httptest.NewRequest(http.MethodPost, "/orders", strings.NewReader("order"))
+	}
+	t.Run("nothing listens", func(t *testing.T) {
+		_, err := send(t.Context(), newClient(), runOf("127.0.0.1:1", time.Second), order())
+		assertProblem(is.New(t), err, fleet.Unreachable, fleet.NotRun)
+	})
+	t.Run("deadline passed before", func(t *testing.T) {
+		_, err := send(t.Context(), newClient(), runOf(listen(t, silent), -time.Second), order())
+		assertProblem(is.New(t), err, fleet.DeadlinePassed, fleet.NotRun)
+	})
+	t.Run("deadline passes in silence", func(t *testing.T) {
+		_, err := send(t.Context(), newClient(), runOf(listen(t, silent), 30*time.Millisecond), order())
+		assertProblem(is.New(t), err, fleet.DeadlinePassed, fleet.MayHaveRun)
+	})
+	t.Run("canceled in silence", func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(30*time.Millisecond, cancel)
+		_, err := send(ctx, newClient(), runOf(listen(t, silent), time.Minute), order())
+		assertProblem(is.New(t), err, fleet.Canceled, fleet.MayHaveRun)
+	})
+	t.Run("waits for a connection", func(t *testing.T) {
+		client, run := newClient(), runOf(listen(t, silent), time.Second)
+		run.Connections = 1
+		first := run
+		go func() { _, _ = send(t.Context(), client, first, order()) }()
+		time.Sleep(50 * time.Millisecond)
+		run.Attempt.Deadline = time.Now().Add(50 * time.Millisecond)
+		_, err := send(t.Context(), client, run, order())
+		assertProblem(is.New(t), err, fleet.DeadlinePassed, fleet.NotRun)
+	})
+	t.Run("response breaks off", func(t *testing.T) {
+		address := listen(t, func(conn net.Conn) {
+			_, _ = http.ReadRequest(bufio.NewReader(conn))
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf")
+			_ = conn.Close()
+		})
+		_, err := send(t.Context(), newClient(), runOf(address, time.Second), order())
+		assertProblem(is.New(t), err, fleet.Broken, fleet.MayHaveRun)
+	})
+}
+
+// Guards against more connections than the target announced.
+func TestClientBoundsConnections(t *testing.T) {
+	is := is.New(t)
+	var opened atomic.Int64
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		time.Sleep(10 * time.Millisecond)
+	}))
+	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			opened.Add(1)
+		}
+	}
+	server.Start()
+	defer server.Close()
+	client, run := newClient(), runOf(server.Listener.Addr().String(), 5*time.Second)
+	var wait sync.WaitGroup
+	for range 20 {
+		wait.Go(func() {
+			_, err := send(t.Context(), client, run, httptest.NewRequest(http.MethodGet, "/", nil))
+			is.NoErr(err)
+		})
+	}
+	wait.Wait()
+	is.True(opened.Load() <= int64(run.Connections)) // connections are kept alive and bounded
+}
+
+// Guards against a target that cannot tell the request, its deadline or its caller, and against headers that concern one
+// connection or the nodes only.
+func TestClientHeaders(t *testing.T) {
+	is := is.New(t)
+	got := make(chan *http.Request, 1)
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { got <- r }))
+	defer server.Close()
+	request := httptest.NewRequest(http.MethodGet, "http://shop.example/items?q=1", nil)
+	for name, value := range map[string]string{
+		"Jayfold-Caller": "acme", "Jayfold-Attempt": "r1.1", "Connection": "X-Hop", "X-Hop": "1", "X-Kept": "1",
+	} {
+		request.Header.Set(name, value)
+	}
+	_, err := send(t.Context(), newClient(), runOf(server.Listener.Addr().String(), time.Second), request)
+	is.NoErr(err)
+	r := <-got
+	budget, err := time.ParseDuration(r.Header.Get("Jayfold-Timeout"))
+	is.NoErr(err)
+	is.True(budget > 0 && budget <= time.Second)
+	is.Equal(r.Host, "shop.example")
+	is.Equal(r.URL.String(), "/items?q=1")
+	for name, want := range map[string]string{
+		"Jayfold-Request": "r1", "Jayfold-Caller": "acme", "Jayfold-Attempt": "", "X-Hop": "", "X-Kept": "1",
+	} {
+		is.Equal(r.Header.Get(name), want) // header
+	}
+}
+
+// Guards against taking a stopped or busy process for a dead one, and the reverse.
+func TestClientCrashed(t *testing.T) {
+	is := is.New(t)
+	is.True(newClient().Crashed(t.Context(), "127.0.0.1:1"))
+	is.True(!newClient().Crashed(t.Context(), listen(t, func(net.Conn) {})))
+}
--- /dev/null
+++ b/internal/edge/target/server.go
@@ -0,0 +1,86 @@
+package target
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/netip"
+	"strings"
+
+	"github.com/gorilla/mux"
+
+	"jayfold.dev/jayfold/internal/core/event"
+	"jayfold.dev/jayfold/internal/core/fleet"
+)
+
+// maxAnnouncement bounds the body of an announcement, in bytes.
+const maxAnnouncement = 16 << 10
+
+// Seams are what the server needs from outside.
+type Seams struct {
+	Post func(event.Body)
+	// KnownPool reports whether the tables in force have a pool.
+	KnownPool func(fleet.PoolName) bool
+}
+
+// Server is the HTTP handler for the announcements of the targets on one host.
+type Server struct {
+	host   netip.Addr
+	seams  Seams
+	router *mux.Router
+}
+
+// NewServer returns the handler for targets on the host with the given address.
+func NewServer(host netip.Addr, seams Seams) *Server {
+	s := &Server{host: host, seams: seams, router: mux.NewRouter()}
+	s.router.HandleFunc("/v1/targets/{name}", s.announce).Methods(http.MethodPut)
+	s.router.HandleFunc("/v1/targets/{name}", s.withdraw).Methods(http.MethodDelete)
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.router.ServeHTTP(w, r) }
+
+func (s *Server) announce(w http.ResponseWriter, r *http.Request) {
+	wire, err := decodeAnnouncement(http.MaxBytesReader(w, r.Body, maxAnnouncement))
+	if err != nil {
+		refuse(w, statusOf(err), "body: "+err.Error())
+		return
+	}
+	name := mux.Vars(r)["name"]
+	if faults := append(checkName(name), wire.faults(s.host, s.seams.KnownPool)...); len(faults) > 0 {
+		refuse(w, http.StatusUnprocessableEntity, strings.Join(faults, "; "))
+		return
+	}
+	s.seams.Post(event.TargetAnnounced{Announcement: wire.announcement(name)})
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) withdraw(w http.ResponseWriter, r *http.Request) {
+	name := mux.Vars(r)["name"]
+	if faults := checkName(name); len(faults) > 0 {
+		refuse(w, http.StatusUnprocessableEntity, strings.Join(faults, "; "))
+		return
+	}
+	s.seams.Post(event.TargetWithdrawn{Name: name})
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func statusOf(err error) int {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return http.StatusRequestEntityTooLarge
+	}
+	return http.StatusBadRequest
+}
+
+// wireRefusal is the body of a refused announcement.
+type wireRefusal struct {
+	Problem string
+}
+
+func refuse(w http.ResponseWriter, status int, problem string) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(wireRefusal{Problem: problem})
+}
--- /dev/null
+++ b/internal/edge/target/server_test.go
@@ -0,0 +1,83 @@
+package target_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"jayfold.dev/jayfold/internal/core/event"
+	"jayfold.dev/jayfold/internal/core/fleet"
+	"jayfold.dev/jayfold/internal/edge/target"
+)
+
+const goodBody = `{"Pool":"catalogue","Address":"10.0.0.7:8080","Slots":4,"Connections":300,` +
+	`"State":"Ready","Instance":"i1","InFlight":2}`
+
+// announce sends one request to a server on 10.0.0.7 and returns the response and the events that it posted.
+func announce(method, path, body string) (*httptest.ResponseRecorder, []event.Body) {
+	var posted []event.Body
+	server := target.NewServer(netip.MustParseAddr("10.0.0.7"), target.Seams{
+		Post:      func(b event.Body) { posted = append(posted, b) },
+		KnownPool: func(name fleet.PoolName) bool { return name == "catalogue" },
+	})
+	recorder := httptest.NewRecorder()
+	server.ServeHTTP(recorder, httptest.NewRequest(method, path, strings.NewReader(body)))
+	return recorder, posted
+}
+
+// Guards against a target that is announced with values other than those it sent.
+func TestServerPosts(t *testing.T) {
+	t.Run("announcement", func(t *testing.T) {
+		is := is.New(t)
+		response, posted := announce(http.MethodPut, "/v1/targets/shop-1", goodBody)
+		is.Equal(response.Code, http.StatusNoContent)
+		is.Equal(posted, []event.Body{event.TargetAnnounced{Announcement: fleet.Announcement{
+			Name: "shop-1", Pool: "catalogue", Address: "10.0.0.7:8080", Slots: 4, Connections: 300, Instance: "i1", InFlight: 2,
+		}}})
+	})
+	t.Run("withdrawal", func(t *testing.T) {
+		is := is.New(t)
+		response, posted := announce(http.MethodDelete, "/v1/targets/shop-1", "")
+		is.Equal(response.Code, http.StatusNoContent)
+		is.Equal(posted, []event.Body{event.TargetWithdrawn{Name: "shop-1"}})
+	})
+}
+
+// Guards against a misconfigured or foreign target that gets into a pool.
+func TestServerRefuses(t *testing.T) {
+	swap := func(old, changed string) string { return strings.Replace(goodBody, old, changed, 1) }
+	cases := []struct {
+		fault, path, body string
+		status            int
+		says              string
+	}{
+		{"unknown pool", "/v1/targets/a", swap("catalogue", "nowhere"), 422, `no pool \"nowhere\"`},
+		{"foreign address", "/v1/targets/a", swap("10.0.0.7", "10.0.0.8"), 422, "Address"},
+		{"loopback on a routed host", "/v1/targets/a", swap("10.0.0.7", "127.0.0.1"), 422, "Address"},
+		{"host name", "/v1/targets/a", swap("10.0.0.7", "shop"), 422, "Address"},
+		{"no slots", "/v1/targets/a", swap(`"Slots":4`, `"Slots":0`), 422, "Slots"},
+		{"too many slots", "/v1/targets/a", swap(`"Slots":4`, `"Slots":1025`), 422, "Slots"},
+		{"no connections", "/v1/targets/a", swap("300", "0"), 422, "Connections"},
+		{"unknown state", "/v1/targets/a", swap("Ready", "Fine"), 422, "State"},
+		{"no instance", "/v1/targets/a", swap("i1", ""), 422, "Instance"},
+		{"negative in flight", "/v1/targets/a", swap(`"InFlight":2`, `"InFlight":-1`), 422, "InFlight"},
+		{"bad name", "/v1/targets/-a", goodBody, 422, "name"},
+		{"unknown field", "/v1/targets/a", swap("Slots", "Slot"), 400, "Slot"},
+		{"not JSON", "/v1/targets/a", "ready", 400, "body"},
+		{"two values", "/v1/targets/a", goodBody + goodBody, 400, "more than one"},
+		{"too large", "/v1/targets/a", swap("i1", strings.Repeat("i", 17<<10)), 413, "too large"},
+	}
+	for _, c := range cases {
+		t.Run(c.fault, func(t *testing.T) {
+			is := is.New(t)
+			response, posted := announce(http.MethodPut, c.path, c.body)
+			is.Equal(response.Code, c.status)
+			is.Equal(len(posted), 0)
+			is.True(strings.Contains(response.Body.String(), c.says)) // the problem names the field
+		})
+	}
+}
