edge: add the caller server and the forwarding between nodes

Cause: the reducer had no edge for callers and none for requests between nodes. Change: internal/edge/caller takes HTTP/1.1 and HTTP/2 requests within limits, posts their events and carries out Forward, Answer, Refuse and Abandon. internal/edge/peer forwards attempts over HTTP/2 on single client connections that the library never sends twice on; a non-idempotent attempt needs a connection that answered within the last 500 ms or a verification first. The sidecar's handler asks for admission, runs the attempt and ends the answer with trailers. Conclusion: one request can go from a caller to a target and back once the edges are wired.

--- /dev/null
+++ b/internal/edge/caller/request.go
@@ -0,0 +1,160 @@
+package caller
+
+import (
+	"crypto/rand"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"jayfold.dev/jayfold/internal/core/fleet"
+)
+
+// The request headers of callers.
+const (
+	headerCaller     = "Jayfold-Caller"
+	headerTimeout    = "Jayfold-Timeout"
+	headerIdempotent = "Jayfold-Idempotent"
+	headerKey        = "Idempotency-Key"
+)
+
+// maxNameBytes bounds account names and idempotency keys, which travel between nodes and are remembered.
+const maxNameBytes = 256
+
+// RandomRequestID draws a request id of 128 random bits or more.
+func RandomRequestID() fleet.RequestID { return fleet.RequestID(rand.Text()) }
+
+// readBody buffers the body of a request within the limits.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	if headerBytes(r.Header) > s.limits.HeaderBytes {
+		return nil, errHeadersTooLarge
+	}
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(s.limits.BodyTime))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.limits.BodyBytes))
+	if err == nil {
+		_ = control.SetReadDeadline(time.Time{})
+		return body, nil
+	}
+	if _, tooLarge := errors.AsType[*http.MaxBytesError](err); tooLarge {
+		return nil, fleet.NewProblem(fleet.TooLarge, fleet.NotRun, "the body is over the limit")
+	}
+	detail := "the body cannot be read: " + err.Error()
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		detail = "the body did not arrive in time"
+	}
+	return nil, fleet.NewProblem(fleet.BadRequest, fleet.NotRun, detail)
+}
+
+func headerBytes(h http.Header) int {
+	total := 0
+	for name, values := range h {
+		for _, value := range values {
+			total += len(name) + len(value) + len(": \r\n")
+		}
+	}
+	return total
+}
+
+// decodeRequest translates a request. Errors name the header.
+func decodeRequest(id fleet.RequestID, r *http.Request, body []byte) (fleet.Request, error) {
+	if r.Method == http.MethodConnect || !strings.HasPrefix(r.URL.Path, "/") {
+		return fleet.Request{}, badRequest("want a request for a path")
+	}
+	caller, err := single(r.Header, headerCaller)
+	if err != nil {
+		return fleet.Request{}, err
+	}
+	key, err := single(r.Header, headerKey)
+	if err != nil {
+		return fleet.Request{}, err
+	}
+	timeout, err := timeoutOf(r.Header)
+	if err != nil {
+		return fleet.Request{}, err
+	}
+	idempotent, err := idempotentOf(r.Header)
+	if err != nil {
+		return fleet.Request{}, err
+	}
+	host := hostWithoutPort(r.Host)
+	return fleet.Request{
+		ID:          id,
+		Method:      r.Method,
+		Host:        host,
+		Path:        r.URL.Path,
+		Caller:      fleet.Caller(caller),
+		Idempotent:  idempotent,
+		Key:         fleet.IdempotencyKey(key),
+		Timeout:     timeout,
+		Fingerprint: fingerprint(r.Method, host, r.URL.RequestURI(), body),
+	}, nil
+}
+
+func badRequest(detail string) fleet.Problem {
+	return fleet.NewProblem(fleet.BadRequest, fleet.NotRun, detail)
+}
+
+// single returns the value of a header that may be absent and must not be repeated.
+func single(h http.Header, name string) (string, error) {
+	values := h.Values(name)
+	if len(values) == 0 {
+		return "", nil
+	}
+	if len(values) > 1 || values[0] == "" || len(values[0]) > maxNameBytes {
+		return "", badRequest("header " + name + ": want one value of 1 to 256 bytes")
+	}
+	return values[0], nil
+}
+
+func timeoutOf(h http.Header) (time.Duration, error) {
+	value, err := single(h, headerTimeout)
+	if err != nil || value == "" {
+		return 0, err
+	}
+	timeout, err := time.ParseDuration(value)
+	if err != nil || timeout <= 0 {
+		return 0, badRequest("header " + headerTimeout + ": want a positive duration such as 250ms")
+	}
+	return timeout, nil
+}
+
+// idempotentOf reads the header by which a caller withdraws the permission to run a request more than once.
+func idempotentOf(h http.Header) (fleet.Option[bool], error) {
+	value, err := single(h, headerIdempotent)
+	switch {
+	case err != nil:
+		return fleet.Option[bool]{}, err
+	case value == "":
+		return fleet.Option[bool]{}, nil
+	case value == "false":
+		return fleet.Some(false), nil
+	case value == "true":
+		return fleet.Some(true), nil
+	default:
+		return fleet.Option[bool]{}, badRequest("header " + headerIdempotent + ": want false or true")
+	}
+}
+
+func hostWithoutPort(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		return name
+	}
+	return host
+}
+
+// fingerprint hashes what makes two requests the same. A zero byte between the parts keeps them apart.
+func fingerprint(method, host, uri string, body []byte) fleet.Fingerprint {
+	digest := xxhash.New()
+	for _, part := range []string{method, strings.ToLower(host), uri} {
+		_, _ = digest.WriteString(part)
+		_, _ = digest.Write([]byte{0})
+	}
+	_, _ = digest.Write(body)
+	return fleet.Fingerprint(digest.Sum64())
+}
--- /dev/null
+++ b/internal/edge/peer/forward_test.go
@@ -0,0 +1,264 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jayfold.dev/jayfold/internal/core/effect"
+	"jayfold.dev/jayfold/internal/core/event"
+	"jayfold.dev/jayfold/internal/core/fleet"
+)
+
+// bench is a sidecar on loopback with a stand-in for the reducer and for the target.
+type bench struct {
+	sidecar   *Sidecar
+	forwarder *Forwarder
+	address   string
+	// decide stands in for the reducer. The default runs everything at once.
+	decide func(*Sidecar, event.Body)
+	// target answers what the sidecar runs.
+	target http.HandlerFunc
+
+	mu     sync.Mutex
+	events []event.Body
+}
+
+func newBench(t *testing.T) *bench {
+	t.Helper()
+	b := &bench{decide: admitAll, target: func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "hello") }}
+	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { b.target(w, r) }))
+	t.Cleanup(target.Close)
+	b.sidecar = NewSidecar(SidecarSeams{
+		Now:     time.Now,
+		Post:    b.post,
+		Crashed: func(context.Context, string) bool { return false },
+		Run: func(ctx context.Context, _ effect.Run, r *http.Request) (*http.Response, error) {
+			return runOn(ctx, target.URL, r)
+		},
+	})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := NewForwardServer(b.sidecar)
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	b.address = listener.Addr().String()
+	b.forwarder = NewForwarder("a", ForwarderSeams{Now: time.Now, Post: func(event.Body) {}})
+	t.Cleanup(b.forwarder.Close)
+	return b
+}
+
+func runOn(ctx context.Context, target string, r *http.Request) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, r.Method, target+r.URL.RequestURI(), r.Body)
+	if err != nil {
+		return nil, err
+	}
+	request.Header = r.Header.Clone()
+	response, err := http.DefaultTransport.RoundTrip(request)
+	if err != nil {
+		return nil, fleet.NewProblem(fleet.Broken, fleet.MayHaveRun, err.Error())
+	}
+	return response, nil
+}
+
+func (b *bench) post(body event.Body) {
+	b.mu.Lock()
+	b.events = append(b.events, body)
+	b.mu.Unlock()
+	b.decide(b.sidecar, body)
+}
+
+// finished waits for the outcome of the run.
+func (b *bench) finished(t *testing.T) fleet.Outcome {
+	t.Helper()
+	for range 200 {
+		b.mu.Lock()
+		for _, body := range b.events {
+			if run, ok := body.(event.RunFinished); ok {
+				b.mu.Unlock()
+				return run.Outcome
+			}
+		}
+		b.mu.Unlock()
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("no run finished")
+	return fleet.Outcome{}
+}
+
+var testReport = fleet.Report{
+	Target: "b/t", Class: fleet.Order, Load: fleet.Load{InFlight: 1, Queued: 2, Slots: 3}, P95: 5 * time.Millisecond,
+	Revision: 9, Quarantine: []fleet.Fingerprint{7, 8},
+}
+
+func admitAll(s *Sidecar, body event.Body) {
+	switch body := body.(type) {
+	case event.AdmissionAsked:
+		s.Run(effect.Run{Attempt: body.Attempt})
+	case event.RunFinished:
+		s.ReportRun(effect.ReportRun{Attempt: body.Attempt, Report: testReport})
+	}
+}
+
+func (b *bench) attempt() fleet.Attempt {
+	return fleet.Attempt{
+		ID: "r.1", Target: "b/t", Pool: "p", Node: "b", Address: b.address, Class: fleet.Order, Caller: "acme",
+		Deadline: time.Now().Add(2 * time.Second), Baseline: time.Millisecond, Fingerprint: 5,
+	}
+}
+
+type forwarded struct {
+	response *http.Response
+	report   func() fleet.Option[fleet.Report]
+	body     string
+	err      error
+}
+
+// send forwards an attempt and reads its whole answer.
+func (b *bench) send(ctx context.Context, attempt fleet.Attempt, method, body string) forwarded {
+	r := httptest.NewRequest(method, "http://shop.example/x?q=1", strings.NewReader(body))
+	r.Header.Set("Connection", "X-Hop")
+	r.Header.Set("X-Hop", "1")
+	r.Header.Set("X-Kept", "1")
+	r.Header.Set("Jayfold-Verify", "1")
+	response, report, err := b.forwarder.Forward(ctx, effect.Forward{Attempt: attempt, Revision: 3}, r, []byte(body))
+	if err != nil {
+		return forwarded{report: report, err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	var got bytes.Buffer
+	_, err = io.Copy(&got, response.Body)
+	return forwarded{response: response, report: report, body: got.String(), err: err}
+}
+
+func wantProblem(t *testing.T, err error, cause fleet.Cause, verdict fleet.Verdict) {
+	t.Helper()
+	is := is.New(t)
+	is.True(err != nil)
+	problem := problemOf(err)
+	is.Equal(problem.Cause, cause)
+	is.Equal(problem.Verdict, verdict)
+}
+
+func wantWhole(t *testing.T, got forwarded, status int, body string) {
+	t.Helper()
+	is := is.New(t)
+	is.NoErr(got.err)
+	is.Equal(got.response.StatusCode, status)
+	is.Equal(got.body, body)
+	report, ok := got.report().Get()
+	is.True(ok)
+	is.Equal(report, testReport)
+}
+
+// Guards against answers that lose their body, their headers or their report on the way.
+func TestForwardPassesWholeAnswers(t *testing.T) {
+	long := strings.Repeat("0123456789", 50_000)
+	for name, c := range map[string]struct {
+		method, answer string
+		status         int
+	}{
+		"short":      {http.MethodPost, "hello", http.StatusOK},
+		"long":       {http.MethodGet, long, http.StatusOK},
+		"empty":      {http.MethodGet, "", http.StatusOK},
+		"no content": {http.MethodDelete, "", http.StatusNoContent},
+		"unchanged":  {http.MethodGet, "", http.StatusNotModified},
+		"head":       {http.MethodHead, "", http.StatusOK},
+		"failed":     {http.MethodGet, "oops", http.StatusInternalServerError},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(t)
+			var seen *http.Request
+			b.target = func(w http.ResponseWriter, r *http.Request) {
+				seen = r
+				w.Header().Set("Jayfold-Cause", "Overloaded")
+				w.Header().Set("X-Answer", "1")
+				w.WriteHeader(c.status)
+				_, _ = io.WriteString(w, c.answer)
+			}
+			got := b.send(t.Context(), b.attempt(), c.method, "body")
+			wantWhole(t, got, c.status, c.answer)
+			is.Equal(got.response.Header.Get("X-Answer"), "1")
+			is.Equal(got.response.Header.Get("Jayfold-Cause"), "")
+			is.Equal(seen.Header.Get("X-Hop"), "")
+			is.Equal(seen.Header.Get("X-Kept"), "1")
+			is.Equal(seen.Header.Get("Jayfold-Caller"), "acme")
+			is.Equal(seen.Header.Get("Jayfold-Attempt"), "")
+			_, failed := b.finished(t).Problem.Get()
+			is.Equal(failed, c.status >= 500)
+		})
+	}
+}
+
+// Guards against a truncated answer that looks whole.
+func TestForwardReportsBrokenAnswers(t *testing.T) {
+	b := newBench(t)
+	b.target = func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "10")
+		_, _ = io.WriteString(w, "12345")
+		panic(http.ErrAbortHandler)
+	}
+	got := b.send(t.Context(), b.attempt(), http.MethodGet, "")
+	wantProblem(t, got.err, fleet.Broken, fleet.MayHaveRun)
+	wantProblem(t, b.finished(t).Problem.Or(fleet.Problem{}), fleet.Broken, fleet.MayHaveRun)
+}
+
+// Guards against an answer that ends cleanly but without the sidecar's trailers.
+func TestForwardNeedsTrailers(t *testing.T) {
+	b := newBench(t)
+	server := &http.Server{Protocols: new(http.Protocols), Handler: http.HandlerFunc(
+		func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(headerAttempt, r.Header.Get(headerAttempt))
+			_, _ = io.WriteString(w, "looks whole")
+		})}
+	server.Protocols.SetUnencryptedHTTP2(true)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	attempt := b.attempt()
+	attempt.Address = listener.Addr().String()
+	wantProblem(t, b.send(t.Context(), attempt, http.MethodGet, "").err, fleet.Broken, fleet.MayHaveRun)
+}
+
+// Guards against refusals that lose their verdict or their report, and against a duplicate that is told as not run.
+func TestForwardPassesRefusals(t *testing.T) {
+	for _, c := range []struct {
+		cause fleet.Cause
+		want  fleet.Verdict
+	}{{fleet.Overloaded, fleet.NotRun}, {fleet.Duplicate, fleet.MayHaveRun}} {
+		t.Run(string(c.cause), func(t *testing.T) {
+			b := newBench(t)
+			b.decide = func(s *Sidecar, body event.Body) {
+				if asked, ok := body.(event.AdmissionAsked); ok {
+					problem := fleet.NewProblem(c.cause, fleet.NotRun, "full")
+					s.RefuseAttempt(effect.RefuseAttempt{Attempt: asked.Attempt.ID, Problem: problem, Report: testReport})
+				}
+			}
+			got := b.send(t.Context(), b.attempt(), http.MethodPost, "x")
+			wantProblem(t, got.err, c.cause, c.want)
+			report, _ := got.report().Get()
+			is.New(t).Equal(report, testReport)
+		})
+	}
+}
+
+// Guards against verdicts without proof: NotRun needs a connection on which nothing was written.
+func TestForwardToDeadNode(t *testing.T) {
+	b := newBench(t)
+	attempt := b.attempt()
+	attempt.Address = "127.0.0.1:1"
+	wantProblem(t, b.send(t.Context(), attempt, http.MethodPost, "x").err, fleet.Unreachable, fleet.NotRun)
+}
--- /dev/null
+++ b/internal/edge/peer/forwarder.go
@@ -0,0 +1,222 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"jayfold.dev/jayfold/internal/core/effect"
+	"jayfold.dev/jayfold/internal/core/event"
+	"jayfold.dev/jayfold/internal/core/fleet"
+)
+
+const (
+	// cancelWait is how long a canceled attempt waits for the sidecar to confirm that it had not started.
+	cancelWait = 200 * time.Millisecond
+	// deadlineGrace lets the sidecar's own refusal at the deadline arrive.
+	deadlineGrace = 250 * time.Millisecond
+	// goAwayText is the error of a stream above the last stream id of a GOAWAY frame, which the peer never processed
+	// (RFC 9113, section 6.8). net/http exports no error value for it.
+	goAwayText = "received Server's graceful shutdown GOAWAY"
+)
+
+// ForwarderSeams are what a Forwarder needs from outside.
+type ForwarderSeams struct {
+	Now  func() time.Time
+	Post func(event.Body)
+	// Dial opens a TCP connection; nil means net.Dialer.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// Forwarder sends attempts to the sidecars of other nodes.
+type Forwarder struct {
+	self  fleet.NodeID
+	seams ForwarderSeams
+	links *links
+}
+
+// NewForwarder returns the forwarder of the given node, without any connection.
+func NewForwarder(self fleet.NodeID, seams ForwarderSeams) *Forwarder {
+	transport := &http.Transport{
+		DialContext:        seams.Dial,
+		DisableCompression: true,
+		Protocols:          new(http.Protocols),
+		HTTP2: &http.HTTP2Config{
+			SendPingTimeout:             sendPingTimeout,
+			PingTimeout:                 pingTimeout,
+			StrictMaxConcurrentRequests: true,
+		},
+	}
+	transport.Protocols.SetUnencryptedHTTP2(true)
+	return &Forwarder{
+		self:  self,
+		seams: seams,
+		links: &links{transport: transport, open: make(map[string][]*link)},
+	}
+}
+
+// Close closes all connections.
+func (f *Forwarder) Close() { f.links.close() }
+
+// Forward sends an attempt at the caller's request r with the given body. It returns the target's answer, whose body
+// ends with an error when the answer is truncated, and the sidecar's report, which is complete once the body has
+// ended. Errors are fleet.Problem. When ctx ends, the sidecar is asked to cancel the attempt.
+func (f *Forwarder) Forward(
+	ctx context.Context, forward effect.Forward, r *http.Request, body []byte,
+) (*http.Response, func() fleet.Option[fleet.Report], error) {
+	attempt := forward.Attempt
+	l, err := f.connect(ctx, attempt)
+	if err != nil {
+		return nil, noReport, err
+	}
+	stream, cancel := context.WithDeadline(context.WithoutCancel(ctx), attempt.Deadline.Add(deadlineGrace))
+	stop := context.AfterFunc(ctx, func() { f.cancel(l, attempt, cancel) })
+	end := func() {
+		stop()
+		cancel()
+	}
+	var written atomic.Bool
+	outgoing := f.outgoing(traced(stream, &written), forward, r, body)
+	response, err := l.conn.RoundTrip(outgoing)
+	if err != nil {
+		end()
+		return nil, noReport, broken(err, written.Load())
+	}
+	return f.received(l, attempt, response, end)
+}
+
+func noReport() fleet.Option[fleet.Report] { return fleet.Option[fleet.Report]{} }
+
+// traced records whether any part of the request may have been written.
+func traced(ctx context.Context, written *atomic.Bool) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		WroteHeaderField: func(string, []string) { written.Store(true) },
+	})
+}
+
+// broken returns the problem of a round trip without an answer.
+func broken(err error, written bool) fleet.Problem {
+	if !written || strings.Contains(err.Error(), goAwayText) {
+		return fleet.NewProblem(fleet.Unreachable, fleet.NotRun, err.Error())
+	}
+	return fleet.NewProblem(fleet.Broken, fleet.MayHaveRun, err.Error())
+}
+
+// connect returns a connection with a reserved request. A non-idempotent attempt gets a verified one.
+func (f *Forwarder) connect(ctx context.Context, attempt fleet.Attempt) (*link, error) {
+	l, err := f.links.reserve(ctx, attempt.Address)
+	if err != nil {
+		return nil, notSent(err)
+	}
+	if attempt.Idempotent || l.fresh(f.seams.Now()) || f.verify(ctx, l, attempt.Address) == nil {
+		return l, nil
+	}
+	f.links.drop(attempt.Address, l)
+	l, err = f.links.dial(ctx, attempt.Address)
+	if err != nil {
+		return nil, notSent(err)
+	}
+	if err := f.verify(ctx, l, attempt.Address); err != nil {
+		f.links.drop(attempt.Address, l)
+		return nil, notSent(err)
+	}
+	return l, nil
+}
+
+func notSent(err error) fleet.Problem {
+	return fleet.NewProblem(fleet.Unreachable, fleet.NotRun, err.Error())
+}
+
+// verify asks the peer for a sign of life on this very connection.
+func (f *Forwarder) verify(ctx context.Context, l *link, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, verifyTimeout)
+	defer cancel()
+	return f.control(ctx, l, address, headerVerify, string(f.self))
+}
+
+// cancel asks the sidecar to cancel an attempt, waits for its answer on the attempt's own stream and then ends that.
+func (f *Forwarder) cancel(l *link, attempt fleet.Attempt, end context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(context.Background(), cancelWait)
+	defer cancel()
+	_ = f.control(ctx, l, attempt.Address, headerCancel, string(attempt.ID))
+	<-ctx.Done()
+	end()
+}
+
+// control sends a request to the sidecar itself.
+func (f *Forwarder) control(ctx context.Context, l *link, address, header, value string) error {
+	request := &http.Request{
+		Method: http.MethodGet,
+		URL:    &url.URL{Scheme: "http", Host: address, Path: "/"},
+		Header: http.Header{header: {value}},
+	}
+	response, err := l.conn.RoundTrip(request.WithContext(ctx))
+	if err != nil {
+		return err
+	}
+	l.touch(f.seams.Now())
+	return response.Body.Close()
+}
+
+// outgoing builds the request to the sidecar. It has no GetBody, so that no library can send it twice.
+func (f *Forwarder) outgoing(ctx context.Context, forward effect.Forward, r *http.Request, body []byte) *http.Request {
+	attempt := forward.Attempt
+	request := &http.Request{
+		Method:        r.Method,
+		URL:           &url.URL{Scheme: "http", Host: attempt.Address, Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery},
+		Host:          r.Host,
+		Header:        r.Header.Clone(),
+		Body:          io.NopCloser(bytes.NewReader(body)),
+		ContentLength: int64(len(body)),
+	}
+	if len(body) == 0 {
+		request.Body = http.NoBody
+	}
+	stripHeaders(request.Header)
+	wire := wireAttempt{Attempt: attempt, From: f.self, Revision: forward.Revision}
+	encodeAttempt(request.Header, wire, f.seams.Now())
+	return request.WithContext(ctx)
+}
+
+// received checks the head of an answer.
+func (f *Forwarder) received(
+	l *link, attempt fleet.Attempt, response *http.Response, end func(),
+) (*http.Response, func() fleet.Option[fleet.Report], error) {
+	l.touch(f.seams.Now())
+	if response.Header.Get(headerAttempt) != string(attempt.ID) {
+		end()
+		_ = response.Body.Close()
+		return nil, noReport, fleet.NewProblem(fleet.Broken, fleet.MayHaveRun, "the answer names another attempt")
+	}
+	if problem, refused := decodeProblem(response.Header); refused {
+		report := decodeReport(response.Header)
+		end()
+		_ = response.Body.Close()
+		f.seen(attempt, report)
+		return nil, func() fleet.Option[fleet.Report] { return report }, problem
+	}
+	answer := &answerBody{response: response, body: response.Body, end: end}
+	answer.ended = func(report fleet.Option[fleet.Report]) {
+		l.touch(f.seams.Now())
+		f.seen(attempt, report)
+	}
+	response.Body = answer
+	if response.Request.Method == http.MethodHead {
+		answer.finish(response.Header.Clone())
+	}
+	stripHeaders(response.Header)
+	return response, answer.reported, nil
+}
+
+func (f *Forwarder) seen(attempt fleet.Attempt, report fleet.Option[fleet.Report]) {
+	if r, ok := report.Get(); ok {
+		f.seams.Post(event.RevisionSeen{From: attempt.Node, Revision: r.Revision})
+	}
+}
--- /dev/null
+++ b/internal/edge/peer/forwardheader.go
@@ -0,0 +1,190 @@
+package peer
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"jayfold.dev/jayfold/internal/core/fleet"
+)
+
+// The headers that nodes add to the requests and answers between them. Callers and targets cannot set any of them.
+const (
+	headerPrefix      = "Jayfold-"
+	headerAttempt     = "Jayfold-Attempt"
+	headerTarget      = "Jayfold-Target"
+	headerPool        = "Jayfold-Pool"
+	headerFrom        = "Jayfold-From"
+	headerClass       = "Jayfold-Class"
+	headerBudget      = "Jayfold-Budget"      // milliseconds
+	headerBaseline    = "Jayfold-Baseline"    // microseconds
+	headerFingerprint = "Jayfold-Fingerprint" // 16 hexadecimal digits
+	headerIdempotent  = "Jayfold-Idempotent"
+	headerCaller      = "Jayfold-Caller"
+	headerKey         = "Jayfold-Key"
+	headerRevision    = "Jayfold-Revision"
+	headerVerify      = "Jayfold-Verify"
+	headerCancel      = "Jayfold-Cancel"
+)
+
+const (
+	maxNameBytes = 256
+	// maxBudget bounds what a peer can ask this node to remember of an attempt.
+	maxBudget = time.Hour
+	// maxBaseline is beyond any p95 that a pool can have.
+	maxBaseline = time.Hour
+)
+
+// wireAttempt is what the headers of a forwarded request say.
+type wireAttempt struct {
+	Attempt  fleet.Attempt
+	From     fleet.NodeID
+	Revision fleet.Revision
+}
+
+// encodeAttempt sets the headers of a forwarded request.
+func encodeAttempt(h http.Header, wire wireAttempt, now time.Time) {
+	a := wire.Attempt
+	budget := max(a.Deadline.Sub(now), 0)
+	h.Set(headerAttempt, string(a.ID))
+	h.Set(headerTarget, string(a.Target))
+	h.Set(headerPool, string(a.Pool))
+	h.Set(headerFrom, string(wire.From))
+	h.Set(headerClass, a.Class.String())
+	h.Set(headerBudget, strconv.FormatInt(budget.Milliseconds(), 10))
+	h.Set(headerBaseline, strconv.FormatInt(a.Baseline.Microseconds(), 10))
+	h.Set(headerFingerprint, fmt.Sprintf("%016x", uint64(a.Fingerprint)))
+	h.Set(headerIdempotent, strconv.FormatBool(a.Idempotent))
+	h.Set(headerRevision, strconv.FormatUint(uint64(wire.Revision), 10))
+	if a.Caller != "" {
+		h.Set(headerCaller, string(a.Caller))
+	}
+	if a.Key != "" {
+		h.Set(headerKey, string(a.Key))
+	}
+}
+
+// decodeAttempt reads the headers of a forwarded request. Errors name the header.
+func decodeAttempt(h http.Header, now time.Time) (wireAttempt, error) {
+	d := headerDecoder{header: h}
+	wire := wireAttempt{
+		Attempt: fleet.Attempt{
+			ID:          fleet.AttemptID(d.name(headerAttempt)),
+			Target:      fleet.TargetID(d.name(headerTarget)),
+			Pool:        fleet.PoolName(d.name(headerPool)),
+			Class:       d.class(headerClass),
+			Idempotent:  d.boolean(headerIdempotent),
+			Caller:      fleet.Caller(d.optional(headerCaller)),
+			Deadline:    now.Add(d.duration(headerBudget, time.Millisecond, maxBudget)),
+			Baseline:    d.duration(headerBaseline, time.Microsecond, maxBaseline),
+			Fingerprint: fleet.Fingerprint(d.number(headerFingerprint, 16)),
+			Key:         fleet.IdempotencyKey(d.optional(headerKey)),
+		},
+		From:     fleet.NodeID(d.name(headerFrom)),
+		Revision: fleet.Revision(d.number(headerRevision, 10)),
+	}
+	if id := wire.Attempt.ID; d.err == nil && (id.Request() == "" || string(id.Request()) == string(id)) {
+		d.fail(headerAttempt, "want a request id, a dot and a number")
+	}
+	wire.Attempt.Node = wire.Attempt.Target.Node()
+	return wire, d.err
+}
+
+// headerDecoder reads headers and keeps the first error.
+type headerDecoder struct {
+	header http.Header
+	err    error
+}
+
+func (d *headerDecoder) fail(name, want string) {
+	if d.err == nil {
+		d.err = fmt.Errorf("header %s is malformed: %s", name, want)
+	}
+}
+
+// optional returns the value of a header that may be absent.
+func (d *headerDecoder) optional(name string) string {
+	values := d.header.Values(name)
+	if len(values) == 0 {
+		return ""
+	}
+	if len(values) > 1 {
+		d.fail(name, "want one value")
+		return ""
+	}
+	if len(values[0]) > maxNameBytes {
+		d.fail(name, fmt.Sprintf("want at most %d bytes", maxNameBytes))
+		return ""
+	}
+	return values[0]
+}
+
+func (d *headerDecoder) name(name string) string {
+	value := d.optional(name)
+	if value == "" {
+		d.fail(name, "want a value")
+	}
+	return value
+}
+
+func (d *headerDecoder) class(name string) fleet.Class {
+	class, err := fleet.ParseClass(d.name(name))
+	if err != nil {
+		d.fail(name, "want Lookup, Internal or Order")
+	}
+	return class
+}
+
+func (d *headerDecoder) boolean(name string) bool {
+	switch d.name(name) {
+	case "true":
+		return true
+	case "false":
+		return false
+	default:
+		d.fail(name, "want true or false")
+		return false
+	}
+}
+
+func (d *headerDecoder) number(name string, base int) uint64 {
+	value, err := strconv.ParseUint(d.name(name), base, 64)
+	if err != nil {
+		d.fail(name, fmt.Sprintf("want a number in base %d", base))
+	}
+	return value
+}
+
+func (d *headerDecoder) duration(name string, unit, limit time.Duration) time.Duration {
+	value := d.number(name, 10)
+	if value > uint64(limit/unit) {
+		d.fail(name, fmt.Sprintf("want at most %d", limit/unit))
+		return 0
+	}
+	return time.Duration(value) * unit
+}
+
+// hopHeaders concern one connection only (RFC 9110, section 7.6.1).
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Http2-Settings",
+}
+
+// stripHeaders removes the headers that concern one connection only and those that nodes set.
+func stripHeaders(h http.Header) {
+	for _, list := range h.Values("Connection") {
+		for name := range strings.SplitSeq(list, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		h.Del(name)
+	}
+	for name := range h {
+		if strings.HasPrefix(name, headerPrefix) {
+			delete(h, name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/edge/peer/forwardlink.go
@@ -0,0 +1,162 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// freshWithin is how long after an answer a connection counts as verified. Non-idempotent requests need that.
+	freshWithin = 500 * time.Millisecond
+	// verifyTimeout bounds the verification of a connection; a round trip between availability zones takes 3 ms.
+	verifyTimeout = 250 * time.Millisecond
+	// dialTimeout bounds opening a connection.
+	dialTimeout = time.Second
+	// idleTimeout closes unused connections, so that their pings do not use up the node's share of the network.
+	idleTimeout = 15 * time.Second
+	// sendPingTimeout and pingTimeout find silent connections that idempotent requests wait on.
+	sendPingTimeout = 3 * time.Second
+	pingTimeout     = 2 * time.Second
+	// maxLinks bounds the connections to one peer; each carries as many requests as the peer allows at once.
+	maxLinks = 4
+)
+
+var errLinksFull = errors.New("every connection to the node is in use")
+
+// link is one connection to a peer. The library sends a request on a ClientConn at most once.
+type link struct {
+	conn *http.ClientConn
+	// answered is the time of the last answer in nanoseconds since 1970; 0 means that none came yet.
+	answered atomic.Int64
+	idle     *time.Timer
+}
+
+func newLink(conn *http.ClientConn) *link {
+	l := &link{conn: conn}
+	l.idle = time.AfterFunc(idleTimeout, l.closeIdle)
+	return l
+}
+
+func (l *link) closeIdle() {
+	if l.conn.InFlight() == 0 {
+		_ = l.conn.Close()
+		return
+	}
+	l.idle.Reset(idleTimeout)
+}
+
+func (l *link) fresh(now time.Time) bool {
+	return now.UnixNano()-l.answered.Load() <= int64(freshWithin)
+}
+
+func (l *link) touch(now time.Time) {
+	l.answered.Store(now.UnixNano())
+	l.idle.Reset(idleTimeout)
+}
+
+func (l *link) close() {
+	l.idle.Stop()
+	_ = l.conn.Close()
+}
+
+// links holds the open connections by address.
+type links struct {
+	transport *http.Transport
+	mu        sync.Mutex
+	open      map[string][]*link
+	closed    bool
+}
+
+// reserve returns a connection with room for one more request, opened now if need be.
+func (ls *links) reserve(ctx context.Context, address string) (*link, error) {
+	if l, ok := ls.reserveOpen(address); ok {
+		return l, nil
+	}
+	ls.mu.Lock()
+	full := len(ls.open[address]) >= maxLinks
+	ls.mu.Unlock()
+	if full {
+		return nil, errLinksFull
+	}
+	return ls.dial(ctx, address)
+}
+
+func (ls *links) reserveOpen(address string) (*link, bool) {
+	ls.mu.Lock()
+	defer ls.mu.Unlock()
+	var usable []*link
+	var found *link
+	for _, l := range ls.open[address] {
+		if l.conn.Err() != nil {
+			l.idle.Stop()
+			continue
+		}
+		usable = append(usable, l)
+		if found == nil && l.conn.Reserve() == nil {
+			found = l
+		}
+	}
+	ls.store(address, usable)
+	return found, found != nil
+}
+
+// dial opens a connection and reserves a request on it.
+func (ls *links) dial(ctx context.Context, address string) (*link, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := ls.transport.NewClientConn(ctx, "http", address)
+	if err != nil {
+		return nil, err
+	}
+	if err := conn.Reserve(); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	l := newLink(conn)
+	ls.mu.Lock()
+	defer ls.mu.Unlock()
+	if ls.closed {
+		l.close()
+		return nil, errors.New("the node is stopping")
+	}
+	ls.open[address] = append(ls.open[address], l)
+	return l, nil
+}
+
+// drop closes a connection that no longer answers.
+func (ls *links) drop(address string, broken *link) {
+	broken.close()
+	ls.mu.Lock()
+	defer ls.mu.Unlock()
+	var usable []*link
+	for _, l := range ls.open[address] {
+		if l != broken {
+			usable = append(usable, l)
+		}
+	}
+	ls.store(address, usable)
+}
+
+func (ls *links) store(address string, usable []*link) {
+	if len(usable) == 0 {
+		delete(ls.open, address)
+		return
+	}
+	ls.open[address] = usable
+}
+
+func (ls *links) close() {
+	ls.mu.Lock()
+	defer ls.mu.Unlock()
+	ls.closed = true
+	for _, open := range ls.open {
+		for _, l := range open {
+			l.close()
+		}
+	}
+	clear(ls.open)
+}
--- /dev/null
+++ b/internal/edge/peer/forwardsidecar.go
@@ -0,0 +1,238 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"jayfold.dev/jayfold/internal/core/effect"
+	"jayfold.dev/jayfold/internal/core/event"
+	"jayfold.dev/jayfold/internal/core/fleet"
+)
+
+const (
+	// effectsPerAttempt bounds the effects that name one attempt: Run or RefuseAttempt, CancelRun and ReportRun.
+	effectsPerAttempt = 4
+	// decisionWait bounds how long past its deadline an attempt waits for the reducer.
+	decisionWait = 2 * time.Second
+	// reportWait bounds how long a whole answer waits for its report; without one it goes out with its verdict only.
+	reportWait = time.Second
+	// maxPeerHeaderBytes is above what a caller may send plus what the ingress adds.
+	maxPeerHeaderBytes = 256 << 10
+	// peerStreams bounds the attempts of one connection. Targets have about 400 connections.
+	peerStreams = 1000
+)
+
+// SidecarSeams are what a Sidecar needs from outside.
+type SidecarSeams struct {
+	Now  func() time.Time
+	Post func(event.Body)
+	// Run sends a request to a target. Errors are fleet.Problem.
+	Run func(ctx context.Context, run effect.Run, r *http.Request) (*http.Response, error)
+	// Crashed reports whether the process behind a target's address is gone.
+	Crashed func(ctx context.Context, address string) bool
+}
+
+// Sidecar runs the attempts of other nodes on the targets of this host.
+type Sidecar struct {
+	seams   SidecarSeams
+	mu      sync.Mutex
+	waiting map[fleet.AttemptID]chan effect.Effect
+}
+
+// NewSidecar returns a sidecar without any attempt.
+func NewSidecar(seams SidecarSeams) *Sidecar {
+	return &Sidecar{seams: seams, waiting: make(map[fleet.AttemptID]chan effect.Effect)}
+}
+
+// NewForwardServer returns the HTTP/2 server of a sidecar.
+func NewForwardServer(sidecar *Sidecar) *http.Server {
+	server := &http.Server{
+		Handler:           sidecar,
+		ReadHeaderTimeout: dialTimeout,
+		MaxHeaderBytes:    maxPeerHeaderBytes,
+		Protocols:         new(http.Protocols),
+		HTTP2: &http.HTTP2Config{
+			MaxConcurrentStreams: peerStreams,
+			SendPingTimeout:      sendPingTimeout + pingTimeout,
+			PingTimeout:          pingTimeout,
+		},
+	}
+	server.Protocols.SetUnencryptedHTTP2(true)
+	return server
+}
+
+// Run carries out effect.Run. It does not block.
+func (s *Sidecar) Run(e effect.Run) {
+	if s.deliver(e.Attempt.ID, e) {
+		return
+	}
+	// The attempt's handler is gone, so nothing was sent to the target. The slot must be freed.
+	problem := fleet.NewProblem(fleet.Canceled, fleet.NotRun, "the attempt was canceled before it started")
+	go s.seams.Post(event.RunFinished{Attempt: e.Attempt.ID, Outcome: fleet.Outcome{Problem: fleet.Some(problem)}})
+}
+
+// RefuseAttempt carries out effect.RefuseAttempt. It does not block.
+func (s *Sidecar) RefuseAttempt(e effect.RefuseAttempt) { s.deliver(e.Attempt, e) }
+
+// CancelRun carries out effect.CancelRun. It does not block.
+func (s *Sidecar) CancelRun(e effect.CancelRun) { s.deliver(e.Attempt, e) }
+
+// ReportRun carries out effect.ReportRun. It does not block.
+func (s *Sidecar) ReportRun(e effect.ReportRun) { s.deliver(e.Attempt, e) }
+
+func (s *Sidecar) deliver(id fleet.AttemptID, e effect.Effect) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	effects, ok := s.waiting[id]
+	if !ok {
+		return false
+	}
+	select {
+	case effects <- e:
+		return true
+	default:
+		return false
+	}
+}
+
+func (s *Sidecar) register(id fleet.AttemptID) (chan effect.Effect, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, taken := s.waiting[id]; taken {
+		return nil, false
+	}
+	effects := make(chan effect.Effect, effectsPerAttempt)
+	s.waiting[id] = effects
+	return effects, true
+}
+
+// unregister forgets an attempt and frees its slot when a Run effect came too late to be seen.
+func (s *Sidecar) unregister(id fleet.AttemptID, effects chan effect.Effect) {
+	s.mu.Lock()
+	delete(s.waiting, id)
+	s.mu.Unlock()
+	for {
+		select {
+		case e := <-effects:
+			if run, ok := e.(effect.Run); ok {
+				s.Run(run)
+			}
+		default:
+			return
+		}
+	}
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Sidecar) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Header.Get(headerVerify) != "" {
+		return
+	}
+	if id := r.Header.Get(headerCancel); id != "" {
+		s.seams.Post(event.AdmissionCanceled{Attempt: fleet.AttemptID(id)})
+		return
+	}
+	wire, err := decodeAttempt(r.Header, s.seams.Now())
+	if err != nil {
+		problem := fleet.NewProblem(fleet.BadRequest, fleet.NotRun, err.Error())
+		refuse(w, http.StatusBadRequest, fleet.AttemptID(r.Header.Get(headerAttempt)), problem)
+		return
+	}
+	s.seams.Post(event.RevisionSeen{From: wire.From, Revision: wire.Revision})
+	effects, ok := s.register(wire.Attempt.ID)
+	if !ok {
+		problem := fleet.NewProblem(fleet.Duplicate, fleet.MayHaveRun, "the attempt is already here")
+		refuse(w, http.StatusConflict, wire.Attempt.ID, problem)
+		return
+	}
+	defer s.unregister(wire.Attempt.ID, effects)
+	s.seams.Post(event.AdmissionAsked{Attempt: wire.Attempt, From: wire.From})
+	s.serve(w, r, wire.Attempt, effects)
+}
+
+// serve waits for the reducer's decision on an attempt and carries it out.
+func (s *Sidecar) serve(w http.ResponseWriter, r *http.Request, attempt fleet.Attempt, effects chan effect.Effect) {
+	limit := time.NewTimer(attempt.Deadline.Sub(s.seams.Now()) + decisionWait)
+	defer limit.Stop()
+	gone := r.Context().Done()
+	for {
+		select {
+		case e := <-effects:
+			switch e := e.(type) {
+			case effect.Run:
+				s.run(w, r, e, effects)
+				return
+			case effect.RefuseAttempt:
+				encodeReport(w.Header(), "", e.Report)
+				refuse(w, http.StatusServiceUnavailable, e.Attempt, e.Problem)
+				return
+			}
+		case <-gone:
+			gone = nil
+			s.seams.Post(event.AdmissionCanceled{Attempt: attempt.ID})
+			limit.Reset(decisionWait)
+		case <-limit.C:
+			s.seams.Post(event.AdmissionCanceled{Attempt: attempt.ID})
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+// refuse answers an attempt that has no answer of a target.
+func refuse(w http.ResponseWriter, status int, id fleet.AttemptID, problem fleet.Problem) {
+	w.Header().Set(headerAttempt, string(id))
+	encodeProblem(w.Header(), problem)
+	w.WriteHeader(status)
+}
+
+// run sends an attempt to its target and passes the answer on.
+func (s *Sidecar) run(w http.ResponseWriter, r *http.Request, run effect.Run, effects chan effect.Effect) {
+	ctx, cancel := context.WithDeadline(r.Context(), run.Attempt.Deadline)
+	defer cancel()
+	reports := make(chan effect.ReportRun, 1)
+	done := make(chan struct{})
+	defer close(done)
+	go watch(effects, cancel, reports, done)
+	running := forwardRun{seams: s.seams, run: run, ctx: ctx, started: s.seams.Now(), reports: reports}
+	if ctx.Err() != nil {
+		running.failed(w, fleet.NewProblem(fleet.Canceled, fleet.NotRun, "the attempt was canceled before it started"))
+		return
+	}
+	response, err := s.seams.Run(ctx, run, targetRequest(ctx, r, run.Attempt))
+	if err != nil {
+		running.failed(w, running.blame(problemOf(err)))
+		return
+	}
+	defer func() { _ = response.Body.Close() }()
+	running.answered(w, r, response)
+}
+
+// watch hands the effects of a running attempt to its handler.
+func watch(effects <-chan effect.Effect, cancel func(), reports chan<- effect.ReportRun, done <-chan struct{}) {
+	for {
+		select {
+		case e := <-effects:
+			switch e := e.(type) {
+			case effect.CancelRun:
+				cancel()
+			case effect.ReportRun:
+				reports <- e
+				return
+			}
+		case <-done:
+			return
+		}
+	}
+}
+
+// targetRequest returns the request for the target, without the headers between nodes but for the caller's account.
+func targetRequest(ctx context.Context, r *http.Request, attempt fleet.Attempt) *http.Request {
+	request := r.Clone(ctx)
+	stripHeaders(request.Header)
+	if attempt.Caller != "" {
+		request.Header.Set(headerCaller, string(attempt.Caller))
+	}
+	return request
+}
