core/tables: fetch revisions from peers and spread the platform's reads

Cause: every node read the platform at once on a change, none asked a peer, and any failed call of another part started a second watch.

Platform failures carry their call. The revision on a message is taken with the address of the message, so that a node without member records can ask.

--- a/internal/core/event/platform.go
+++ b/internal/core/event/platform.go
@@ -4,7 +4,7 @@
 
 // HeadRead says which revision the platform has. It answers effect.WatchHead, also when nothing changed.
 type HeadRead struct {
-	// Head has revision 0 when no tables were ever applied.
+	// Head has revision 0 when Version has not changed and when no tables were ever applied.
 	Head fleet.Head
 	// Version is the platform's version of the head object.
 	Version uint64
--- a/internal/core/node/fleet.go
+++ b/internal/core/node/fleet.go
@@ -9,7 +9,9 @@
 // messageReceived hands a message to the part that speaks its protocol.
 func (s State) messageReceived(ev event.Event, body event.MessageReceived) (State, []effect.Effect) {
 	envelope := body.Envelope
-	s, effects := s.revisionSeen(ev, event.RevisionSeen{From: envelope.From, Revision: envelope.Revision})
+	// A node without tables may hear from peers whose records it does not have yet, so the address is the envelope's.
+	seen, effects := s.tables.Seen(ev.At, envelope.From, envelope.Address, envelope.Revision)
+	s.tables = seen
 	var more []effect.Effect
 	switch envelope.Message.(type) {
 	case message.TablesRequest, message.TablesContent:
--- a/internal/core/node/platform.go
+++ b/internal/core/node/platform.go
@@ -18,7 +18,7 @@
 	case event.MembersListed:
 		s.membership, effects = s.membership.Listed(ev.At, body.Members)
 	case event.PlatformFailed:
-		s.tables, effects = s.tables.PlatformFailed(ev.At, ev.Random)
+		s.tables, effects = s.tables.PlatformFailed(ev.At, ev.Random, body.Call, body.Detail)
 	}
 	return s, effects
 }
--- /dev/null
+++ b/internal/core/tables/peers.go
@@ -0,0 +1,138 @@
+package tables
+
+import (
+	"time"
+
+	"jayfold.dev/jayfold/internal/core/effect"
+	"jayfold.dev/jayfold/internal/core/fleet"
+	"jayfold.dev/jayfold/internal/core/message"
+)
+
+// askTimeout is how long a node waits for a peer's tables before it asks another. Peers answer in milliseconds.
+const askTimeout = time.Second
+
+// peer is a node that showed its revision.
+type peer struct {
+	address  string
+	revision fleet.Revision
+}
+
+// ask is the request for the tables of one peer. At most one is under way.
+type ask struct {
+	// of is the peer that was asked; empty means none.
+	of    fleet.NodeID
+	until time.Time
+	// decoding is the revision whose content is being decoded, and from is the peer that sent it; 0 means none.
+	decoding fleet.Revision
+	from     fleet.NodeID
+}
+
+// waiting reports whether an answer is still expected.
+func (a ask) waiting(now time.Time) bool {
+	return a.decoding != 0 || (a.of != "" && now.Before(a.until))
+}
+
+// decoded returns the ask after a revision was decoded or rejected. The answer of a peer that was asked before is still
+// taken when it is newer.
+func (a ask) decoded(r fleet.Revision) ask {
+	if a.decoding != 0 && a.decoding != r {
+		return a
+	}
+	return ask{}
+}
+
+// Seen takes in the revision that another node showed, and asks for it when it is newer.
+func (s State) Seen(now time.Time, from fleet.NodeID, address string, r fleet.Revision) (State, []effect.Effect) {
+	if known, ok := s.peers.Get(from); !ok || known.address != address || known.revision != r {
+		s.peers = s.peers.With(from, peer{address: address, revision: r})
+	}
+	s.newest = max(s.newest, r)
+	if r <= s.current.Revision || s.ask.waiting(now) {
+		return s, nil
+	}
+	silent := s.ask.of
+	s = s.dropSilent()
+	if from == silent {
+		// The next tick asks another peer, if there is one.
+		return s, nil
+	}
+	return s.askPeer(now, from, address)
+}
+
+// askAny asks a randomly chosen peer that showed a newer revision, when there is one and none is being asked.
+func (s State) askAny(now time.Time, random uint64) (State, []effect.Effect) {
+	if s.ask.waiting(now) {
+		return s, nil
+	}
+	s = s.dropSilent()
+	if s.newest <= s.current.Revision {
+		return s, nil
+	}
+	var holders []fleet.NodeID
+	for id, p := range s.peers.All() {
+		if p.revision > s.current.Revision {
+			holders = append(holders, id)
+		}
+	}
+	if len(holders) == 0 {
+		return s, nil
+	}
+	chosen := holders[random%uint64(len(holders))]
+	p, _ := s.peers.Get(chosen)
+	return s.askPeer(now, chosen, p.address)
+}
+
+// dropSilent forgets a peer that did not answer in time, until it shows its revision again.
+func (s State) dropSilent() State {
+	if s.ask.of != "" {
+		s.peers = s.peers.Without(s.ask.of)
+		s.ask = ask{}
+	}
+	return s
+}
+
+func (s State) askPeer(now time.Time, id fleet.NodeID, address string) (State, []effect.Effect) {
+	s.ask = ask{of: id, until: now.Add(askTimeout)}
+	return s, []effect.Effect{effect.Send{
+		To:      id,
+		Address: address,
+		Message: message.TablesRequest{Revision: s.current.Revision},
+	}}
+}
+
+// Received handles a message about tables.
+func (s State) Received(_ time.Time, envelope message.Envelope) (State, []effect.Effect) {
+	switch m := envelope.Message.(type) {
+	case message.TablesRequest:
+		return s, s.reply(envelope, m)
+	case message.TablesContent:
+		return s.decode(envelope.From, m)
+	default:
+		return s, nil
+	}
+}
+
+// reply sends the tables in force to a node that has an older revision.
+func (s State) reply(envelope message.Envelope, m message.TablesRequest) []effect.Effect {
+	if s.current.Revision <= m.Revision {
+		return nil
+	}
+	return []effect.Effect{effect.Send{
+		To:      envelope.From,
+		Address: envelope.Address,
+		Message: message.TablesContent{Revision: s.current.Revision, Content: s.content},
+	}}
+}
+
+// decode starts the decoding of what a peer sent. A late answer is as good as one in time; one that is not newer than the
+// revision in force or under way is dropped.
+func (s State) decode(from fleet.NodeID, m message.TablesContent) (State, []effect.Effect) {
+	if from == s.ask.of {
+		s.ask = ask{}
+	}
+	if m.Revision <= s.current.Revision || s.ask.decoding != 0 {
+		return s, nil
+	}
+	s.ask = ask{decoding: m.Revision, from: from}
+	return s, []effect.Effect{effect.DecodeTables{Revision: m.Revision, Content: m.Content}}
+}
--- a/internal/core/tables/state.go
+++ b/internal/core/tables/state.go
@@ -5,6 +5,11 @@
 //	state := tables.New()
 //	state, effects := state.Tick(now, random)
 //	tables := state.Current()
+//
+// A node learns of a revision in two ways: a watch on the platform's head, and the revision that every message of another
+// node shows. It fetches the revision from a peer that has it, or else from the platform. After a change each node waits
+// for a random time before it reads the platform, so that a few nodes read it and the others find a peer first. A
+// revision that is not newer than the one in force is never taken.
 package tables
 
 import (
@@ -12,19 +17,21 @@
 
 	"jayfold.dev/jayfold/internal/core/effect"
 	"jayfold.dev/jayfold/internal/core/fleet"
-	"jayfold.dev/jayfold/internal/core/message"
 	"jayfold.dev/jayfold/internal/core/routing"
 )
 
 // State is the revision in force and the search for newer ones.
 type State struct {
-	current  fleet.Tables
-	content  []byte
-	router   routing.Router
-	newest   fleet.Revision
-	version  uint64
-	watching bool
-	// platform says whether the last call on the platform succeeded.
+	current fleet.Tables
+	// content is the encoded form of current, for peers.
+	content []byte
+	router  routing.Router
+	newest  fleet.Revision
+	watch   watch
+	fetch   fetch
+	peers   fleet.Map[fleet.NodeID, peer]
+	ask     ask
+	// platform says whether the last watch or fetch succeeded.
 	platform bool
 }
 
@@ -43,29 +50,18 @@
 // PlatformReachable reports whether the last call on the platform succeeded.
 func (s State) PlatformReachable() bool { return s.platform }
 
-// Tick starts the watch on the platform's head when none is waiting.
-func (s State) Tick(time.Time, uint64) (State, []effect.Effect) {
-	if s.watching {
-		return s, nil
-	}
-	s.watching = true
-	return s, []effect.Effect{effect.WatchHead{Version: s.version}}
-}
-
-// HeadRead takes in what the platform's head says.
-func (s State) HeadRead(_ time.Time, _ uint64, head fleet.Head, version uint64) (State, []effect.Effect) {
-	s.watching = false
-	s.platform = true
-	s.version = version
-	s.newest = max(s.newest, head.Revision)
-	if head.Revision <= s.current.Revision {
-		return s, nil
-	}
-	return s, []effect.Effect{effect.FetchTables{Head: head}}
+// Tick starts the calls and requests that are due.
+func (s State) Tick(now time.Time, random uint64) (State, []effect.Effect) {
+	s, watching := s.startWatch(now)
+	s, asking := s.askAny(now, random)
+	s, fetching := s.startFetch(now)
+	return s, append(append(watching, asking...), fetching...)
 }
 
 // Decoded brings a revision into force when it is newer than the current one.
-func (s State) Decoded(_ time.Time, t fleet.Tables, content []byte) (State, []effect.Effect) {
+func (s State) Decoded(now time.Time, t fleet.Tables, content []byte) (State, []effect.Effect) {
+	s.fetch = s.fetch.ended(t.Revision)
+	s.ask = s.ask.decoded(t.Revision)
 	if t.Revision <= s.current.Revision {
 		return s, nil
 	}
@@ -73,35 +69,22 @@
 	s.content = content
 	s.router = routing.New(t)
 	s.newest = max(s.newest, t.Revision)
-	return s, []effect.Effect{effect.Log{
-		Part:   "tables",
-		Text:   "revision in force",
-		Fields: []effect.Field{{Name: "Revision", Value: t.Revision}},
-	}}
-}
-
-// Rejected takes in that a revision does not decode.
-func (s State) Rejected(_ time.Time, r fleet.Revision, detail string) (State, []effect.Effect) {
-	return s, []effect.Effect{effect.Log{
-		Level:  effect.Failure,
-		Part:   "tables",
-		Text:   "revision rejected",
-		Fields: []effect.Field{{Name: "Revision", Value: r}, {Name: "Detail", Value: detail}},
-	}}
+	s, fetching := s.startFetch(now)
+	return s, append(fetching, log(effect.Info, "revision in force", effect.Field{Name: "Revision", Value: t.Revision}))
 }
 
-// PlatformFailed takes in that a call for the tables failed.
-func (s State) PlatformFailed(time.Time, uint64) (State, []effect.Effect) {
-	s.watching = false
-	s.platform = false
-	return s, nil
+// Rejected takes in that the content of a revision, from a peer or from the platform, does not decode.
+func (s State) Rejected(now time.Time, r fleet.Revision, detail string) (State, []effect.Effect) {
+	if s.ask.decoding == r {
+		s.peers = s.peers.Without(s.ask.from)
+		s.ask = s.ask.decoded(r)
+	} else if s.fetch.running == r {
+		s.fetch = s.fetch.ended(r).postponed(now.Add(rejectedDelay))
+	}
+	return s, []effect.Effect{log(effect.Failure, "revision rejected",
+		effect.Field{Name: "Revision", Value: r}, effect.Field{Name: "Detail", Value: detail})}
 }
 
-// Seen takes in the revision that another node showed.
-func (s State) Seen(_ time.Time, _ fleet.NodeID, _ string, r fleet.Revision) (State, []effect.Effect) {
-	s.newest = max(s.newest, r)
-	return s, nil
+func log(level effect.Level, text string, fields ...effect.Field) effect.Effect {
+	return effect.Log{Level: level, Part: "tables", Text: text, Fields: fields}
 }
-
-// Received handles a message about tables.
-func (s State) Received(time.Time, message.Envelope) (State, []effect.Effect) { return s, nil }
--- a/internal/edge/tablesfile/entry.go
+++ b/internal/edge/tablesfile/entry.go
@@ -33,7 +33,7 @@
 			return readMethod(v, r)
 		})),
 		configfile.Required("Pool", configfile.Position(&entry.pool, configfile.Text(&r.Pool, identifier))),
-		configfile.Required("Class", configfile.Parsed(&r.Class, fleet.ParseClass)),
+		configfile.Optional("Class", configfile.Parsed(&r.Class, fleet.ParseClass)),
 		configfile.Optional("Idempotent", configfile.Bool(func(b bool) { r.Idempotent = fleet.Some(b) })),
 		configfile.Required("Deadline", configfile.Duration(&r.Deadline, shortestDeadline, longestDeadline)),
 	)
--- a/internal/process/settings/draft.go
+++ b/internal/process/settings/draft.go
@@ -50,7 +50,7 @@
 			configfile.Required("Operators", d.address(&s.Listen.Operators, false)),
 		)),
 		configfile.Required("Platform", configfile.Parsed(&s.Platform, parsePlatform)),
-		configfile.Optional("LogLevel", configfile.OneOf(&s.LogLevel, "Debug", "Info", "Warn", "Error")),
+		configfile.Optional("LogLevel", configfile.OneOf(&s.LogLevel, "debug", "info", "warn", "error")),
 		configfile.Optional("Limits", configfile.Object(limits(&s.Limits)...)),
 	}
 }
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -39,7 +39,7 @@
 	Listen Listen
 	// Platform is the URL of the object API, without a path.
 	Platform string
-	// LogLevel is Debug, Info, Warn or Error.
+	// LogLevel is debug, info, warn or error.
 	LogLevel string
 	Limits   Limits
 }
@@ -71,7 +71,7 @@
 // defaults returns the values of the fields that a file may leave out.
 func defaults() Settings {
 	return Settings{
-		LogLevel: "Info",
+		LogLevel: "info",
 		Limits: Limits{
 			MaxBodyBytes:   1 << 20,
 			MaxHeaderBytes: 64 << 10,
