--- /dev/null
+++ b/cmd/jayfold/tables.go
@@ -0,0 +1,83 @@
+// Package main is the jayfold command.
+package main
+
+import (
+	"context"
+	"net/http"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"github.com/apex/log"
+
+	"jayfold.dev/jayfold/internal/core/fleet"
+	"jayfold.dev/jayfold/internal/edge/platform"
+	"jayfold.dev/jayfold/internal/process/tablesedit"
+)
+
+// TablesCommand groups the commands on the routes and pools tables.
+type TablesCommand struct {
+	Check checkCommand `cmd:"" help:"Report every problem of the two files."`
+	Show  showCommand  `cmd:"" help:"Print the tables that the platform has."`
+	Diff  diffCommand  `cmd:"" help:"Print what applying the two files would change."`
+	Apply applyCommand `cmd:"" help:"Bring the two files into force on every node."`
+}
+
+type filesFlags struct {
+	Routes string `required:"" placeholder:"FILE" help:"Routes file, JSON with comments."`
+	Pools  string `required:"" placeholder:"FILE" help:"Pools file, JSON with comments."`
+}
+
+func (f filesFlags) paths() tablesedit.Paths {
+	return tablesedit.Paths{Routes: f.Routes, Pools: f.Pools}
+}
+
+type platformFlags struct {
+	Platform string `required:"" placeholder:"URL" help:"URL of the platform's object API."`
+}
+
+// edit runs a command against the platform. An interrupt ends it.
+func (f platformFlags) edit(k *kong.Context, command func(context.Context, tablesedit.Editor) error) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	client := platform.New(platform.Settings{Base: f.Platform, HTTP: &http.Client{}, Log: log.Log})
+	defer client.Close()
+	return command(ctx, tablesedit.New(client, k.Stdout))
+}
+
+type checkCommand struct{ filesFlags }
+
+// Run checks the files.
+func (c checkCommand) Run(k *kong.Context) error { return tablesedit.Check(c.paths(), k.Stdout) }
+
+type showCommand struct{ platformFlags }
+
+// Run prints the tables on the platform.
+func (c showCommand) Run(k *kong.Context) error {
+	return c.edit(k, func(ctx context.Context, e tablesedit.Editor) error { return e.Show(ctx) })
+}
+
+type diffCommand struct {
+	filesFlags
+	platformFlags
+}
+
+// Run compares the files with the tables on the platform.
+func (c diffCommand) Run(k *kong.Context) error {
+	return c.edit(k, func(ctx context.Context, e tablesedit.Editor) error { return e.Diff(ctx, c.paths()) })
+}
+
+type applyCommand struct {
+	filesFlags
+	platformFlags
+	Expect *uint64 `placeholder:"REVISION" help:"Revision that the files were made for, as show prints it. Default: the newest."`
+}
+
+// Run applies the files.
+func (c applyCommand) Run(k *kong.Context) error {
+	expected := tablesedit.Newest
+	if c.Expect != nil {
+		expected = fleet.Revision(*c.Expect)
+	}
+	return c.edit(k, func(ctx context.Context, e tablesedit.Editor) error { return e.Apply(ctx, c.paths(), expected) })
+}
--- a/internal/core/tables/peers.go
+++ b/internal/core/tables/peers.go
@@ -8,13 +8,25 @@
 	"jayfold.dev/jayfold/internal/core/message"
 )
 
-// askTimeout is how long a node waits for a peer's tables before it asks another. Peers answer in milliseconds.
-const askTimeout = time.Second
+const (
+	// askTimeout is how long a node waits for a peer's tables before it asks another. Peers answer in milliseconds.
+	askTimeout = time.Second
+	// askPause comes after tables of a peer that did not decode. Decoding takes up to 50 ms, and every message of a peer
+	// would start it anew.
+	askPause = 5 * time.Second
+)
 
 // peer is a node that showed its revision.
 type peer struct {
 	address  string
 	revision fleet.Revision
+	// barred is when the peer may be asked again after its tables did not decode.
+	barred time.Time
+}
+
+// wanted reports whether the peer is to be asked by a node with the given revision.
+func (p peer) wanted(now time.Time, current fleet.Revision) bool {
+	return p.revision > current && !now.Before(p.barred)
 }
 
 // ask is the request for the tables of one peer. At most one is under way.
@@ -43,11 +55,13 @@
 
 // Seen takes in the revision that another node showed, and asks for it when it is newer.
 func (s State) Seen(now time.Time, from fleet.NodeID, address string, r fleet.Revision) (State, []effect.Effect) {
-	if known, ok := s.peers.Get(from); !ok || known.address != address || known.revision != r {
-		s.peers = s.peers.With(from, peer{address: address, revision: r})
+	known, ok := s.peers.Get(from)
+	p := peer{address: address, revision: r, barred: known.barred}
+	if !ok || p != known {
+		s.peers = s.peers.With(from, p)
 	}
 	s.newest = max(s.newest, r)
-	if r <= s.current.Revision || s.ask.waiting(now) {
+	if !p.wanted(now, s.current.Revision) || s.ask.waiting(now) || now.Before(s.pause) {
 		return s, nil
 	}
 	silent := s.ask.of
@@ -59,9 +73,19 @@
 	return s.askPeer(now, from, address)
 }
 
+// barPeer keeps a peer whose tables did not decode from being asked for a while.
+func (s State) barPeer(now time.Time, id fleet.NodeID) State {
+	s.pause = now.Add(askPause)
+	if p, ok := s.peers.Get(id); ok {
+		p.barred = now.Add(rejectedDelay)
+		s.peers = s.peers.With(id, p)
+	}
+	return s
+}
+
 // askAny asks a randomly chosen peer that showed a newer revision, when there is one and none is being asked.
 func (s State) askAny(now time.Time, random uint64) (State, []effect.Effect) {
-	if s.ask.waiting(now) {
+	if s.ask.waiting(now) || now.Before(s.pause) {
 		return s, nil
 	}
 	s = s.dropSilent()
@@ -70,7 +94,7 @@
 	}
 	var holders []fleet.NodeID
 	for id, p := range s.peers.All() {
-		if p.revision > s.current.Revision {
+		if p.wanted(now, s.current.Revision) {
 			holders = append(holders, id)
 		}
 	}
--- a/internal/core/tables/state.go
+++ b/internal/core/tables/state.go
@@ -31,6 +31,8 @@
 	fetch   fetch
 	peers   fleet.Map[fleet.NodeID, peer]
 	ask     ask
+	// pause is when the next peer may be asked.
+	pause time.Time
 	// platform says whether the last watch or fetch succeeded.
 	platform bool
 }
@@ -76,7 +78,7 @@
 // Rejected takes in that the content of a revision, from a peer or from the platform, does not decode.
 func (s State) Rejected(now time.Time, r fleet.Revision, detail string) (State, []effect.Effect) {
 	if s.ask.decoding == r {
-		s.peers = s.peers.Without(s.ask.from)
+		s = s.barPeer(now, s.ask.from)
 		s.ask = s.ask.decoded(r)
 	} else if s.fetch.running == r {
 		s.fetch = s.fetch.ended(r).postponed(now.Add(rejectedDelay))
--- a/internal/edge/platform/member.go
+++ b/internal/edge/platform/member.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"slices"
@@ -126,3 +127,19 @@
 	var none T
 	return none, fmt.Errorf("unknown %s %q", what, name)
 }
+
+// CountTargets counts the targets of each pool in the member records on the platform. Nodes refresh them every few
+// minutes, so the counts are rough.
+func (c *Client) CountTargets(ctx context.Context) (map[fleet.PoolName]int, error) {
+	listed, err := c.objects.list(ctx, memberPrefix)
+	if err != nil {
+		return nil, err
+	}
+	counts := map[fleet.PoolName]int{}
+	for _, m := range c.decodeMembers(listed) {
+		for _, t := range m.Targets {
+			counts[t.Pool]++
+		}
+	}
+	return counts, nil
+}
--- /dev/null
+++ b/internal/edge/tablesfile/diff.go
@@ -0,0 +1,129 @@
+package tablesfile
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"jayfold.dev/jayfold/internal/core/fleet"
+)
+
+// Change is a difference between two revisions in one route or pool.
+type Change struct {
+	// Kind is Added, Removed or Changed.
+	Kind Kind
+	// Table is "route" or "pool", and Name is the entry's name.
+	Table string
+	Name  string
+	// Detail lists the fields: all of an added entry, those that differ of a changed one.
+	Detail string
+}
+
+// Kind is the kind of a Change.
+type Kind byte
+
+// The kinds, as String shows them.
+const (
+	Added   Kind = '+'
+	Removed Kind = '-'
+	Changed Kind = '~'
+)
+
+// String returns the change as one line.
+func (c Change) String() string {
+	return strings.TrimSpace(fmt.Sprintf("%c %s %s %s", c.Kind, c.Table, c.Name, c.Detail))
+}
+
+// Diff returns what differs between two tables, routes first, each table by name. The order of the routes has no meaning,
+// since no two routes match the same requests.
+func Diff(from, to fleet.Tables) []Change {
+	return append(
+		diffTable("route", routeFields(from), routeFields(to)),
+		diffTable("pool", poolFields(from), poolFields(to))...,
+	)
+}
+
+// fields are the fields of one entry by name, with their values as JSON.
+type fields map[string]json.RawMessage
+
+func routeFields(t fleet.Tables) map[string]fields {
+	all := make(map[string]fields, len(t.Routes))
+	for _, wire := range wireRoutes(t) {
+		all[wire.Name] = newFields(wire)
+	}
+	return all
+}
+
+func poolFields(t fleet.Tables) map[string]fields {
+	all := make(map[string]fields, t.Pools.Len())
+	for _, wire := range wirePools(t) {
+		all[string(wire.Name)] = newFields(wire)
+	}
+	return all
+}
+
+func newFields(wire any) fields {
+	var f fields
+	// The wire types have no value that JSON lacks.
+	value, _ := json.Marshal(wire)
+	_ = json.Unmarshal(value, &f)
+	delete(f, "Name")
+	return f
+}
+
+func diffTable(table string, from, to map[string]fields) []Change {
+	var changes []Change
+	for _, name := range sortedKeys(from, to) {
+		old, was := from[name]
+		changed, is := to[name]
+		switch {
+		case !was:
+			changes = append(changes, Change{Kind: Added, Table: table, Name: name, Detail: changed.String()})
+		case !is:
+			changes = append(changes, Change{Kind: Removed, Table: table, Name: name})
+		default:
+			if detail := old.diff(changed); detail != "" {
+				changes = append(changes, Change{Kind: Changed, Table: table, Name: name, Detail: detail})
+			}
+		}
+	}
+	return changes
+}
+
+// String lists all fields.
+func (f fields) String() string {
+	var parts []string
+	for _, name := range sortedKeys(f, nil) {
+		parts = append(parts, name+"="+f.show(name))
+	}
+	return strings.Join(parts, " ")
+}
+
+func (f fields) diff(to fields) string {
+	var parts []string
+	for _, name := range sortedKeys(f, to) {
+		if old, changed := f.show(name), to.show(name); old != changed {
+			parts = append(parts, fmt.Sprintf("%s=%s -> %s", name, old, changed))
+		}
+	}
+	return strings.Join(parts, " ")
+}
+
+func (f fields) show(name string) string {
+	if value, ok := f[name]; ok {
+		return string(value)
+	}
+	return "unset"
+}
+
+// sortedKeys returns the keys of both maps in order.
+func sortedKeys[M ~map[string]V, V any](a, b M) []string {
+	all := maps.Clone(a)
+	if all == nil {
+		all = M{}
+	}
+	maps.Copy(all, b)
+	return slices.Sorted(maps.Keys(all))
+}
--- /dev/null
+++ b/internal/process/tablesedit/editor.go
@@ -0,0 +1,159 @@
+// Package tablesedit carries out the commands with which operators check, show, compare and apply the tables.
+//
+// # Usage
+//
+//	editor := tablesedit.New(client, os.Stdout)
+//	err := editor.Apply(ctx, tablesedit.Paths{Routes: "routes.jsonc", Pools: "pools.jsonc"}, tablesedit.Newest)
+//
+// Errors are configfile.Problems or a *fs.PathError for files that cannot be used, platform.Conflict when another
+// operator's change came first, and any other error when the command failed.
+package tablesedit
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"jayfold.dev/jayfold/internal/core/fleet"
+	"jayfold.dev/jayfold/internal/edge/platform"
+	"jayfold.dev/jayfold/internal/edge/tablesfile"
+)
+
+// Paths are the paths of the two tables files.
+type Paths struct {
+	Routes string
+	Pools  string
+}
+
+// Newest stands for the revision that the platform has when the command starts.
+const Newest = fleet.Revision(1<<64 - 1)
+
+// Editor carries out commands on the tables.
+type Editor struct {
+	client   *platform.Client
+	out      io.Writer
+	changeID func() string
+}
+
+// New returns an editor that prints to out.
+func New(client *platform.Client, out io.Writer) Editor {
+	return Editor{client: client, out: out, changeID: rand.Text}
+}
+
+// Load reads and checks the two tables files.
+func Load(paths Paths) (fleet.Tables, error) {
+	routes, routesErr := os.ReadFile(paths.Routes)
+	pools, poolsErr := os.ReadFile(paths.Pools)
+	if err := errors.Join(routesErr, poolsErr); err != nil {
+		return fleet.Tables{}, err
+	}
+	return tablesfile.Parse(
+		tablesfile.File{Name: paths.Routes, Content: routes},
+		tablesfile.File{Name: paths.Pools, Content: pools},
+	)
+}
+
+// Check reports what is wrong with the files.
+func Check(paths Paths, out io.Writer) error {
+	t, err := Load(paths)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(out, "%d routes and %d pools are valid\n", len(t.Routes), t.Pools.Len())
+	return err
+}
+
+// Show prints the newest revision as the two files.
+func (e Editor) Show(ctx context.Context) error {
+	t, err := e.client.ReadTables(ctx)
+	if err != nil {
+		return err
+	}
+	routes, pools := tablesfile.Render(t)
+	_, err = fmt.Fprintf(e.out, "// revision %d\n\n// routes\n%s\n// pools\n%s", t.Revision, routes, pools)
+	return err
+}
+
+// Diff prints what applying the files would change.
+func (e Editor) Diff(ctx context.Context, paths Paths) error {
+	wanted, err := Load(paths)
+	if err != nil {
+		return err
+	}
+	current, err := e.client.ReadTables(ctx)
+	if err != nil {
+		return err
+	}
+	return e.printDiff(current, wanted)
+}
+
+// Apply brings the files into force as the revision after expected. On a conflict it prints what the files would change
+// in the revision that came first.
+func (e Editor) Apply(ctx context.Context, paths Paths, expected fleet.Revision) error {
+	wanted, err := Load(paths)
+	if err != nil {
+		return err
+	}
+	current, err := e.client.ReadTables(ctx)
+	if err != nil {
+		return err
+	}
+	if expected == Newest {
+		expected = current.Revision
+	}
+	if current.Revision != expected {
+		return errors.Join(platform.Conflict{Expected: expected, Found: current.Revision}, e.printDiff(current, wanted))
+	}
+	if len(tablesfile.Diff(current, wanted)) == 0 && current.Revision > 0 {
+		return e.printDiff(current, wanted)
+	}
+	if err := e.warn(ctx, wanted); err != nil {
+		return err
+	}
+	revision, err := e.client.ApplyTables(ctx, wanted, expected, e.changeID())
+	var conflict platform.Conflict
+	if errors.As(err, &conflict) {
+		return errors.Join(err, e.Diff(ctx, paths))
+	}
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(e.out, "revision %d is accepted\n", revision)
+	return err
+}
+
+func (e Editor) printDiff(from, to fleet.Tables) error {
+	changes := tablesfile.Diff(from, to)
+	if len(changes) == 0 {
+		_, err := fmt.Fprintf(e.out, "no change to revision %d\n", from.Revision)
+		return err
+	}
+	for _, change := range changes {
+		if _, err := fmt.Fprintln(e.out, change); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// warn prints a warning for each pool whose floor exceeds the targets that nodes have registered. Such a pool is accepted,
+// since its targets may come later; until then none of them is ejected.
+func (e Editor) warn(ctx context.Context, t fleet.Tables) error {
+	counts, err := e.client.CountTargets(ctx)
+	if err != nil {
+		return err
+	}
+	for name, pool := range t.Pools.All() {
+		if counts[name] >= pool.Floor {
+			continue
+		}
+		if _, err := fmt.Fprintf(e.out, "warning: pool %s has a floor of %d and %d known targets; none can be ejected\n",
+			name, pool.Floor, counts[name]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
