edge/peer: carry messages between nodes over net/rpc

Cause: nodes could not exchange the messages of the core.

Change: Messenger carries out effect.Send with one cached connection, one bounded queue and one goroutine per peer, which end after 15 s without a message. A call without an answer within 2 s closes its connection. A cached connection that turns out to be broken is replaced once. Node.Deliver decodes and posts. Messages are msgpack; member records and their targets are arrays since they are most of the bytes. SyncRequest and Sync cover a range of node ids, so that a digest and its answer stay small.

--- a/internal/core/message/message.go
+++ b/internal/core/message/message.go
@@ -50,9 +50,14 @@
 	Address  string
 }
 
-// SyncRequest asks a peer for the member records that the sender lacks.
+// SyncRequest asks a peer for the member records of a range of node ids that the sender lacks.
 type SyncRequest struct {
-	// Digest gives the records that the sender has.
+	// Number tells the requests of one sender apart.
+	Number uint64
+	// After and Through bound the range: ids above After, up to and including Through; an empty Through means no bound.
+	After   fleet.NodeID
+	Through fleet.NodeID
+	// Digest gives the records of the range that the sender has.
 	Digest []MemberVersion
 }
 
@@ -61,10 +66,14 @@
 	Node        fleet.NodeID
 	Incarnation fleet.Incarnation
 	Sequence    uint64
+	Status      fleet.Status
 }
 
 // Sync answers a SyncRequest.
 type Sync struct {
+	Number uint64
+	// Through is the last id that the answer covers; empty means that it covers all ids after the request's After.
+	Through fleet.NodeID
 	Members []fleet.Member
 }
 
--- /dev/null
+++ b/internal/edge/peer/message.go
@@ -0,0 +1,171 @@
+// Package peer connects a node with the other nodes: Messenger carries the messages of the core over net/rpc.
+//
+// # Usage
+//
+//	messenger := peer.NewMessenger(self, peer.MessengerSeams{Post: loop.Post, Observe: operator.Observe})
+//	go messenger.Serve(listener)
+//	messenger.Send(send) // carries out effect.Send and never blocks
+//	defer messenger.Close()
+//
+// Messages are one-way. Each peer has one cached connection, one bounded queue and one goroutine, which end when nothing
+// was sent to the peer for a while. A message that cannot be handed over is lost; event.SendFailed says so.
+package peer
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"jayfold.dev/jayfold/internal/core/effect"
+	"jayfold.dev/jayfold/internal/core/event"
+	"jayfold.dev/jayfold/internal/core/fleet"
+)
+
+const (
+	// dialTimeout bounds the wait for a connection. A probe waits half a second for its Ack.
+	dialTimeout = time.Second
+	// callTimeout bounds one call; a connection that is silent for longer is closed.
+	callTimeout = 2 * time.Second
+	// idleTimeout closes unused connections. A node starts about two exchanges a second with peers that change, so about
+	// 30 connections are open at a time, whatever the size of the fleet.
+	idleTimeout = 15 * time.Second
+	// peerQueueLength bounds the messages that wait for one peer.
+	peerQueueLength = 32
+)
+
+// MessengerSeams are what a Messenger needs from outside.
+type MessengerSeams struct {
+	Post func(event.Body)
+	// Observe takes effect.Count and effect.Log from any goroutine and does not block.
+	Observe func(effect.Effect)
+	// Dial opens a connection; nil means TCP.
+	Dial func(network, address string, timeout time.Duration) (net.Conn, error)
+}
+
+// timeouts are the limits on an outward connection.
+type timeouts struct {
+	dial, call, idle time.Duration
+}
+
+// Messenger sends messages to the other nodes and receives theirs.
+type Messenger struct {
+	self     fleet.NodeID
+	own      string
+	seams    MessengerSeams
+	timeouts timeouts
+
+	mutex  sync.Mutex
+	links  map[string]*link
+	closed bool
+	inward map[net.Conn]struct{}
+
+	sent, received atomic.Int64
+}
+
+// NewMessenger returns the messenger of the node with the given record.
+func NewMessenger(self fleet.Member, seams MessengerSeams) *Messenger {
+	if seams.Dial == nil {
+		seams.Dial = net.DialTimeout
+	}
+	return &Messenger{
+		self:     self.Node,
+		own:      self.PeerAddress,
+		seams:    seams,
+		timeouts: timeouts{dial: dialTimeout, call: callTimeout, idle: idleTimeout},
+		links:    make(map[string]*link),
+		inward:   make(map[net.Conn]struct{}),
+	}
+}
+
+// Send queues a message for a peer. It never blocks: a message that finds the queue full is dropped and counted.
+func (m *Messenger) Send(send effect.Send) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.closed {
+		return
+	}
+	l, ok := m.links[send.Address]
+	if !ok {
+		l = &link{messenger: m, address: send.Address, queue: make(chan effect.Send, peerQueueLength)}
+		m.links[send.Address] = l
+		go l.run()
+	}
+	select {
+	case l.queue <- send:
+	default:
+		m.count("peer_messages_dropped", "QueueFull")
+	}
+}
+
+// Close ends all connections and drops what is queued.
+func (m *Messenger) Close() {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.closed {
+		return
+	}
+	m.closed = true
+	for _, l := range m.links {
+		close(l.queue)
+	}
+	for conn := range m.inward {
+		_ = conn.Close()
+	}
+}
+
+// Traffic returns the bytes sent and received over all connections so far, without the headers of TCP and IP.
+func (m *Messenger) Traffic() (sent, received int64) {
+	return m.sent.Load(), m.received.Load()
+}
+
+// Connections returns the number of connections that are open in each direction.
+func (m *Messenger) Connections() (outward, inward int) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return len(m.links), len(m.inward)
+}
+
+// retire removes a link that has nothing left to send, and reports whether it did.
+func (m *Messenger) retire(l *link) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.closed || len(l.queue) > 0 {
+		return false
+	}
+	delete(m.links, l.address)
+	return true
+}
+
+func (m *Messenger) count(name, cause string) {
+	m.seams.Observe(effect.Count{Name: name, Tags: []effect.Tag{{Name: "cause", Value: cause}}, Delta: 1})
+}
+
+func (m *Messenger) warn(text, address string, err error) {
+	m.seams.Observe(effect.Log{
+		Level:  effect.Warn,
+		Part:   "peer",
+		Text:   text,
+		Fields: []effect.Field{{Name: "Address", Value: address}, {Name: "Error", Value: err.Error()}},
+	})
+}
+
+// counted is a connection that counts its bytes.
+type counted struct {
+	net.Conn
+	sent, received *atomic.Int64
+}
+
+// Read implements io.Reader.
+func (c counted) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.received.Add(int64(n))
+	return n, err
+}
+
+// Write implements io.Writer.
+func (c counted) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.sent.Add(int64(n))
+	return n, err
+}
--- /dev/null
+++ b/internal/edge/peer/message_codec.go
@@ -0,0 +1,145 @@
+package peer
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"jayfold.dev/jayfold/internal/core/fleet"
+	"jayfold.dev/jayfold/internal/core/message"
+)
+
+const (
+	// messageLimit bounds an encoded message in bytes. The largest, a Sync with 16 records of 40 targets, has 20 KB.
+	messageLimit = 64 << 10
+	// contentLimit bounds an encoded message that carries tables: 4,600 routes and 140 pools take about 1 MB.
+	contentLimit = 4 << 20
+	// nameLimit bounds a name or an address in bytes.
+	nameLimit = 256
+	// listLimit bounds the elements of a list: targets of a host, records or versions in a message.
+	listLimit = 1024
+)
+
+var (
+	errTooLarge = fmt.Errorf("peer: message exceeds its limit of %d bytes, or %d bytes with tables", messageLimit, contentLimit)
+	errSender   = errors.New("peer: message without a sender or with a name over 256 bytes")
+)
+
+// wireEnvelope is the encoded form of message.Envelope.
+type wireEnvelope struct {
+	From        string
+	Incarnation uint64
+	Address     string
+	Revision    uint64
+	Kind        string
+	Message     msgpack.RawMessage
+}
+
+// codec translates one kind of message.
+type codec struct {
+	kind  string
+	limit int
+	// encode reports false for a message of another kind.
+	encode func(message.Message) (msgpack.RawMessage, bool, error)
+	decode func(msgpack.RawMessage) (message.Message, error)
+}
+
+// newCodec returns the codec of messages of type M with the wire type W.
+func newCodec[M message.Message, W any](kind string, limit int, toWire func(M) W, fromWire func(W) (M, error)) codec {
+	return codec{
+		kind:  kind,
+		limit: limit,
+		encode: func(m message.Message) (msgpack.RawMessage, bool, error) {
+			typed, ok := m.(M)
+			if !ok {
+				return nil, false, nil
+			}
+			encoded, err := msgpack.Marshal(toWire(typed))
+			return encoded, true, err
+		},
+		decode: func(encoded msgpack.RawMessage) (message.Message, error) {
+			var wire W
+			if err := msgpack.Unmarshal(encoded, &wire); err != nil {
+				return nil, err
+			}
+			return fromWire(wire)
+		},
+	}
+}
+
+// codecs lists every kind of message between nodes.
+var codecs = []codec{
+	newCodec("Ping", messageLimit, pingToWire, pingFromWire),
+	newCodec("Ack", messageLimit, ackToWire, ackFromWire),
+	newCodec("PingRequest", messageLimit, pingRequestToWire, pingRequestFromWire),
+	newCodec("SyncRequest", messageLimit, syncRequestToWire, syncRequestFromWire),
+	newCodec("Sync", messageLimit, syncToWire, syncFromWire),
+	newCodec("LeaseRequest", messageLimit, leaseRequestToWire, leaseRequestFromWire),
+	newCodec("LeaseGrant", messageLimit, leaseGrantToWire, leaseGrantFromWire),
+	newCodec("LeaseRefusal", messageLimit, leaseRefusalToWire, leaseRefusalFromWire),
+	newCodec("LeaseRelease", messageLimit, leaseReleaseToWire, leaseReleaseFromWire),
+	newCodec("LeaseRecall", messageLimit, leaseRecallToWire, leaseRecallFromWire),
+	newCodec("TablesRequest", messageLimit, tablesRequestToWire, tablesRequestFromWire),
+	newCodec("TablesContent", contentLimit, tablesContentToWire, tablesContentFromWire),
+}
+
+// encode returns the encoded envelope, or an error when the message is of no known kind or too large.
+func encode(envelope message.Envelope) ([]byte, error) {
+	for _, c := range codecs {
+		body, ok, err := c.encode(envelope.Message)
+		if !ok {
+			continue
+		}
+		if err != nil {
+			return nil, err
+		}
+		encoded, err := msgpack.Marshal(&wireEnvelope{
+			From:        string(envelope.From),
+			Incarnation: uint64(envelope.Incarnation),
+			Address:     envelope.Address,
+			Revision:    uint64(envelope.Revision),
+			Kind:        c.kind,
+			Message:     body,
+		})
+		if err == nil && len(encoded) > c.limit {
+			return nil, errTooLarge
+		}
+		return encoded, err
+	}
+	return nil, fmt.Errorf("peer: no encoding for %T", envelope.Message)
+}
+
+// decode returns the envelope, or an error that says what is wrong with it.
+func decode(encoded []byte) (message.Envelope, error) {
+	if len(encoded) > contentLimit {
+		return message.Envelope{}, errTooLarge
+	}
+	var wire wireEnvelope
+	if err := msgpack.Unmarshal(encoded, &wire); err != nil {
+		return message.Envelope{}, fmt.Errorf("peer: envelope does not decode: %w", err)
+	}
+	if wire.From == "" || len(wire.From) > nameLimit || len(wire.Address) > nameLimit {
+		return message.Envelope{}, errSender
+	}
+	for _, c := range codecs {
+		if c.kind != wire.Kind {
+			continue
+		}
+		if len(encoded) > c.limit {
+			return message.Envelope{}, errTooLarge
+		}
+		body, err := c.decode(wire.Message)
+		if err != nil {
+			return message.Envelope{}, fmt.Errorf("peer: %s does not decode: %w", c.kind, err)
+		}
+		return message.Envelope{
+			From:        fleet.NodeID(wire.From),
+			Incarnation: fleet.Incarnation(wire.Incarnation),
+			Address:     wire.Address,
+			Revision:    fleet.Revision(wire.Revision),
+			Message:     body,
+		}, nil
+	}
+	return message.Envelope{}, fmt.Errorf("peer: unknown kind of message %.40q", wire.Kind)
+}
--- /dev/null
+++ b/internal/edge/peer/message_lease.go
@@ -0,0 +1,107 @@
+package peer
+
+import (
+	"errors"
+	"time"
+
+	"jayfold.dev/jayfold/internal/core/fleet"
+	"jayfold.dev/jayfold/internal/core/message"
+)
+
+// wireLease is the encoded form of every message about leases.
+type wireLease struct {
+	Number   uint64 `msgpack:",omitempty"`
+	Asker    string
+	Grantor  string
+	Pool     string        `msgpack:",omitempty"`
+	Duration time.Duration `msgpack:",omitempty"`
+}
+
+type wireTablesRequest struct {
+	Revision uint64
+}
+
+type wireTablesContent struct {
+	Revision uint64
+	Content  []byte
+}
+
+var errLease = errors.New("a lease has a missing or oversized name or a negative duration")
+
+// check returns an error unless both targets are named.
+func (w wireLease) check() error {
+	if !named(w.Asker) || !named(w.Grantor) || !short(w.Pool) || w.Duration < 0 {
+		return errLease
+	}
+	return nil
+}
+
+func leaseRequestToWire(m message.LeaseRequest) wireLease {
+	return wireLease{Number: m.Number, Asker: string(m.Asker), Grantor: string(m.Grantor), Pool: string(m.Pool)}
+}
+
+func leaseRequestFromWire(w wireLease) (message.LeaseRequest, error) {
+	return message.LeaseRequest{
+		Number:  w.Number,
+		Asker:   fleet.TargetID(w.Asker),
+		Grantor: fleet.TargetID(w.Grantor),
+		Pool:    fleet.PoolName(w.Pool),
+	}, w.check()
+}
+
+func leaseGrantToWire(m message.LeaseGrant) wireLease {
+	return wireLease{Number: m.Number, Asker: string(m.Asker), Grantor: string(m.Grantor), Duration: m.Duration}
+}
+
+func leaseGrantFromWire(w wireLease) (message.LeaseGrant, error) {
+	return message.LeaseGrant{
+		Number:   w.Number,
+		Asker:    fleet.TargetID(w.Asker),
+		Grantor:  fleet.TargetID(w.Grantor),
+		Duration: w.Duration,
+	}, w.check()
+}
+
+func leaseRefusalToWire(m message.LeaseRefusal) wireLease {
+	return wireLease{Number: m.Number, Asker: string(m.Asker), Grantor: string(m.Grantor)}
+}
+
+func leaseRefusalFromWire(w wireLease) (message.LeaseRefusal, error) {
+	return message.LeaseRefusal{
+		Number:  w.Number,
+		Asker:   fleet.TargetID(w.Asker),
+		Grantor: fleet.TargetID(w.Grantor),
+	}, w.check()
+}
+
+func leaseReleaseToWire(m message.LeaseRelease) wireLease {
+	return wireLease{Asker: string(m.Asker), Grantor: string(m.Grantor)}
+}
+
+func leaseReleaseFromWire(w wireLease) (message.LeaseRelease, error) {
+	return message.LeaseRelease{Asker: fleet.TargetID(w.Asker), Grantor: fleet.TargetID(w.Grantor)}, w.check()
+}
+
+func leaseRecallToWire(m message.LeaseRecall) wireLease {
+	return wireLease{Asker: string(m.Asker), Grantor: string(m.Grantor)}
+}
+
+func leaseRecallFromWire(w wireLease) (message.LeaseRecall, error) {
+	return message.LeaseRecall{Asker: fleet.TargetID(w.Asker), Grantor: fleet.TargetID(w.Grantor)}, w.check()
+}
+
+func tablesRequestToWire(m message.TablesRequest) wireTablesRequest {
+	return wireTablesRequest{Revision: uint64(m.Revision)}
+}
+
+func tablesRequestFromWire(w wireTablesRequest) (message.TablesRequest, error) {
+	return message.TablesRequest{Revision: fleet.Revision(w.Revision)}, nil
+}
+
+func tablesContentToWire(m message.TablesContent) wireTablesContent {
+	return wireTablesContent{Revision: uint64(m.Revision), Content: m.Content}
+}
+
+func tablesContentFromWire(w wireTablesContent) (message.TablesContent, error) {
+	return message.TablesContent{Revision: fleet.Revision(w.Revision), Content: w.Content}, nil
+}
--- /dev/null
+++ b/internal/edge/peer/message_member.go
@@ -0,0 +1,249 @@
+package peer
+
+import (
+	"errors"
+	"fmt"
+
+	"jayfold.dev/jayfold/internal/core/fleet"
+	"jayfold.dev/jayfold/internal/core/message"
+)
+
+// wireMember is the encoded form of fleet.Member. Members and their targets are arrays, not maps: they are most of the
+// control traffic, and the names of the fields would take more bytes than the values.
+type wireMember struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack through reflection
+
+	Node             string
+	AvailabilityZone string
+	PeerAddress      string
+	ForwardAddress   string
+	Incarnation      uint64
+	Sequence         uint64
+	Status           uint8
+	Targets          []wireTarget
+}
+
+// wireTarget is the encoded form of fleet.Target. Name is the part of its id after the node's id.
+type wireTarget struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack through reflection
+
+	Name    string
+	Pool    string
+	State   uint8
+	Slots   int
+	Ejected bool
+}
+
+// wireVersion is the encoded form of message.MemberVersion.
+type wireVersion struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack through reflection
+
+	Node        string
+	Incarnation uint64
+	Sequence    uint64
+	Status      uint8
+}
+
+type wirePing struct {
+	Sequence uint64
+	Members  []wireMember `msgpack:",omitempty"`
+}
+
+type wireAck struct {
+	Sequence uint64
+	Subject  string
+	Members  []wireMember `msgpack:",omitempty"`
+}
+
+type wirePingRequest struct {
+	Sequence uint64
+	Subject  string
+	Address  string
+}
+
+type wireSyncRequest struct {
+	Number  uint64
+	After   string
+	Through string
+	Digest  []wireVersion
+}
+
+type wireSync struct {
+	Number  uint64
+	Through string
+	Members []wireMember
+}
+
+var errMember = errors.New("a member record has a missing or oversized name, an unknown status or too many targets")
+
+func memberToWire(m fleet.Member) wireMember {
+	return wireMember{
+		Node:             string(m.Node),
+		AvailabilityZone: string(m.AvailabilityZone),
+		PeerAddress:      m.PeerAddress,
+		ForwardAddress:   m.ForwardAddress,
+		Incarnation:      uint64(m.Incarnation),
+		Sequence:         m.Sequence,
+		Status:           uint8(m.Status),
+		Targets:          each(m.Targets, targetToWire(m.Node)),
+	}
+}
+
+func memberFromWire(w wireMember) (fleet.Member, error) {
+	if !named(w.Node) || !short(w.AvailabilityZone, w.PeerAddress, w.ForwardAddress) ||
+		w.Status > uint8(fleet.Dead) || len(w.Targets) > listLimit {
+		return fleet.Member{}, errMember
+	}
+	targets, err := eachChecked(w.Targets, targetFromWire(fleet.NodeID(w.Node)))
+	return fleet.Member{
+		Node:             fleet.NodeID(w.Node),
+		AvailabilityZone: fleet.AvailabilityZone(w.AvailabilityZone),
+		PeerAddress:      w.PeerAddress,
+		ForwardAddress:   w.ForwardAddress,
+		Incarnation:      fleet.Incarnation(w.Incarnation),
+		Sequence:         w.Sequence,
+		Status:           fleet.Status(w.Status),
+		Targets:          targets,
+	}, err
+}
+
+func targetToWire(node fleet.NodeID) func(fleet.Target) wireTarget {
+	return func(t fleet.Target) wireTarget {
+		return wireTarget{
+			Name:    string(t.ID[min(len(t.ID), len(node)+1):]),
+			Pool:    string(t.Pool),
+			State:   uint8(t.State),
+			Slots:   t.Slots,
+			Ejected: t.Ejected,
+		}
+	}
+}
+
+func targetFromWire(node fleet.NodeID) func(wireTarget) (fleet.Target, error) {
+	return func(w wireTarget) (fleet.Target, error) {
+		if !named(w.Name) || !named(w.Pool) || w.State > uint8(fleet.TargetDraining) || w.Slots < 0 {
+			return fleet.Target{}, errMember
+		}
+		return fleet.Target{
+			ID:      fleet.NewTargetID(node, w.Name),
+			Pool:    fleet.PoolName(w.Pool),
+			State:   fleet.TargetState(w.State),
+			Slots:   w.Slots,
+			Ejected: w.Ejected,
+		}, nil
+	}
+}
+
+func pingToWire(m message.Ping) wirePing {
+	return wirePing{Sequence: m.Sequence, Members: each(m.Members, memberToWire)}
+}
+
+func pingFromWire(w wirePing) (message.Ping, error) {
+	members, err := eachChecked(w.Members, memberFromWire)
+	return message.Ping{Sequence: w.Sequence, Members: members}, err
+}
+
+func ackToWire(m message.Ack) wireAck {
+	return wireAck{Sequence: m.Sequence, Subject: string(m.Subject), Members: each(m.Members, memberToWire)}
+}
+
+func ackFromWire(w wireAck) (message.Ack, error) {
+	members, err := eachChecked(w.Members, memberFromWire)
+	return message.Ack{Sequence: w.Sequence, Subject: fleet.NodeID(w.Subject), Members: members}, err
+}
+
+func pingRequestToWire(m message.PingRequest) wirePingRequest {
+	return wirePingRequest{Sequence: m.Sequence, Subject: string(m.Subject), Address: m.Address}
+}
+
+func pingRequestFromWire(w wirePingRequest) (message.PingRequest, error) {
+	return message.PingRequest{Sequence: w.Sequence, Subject: fleet.NodeID(w.Subject), Address: w.Address}, nil
+}
+
+func syncRequestToWire(m message.SyncRequest) wireSyncRequest {
+	return wireSyncRequest{
+		Number:  m.Number,
+		After:   string(m.After),
+		Through: string(m.Through),
+		Digest:  each(m.Digest, versionToWire),
+	}
+}
+
+func syncRequestFromWire(w wireSyncRequest) (message.SyncRequest, error) {
+	digest, err := eachChecked(w.Digest, versionFromWire)
+	return message.SyncRequest{
+		Number:  w.Number,
+		After:   fleet.NodeID(w.After),
+		Through: fleet.NodeID(w.Through),
+		Digest:  digest,
+	}, err
+}
+
+func syncToWire(m message.Sync) wireSync {
+	return wireSync{Number: m.Number, Through: string(m.Through), Members: each(m.Members, memberToWire)}
+}
+
+func syncFromWire(w wireSync) (message.Sync, error) {
+	members, err := eachChecked(w.Members, memberFromWire)
+	return message.Sync{Number: w.Number, Through: fleet.NodeID(w.Through), Members: members}, err
+}
+
+func versionToWire(v message.MemberVersion) wireVersion {
+	return wireVersion{
+		Node:        string(v.Node),
+		Incarnation: uint64(v.Incarnation),
+		Sequence:    v.Sequence,
+		Status:      uint8(v.Status),
+	}
+}
+
+func versionFromWire(w wireVersion) (message.MemberVersion, error) {
+	if !named(w.Node) || w.Status > uint8(fleet.Dead) {
+		return message.MemberVersion{}, errMember
+	}
+	return message.MemberVersion{
+		Node:        fleet.NodeID(w.Node),
+		Incarnation: fleet.Incarnation(w.Incarnation),
+		Sequence:    w.Sequence,
+		Status:      fleet.Status(w.Status),
+	}, nil
+}
+
+// named reports whether a required name is present and not too long.
+func named(name string) bool { return name != "" && len(name) <= nameLimit }
+
+// short reports whether no text is too long.
+func short(texts ...string) bool {
+	for _, text := range texts {
+		if len(text) > nameLimit {
+			return false
+		}
+	}
+	return true
+}
+
+func each[A, B any](from []A, translate func(A) B) []B {
+	if len(from) == 0 {
+		return nil
+	}
+	to := make([]B, 0, len(from))
+	for _, a := range from {
+		to = append(to, translate(a))
+	}
+	return to
+}
+
+func eachChecked[A, B any](from []A, translate func(A) (B, error)) ([]B, error) {
+	if len(from) > listLimit {
+		return nil, fmt.Errorf("a list has more than %d elements", listLimit)
+	}
+	var to []B
+	for _, a := range from {
+		b, err := translate(a)
+		if err != nil {
+			return nil, err
+		}
+		to = append(to, b)
+	}
+	return to, nil
+}
--- /dev/null
+++ b/internal/edge/peer/message_test.go
@@ -0,0 +1,309 @@
+package peer
+
+import (
+	"bytes"
+	"encoding/gob"
+	"io"
+	"net"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"jayfold.dev/jayfold/internal/core/effect"
+	"jayfold.dev/jayfold/internal/core/event"
+	"jayfold.dev/jayfold/internal/core/fleet"
+	"jayfold.dev/jayfold/internal/core/message"
+)
+
+// patience bounds the wait for something that is to happen.
+const patience = 10 * time.Second
+
+// station is a messenger with everything it posted and observed.
+type station struct {
+	*Messenger
+	posted   chan event.Body
+	observed chan effect.Effect
+}
+
+func newStation(t *testing.T, name string) station {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := station{posted: make(chan event.Body, 1024), observed: make(chan effect.Effect, 1024)}
+	self := fleet.Member{Node: fleet.NodeID(name), PeerAddress: listener.Addr().String()}
+	s.Messenger = NewMessenger(self, MessengerSeams{
+		Post:    func(b event.Body) { s.posted <- b },
+		Observe: func(e effect.Effect) { s.observed <- e },
+	})
+	go func() { _ = s.Serve(listener) }()
+	t.Cleanup(func() {
+		_ = listener.Close()
+		s.Close()
+	})
+	return s
+}
+
+func (s station) ping(to, address string, sequence uint64) {
+	s.Send(effect.Send{
+		To:          fleet.NodeID(to),
+		Address:     address,
+		Message:     message.Ping{Sequence: sequence},
+		Incarnation: 3,
+		Revision:    4,
+	})
+}
+
+// receive returns the next thing on a channel, or fails the test.
+func receive[T any](t *testing.T, from <-chan T) T {
+	t.Helper()
+	select {
+	case value := <-from:
+		return value
+	case <-time.After(patience):
+		t.Fatal("nothing came")
+		panic("unreachable")
+	}
+}
+
+// eventually fails the test unless a condition comes true.
+func eventually(t *testing.T, condition func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(patience); !condition(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the condition did not come true")
+		}
+	}
+}
+
+// counts fails the test unless the next observation counts the given cause.
+func counts(t *testing.T, s station, cause string) {
+	t.Helper()
+	count, ok := receive(t, s.observed).(effect.Count)
+	is.New(t).True(ok)
+	is.New(t).Equal(count.Tags[0].Value, cause)
+}
+
+func TestMessagesArriveWithTheirEnvelope(t *testing.T) {
+	a, b := newStation(t, "a"), newStation(t, "b")
+	for sequence := range uint64(3) {
+		a.ping("b", b.own, sequence)
+		is.New(t).Equal(receive(t, b.posted), event.MessageReceived{Envelope: message.Envelope{
+			From: "a", Incarnation: 3, Address: a.own, Revision: 4, Message: message.Ping{Sequence: sequence},
+		}})
+	}
+	outward, _ := a.Connections()
+	is.New(t).Equal(outward, 1) // one cached connection for all messages to a peer
+}
+
+// A probe's failure must be known before its timeout when the peer refuses connections.
+func TestUnreachablePeerIsReported(t *testing.T) {
+	a := newStation(t, "a")
+	a.ping("b", "127.0.0.1:1", 1)
+	is.New(t).Equal(receive(t, a.posted), event.SendFailed{To: "b"})
+	counts(t, a, "Unreachable")
+}
+
+// An open connection that goes silent must neither block the control loop nor swallow messages for good.
+func TestSilentConnectionIsClosed(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	defer func() { _ = listener.Close() }()
+	a := newStation(t, "a")
+	a.timeouts.call = 50 * time.Millisecond
+	for sequence := range uint64(2 * peerQueueLength) {
+		a.ping("b", listener.Addr().String(), sequence)
+	}
+	conn, err := listener.Accept()
+	is.New(t).NoErr(err)
+	counts(t, a, "QueueFull")
+	is.New(t).Equal(receive(t, a.posted), event.SendFailed{To: "b"})
+	is.New(t).NoErr(conn.SetReadDeadline(time.Now().Add(patience)))
+	_, err = io.Copy(io.Discard, conn)
+	is.New(t).NoErr(err) // the connection was closed, not kept until the read deadline
+}
+
+// A peer that restarts on the same address breaks the cached connection; its first message must not be lost for that.
+func TestBrokenCachedConnectionIsReplaced(t *testing.T) {
+	a, b := newStation(t, "a"), newStation(t, "b")
+	a.ping("b", b.own, 1)
+	receive(t, b.posted)
+	eventually(t, func() bool {
+		_, received := a.Traffic()
+		return received > 0 // the answer, without which the first message counts as failed
+	})
+	b.mutex.Lock()
+	for conn := range b.inward {
+		_ = conn.Close()
+	}
+	b.mutex.Unlock()
+	a.ping("b", b.own, 2)
+	receive(t, b.posted)
+	is.New(t).Equal(len(a.posted), 0) // no SendFailed
+}
+
+// With 540 peers, connections that are no longer used must not stay open.
+func TestIdleConnectionsAreClosed(t *testing.T) {
+	a, b := newStation(t, "a"), newStation(t, "b")
+	a.timeouts.idle = time.Millisecond
+	a.ping("b", b.own, 1)
+	receive(t, b.posted)
+	eventually(t, func() bool {
+		outward, _ := a.Connections()
+		_, inward := b.Connections()
+		return outward+inward == 0
+	})
+}
+
+// An oversized message must end the connection before it takes memory: gob alone accepts 1 GB.
+func TestOversizedMessageEndsTheConnection(t *testing.T) {
+	b := newStation(t, "b")
+	conn, err := net.Dial("tcp", b.own)
+	is.New(t).NoErr(err)
+	defer func() { _ = conn.Close() }()
+	var header bytes.Buffer
+	is.New(t).NoErr(gob.NewEncoder(&header).Encode(struct {
+		ServiceMethod string
+		Seq           uint64
+	}{deliverMethod, 1}))
+	_, err = conn.Write(header.Bytes())
+	is.New(t).NoErr(err)
+	chunk := bytes.Repeat([]byte{0}, 1<<20)
+	announced := []byte{0xfc, 0x3f, 0xff, 0xff, 0xff} // a gob value of 1 GB - 1
+	_, err = conn.Write(announced)
+	for range 64 {
+		if err != nil {
+			return
+		}
+		_, err = conn.Write(chunk)
+	}
+	t.Fatal("the peer kept reading")
+}
+
+func TestBadMessagesAreRefused(t *testing.T) {
+	valid, err := encode(message.Envelope{From: "a", Message: message.Ping{Sequence: 1}})
+	is.New(t).NoErr(err)
+	nameless, err := encode(message.Envelope{Message: message.Ping{}})
+	is.New(t).NoErr(err)
+	status, err := encode(message.Envelope{From: "a", Message: message.Ping{Members: []fleet.Member{{Node: "b", Status: 9}}}})
+	is.New(t).NoErr(err)
+	for name, encoded := range map[string][]byte{
+		"empty":          {},
+		"no envelope":    []byte("hello"),
+		"truncated":      valid[:len(valid)-1],
+		"no sender":      nameless,
+		"unknown kind":   bytes.Replace(valid, []byte("Ping"), []byte("Pong"), 1),
+		"unknown status": status,
+		"too large":      make([]byte, contentLimit+1),
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newStation(t, "b")
+			var out []byte
+			is.New(t).True((&receiver{messenger: b.Messenger}).Deliver(encoded, &out) != nil)
+			counts(t, b, "Undecodable")
+			is.New(t).Equal(len(b.posted), 0)
+		})
+	}
+}
+
+func TestOversizedMessageIsNotEncoded(t *testing.T) {
+	_, err := encode(message.Envelope{From: "a", Message: message.TablesContent{Content: make([]byte, contentLimit)}})
+	is.New(t).Equal(err, errTooLarge)
+	_, err = encode(message.Envelope{From: "a", Message: message.LeaseRequest{Pool: fleet.PoolName(make([]byte, messageLimit))}})
+	is.New(t).Equal(err, errTooLarge)
+}
+
+// samples draws one message of each kind; a field that the encoding forgets comes back as its zero value.
+var samples = map[string]*rapid.Generator[message.Message]{
+	"Ping":          sample[message.Ping](),
+	"Ack":           sample[message.Ack](),
+	"PingRequest":   sample[message.PingRequest](),
+	"SyncRequest":   sample[message.SyncRequest](),
+	"Sync":          sample[message.Sync](),
+	"LeaseRequest":  sample[message.LeaseRequest](),
+	"LeaseGrant":    sample[message.LeaseGrant](),
+	"LeaseRefusal":  sample[message.LeaseRefusal](),
+	"LeaseRelease":  sample[message.LeaseRelease](),
+	"LeaseRecall":   sample[message.LeaseRecall](),
+	"TablesRequest": sample[message.TablesRequest](),
+	"TablesContent": sample[message.TablesContent](),
+}
+
+func sample[M message.Message]() *rapid.Generator[message.Message] {
+	return rapid.Custom(func(t *rapid.T) message.Message {
+		var m M
+		fill(t, reflect.ValueOf(&m).Elem())
+		return m
+	})
+}
+
+// fill gives every field of a value a drawn value other than its zero value.
+func fill(t *rapid.T, v reflect.Value) {
+	switch v.Kind() {
+	case reflect.Struct:
+		for i := range v.NumField() {
+			fill(t, v.Field(i))
+		}
+		if target, ok := v.Addr().Interface().(*fleet.Member); ok {
+			for i := range target.Targets {
+				target.Targets[i].ID = fleet.NewTargetID(target.Node, string(target.Targets[i].ID))
+			}
+		}
+	case reflect.Slice:
+		v.Set(reflect.MakeSlice(v.Type(), rapid.IntRange(1, 4).Draw(t, "length"), 4))
+		for i := range v.Len() {
+			fill(t, v.Index(i))
+		}
+	case reflect.String:
+		v.SetString(rapid.StringMatching("[a-z]{1,12}").Draw(t, "string"))
+	case reflect.Bool:
+		v.SetBool(true)
+	case reflect.Uint8:
+		v.SetUint(1)
+	case reflect.Uint64:
+		v.SetUint(rapid.Uint64Min(1).Draw(t, "uint64"))
+	default:
+		v.SetInt(rapid.Int64Range(1, 1<<40).Draw(t, "int"))
+	}
+}
+
+func TestEveryMessageKeepsItsFields(t *testing.T) {
+	for _, c := range codecs {
+		t.Run(c.kind, rapid.MakeCheck(func(t *rapid.T) {
+			sent := message.Envelope{From: "a", Incarnation: 1, Address: "b", Revision: 2, Message: samples[c.kind].Draw(t, c.kind)}
+			encoded, err := encode(sent)
+			is.New(t).NoErr(err)
+			got, err := decode(encoded)
+			is.New(t).NoErr(err)
+			is.New(t).Equal(got, sent)
+		}))
+	}
+}
+
+// The decoder takes bytes from the network: it must not panic, and what it accepts must encode to the same message.
+func FuzzDecode(f *testing.F) {
+	for _, c := range codecs {
+		encoded, err := encode(message.Envelope{From: "a", Address: "b", Message: samples[c.kind].Example(1)})
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(encoded)
+	}
+	f.Fuzz(func(t *testing.T, encoded []byte) {
+		envelope, err := decode(encoded)
+		if err != nil {
+			return
+		}
+		again, err := encode(envelope)
+		if err != nil {
+			return // what was accepted with 64 KB may take more bytes in our own form
+		}
+		same, err := decode(again)
+		is.New(t).NoErr(err)
+		is.New(t).Equal(same, envelope)
+	})
+}
