edge/operator: show status, health, metrics and the log

Cause: operators could not see a node's state.

Change: one goroutine carries out effect.Log, effect.Count, effect.Gauge and effect.Duration from a bounded queue, so that a blocked log never blocks the control loop. PrintStatus renders one screen.

--- /dev/null
+++ b/internal/edge/operator/operator_test.go
@@ -0,0 +1,167 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
+	"github.com/matryer/is"
+
+	"jayfold.dev/jayfold/internal/core/effect"
+	"jayfold.dev/jayfold/internal/core/event"
+	"jayfold.dev/jayfold/internal/core/fleet"
+)
+
+// sampleStatus has one ejected, one draining and one healthy target.
+func sampleStatus() effect.Status {
+	ejected := fleet.Target{ID: "n1/t1", Pool: "stock", Slots: 4, Ejected: true}
+	draining := fleet.Target{ID: "n2/t1", Pool: "stock", Slots: 4, State: fleet.TargetDraining}
+	return effect.Status{
+		Node:       "n1",
+		Revision:   7,
+		Newest:     8,
+		Services:   []effect.ServiceStatus{{Service: "inventory", Pool: "stock", Floor: 3, Known: 3, InService: 2}},
+		Targets:    []effect.TargetStatus{{Target: ejected, Judged: 40, Bad: 21, Score: 14.5, Baseline: 30 * time.Millisecond}},
+		Members:    []fleet.Member{{Node: "n1", Targets: []fleet.Target{ejected}}, {Node: "n2", Targets: []fleet.Target{draining}}},
+		Quarantine: []effect.QuarantineStatus{{Fingerprint: 0xabc}},
+	}
+}
+
+// served returns an operator whose control loop answers with a status, and the address of its handler.
+func served(t *testing.T, s effect.Status) (*Operator, *memory.Handler, string) {
+	t.Helper()
+	lines := memory.New()
+	var o *Operator
+	o = New(Seams{Log: lines, Post: func(b event.Body) {
+		o.ShowStatus(effect.ShowStatus{Query: b.(event.StatusAsked).Query, Status: s})
+	}})
+	t.Cleanup(o.Close)
+	server := httptest.NewServer(o.Handler())
+	t.Cleanup(server.Close)
+	return o, lines, strings.TrimPrefix(server.URL, "http://")
+}
+
+func printed(t *testing.T, address string, asJSON bool) string {
+	t.Helper()
+	var b bytes.Buffer
+	is.New(t).NoErr(PrintStatus(context.Background(), &b, address, asJSON))
+	return b.String()
+}
+
+// contains fails the test unless a text contains every part.
+func contains(t *testing.T, text string, parts ...string) {
+	t.Helper()
+	for _, part := range parts {
+		if !strings.Contains(text, part) {
+			t.Errorf("%q is missing in:\n%s", part, text)
+		}
+	}
+}
+
+// An operator must see on one screen what is wrong and why.
+func TestStatusShowsWhatIsWrong(t *testing.T) {
+	_, _, address := served(t, sampleStatus())
+	text := printed(t, address, false)
+	contains(t, text, "7 here, 8 newest seen", "below the floor", "21 of 40 requests bad, score 14.5, baseline 30ms",
+		"DRAINING", "n2/t1", "0000000000000abc")
+	contains(t, printed(t, address, true), `"Bad": 21`, `"NewestRevision": 8`, `"Status": "Alive"`)
+}
+
+// A fleet of 540 nodes in trouble must not scroll off the screen.
+func TestStatusFitsOnOneScreen(t *testing.T) {
+	s := sampleStatus()
+	for i := range 540 {
+		s.Members = append(s.Members, fleet.Member{Node: fleet.NodeID(fmt.Sprint("m", i)), Status: fleet.Leaving, Targets: s.Members[0].Targets})
+		s.Services = append(s.Services, s.Services[0])
+		s.Quarantine = append(s.Quarantine, s.Quarantine[0])
+	}
+	_, _, address := served(t, s)
+	text := printed(t, address, false)
+	contains(t, text, "and 529 more")
+	is.New(t).True(strings.Count(text, "\n") <= 4*(rowLimit+3)+3)
+}
+
+func TestHealthFollowsTheState(t *testing.T) {
+	for name, c := range map[string]struct {
+		status effect.Status
+		code   int
+	}{
+		"serving":   {effect.Status{Revision: 1}, http.StatusOK},
+		"leaving":   {effect.Status{Revision: 1, Draining: true}, http.StatusServiceUnavailable},
+		"no tables": {effect.Status{}, http.StatusServiceUnavailable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			o, _, _ := served(t, c.status)
+			recorder := httptest.NewRecorder()
+			o.Handler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/healthz", nil))
+			is.New(t).Equal(recorder.Code, c.code)
+		})
+	}
+}
+
+// Traffic that repeats a line must not fill the log, and what was left out must be counted.
+func TestRepeatedLinesAreLimited(t *testing.T) {
+	lines := memory.New()
+	now := time.Unix(0, 0)
+	o := New(Seams{Log: lines, Now: func() time.Time { return now }})
+	for range 1000 {
+		o.Observe(effect.Log{Level: effect.Warn, Part: "peer", Text: "message refused"})
+	}
+	o.Observe(effect.Log{Part: "tables", Text: "revision in force", Fields: []effect.Field{{Name: "Revision", Value: 3}}})
+	o.Close()
+	is.New(t).Equal(len(lines.Entries), lineBurst+1)
+	is.New(t).Equal(lines.Entries[0].Message, "peer: message refused")
+	is.New(t).Equal(lines.Entries[lineBurst].Fields["Revision"], 3)
+	passes, suppressed := o.lines.pass(now.Add(lineInterval), "peer: message refused")
+	is.New(t).True(passes)
+	is.New(t).Equal(suppressed, 1000-lineBurst)
+}
+
+// The log's writer may block, for example on a full pipe; the control loop must not.
+func TestObserveDoesNotBlock(t *testing.T) {
+	release := make(chan struct{})
+	o := New(Seams{Log: blocked(release)})
+	for range 2 * observationQueue {
+		o.Observe(effect.Log{Part: "peer", Text: "message refused"})
+	}
+	is.New(t).True(o.dropped.Load() >= observationQueue-1)
+	close(release)
+	o.Close()
+}
+
+// blocked returns a log handler that blocks until the channel closes.
+func blocked(until <-chan struct{}) log.Handler {
+	return log.HandlerFunc(func(*log.Entry) error {
+		<-until
+		return nil
+	})
+}
+
+// Callers choose their names: metrics by caller must stay within their bound and still show the busy ones.
+func TestOnlyBusyCallersAreMeasuredByName(t *testing.T) {
+	m := newMetrics(Exporter{})
+	defer m.close()
+	for i := range 20_000 {
+		m.caller(fmt.Sprint("rare", i))
+		if i%10 == 0 {
+			m.caller("busy")
+		}
+	}
+	is.New(t).Equal(m.caller("busy"), "busy")
+	is.New(t).Equal(m.caller("rare19999"), otherCallers)
+	is.New(t).Equal(len(m.callers), 1)
+	is.New(t).Equal(len(m.counted.counters), callerCounters)
+}
+
+// Prometheus panics on a label that is not UTF-8, and callers choose some of them.
+func TestLabelsAreValid(t *testing.T) {
+	is.New(t).Equal(label("a\xffb"), "a_b")
+	is.New(t).True(len(label(strings.Repeat("é", tagLimit))) <= tagLimit)
+}
--- /dev/null
+++ b/internal/edge/operator/status.go
@@ -0,0 +1,147 @@
+package operator
+
+import (
+	"time"
+
+	"jayfold.dev/jayfold/internal/core/effect"
+	"jayfold.dev/jayfold/internal/core/fleet"
+)
+
+// status is the JSON form of effect.Status.
+type status struct {
+	Node             string
+	AvailabilityZone string
+	Incarnation      uint64
+	Revision         uint64
+	NewestRevision   uint64
+	Platform         string
+	Draining         bool
+	InFlight         int
+	Services         []service
+	Targets          []target
+	Quarantined      []quarantined
+	Members          []member
+}
+
+type service struct {
+	Service   string
+	Pool      string
+	Floor     int
+	Known     int
+	InService int
+}
+
+type target struct {
+	Target   string
+	Pool     string
+	State    string
+	Ejected  bool
+	InFlight int
+	Queued   int
+	Slots    int
+	Evidence evidence
+}
+
+type evidence struct {
+	Judged   int
+	Bad      int
+	Score    float64
+	Baseline string
+}
+
+type quarantined struct {
+	Fingerprint uint64
+	Until       time.Time
+}
+
+type member struct {
+	Node             string
+	AvailabilityZone string
+	PeerAddress      string
+	ForwardAddress   string
+	Incarnation      uint64
+	Sequence         uint64
+	Status           string
+	Targets          []memberTarget
+}
+
+type memberTarget struct {
+	Target  string
+	Pool    string
+	State   string
+	Slots   int
+	Ejected bool
+}
+
+// platformNames shows whether the last call on the platform succeeded.
+var platformNames = map[bool]string{true: "Reachable", false: "Unreachable"}
+
+func newStatus(s effect.Status) status {
+	return status{
+		Node:             string(s.Node),
+		AvailabilityZone: string(s.AvailabilityZone),
+		Incarnation:      uint64(s.Incarnation),
+		Revision:         uint64(s.Revision),
+		NewestRevision:   uint64(s.Newest),
+		Platform:         platformNames[s.Platform],
+		Draining:         s.Draining,
+		InFlight:         s.InFlight,
+		Services:         each(s.Services, newService),
+		Targets:          each(s.Targets, newTarget),
+		Quarantined:      each(s.Quarantine, newQuarantined),
+		Members:          each(s.Members, newMember),
+	}
+}
+
+func newService(s effect.ServiceStatus) service {
+	return service{Service: s.Service, Pool: string(s.Pool), Floor: s.Floor, Known: s.Known, InService: s.InService}
+}
+
+func newTarget(t effect.TargetStatus) target {
+	return target{
+		Target:   string(t.Target.ID),
+		Pool:     string(t.Target.Pool),
+		State:    t.Target.State.String(),
+		Ejected:  t.Target.Ejected,
+		InFlight: t.Load.InFlight,
+		Queued:   t.Load.Queued,
+		Slots:    t.Load.Slots,
+		Evidence: evidence{Judged: t.Judged, Bad: t.Bad, Score: t.Score, Baseline: t.Baseline.String()},
+	}
+}
+
+func newQuarantined(q effect.QuarantineStatus) quarantined {
+	return quarantined{Fingerprint: uint64(q.Fingerprint), Until: q.Until}
+}
+
+func newMember(m fleet.Member) member {
+	return member{
+		Node:             string(m.Node),
+		AvailabilityZone: string(m.AvailabilityZone),
+		PeerAddress:      m.PeerAddress,
+		ForwardAddress:   m.ForwardAddress,
+		Incarnation:      uint64(m.Incarnation),
+		Sequence:         m.Sequence,
+		Status:           m.Status.String(),
+		Targets:          each(m.Targets, newMemberTarget),
+	}
+}
+
+func newMemberTarget(t fleet.Target) memberTarget {
+	return memberTarget{
+		Target:  string(t.ID),
+		Pool:    string(t.Pool),
+		State:   t.State.String(),
+		Slots:   t.Slots,
+		Ejected: t.Ejected,
+	}
+}
+
+// each returns an empty list and not null for no elements, so that clients need no special case.
+func each[A, B any](from []A, translate func(A) B) []B {
+	to := make([]B, 0, len(from))
+	for _, a := range from {
+		to = append(to, translate(a))
+	}
+	return to
+}
--- /dev/null
+++ b/internal/edge/operator/status_text.go
@@ -0,0 +1,167 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"text/tabwriter"
+	"time"
+)
+
+const (
+	// statusLimit bounds the answer of a node in bytes: 540 members with 7,800 targets take about 2 MB.
+	statusLimit = 16 << 20
+	// rowLimit bounds the rows of each part of the text, so that it fits on one screen; a last row counts the rest.
+	rowLimit = 12
+)
+
+// PrintStatus reads the status of the node whose operators' address is given and prints it, as JSON or as text.
+func PrintStatus(ctx context.Context, w io.Writer, address string, asJSON bool) error {
+	content, err := readStatus(ctx, address)
+	if err != nil {
+		return err
+	}
+	if asJSON {
+		_, err = w.Write(content)
+		return err
+	}
+	var s status
+	if err := json.Unmarshal(content, &s); err != nil {
+		return fmt.Errorf("operator: status of %s does not decode: %w", address, err)
+	}
+	_, err = io.WriteString(w, s.text())
+	return err
+}
+
+func readStatus(ctx context.Context, address string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, 2*statusTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/status", nil)
+	if err != nil {
+		return nil, err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(io.LimitReader(response.Body, statusLimit))
+	if err != nil {
+		return nil, err
+	}
+	if response.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("operator: %s answered %s: %s", address, response.Status, strings.TrimSpace(string(content)))
+	}
+	return content, nil
+}
+
+// text renders the status for one screen.
+func (s status) text() string {
+	var b strings.Builder
+	s.writeNode(&b)
+	writeTable(&b, "SERVICE\tPOOL\tIN SERVICE\tKNOWN\tFLOOR\t", s.Services, service.row)
+	writeTable(&b, "EJECTED\tPOOL\tNODE\tEVIDENCE", s.ejected(), noteworthy.row)
+	writeTable(&b, "DRAINING\tPOOL\tNODE\t", s.draining(), noteworthy.row)
+	writeTable(&b, "QUARANTINED\tUNTIL", s.Quarantined, quarantined.row)
+	return b.String()
+}
+
+func (s status) writeNode(b *strings.Builder) {
+	state := "serving"
+	if s.Revision == 0 {
+		state = "waiting for tables"
+	}
+	if s.Draining {
+		state = "leaving"
+	}
+	counts := make(map[string]int)
+	for _, m := range s.Members {
+		counts[m.Status]++
+	}
+	fmt.Fprintf(b, "Node      %s in %s, %s, %d in flight\n", s.Node, s.AvailabilityZone, state, s.InFlight)
+	fmt.Fprintf(b, "Revision  %d here, %d newest seen, platform %s\n",
+		s.Revision, s.NewestRevision, strings.ToLower(s.Platform))
+	fmt.Fprintf(b, "Members   %d alive, %d suspect, %d leaving, %d dead\n",
+		counts["Alive"], counts["Suspect"], counts["Leaving"], counts["Dead"])
+}
+
+// noteworthy is a target that is ejected or draining, on this host or elsewhere.
+type noteworthy struct {
+	name, pool, node, detail string
+}
+
+func (n noteworthy) row() string {
+	return fmt.Sprintf("%s\t%s\t%s\t%s", n.name, n.pool, n.node, n.detail)
+}
+
+// ejected lists the ejected targets of the fleet. The evidence is known for the targets of this host.
+func (s status) ejected() []noteworthy {
+	local := make(map[string]target, len(s.Targets))
+	for _, t := range s.Targets {
+		local[t.Target] = t
+	}
+	var list []noteworthy
+	for _, m := range s.Members {
+		for _, t := range m.Targets {
+			if !t.Ejected {
+				continue
+			}
+			detail := "ask " + m.Node
+			if l, ok := local[t.Target]; ok {
+				detail = l.Evidence.text()
+			}
+			list = append(list, noteworthy{t.Target, t.Pool, m.Node, detail})
+		}
+	}
+	return list
+}
+
+// draining lists the targets that take no new work because they or their nodes are leaving.
+func (s status) draining() []noteworthy {
+	var list []noteworthy
+	for _, m := range s.Members {
+		for _, t := range m.Targets {
+			if t.State == "Draining" || m.Status == "Leaving" {
+				list = append(list, noteworthy{t.Target, t.Pool, m.Node, ""})
+			}
+		}
+	}
+	return list
+}
+
+func (e evidence) text() string {
+	return fmt.Sprintf("%d of %d requests bad, score %.1f, baseline %s", e.Bad, e.Judged, e.Score, e.Baseline)
+}
+
+// row marks a pool that has fewer targets in service than its floor.
+func (s service) row() string {
+	mark := ""
+	if s.InService < s.Floor {
+		mark = "below the floor"
+	}
+	return fmt.Sprintf("%s\t%s\t%d\t%d\t%d\t%s", s.Service, s.Pool, s.InService, s.Known, s.Floor, mark)
+}
+
+func (q quarantined) row() string {
+	return fmt.Sprintf("%016x\t%s", q.Fingerprint, q.Until.Format(time.TimeOnly))
+}
+
+// writeTable writes a table with a blank line before it, or nothing when there are no rows.
+func writeTable[R any](b *strings.Builder, header string, rows []R, text func(R) string) {
+	if len(rows) == 0 {
+		return
+	}
+	b.WriteString("\n")
+	table := tabwriter.NewWriter(b, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(table, header)
+	for _, row := range rows[:min(len(rows), rowLimit)] {
+		_, _ = fmt.Fprintln(table, text(row))
+	}
+	_ = table.Flush()
+	if len(rows) > rowLimit {
+		fmt.Fprintf(b, "and %d more\n", len(rows)-rowLimit)
+	}
+}
