process/node: wire the whole path and add the command lines

Cause: the parts have to serve a request end to end before any of them is deepened. Change: fx assembles control loop, edges and listeners of a node; jayfold node, status and version; jayfold-lab platform and target; claims of keyed orders on the platform and replay of kept answers; a leaving node closes its callers' listener after the grace and stops once nothing is in flight, so that a steady load cannot keep it alive.

--- /dev/null
+++ b/cmd/jayfold-lab/main.go
@@ -0,0 +1,61 @@
+// Command jayfold-lab holds the stand-ins of the platform and the targets, the load generator, the demo and the
+// experiments. Nothing of it is needed to run jayfold.
+//
+// # Usage
+//
+//	jayfold-lab demo
+//	jayfold-lab platform --listen 127.0.0.1:7000
+//	jayfold-lab target --node 127.0.0.1:8081 --pool catalogue --name t1
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+)
+
+// Exit codes, as those of jayfold.
+const (
+	exitDone     = 0
+	exitFailed   = 1
+	exitUnusable = 2
+)
+
+// commands are the commands of the program.
+type commands struct {
+	Platform platformCommand `cmd:"" help:"Run the stand-in of the platform's object API."`
+	Target   targetCommand   `cmd:"" help:"Run a stand-in target."`
+}
+
+func main() {
+	os.Exit(run(os.Args[1:]))
+}
+
+// run parses the arguments, runs the command and returns the exit code.
+func run(args []string) int {
+	parser, err := kong.New(&commands{}, kong.Name("jayfold-lab"),
+		kong.Description("Stand-ins, load and experiments for jayfold."))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	command, err := parser.Parse(args)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "jayfold-lab:", err)
+		return exitUnusable
+	}
+	if err := command.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "jayfold-lab:", err)
+		return exitFailed
+	}
+	return exitDone
+}
+
+// untilStopped returns a context that ends at SIGTERM or SIGINT.
+func untilStopped() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+}
--- /dev/null
+++ b/cmd/jayfold-lab/platform.go
@@ -0,0 +1,27 @@
+package main
+
+import (
+	"net"
+	"time"
+
+	"jayfold.dev/jayfold/internal/lab/platform"
+)
+
+// platformCommand runs the stand-in of the platform.
+type platformCommand struct {
+	Listen string `default:"127.0.0.1:7000" help:"Address to listen on."`
+	Reads  int    `default:"2000" help:"Reads per second that it takes; 0 means no limit."`
+	Writes int    `default:"400" help:"Writes per second that it takes; 0 means no limit."`
+}
+
+// Run implements the command.
+func (c *platformCommand) Run() error {
+	ctx, cancel := untilStopped()
+	defer cancel()
+	listener, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return err
+	}
+	limits := platform.Limits{ReadsPerSecond: c.Reads, WritesPerSecond: c.Writes}
+	return platform.New(limits, time.Now).Serve(ctx, listener)
+}
--- /dev/null
+++ b/cmd/jayfold/main.go
@@ -0,0 +1,48 @@
+// Command jayfold runs a node of the proxy fleet and edits its tables.
+//
+// # Usage
+//
+//	jayfold node --settings settings.jsonc
+//	jayfold tables check|show|diff|apply ...
+//	jayfold status --node 127.0.0.1:8084
+//	jayfold version
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kong"
+)
+
+// commands are the commands of the program.
+type commands struct {
+	Node    nodeCommand    `cmd:"" help:"Run a node."`
+	Tables  TablesCommand  `cmd:"" help:"Check, show, compare and apply the routes and pools tables."`
+	Status  statusCommand  `cmd:"" help:"Show a node's view of the fleet."`
+	Version versionCommand `cmd:"" help:"Print the version."`
+}
+
+func main() {
+	os.Exit(run(os.Args[1:]))
+}
+
+// run parses the arguments, runs the command and returns the exit code.
+func run(args []string) int {
+	parser, err := kong.New(&commands{}, kong.Name("jayfold"),
+		kong.Description("A proxy fleet for targets with gray failures."))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	command, err := parser.Parse(args)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "jayfold:", err)
+		return exitUnusable
+	}
+	if err := command.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "jayfold:", err)
+		return exitCode(err)
+	}
+	return exitDone
+}
--- a/cmd/jayfold/tables_test.go
+++ b/cmd/jayfold/tables_test.go
@@ -21,8 +21,8 @@
 	poolsFile  = `{"Pools": [{"Name": "p", "Service": "s", "Floor": 4, "FalseEjectionInterval": "24h"}]}`
 )
 
-// run runs the command line and returns its exit code and what it printed.
-func run(t *testing.T, args ...string) (int, string) {
+// runTables runs the command line and returns its exit code and what it printed.
+func runTables(t *testing.T, args ...string) (int, string) {
 	t.Helper()
 	var out bytes.Buffer
 	var cli struct {
@@ -68,7 +68,7 @@
 // assertRun checks the exit code of a command and that it printed want.
 func assertRun(t *testing.T, code int, want string, args ...string) {
 	t.Helper()
-	got, out := run(t, args...)
+	got, out := runTables(t, args...)
 	if got != code || !strings.Contains(out, want) {
 		t.Errorf("%v: exit code %d and output %q; want %d and %q", args, got, out, code, want)
 	}
--- a/internal/core/effect/effect.go
+++ b/internal/core/effect/effect.go
@@ -79,6 +79,14 @@
 	Revision    fleet.Revision
 }
 
+// UseTables shows the edges the revision in force.
+type UseTables struct {
+	Tables fleet.Tables
+}
+
+// CloseCallers takes no new request of callers; those in flight finish.
+type CloseCallers struct{}
+
 // Stop ends the process: nothing is in flight any more.
 type Stop struct{}
 
@@ -97,5 +105,7 @@
 func (CancelRun) isEffect()     {}
 func (ReportRun) isEffect()     {}
 func (Send) isEffect()          {}
+func (UseTables) isEffect()     {}
+func (CloseCallers) isEffect()  {}
 func (Stop) isEffect()          {}
 func (ShowStatus) isEffect()    {}
--- a/internal/core/effect/orders.go
+++ b/internal/core/effect/orders.go
@@ -8,9 +8,10 @@
 	Attempt fleet.AttemptID
 }
 
-// ReleaseOrder deletes the claim object of a keyed order.
+// ReleaseOrder deletes the claim object of a keyed order, when it is still the one of the given attempt.
 type ReleaseOrder struct {
-	Name string
+	Name    string
+	Attempt fleet.AttemptID
 }
 
 // Replay answers an attempt with the kept answer of an earlier one.
--- a/internal/core/node/platform.go
+++ b/internal/core/node/platform.go
@@ -12,7 +12,7 @@
 	case event.HeadRead:
 		s.tables, effects = s.tables.HeadRead(ev.At, ev.Random, body.Head, body.Version)
 	case event.TablesDecoded:
-		s.tables, effects = s.tables.Decoded(ev.At, body.Tables, body.Content)
+		return s.tablesDecoded(ev, body)
 	case event.TablesRejected:
 		s.tables, effects = s.tables.Rejected(ev.At, body.Revision, body.Detail)
 	case event.MembersListed:
@@ -22,3 +22,14 @@
 	}
 	return s, effects
 }
+
+// tablesDecoded brings a revision into force and shows it to the edges.
+func (s State) tablesDecoded(ev event.Event, body event.TablesDecoded) (State, []effect.Effect) {
+	before := s.Revision()
+	next, effects := s.tables.Decoded(ev.At, body.Tables, body.Content)
+	s.tables = next
+	if s.Revision() != before {
+		effects = append(effects, effect.UseTables{Tables: s.tables.Current()})
+	}
+	return s, effects
+}
--- a/internal/core/node/shutdown.go
+++ b/internal/core/node/shutdown.go
@@ -14,6 +14,7 @@
 // shutdown is a graceful stop in progress.
 type shutdown struct {
 	started time.Time
+	closing bool
 	stopped bool
 }
 
@@ -34,11 +35,18 @@
 	return s, append(effects, left...)
 }
 
-// tick stops the process when the grace is over and nothing is in flight.
+// tick closes the callers' listener when the grace is over, and stops the process once nothing is in flight.
 func (sd shutdown) tick(now time.Time, inFlight int) (shutdown, []effect.Effect) {
-	if !sd.begun() || sd.stopped || inFlight > 0 || now.Sub(sd.started) < leaveGrace {
+	switch {
+	case !sd.begun() || sd.stopped || now.Sub(sd.started) < leaveGrace:
 		return sd, nil
+	case !sd.closing:
+		sd.closing = true
+		return sd, []effect.Effect{effect.CloseCallers{}}
+	case inFlight > 0:
+		return sd, nil
+	default:
+		sd.stopped = true
+		return sd, []effect.Effect{effect.Stop{}}
 	}
-	sd.stopped = true
-	return sd, []effect.Effect{effect.Stop{}}
 }
--- a/internal/core/orders/admission.go
+++ b/internal/core/orders/admission.go
@@ -86,7 +86,7 @@
 	s.waiting = s.waiting.Without(id)
 	s.records = s.records.Without(name)
 	problem := fleet.NewProblem(fleet.Canceled, fleet.NotRun, "the order was canceled before it started")
-	return s, act(refusal(r.attempt, problem), effect.ReleaseOrder{Name: name}), true
+	return s, act(refusal(r.attempt, problem), effect.ReleaseOrder{Name: name, Attempt: id}), true
 }
 
 // Refused takes in that admission refused an attempt before it started, so that the order may be sent again.
@@ -126,7 +126,7 @@
 	if !r.claimed {
 		return s, nil
 	}
-	return s, []effect.Effect{effect.ReleaseOrder{Name: name}}
+	return s, []effect.Effect{effect.ReleaseOrder{Name: name, Attempt: id}}
 }
 
 func refuse(attempt fleet.Attempt, verdict fleet.Verdict, detail string) Step {
--- a/internal/core/orders/expiry.go
+++ b/internal/core/orders/expiry.go
@@ -22,7 +22,7 @@
 		}
 		s.records = s.records.Without(name)
 		if r.claimed {
-			effects = append(effects, effect.ReleaseOrder{Name: name})
+			effects = append(effects, effect.ReleaseOrder{Name: name, Attempt: r.attempt.ID})
 		}
 	}
 	return s, effects
--- a/internal/core/orders/state_test.go
+++ b/internal/core/orders/state_test.go
@@ -88,7 +88,7 @@
 	t.Run("refused by admission", func(t *testing.T) {
 		is := is.New(t)
 		s, effects := started(is).Refused("a.1", fleet.NewProblem(fleet.Overloaded, fleet.NotRun, ""))
-		is.Equal(effects, []effect.Effect{effect.ReleaseOrder{Name: "club/k"}})
+		is.Equal(effects, []effect.Effect{effect.ReleaseOrder{Name: "club/k", Attempt: "a.1"}})
 		is.Equal(s.Len(), 0)
 	})
 	t.Run("a late duplicate frees nothing", func(t *testing.T) {
@@ -118,7 +118,7 @@
 		s, _ := started(is).Finished("a.1", fleet.Outcome{Status: 201})
 		s, effects := s.Tick(start.Add(Retention))
 		is.Equal(s.Len(), 0)
-		is.Equal(effects, []effect.Effect{effect.ReleaseOrder{Name: "club/k"}})
+		is.Equal(effects, []effect.Effect{effect.ReleaseOrder{Name: "club/k", Attempt: "a.1"}})
 	})
 	t.Run("a running order", func(t *testing.T) {
 		is := is.New(t)
--- /dev/null
+++ b/internal/edge/peer/forwardreplay.go
@@ -0,0 +1,123 @@
+package peer
+
+import (
+	"bytes"
+	"maps"
+	"net/http"
+	"sync"
+
+	"jayfold.dev/jayfold/internal/core/effect"
+	"jayfold.dev/jayfold/internal/core/fleet"
+)
+
+const (
+	// maxKeptAnswer is the size of the largest answer to a keyed order that is kept, in bytes.
+	maxKeptAnswer = 64 << 10
+	// maxKeptAnswers bounds the bodies of all kept answers of a node, in bytes. The oldest are dropped first.
+	maxKeptAnswers = 8 << 20
+)
+
+// keptAnswer is the whole answer of a target to a keyed order.
+type keptAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// keptAnswers holds the answers to keyed orders, so that an order sent again gets the first one.
+type keptAnswers struct {
+	mu      sync.Mutex
+	answers map[fleet.AttemptID]keptAnswer
+	order   []fleet.AttemptID
+	size    int
+}
+
+func newKeptAnswers() *keptAnswers {
+	return &keptAnswers{answers: make(map[fleet.AttemptID]keptAnswer)}
+}
+
+func (k *keptAnswers) keep(id fleet.AttemptID, answer keptAnswer) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.answers[id] = answer
+	k.order = append(k.order, id)
+	k.size += len(answer.body)
+	for k.size > maxKeptAnswers {
+		oldest := k.order[0]
+		k.order = k.order[1:]
+		k.size -= len(k.answers[oldest].body)
+		delete(k.answers, oldest)
+	}
+}
+
+func (k *keptAnswers) find(id fleet.AttemptID) (keptAnswer, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	answer, ok := k.answers[id]
+	return answer, ok
+}
+
+// recorder copies an answer while it is passed on.
+type recorder struct {
+	http.ResponseWriter
+	status int
+	body   bytes.Buffer
+	large  bool
+}
+
+// Unwrap lets http.ResponseController reach the connection.
+func (r *recorder) Unwrap() http.ResponseWriter { return r.ResponseWriter }
+
+// WriteHeader implements http.ResponseWriter.
+func (r *recorder) WriteHeader(status int) {
+	r.status = status
+	r.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (r *recorder) Write(p []byte) (int, error) {
+	r.large = r.large || r.body.Len()+len(p) > maxKeptAnswer
+	if !r.large {
+		r.body.Write(p)
+	}
+	return r.ResponseWriter.Write(p)
+}
+
+// whole returns the answer when all of it was passed on and is small enough to be kept.
+func (r *recorder) whole() (keptAnswer, bool) {
+	ended := r.Header().Get(http.TrailerPrefix+headerVerdict) == fleet.Ran.String()
+	if !ended || r.large {
+		return keptAnswer{}, false
+	}
+	return keptAnswer{status: r.status, header: maps.Clone(r.Header()), body: r.body.Bytes()}, true
+}
+
+// Replay carries out effect.Replay. It does not block.
+func (s *Sidecar) Replay(e effect.Replay) { s.deliver(e.Attempt, e) }
+
+// runKeyed runs an attempt, and keeps the answer when it has an idempotency key.
+func (s *Sidecar) runKeyed(w http.ResponseWriter, r *http.Request, run effect.Run, effects chan effect.Effect) {
+	if run.Attempt.Key == "" {
+		s.run(w, r, run, effects)
+		return
+	}
+	recording := &recorder{ResponseWriter: w}
+	s.run(recording, r, run, effects)
+	if answer, ok := recording.whole(); ok {
+		s.answers.keep(run.Attempt.ID, answer)
+	}
+}
+
+// replay answers an attempt with the answer to an earlier one.
+func (s *Sidecar) replay(w http.ResponseWriter, e effect.Replay) {
+	answer, ok := s.answers.find(e.Of)
+	if !ok {
+		problem := fleet.NewProblem(fleet.KeyConflict, fleet.Ran, "the order ran before; its answer is no longer kept")
+		refuse(w, http.StatusConflict, e.Attempt, problem)
+		return
+	}
+	maps.Copy(w.Header(), answer.header)
+	w.Header().Set(headerAttempt, string(e.Attempt))
+	w.WriteHeader(answer.status)
+	_, _ = w.Write(answer.body)
+}
--- a/internal/edge/peer/forwardsidecar.go
+++ b/internal/edge/peer/forwardsidecar.go
@@ -39,11 +39,16 @@
 	seams   SidecarSeams
 	mu      sync.Mutex
 	waiting map[fleet.AttemptID]chan effect.Effect
+	answers *keptAnswers
 }
 
 // NewSidecar returns a sidecar without any attempt.
 func NewSidecar(seams SidecarSeams) *Sidecar {
-	return &Sidecar{seams: seams, waiting: make(map[fleet.AttemptID]chan effect.Effect)}
+	return &Sidecar{
+		seams:   seams,
+		waiting: make(map[fleet.AttemptID]chan effect.Effect),
+		answers: newKeptAnswers(),
+	}
 }
 
 // NewForwardServer returns the HTTP/2 server of a sidecar.
@@ -162,7 +167,10 @@
 		case e := <-effects:
 			switch e := e.(type) {
 			case effect.Run:
-				s.run(w, r, e, effects)
+				s.runKeyed(w, r, e, effects)
+				return
+			case effect.Replay:
+				s.replay(w, e)
 				return
 			case effect.RefuseAttempt:
 				encodeReport(w.Header(), "", e.Report)
--- a/internal/edge/peer/message.go
+++ b/internal/edge/peer/message.go
@@ -23,13 +23,13 @@
 )
 
 const (
-	// dialTimeout bounds the wait for a connection. A probe waits half a second for its Ack.
-	dialTimeout = time.Second
+	// messageDialTimeout bounds the wait for a connection. A probe waits half a second for its Ack.
+	messageDialTimeout = time.Second
 	// callTimeout bounds one call; a connection that is silent for longer is closed.
 	callTimeout = 2 * time.Second
-	// idleTimeout closes unused connections. A node starts about two exchanges a second with peers that change, so about
+	// messageIdleTimeout closes unused connections. A node starts about two exchanges a second with peers that change, so about
 	// 30 connections are open at a time, whatever the size of the fleet.
-	idleTimeout = 15 * time.Second
+	messageIdleTimeout = 15 * time.Second
 	// peerQueueLength bounds the messages that wait for one peer.
 	peerQueueLength = 32
 )
@@ -56,7 +56,7 @@
 	timeouts timeouts
 
 	mutex  sync.Mutex
-	links  map[string]*link
+	links  map[string]*messageLink
 	closed bool
 	inward map[net.Conn]struct{}
 
@@ -72,8 +72,8 @@
 		self:     self.Node,
 		own:      self.PeerAddress,
 		seams:    seams,
-		timeouts: timeouts{dial: dialTimeout, call: callTimeout, idle: idleTimeout},
-		links:    make(map[string]*link),
+		timeouts: timeouts{dial: messageDialTimeout, call: callTimeout, idle: messageIdleTimeout},
+		links:    make(map[string]*messageLink),
 		inward:   make(map[net.Conn]struct{}),
 	}
 }
@@ -87,7 +87,7 @@
 	}
 	l, ok := m.links[send.Address]
 	if !ok {
-		l = &link{messenger: m, address: send.Address, queue: make(chan effect.Send, peerQueueLength)}
+		l = &messageLink{messenger: m, address: send.Address, queue: make(chan effect.Send, peerQueueLength)}
 		m.links[send.Address] = l
 		go l.run()
 	}
@@ -127,7 +127,7 @@
 }
 
 // retire removes a link that has nothing left to send, and reports whether it did.
-func (m *Messenger) retire(l *link) bool {
+func (m *Messenger) retire(l *messageLink) bool {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	if m.closed || len(l.queue) > 0 {
--- a/internal/edge/peer/message_link.go
+++ b/internal/edge/peer/message_link.go
@@ -18,7 +18,7 @@
 var errSilent = errors.New("peer: no answer within the call timeout")
 
 // link sends the messages for one peer, one at a time. Its goroutine owns the connection.
-type link struct {
+type messageLink struct {
 	messenger *Messenger
 	address   string
 	queue     chan effect.Send
@@ -26,7 +26,7 @@
 }
 
 // run sends what is queued until the link is idle or the messenger closes.
-func (l *link) run() {
+func (l *messageLink) run() {
 	defer l.hangUp()
 	limit := l.messenger.timeouts.idle
 	idle := time.NewTimer(limit)
@@ -49,7 +49,7 @@
 }
 
 // deliver hands one message over, or drops it with everything behind it when the peer cannot be reached.
-func (l *link) deliver(send effect.Send) {
+func (l *messageLink) deliver(send effect.Send) {
 	encoded, err := encode(message.Envelope{
 		From:        l.messenger.self,
 		Incarnation: send.Incarnation,
@@ -76,23 +76,23 @@
 
 // attempt calls the peer. A cached connection that turns out to be broken is replaced once, since the peer may have
 // restarted; receiving a message twice does no harm.
-func (l *link) attempt(encoded []byte) error {
+func (l *messageLink) attempt(encoded []byte) error {
 	cached := l.client != nil
 	err := l.call(encoded)
-	if cached && broken(err) {
+	if cached && callBroken(err) {
 		return l.call(encoded)
 	}
 	return err
 }
 
-// broken reports whether the connection ended without an answer.
-func broken(err error) bool {
+// callBroken reports whether the connection ended without an answer.
+func callBroken(err error) bool {
 	var refused rpc.ServerError
 	return err != nil && !errors.Is(err, errSilent) && !errors.As(err, &refused)
 }
 
 // call makes one call, dialing first when there is no connection, and hangs up unless the peer answered.
-func (l *link) call(encoded []byte) error {
+func (l *messageLink) call(encoded []byte) error {
 	if l.client == nil {
 		conn, err := l.messenger.seams.Dial("tcp", l.address, l.messenger.timeouts.dial)
 		if err != nil {
@@ -118,7 +118,7 @@
 }
 
 // failed drops the messages that wait behind a failed one and reports the failure once.
-func (l *link) failed(to fleet.NodeID, dropped int64) {
+func (l *messageLink) failed(to fleet.NodeID, dropped int64) {
 	for range len(l.queue) {
 		<-l.queue
 		dropped++
@@ -131,7 +131,7 @@
 	l.messenger.seams.Post(event.SendFailed{To: to})
 }
 
-func (l *link) hangUp() {
+func (l *messageLink) hangUp() {
 	if l.client != nil {
 		_ = l.client.Close()
 		l.client = nil
--- a/internal/edge/peer/message_server.go
+++ b/internal/edge/peer/message_server.go
@@ -12,7 +12,7 @@
 
 const (
 	// inwardIdleTimeout closes connections on which a peer is silent; peers close theirs earlier.
-	inwardIdleTimeout = 4 * idleTimeout
+	inwardIdleTimeout = 4 * messageIdleTimeout
 	// inwardLimit bounds the connections of peers. Every node of a fleet of 540 may call at once.
 	inwardLimit = 2048
 	// framingLimit is the room for what net/rpc adds to a message.
--- /dev/null
+++ b/internal/edge/platform/claim.go
@@ -0,0 +1,98 @@
+package platform
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+
+	"jayfold.dev/jayfold/internal/core/effect"
+	"jayfold.dev/jayfold/internal/core/event"
+	"jayfold.dev/jayfold/internal/core/fleet"
+)
+
+// claimPrefix is the prefix of the keys of claim objects. A hash follows, since callers choose the names.
+const claimPrefix = "orders/"
+
+// claimTries bounds the writes for one claim: the first, and one after a lost answer or a concurrent release.
+const claimTries = 2
+
+// wireClaim is the value of a claim object.
+type wireClaim struct {
+	Order   string
+	Process string
+	Attempt string
+}
+
+// ClaimOrder carries out the effect.
+func (c *Client) ClaimOrder(e effect.ClaimOrder) {
+	c.start(0, func(ctx context.Context) event.Body {
+		return event.OrderClaimed{Attempt: e.Attempt, Result: c.claim(ctx, e)}
+	})
+}
+
+// ReleaseOrder carries out the effect. A claim that cannot be released now stays; it makes other homes refuse the order.
+func (c *Client) ReleaseOrder(e effect.ReleaseOrder) {
+	c.running.Go(func() {
+		found, claim, err := c.readClaim(c.ctx, e.Name)
+		if err != nil || found.version == 0 || claim.Attempt != string(e.Attempt) {
+			return
+		}
+		if err := c.objects.remove(c.ctx, claimKey(e.Name), unchanged(found.version)); err != nil {
+			c.log.WithError(err).Warn("orders: claim not released")
+		}
+	})
+}
+
+// claim creates the claim object, or takes over one that this process made for an attempt that did not run. After a lost
+// answer the object is read back before it is written again.
+func (c *Client) claim(ctx context.Context, e effect.ClaimOrder) fleet.ClaimResult {
+	value, _ := json.Marshal(wireClaim{Order: e.Name, Process: c.process, Attempt: string(e.Attempt)})
+	version := uint64(0)
+	for range claimTries {
+		err := c.objects.put(ctx, claimKey(e.Name), value, unchanged(version))
+		if err == nil {
+			return fleet.ClaimCreated
+		}
+		if !readBack(err) {
+			return fleet.ClaimFailed
+		}
+		found, claim, err := c.readClaim(ctx, e.Name)
+		switch {
+		case err != nil:
+			return fleet.ClaimFailed
+		case found.version != 0 && claim.Attempt == string(e.Attempt):
+			return fleet.ClaimCreated
+		case found.version != 0 && claim.Process != c.process:
+			return fleet.ClaimExists
+		}
+		version = found.version
+	}
+	return fleet.ClaimFailed
+}
+
+// readBack reports whether a failed write leaves open what the object holds.
+func readBack(err error) bool {
+	var failure Failure
+	return errors.Is(err, errConflict) || errors.As(err, &failure) && failure.Unknown
+}
+
+// readClaim reads a claim object. One that does not decode belongs to nobody known, so that the order is refused.
+func (c *Client) readClaim(ctx context.Context, name string) (object, wireClaim, error) {
+	found, err := c.objects.get(ctx, claimKey(name))
+	if err != nil || found.version == 0 {
+		return object{}, wireClaim{}, err
+	}
+	var claim wireClaim
+	if err := json.Unmarshal(found.value, &claim); err != nil {
+		c.log.WithError(err).Error("orders: claim does not decode")
+		return found, wireClaim{}, nil
+	}
+	return found, claim, nil
+}
+
+func claimKey(name string) string {
+	sum := sha256.Sum256([]byte(name))
+	return claimPrefix + hex.EncodeToString(sum[:])
+}
--- a/internal/edge/platform/client.go
+++ b/internal/edge/platform/client.go
@@ -17,6 +17,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"errors"
 	"net/http"
 	"strings"
@@ -44,6 +45,8 @@
 // Client calls the platform.
 type Client struct {
 	objects objects
+	// process tells the claims of this process from those of an earlier life of the node.
+	process string
 	post    func(event.Body)
 	log     log.Interface
 	ctx     context.Context
@@ -56,6 +59,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Client{
 		objects: objects{base: strings.TrimSuffix(s.Base, "/"), http: s.HTTP},
+		process: rand.Text(),
 		post:    s.Post,
 		log:     s.Log,
 		ctx:     ctx,
--- /dev/null
+++ b/internal/process/node/dispatch.go
@@ -0,0 +1,110 @@
+package node
+
+import (
+	"context"
+	"sync/atomic"
+
+	"jayfold.dev/jayfold/internal/core/effect"
+	"jayfold.dev/jayfold/internal/core/event"
+	"jayfold.dev/jayfold/internal/core/fleet"
+	"jayfold.dev/jayfold/internal/edge/caller"
+	"jayfold.dev/jayfold/internal/edge/operator"
+	"jayfold.dev/jayfold/internal/edge/peer"
+	"jayfold.dev/jayfold/internal/edge/platform"
+)
+
+// dispatcher hands each effect to the edge that carries it out. Its methods never block.
+type dispatcher struct {
+	callers   *caller.Server
+	sidecar   *peer.Sidecar
+	messenger *peer.Messenger
+	platform  *platform.Client
+	operator  *operator.Operator
+	post      func(event.Body)
+	tables    atomic.Pointer[fleet.Tables]
+	stopped   chan struct{}
+}
+
+func newDispatcher() *dispatcher {
+	return &dispatcher{stopped: make(chan struct{})}
+}
+
+func (d *dispatcher) dispatch(e effect.Effect) {
+	switch e := e.(type) {
+	case effect.UseTables:
+		d.tables.Store(&e.Tables)
+	case effect.CloseCallers:
+		go d.closeCallers()
+	case effect.Stop:
+		close(d.stopped)
+	case effect.Send:
+		d.messenger.Send(e)
+	case effect.ShowStatus:
+		d.operator.ShowStatus(e)
+	case effect.Log, effect.Count, effect.Gauge, effect.Duration:
+		d.operator.Observe(e)
+	default:
+		d.dispatchTraffic(e)
+	}
+}
+
+func (d *dispatcher) dispatchTraffic(e effect.Effect) {
+	switch e := e.(type) {
+	case effect.Forward:
+		d.callers.Forward(e)
+	case effect.Answer:
+		d.callers.Answer(e)
+	case effect.Refuse:
+		d.callers.Refuse(e)
+	case effect.Abandon:
+		d.callers.Abandon(e)
+	case effect.Run:
+		d.sidecar.Run(e)
+	case effect.RefuseAttempt:
+		d.sidecar.RefuseAttempt(e)
+	case effect.CancelRun:
+		d.sidecar.CancelRun(e)
+	case effect.ReportRun:
+		d.sidecar.ReportRun(e)
+	case effect.Replay:
+		d.sidecar.Replay(e)
+	default:
+		d.dispatchPlatform(e)
+	}
+}
+
+func (d *dispatcher) dispatchPlatform(e effect.Effect) {
+	switch e := e.(type) {
+	case effect.WatchHead:
+		d.platform.WatchHead(e)
+	case effect.FetchTables:
+		d.platform.FetchTables(e)
+	case effect.DecodeTables:
+		go decodeTables(e, d.post)
+	case effect.ListMembers:
+		d.platform.ListMembers(e)
+	case effect.ClaimOrder:
+		d.platform.ClaimOrder(e)
+	case effect.ReleaseOrder:
+		d.platform.ReleaseOrder(e)
+	case effect.RegisterMember:
+		d.platform.RegisterMember(e)
+	}
+}
+
+// closeCallers ends the callers' listener. The requests in flight are bounded by their deadlines.
+func (d *dispatcher) closeCallers() {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	_ = d.callers.Shutdown(ctx)
+}
+
+// knownPool reports whether the tables in force have a pool. A node without tables knows none and accepts any.
+func (d *dispatcher) knownPool(name fleet.PoolName) bool {
+	tables := d.tables.Load()
+	if tables == nil {
+		return true
+	}
+	_, ok := tables.Pool(name)
+	return ok
+}
--- /dev/null
+++ b/internal/process/node/serve.go
@@ -0,0 +1,105 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"go.uber.org/fx"
+
+	"jayfold.dev/jayfold/internal/edge/caller"
+	"jayfold.dev/jayfold/internal/edge/operator"
+	"jayfold.dev/jayfold/internal/edge/peer"
+	"jayfold.dev/jayfold/internal/edge/platform"
+	"jayfold.dev/jayfold/internal/edge/target"
+	"jayfold.dev/jayfold/internal/process/control"
+	"jayfold.dev/jayfold/internal/process/settings"
+)
+
+// headerTimeout bounds how long a target or an operator may take to send its headers.
+const headerTimeout = 5 * time.Second
+
+// servers are the listeners of a node and what runs behind them.
+type servers struct {
+	fx.In
+
+	Settings  settings.Settings
+	Loop      *control.Loop
+	Dispatch  *dispatcher
+	Callers   *caller.Server
+	Sidecar   *peer.Sidecar
+	Forwarder *peer.Forwarder
+	Messenger *peer.Messenger
+	Targets   *target.Server
+	Platform  *platform.Client
+	Operator  *operator.Operator
+}
+
+// listener is one address and what serves it.
+type listener struct {
+	address netip.AddrPort
+	serve   func(net.Listener) error
+}
+
+// serve opens all listeners before the loop starts, so that a port in use is reported and nothing runs half.
+func serve(lifecycle fx.Lifecycle, s servers) {
+	ctx, cancel := context.WithCancel(context.Background())
+	forward := peer.NewForwardServer(s.Sidecar)
+	targets := &http.Server{Handler: s.Targets, ReadHeaderTimeout: headerTimeout, ReadTimeout: headerTimeout}
+	operators := &http.Server{Handler: s.Operator.Handler(), ReadHeaderTimeout: headerTimeout}
+	listeners := []listener{
+		{s.Settings.Listen.Callers, s.Callers.Serve},
+		{s.Settings.Listen.Targets, targets.Serve},
+		{s.Settings.Listen.Peers, s.Messenger.Serve},
+		{s.Settings.Listen.Forward, forward.Serve},
+		{s.Settings.Listen.Operators, operators.Serve},
+	}
+	lifecycle.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			if err := open(listeners); err != nil {
+				cancel()
+				return err
+			}
+			go s.Loop.Run(ctx)
+			return nil
+		},
+		OnStop: func(stop context.Context) error {
+			s.Callers.Leave()
+			err := leave(stop, s.Loop, s.Dispatch)
+			_ = forward.Shutdown(stop)
+			_ = targets.Close()
+			_ = operators.Close()
+			s.Forwarder.Close()
+			s.Messenger.Close()
+			cancel()
+			s.Platform.Close()
+			s.Operator.Close()
+			return err
+		},
+	})
+}
+
+// open listens on every address, or on none when one fails.
+func open(listeners []listener) error {
+	opened := make([]net.Listener, 0, len(listeners))
+	for _, l := range listeners {
+		bound, err := net.Listen("tcp", l.address.String())
+		if err != nil {
+			closeAll(opened)
+			return err
+		}
+		opened = append(opened, bound)
+	}
+	for i, l := range listeners {
+		go func() { _ = l.serve(opened[i]) }()
+	}
+	return nil
+}
+
+func closeAll(listeners []net.Listener) {
+	for _, l := range listeners {
+		_ = l.Close()
+	}
+}
