--- a/internal/edge/platform/client.go
+++ b/internal/edge/platform/client.go
@@ -17,6 +17,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"errors"
 	"net/http"
 	"strings"
@@ -43,6 +44,8 @@
 
 // Client calls the platform.
 type Client struct {
+	// owner tells the claims of this process from those of its earlier lives and of other nodes.
+	owner   string
 	objects objects
 	post    func(event.Body)
 	log     log.Interface
@@ -55,6 +58,7 @@
 func New(s Settings) *Client {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Client{
+		owner:   rand.Text(),
 		objects: objects{base: strings.TrimSuffix(s.Base, "/"), http: s.HTTP},
 		post:    s.Post,
 		log:     s.Log,
@@ -69,6 +73,9 @@
 	c.running.Wait()
 }
 
+// Wait waits for the calls that are under way.
+func (c *Client) Wait() { c.running.Wait() }
+
 // WatchHead carries out the effect.
 func (c *Client) WatchHead(e effect.WatchHead) {
 	c.start(e.After, func(ctx context.Context) event.Body {
--- a/internal/edge/platform/client_test.go
+++ b/internal/edge/platform/client_test.go
@@ -199,3 +199,44 @@
 		is.New(t).Equal(len(w.logged.Entries), 1)
 	})
 }
+
+func TestClaims(t *testing.T) {
+	claim := func(t *testing.T, w world, attempt fleet.AttemptID) fleet.ClaimResult {
+		t.Helper()
+		w.client.ClaimOrder(effect.ClaimOrder{Name: "caller/key", Attempt: attempt})
+		claimed, ok := w.next(t).(event.OrderClaimed)
+		is.New(t).True(ok)
+		is.New(t).Equal(claimed.Attempt, attempt)
+		return claimed.Result
+	}
+
+	t.Run("the second claim on an order is told that one exists", func(t *testing.T) {
+		w := newWorld(t)
+		is.New(t).Equal(claim(t, w, "a.1"), fleet.ClaimCreated)
+		is.New(t).Equal(claim(t, w, "b.1"), fleet.ClaimExists)
+	})
+
+	t.Run("a claim whose response is lost counts as created", func(t *testing.T) {
+		w := newWorld(t)
+		w.server.SetFaults(lab.Faults{LoseResponses: 1})
+		is.New(t).Equal(claim(t, w, "a.1"), fleet.ClaimCreated)
+	})
+
+	t.Run("an outage fails a claim", func(t *testing.T) {
+		w := newWorld(t)
+		w.server.SetFaults(lab.Faults{Outage: true})
+		is.New(t).Equal(claim(t, w, "a.1"), fleet.ClaimFailed)
+	})
+
+	t.Run("another node's release leaves the claim, its owner's deletes it", func(t *testing.T) {
+		w := newWorld(t)
+		is.New(t).Equal(claim(t, w, "a.1"), fleet.ClaimCreated)
+		other := platform.New(platform.Settings{Base: w.base, HTTP: &http.Client{}, Log: log.Log})
+		other.ReleaseOrder(effect.ReleaseOrder{Name: "caller/key"})
+		other.Wait()
+		is.New(t).Equal(claim(t, w, "b.1"), fleet.ClaimExists)
+		w.client.ReleaseOrder(effect.ReleaseOrder{Name: "caller/key"})
+		w.client.Wait()
+		is.New(t).Equal(claim(t, w, "c.1"), fleet.ClaimCreated)
+	})
+}
