--- a/internal/edge/platform/claim.go
+++ b/internal/edge/platform/claim.go
@@ -6,17 +6,21 @@
 	"encoding/hex"
 	"encoding/json"
 	"errors"
+	"time"
 
 	"jayfold.dev/jayfold/internal/core/effect"
 	"jayfold.dev/jayfold/internal/core/event"
 	"jayfold.dev/jayfold/internal/core/fleet"
 )
 
-// claimPrefix is the prefix of the keys of claim objects. A hash follows, since callers choose the names.
-const claimPrefix = "orders/"
-
-// claimTries bounds the writes for one claim: the first, and one after a lost answer or a concurrent release.
-const claimTries = 2
+const (
+	// claimPrefix begins the keys of claim objects. A hash follows, since callers choose the names.
+	claimPrefix = "orders/"
+	// claimTries bounds the writes for one claim: the first, and one after a lost answer or a concurrent release.
+	claimTries = 2
+	// claimTimeout bounds a claim with its read-back, because an order waits for it.
+	claimTimeout = time.Second
+)
 
 // wireClaim is the value of a claim object.
 type wireClaim struct {
@@ -28,6 +32,8 @@
 // ClaimOrder carries out the effect.
 func (c *Client) ClaimOrder(e effect.ClaimOrder) {
 	c.start(0, func(ctx context.Context) event.Body {
+		ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+		defer cancel()
 		return event.OrderClaimed{Attempt: e.Attempt, Result: c.claim(ctx, e)}
 	})
 }
--- a/internal/edge/platform/client.go
+++ b/internal/edge/platform/client.go
@@ -73,6 +73,9 @@
 	c.running.Wait()
 }
 
+// Wait waits for the calls that are under way.
+func (c *Client) Wait() { c.running.Wait() }
+
 // WatchHead carries out the effect.
 func (c *Client) WatchHead(e effect.WatchHead) {
 	c.start(e.After, func(ctx context.Context) event.Body {
