--- /dev/null
+++ b/internal/core/admission/crash.go
@@ -0,0 +1,108 @@
+package admission
+
+import (
+	"time"
+
+	"jayfold.dev/jayfold/internal/core/effect"
+	"jayfold.dev/jayfold/internal/core/fleet"
+)
+
+// crashMemory is how long the end of a process is remembered: the runs that it ended are reported one after the other, and
+// the heartbeat of its successor may come between them.
+const crashMemory = longestDeadline
+
+// brokenMemory is how long a broken run counts as in flight at a crash that is noticed after it: until the successor's first
+// heartbeat, when the successor took the port before the dial that tells a crash.
+const brokenMemory = 3 * time.Second
+
+// Crash is the death of a target's process.
+type Crash struct {
+	Target fleet.TargetID
+	// InFlight are the fingerprints of the requests that ran when the process died.
+	InFlight []fleet.Fingerprint
+	// First is true once per crash; the runs of the same crash that end later have it false.
+	First bool
+}
+
+// crashed is what is remembered of a process that died, or on which runs broke off.
+type crashed struct {
+	instance string
+	at       time.Time
+	inFlight []fleet.Fingerprint
+	// reported means that the process is known to have died.
+	reported bool
+}
+
+// ended notes what a finished run says of the target's process, before the run is removed.
+func (s State) ended(
+	ctx Context, run Run, outcome fleet.Outcome,
+) (State, []effect.Effect, fleet.Option[Crash]) {
+	problem, failed := outcome.Problem.Get()
+	switch {
+	case outcome.Crashed && outcome.Verdict() != fleet.NotRun:
+		s, crash := s.died(ctx.Now, run.Attempt.Target, run.Instance)
+		s, effects := s.down(run.Attempt.Target, run.Instance)
+		return s, effects, fleet.Some(crash)
+	case outcome.Crashed, failed && problem.Cause == fleet.Unreachable:
+		s, effects := s.down(run.Attempt.Target, run.Instance)
+		return s, effects, fleet.Option[Crash]{}
+	case failed && problem.Cause == fleet.Broken:
+		return s.broke(ctx.Now, run)
+	default:
+		return s, nil, fleet.Option[Crash]{}
+	}
+}
+
+// died notes the death of a process, with everything that ran on it or broke off on it shortly before.
+func (s State) died(now time.Time, id fleet.TargetID, instance string) (State, Crash) {
+	c, known := s.crashes.Get(id)
+	if known && c.instance == instance && c.reported {
+		return s, Crash{Target: id, InFlight: c.inFlight}
+	}
+	if !known || c.instance != instance || now.Sub(c.at) > brokenMemory {
+		c = crashed{instance: instance}
+	}
+	c.at, c.reported = now, true
+	c.inFlight = append(c.inFlight[:len(c.inFlight):len(c.inFlight)], s.onProcess(id, instance)...)
+	s.crashes = s.crashes.With(id, c)
+	return s, Crash{Target: id, InFlight: c.inFlight, First: true}
+}
+
+// onProcess returns the fingerprints of the requests that run on a process.
+func (s State) onProcess(id fleet.TargetID, instance string) []fleet.Fingerprint {
+	var fingerprints []fleet.Fingerprint
+	for _, run := range s.running.All() {
+		if run.Attempt.Target == id && run.Instance == instance {
+			fingerprints = append(fingerprints, run.Attempt.Fingerprint)
+		}
+	}
+	return fingerprints
+}
+
+// broke remembers a run that broke off while its process seemed alive, or counts it to a crash that is known already.
+func (s State) broke(now time.Time, run Run) (State, []effect.Effect, fleet.Option[Crash]) {
+	id := run.Attempt.Target
+	c, known := s.crashes.Get(id)
+	if known && c.instance == run.Instance && c.reported {
+		return s, nil, fleet.Some(Crash{Target: id, InFlight: c.inFlight})
+	}
+	if !known || c.instance != run.Instance || now.Sub(c.at) > brokenMemory {
+		c = crashed{instance: run.Instance}
+	}
+	c.at = now
+	c.inFlight = append(c.inFlight[:len(c.inFlight):len(c.inFlight)], run.Attempt.Fingerprint)
+	s.crashes = s.crashes.With(id, c)
+	return s, nil, fleet.Option[Crash]{}
+}
+
+// down takes a target out of use until its next heartbeat, and refuses what waits for it.
+func (s State) down(id fleet.TargetID, instance string) (State, []effect.Effect) {
+	l, ok := s.targets.Get(id)
+	if !ok || l.down || l.announcement.Instance != instance {
+		return s, nil
+	}
+	l.down = true
+	s.targets = s.targets.With(id, l)
+	s, effects := s.flush(id, fleet.Unreachable)
+	return s, append(effects, logged(effect.Warn, "target takes no connections", id))
+}
--- /dev/null
+++ b/internal/core/admission/heartbeat.go
@@ -0,0 +1,192 @@
+package admission
+
+import (
+	"time"
+
+	"jayfold.dev/jayfold/internal/core/effect"
+	"jayfold.dev/jayfold/internal/core/fleet"
+)
+
+const (
+	// heartbeat is the time between two announcements of a target.
+	heartbeat = time.Second
+	// silence is how long a target may be silent: three heartbeats.
+	silence = 3 * heartbeat
+)
+
+// Change is what an announcement says beside the target's own state.
+type Change struct {
+	Target fleet.TargetID
+	// Fresh means that the target's process is new to this sidecar.
+	Fresh bool
+	// Crash is present when the process before it died with requests in flight.
+	Crash fleet.Option[Crash]
+}
+
+// departure is a target's word that it leaves.
+type departure struct {
+	instance string
+	at       time.Time
+}
+
+// Announced records a heartbeat of a target.
+func (s State) Announced(ctx Context, a fleet.Announcement) (State, []effect.Effect, Change) {
+	id := fleet.NewTargetID(s.self, a.Name)
+	if a.State == fleet.Ready && s.leftLately(ctx.Now, id, a.Instance) {
+		return s, nil, Change{Target: id}
+	}
+	l, known := s.targets.Get(id)
+	change := Change{Target: id, Fresh: !known || l.announcement.Instance != a.Instance}
+	var effects []effect.Effect
+	if change.Fresh {
+		s, change.Crash = s.replaced(ctx.Now, id, l, a)
+		l = s.started(ctx.Now, id, l, a)
+		effects = append(effects, logged(effect.Info, "target announced itself", id))
+	}
+	l.announcement = a
+	l.heard = ctx.Now
+	l.down = false
+	s.targets = s.targets.With(id, l.warmed(ctx.Now))
+	var more []effect.Effect
+	if a.State == fleet.TargetDraining {
+		s.departed = s.departed.With(id, departure{instance: a.Instance, at: ctx.Now})
+		s, more = s.flush(id, fleet.Draining)
+	} else {
+		s, more = s.startWaiting(ctx, id)
+	}
+	return s, append(effects, more...), change
+}
+
+// leftLately reports whether the process said a moment ago that it leaves: a heartbeat that was held up on its way does not
+// bring it back.
+func (s State) leftLately(now time.Time, id fleet.TargetID, instance string) bool {
+	d, ok := s.departed.Get(id)
+	return ok && d.instance == instance && now.Sub(d.at) < silence
+}
+
+// replaced reports the death of a target's last process, when another announces itself. A process that drained may still
+// finish its runs; one that left the address to its successor is dead.
+func (s State) replaced(
+	now time.Time, id fleet.TargetID, old local, a fleet.Announcement,
+) (State, fleet.Option[Crash]) {
+	instance := old.announcement.Instance
+	if instance == "" || old.announcement.State == fleet.TargetDraining || old.announcement.Address != a.Address {
+		return s, fleet.Option[Crash]{}
+	}
+	c, noted := s.crashes.Get(id)
+	brokeLately := noted && c.instance == instance && !c.reported && now.Sub(c.at) <= brokenMemory
+	if !brokeLately && len(s.onProcess(id, instance)) == 0 {
+		return s, fleet.Option[Crash]{}
+	}
+	s, crash := s.died(now, id, instance)
+	if !crash.First {
+		return s, fleet.Option[Crash]{}
+	}
+	return s, fleet.Some(crash)
+}
+
+// started returns a target whose process is new to this sidecar. What waits for the target goes on waiting; a run counts
+// only for the process that it runs on.
+func (s State) started(now time.Time, id fleet.TargetID, old local, a fleet.Announcement) local {
+	l := local{since: now, queue: old.queue}
+	for attempt, run := range s.running.All() {
+		if run.Attempt.Target == id && run.Instance == a.Instance {
+			l.running = l.running.With(attempt)
+		}
+	}
+	return l
+}
+
+// Withdrawn removes a target.
+func (s State) Withdrawn(now time.Time, name string) (State, []effect.Effect) {
+	id := fleet.NewTargetID(s.self, name)
+	l, ok := s.targets.Get(id)
+	if !ok {
+		return s, nil
+	}
+	s.departed = s.departed.With(id, departure{instance: l.announcement.Instance, at: now})
+	return s.removed(id, fleet.Draining, "target withdrew")
+}
+
+func (s State) removed(id fleet.TargetID, cause fleet.Cause, text string) (State, []effect.Effect) {
+	s, effects := s.flush(id, cause)
+	s.targets = s.targets.Without(id)
+	return s, append(effects, logged(effect.Info, text, id))
+}
+
+// Tick removes targets whose heartbeats stopped, widens those that start, and refuses or starts what waits.
+func (s State) Tick(ctx Context) (State, []effect.Effect) {
+	paused := s.pause(ctx.Now)
+	s.ticked = ctx.Now
+	var effects []effect.Effect
+	for id, l := range s.targets.All() {
+		var more []effect.Effect
+		l.heard = l.heard.Add(paused)
+		s.targets = s.targets.With(id, l.warmed(ctx.Now))
+		switch {
+		case ctx.Now.Sub(l.heard) >= silence:
+			s, more = s.removed(id, fleet.UnknownTarget, "target stopped its heartbeats")
+		case ctx.Gate(id) != Open:
+			s, more = s.flush(id, fleet.Ejected)
+		default:
+			s, more = s.tickQueue(ctx, id)
+		}
+		effects = append(effects, more...)
+	}
+	return s.forgotten(ctx.Now), effects
+}
+
+// pause returns for how long this node itself stood still, so that it does not take its own silence for that of its targets.
+func (s State) pause(now time.Time) time.Duration {
+	gap := now.Sub(s.ticked)
+	if s.ticked.IsZero() || gap < heartbeat {
+		return 0
+	}
+	return gap
+}
+
+// tickQueue refuses what has waited past its deadline and starts what fits.
+func (s State) tickQueue(ctx Context, id fleet.TargetID) (State, []effect.Effect) {
+	l, _ := s.targets.Get(id)
+	var effects []effect.Effect
+	for attempt := range l.queue.all() {
+		if attempt.Deadline.After(ctx.Now) {
+			continue
+		}
+		s, l = s.dequeue(l, attempt)
+		effects = append(effects, s.refuse(attempt, fleet.DeadlinePassed, 0)...)
+	}
+	s, started := s.startWaiting(ctx, id)
+	return s, append(effects, started...)
+}
+
+// forgotten drops departures and crashes that no longer matter.
+func (s State) forgotten(now time.Time) State {
+	for id, d := range s.departed.All() {
+		if now.Sub(d.at) >= silence {
+			s.departed = s.departed.Without(id)
+		}
+	}
+	for id, c := range s.crashes.All() {
+		if now.Sub(c.at) >= crashMemory {
+			s.crashes = s.crashes.Without(id)
+		}
+	}
+	return s
+}
+
+// Drained refuses all new attempts from now on, and those that wait.
+func (s State) Drained(time.Time) (State, []effect.Effect) {
+	s.draining = true
+	var effects []effect.Effect
+	for id := range s.targets.All() {
+		var more []effect.Effect
+		s, more = s.flush(id, fleet.Draining)
+		effects = append(effects, more...)
+	}
+	return s, effects
+}
+
+func logged(level effect.Level, text string, id fleet.TargetID) effect.Effect {
+	return effect.Log{Level: level, Part: "admission", Text: text, Fields: []effect.Field{{Name: "target", Value: string(id)}}}
+}
--- /dev/null
+++ b/internal/core/admission/local.go
@@ -0,0 +1,69 @@
+package admission
+
+import (
+	"time"
+
+	"jayfold.dev/jayfold/internal/core/fleet"
+)
+
+const (
+	// queuePerSlot bounds a queue's length: a longer one would only hold attempts that could run elsewhere by then.
+	queuePerSlot = 4
+	// slowStart is how long a new process takes to reach its announced slots.
+	slowStart = 10 * time.Second
+	// serviceWeight is the weight of a new service time in the smoothed one. About the last eight runs count.
+	serviceWeight = 1.0 / 8
+)
+
+// local is one target on this host.
+type local struct {
+	announcement fleet.Announcement
+	heard        time.Time
+	// since is when the target's process was first heard of.
+	since time.Time
+	// slots is how many attempts may run now.
+	slots   int
+	running fleet.Set[fleet.AttemptID]
+	queue   queue
+	service service
+	// down means that the process took no connection or died, and has not announced itself since.
+	down bool
+}
+
+// warmed returns the target with the slots that it has now.
+func (l local) warmed(now time.Time) local {
+	limit := min(l.announcement.Slots, l.announcement.Connections)
+	l.slots = limit
+	if age := now.Sub(l.since); age < slowStart {
+		l.slots = 1 + int(int64(limit-1)*int64(age)/int64(slowStart))
+	}
+	return l
+}
+
+// expectedWait returns how long a new attempt of the class would wait for a slot.
+func (l local) expectedWait(class fleet.Class) time.Duration {
+	turns := l.queue.ahead(class) + 1
+	return time.Duration(turns) * l.service.mean / time.Duration(max(l.slots, 1))
+}
+
+// service is the smoothed time that a run takes, over all runs and by class; 0 means not known yet.
+type service struct {
+	mean    time.Duration
+	byClass [len(fleet.Classes)]time.Duration
+}
+
+// with returns the service times after a run.
+func (s service) with(class fleet.Class, took time.Duration) service {
+	s.mean = smoothed(s.mean, took)
+	s.byClass[class] = smoothed(s.byClass[class], took)
+	return s
+}
+
+func (s service) of(class fleet.Class) time.Duration { return s.byClass[class] }
+
+func smoothed(old, sample time.Duration) time.Duration {
+	if old == 0 {
+		return sample
+	}
+	return old + time.Duration(serviceWeight*float64(sample-old))
+}
--- /dev/null
+++ b/internal/core/admission/refusal.go
@@ -0,0 +1,37 @@
+package admission
+
+import (
+	"time"
+
+	"jayfold.dev/jayfold/internal/core/effect"
+	"jayfold.dev/jayfold/internal/core/fleet"
+)
+
+// refusals explains the causes for which a target takes no attempt.
+var refusals = map[fleet.Cause]string{
+	fleet.Canceled:       "the attempt was canceled before it started",
+	fleet.DeadlinePassed: "the deadline passed before the attempt started",
+	fleet.Draining:       "the target or its node is leaving",
+	fleet.Ejected:        "the target is ejected",
+	fleet.Overloaded:     "the target's slots and queue are taken",
+	fleet.Quarantined:    "requests like this one have crashed several targets",
+	fleet.UnknownTarget:  "the node has no such target of the pool",
+	fleet.Unreachable:    "the target's process does not take connections",
+}
+
+// refuse answers an attempt that did not start. A wait of 0 is not passed on.
+func (s State) refuse(attempt fleet.Attempt, cause fleet.Cause, wait time.Duration) []effect.Effect {
+	problem := fleet.NewProblem(cause, fleet.NotRun, refusals[cause]).WithRetryAfter(wait)
+	return []effect.Effect{effect.RefuseAttempt{Attempt: attempt.ID, Problem: problem, Report: s.Report(attempt)}}
+}
+
+// refuseDuplicate answers an attempt whose id was seen before. The verdict is on the first of the two: an order that waits,
+// runs or has run must not be sent elsewhere because of its duplicate.
+func (s State) refuseDuplicate(attempt fleet.Attempt, started bool) []effect.Effect {
+	verdict := fleet.NotRun
+	if _, waits := s.waiting.Get(attempt.ID); waits || started {
+		verdict = fleet.MayHaveRun
+	}
+	problem := fleet.NewProblem(fleet.Duplicate, verdict, "the attempt was received before")
+	return []effect.Effect{effect.RefuseAttempt{Attempt: attempt.ID, Problem: problem, Report: s.Report(attempt)}}
+}
--- /dev/null
+++ b/internal/core/admission/run.go
@@ -0,0 +1,103 @@
+package admission
+
+import (
+	"time"
+
+	"jayfold.dev/jayfold/internal/core/effect"
+	"jayfold.dev/jayfold/internal/core/fleet"
+)
+
+// Run is an attempt that runs on a target.
+type Run struct {
+	Attempt fleet.Attempt
+	Started time.Time
+	// Instance is the target's process.
+	Instance string
+}
+
+// Finished is a run that ended.
+type Finished struct {
+	Run Run
+	// Crash is present when the target's process died while the attempt ran.
+	Crash fleet.Option[Crash]
+}
+
+// run starts an attempt.
+func (s State) run(ctx Context, l local, attempt fleet.Attempt) (State, []effect.Effect) {
+	l.running = l.running.With(attempt.ID)
+	s.targets = s.targets.With(attempt.Target, l)
+	s.running = s.running.With(attempt.ID, Run{
+		Attempt:  attempt,
+		Started:  ctx.Now,
+		Instance: l.announcement.Instance,
+	})
+	s.seen = s.seen.with(ctx.Now, attempt.ID, true)
+	return s, []effect.Effect{effect.Run{
+		Attempt:     attempt,
+		Address:     l.announcement.Address,
+		Connections: l.announcement.Connections,
+	}}
+}
+
+// startWaiting starts as many of the attempts that wait for a target as it has free slots.
+func (s State) startWaiting(ctx Context, id fleet.TargetID) (State, []effect.Effect) {
+	l, _ := s.targets.Get(id)
+	var effects []effect.Effect
+	for attempt := range l.queue.all() {
+		if l.running.Len() >= l.slots {
+			break
+		}
+		cause, refused := s.barred(ctx, l, attempt)
+		if !refused && !s.fits(ctx, l, attempt) {
+			continue
+		}
+		var more []effect.Effect
+		s, l = s.dequeue(l, attempt)
+		switch {
+		case refused:
+			more = s.refuse(attempt, cause, 0)
+		case ctx.Now.Add(l.service.of(attempt.Class)).After(attempt.Deadline):
+			more = s.refuse(attempt, fleet.Overloaded, l.expectedWait(attempt.Class))
+		default:
+			s, more = s.run(ctx, l, attempt)
+			l, _ = s.targets.Get(id)
+		}
+		effects = append(effects, more...)
+	}
+	return s, effects
+}
+
+// RunFinished frees the attempt's slot and starts those that wait for it. The result is absent when the attempt did not run
+// here.
+func (s State) RunFinished(
+	ctx Context, id fleet.AttemptID, outcome fleet.Outcome,
+) (State, []effect.Effect, fleet.Option[Finished]) {
+	run, ok := s.running.Get(id)
+	if !ok {
+		return s, nil, fleet.Option[Finished]{}
+	}
+	s, effects, crash := s.ended(ctx, run, outcome)
+	s.running = s.running.Without(id)
+	l, ok := s.targets.Get(run.Attempt.Target)
+	if ok && l.announcement.Instance == run.Instance {
+		l.running = l.running.Without(id)
+		if took, counts := serviceTime(ctx.Now, run, outcome); counts {
+			l.service = l.service.with(run.Attempt.Class, took)
+		}
+		s.targets = s.targets.With(run.Attempt.Target, l)
+	}
+	s, started := s.startWaiting(ctx, run.Attempt.Target)
+	return s, append(effects, started...), fleet.Some(Finished{Run: run, Crash: crash})
+}
+
+// serviceTime returns how long a run occupied its slot. Runs that were cut short say nothing of the time they need.
+func serviceTime(now time.Time, run Run, outcome fleet.Outcome) (time.Duration, bool) {
+	problem, failed := outcome.Problem.Get()
+	if failed && problem.Cause != fleet.DeadlinePassed {
+		return 0, false
+	}
+	if outcome.Took > 0 {
+		return outcome.Took, true
+	}
+	return now.Sub(run.Started), true
+}
--- a/internal/core/admission/state.go
+++ b/internal/core/admission/state.go
@@ -1,11 +1,16 @@
 // Package admission holds the sidecar's decisions on the targets of its host: which attempts run now, wait or are refused.
 //
+// Each target has the slots that it announced and a queue. The queue is bounded in length, and an attempt whose expected
+// wait exceeds its remaining budget is refused at once, so that it can still run elsewhere. Orders go before internal
+// requests, and those before lookups. Everything refused here has verdict NotRun, except for a duplicate of an attempt that
+// may have started.
+//
 // # Usage
 //
 //	state := admission.New(self)
-//	state, effects := state.Announced(now, announcement)
-//	state, effects = state.Asked(now, attempt, admission.Open)
-//	state, effects, run := state.RunFinished(now, attemptID, outcome)
+//	state, effects, change := state.Announced(ctx, announcement)
+//	state, effects = state.Asked(ctx, attempt)
+//	state, effects, finished := state.RunFinished(ctx, attemptID, outcome)
 package admission
 
 import (
@@ -15,11 +20,24 @@
 	"jayfold.dev/jayfold/internal/core/fleet"
 )
 
+// longestDeadline bounds the deadline of every attempt, as the tables bound that of every route.
+const longestDeadline = 60 * time.Second
+
 // State is what the sidecar knows of the targets on its host.
 type State struct {
 	self    fleet.NodeID
 	targets fleet.Map[fleet.TargetID, local]
 	running fleet.Map[fleet.AttemptID, Run]
+	// waiting gives the place of each queued attempt.
+	waiting fleet.Map[fleet.AttemptID, place]
+	seen    memory
+	// departed holds the targets that drained or withdrew lately, crashes those whose process died lately.
+	departed fleet.Map[fleet.TargetID, departure]
+	crashes  fleet.Map[fleet.TargetID, crashed]
+	// arrivals numbers the queued attempts in the order of their arrival.
+	arrivals uint64
+	ticked   time.Time
+	draining bool
 }
 
 // Gate is what the ejection part says of a target when an attempt asks for admission.
@@ -35,17 +53,21 @@
 	Trial
 )
 
-// Run is an attempt that runs on a target.
-type Run struct {
-	Attempt fleet.Attempt
-	Started time.Time
+// Context is what the sidecar's other parts say when an event comes.
+type Context struct {
+	Now time.Time
+	// Gate says which attempts a target takes.
+	Gate func(fleet.TargetID) Gate
+	// Quarantined reports whether requests with a fingerprint are refused; Suspected whether they may have crashed a
+	// target, so that no two of them run on one target at a time.
+	Quarantined func(fleet.Fingerprint) bool
+	Suspected   func(fleet.Fingerprint) bool
 }
 
-// local is one target on this host.
-type local struct {
-	announcement fleet.Announcement
-	heard        time.Time
-	inFlight     int
+// place is where an attempt waits.
+type place struct {
+	target fleet.TargetID
+	ticket ticket
 }
 
 // New returns the state of the sidecar of the given node.
@@ -53,71 +75,125 @@
 	return State{self: self}
 }
 
-// Announced records a heartbeat of a target.
-func (s State) Announced(now time.Time, a fleet.Announcement) (State, []effect.Effect) {
-	id := fleet.NewTargetID(s.self, a.Name)
-	l, _ := s.targets.Get(id)
-	l.announcement = a
-	l.heard = now
-	s.targets = s.targets.With(id, l)
-	return s, nil
+// Asked decides on an attempt.
+func (s State) Asked(ctx Context, attempt fleet.Attempt) (State, []effect.Effect) {
+	if started, ok := s.seen.get(attempt.ID); ok {
+		return s, s.refuseDuplicate(attempt, started)
+	}
+	s.seen = s.seen.with(ctx.Now, attempt.ID, false)
+	if limit := ctx.Now.Add(longestDeadline); attempt.Deadline.After(limit) {
+		attempt = attempt.WithDeadline(limit)
+	}
+	l, _ := s.targets.Get(attempt.Target)
+	if cause, refused := s.barred(ctx, l, attempt); refused {
+		return s, s.refuse(attempt, cause, 0)
+	}
+	// While a slot is free, the queue holds only suspects that wait for another suspect.
+	if s.fits(ctx, l, attempt) {
+		return s.run(ctx, l, attempt)
+	}
+	return s.enqueue(ctx, l, attempt)
 }
 
-// Withdrawn removes a target.
-func (s State) Withdrawn(_ time.Time, name string) (State, []effect.Effect) {
-	s.targets = s.targets.Without(fleet.NewTargetID(s.self, name))
-	return s, nil
+// barred returns why a target takes no attempt like this one, however idle it is.
+func (s State) barred(ctx Context, l local, attempt fleet.Attempt) (fleet.Cause, bool) {
+	switch gate := ctx.Gate(attempt.Target); {
+	case s.draining:
+		return fleet.Draining, true
+	case l.announcement.Name == "" || l.announcement.Pool != attempt.Pool:
+		return fleet.UnknownTarget, true
+	case l.announcement.State == fleet.TargetDraining:
+		return fleet.Draining, true
+	case l.down:
+		return fleet.Unreachable, true
+	case ctx.Quarantined(attempt.Fingerprint):
+		return fleet.Quarantined, true
+	case gate == Closed, gate == Trial && (!attempt.Idempotent || l.running.Len() > 0):
+		return fleet.Ejected, true
+	case !attempt.Deadline.After(ctx.Now):
+		return fleet.DeadlinePassed, true
+	default:
+		return "", false
+	}
 }
 
-// Asked decides on an attempt.
-func (s State) Asked(now time.Time, attempt fleet.Attempt, _ Gate) (State, []effect.Effect) {
-	l, ok := s.targets.Get(attempt.Target)
-	if !ok {
-		return s, s.refuse(attempt, fleet.UnknownTarget)
+// fits reports whether an attempt can start now.
+func (s State) fits(ctx Context, l local, attempt fleet.Attempt) bool {
+	return l.running.Len() < l.slots && !(ctx.Suspected(attempt.Fingerprint) && s.runsSuspect(ctx, l))
+}
+
+// runsSuspect reports whether a suspected request runs on the target. Alone, each suspect is cleared or convicted by itself.
+func (s State) runsSuspect(ctx Context, l local) bool {
+	for id := range l.running.All() {
+		run, _ := s.running.Get(id)
+		if ctx.Suspected(run.Attempt.Fingerprint) {
+			return true
+		}
+	}
+	return false
+}
+
+// enqueue lets an attempt wait, in place of one of a lower class when the queue is full.
+func (s State) enqueue(ctx Context, l local, attempt fleet.Attempt) (State, []effect.Effect) {
+	wait := l.expectedWait(attempt.Class)
+	if ctx.Now.Add(wait + l.service.of(attempt.Class)).After(attempt.Deadline) {
+		return s, s.refuse(attempt, fleet.Overloaded, wait)
 	}
-	if l.inFlight >= l.announcement.Slots {
-		return s, s.refuse(attempt, fleet.Overloaded)
+	var effects []effect.Effect
+	if l.queue.len() >= queuePerSlot*l.slots {
+		last := l.queue.last()
+		if last.Class >= attempt.Class {
+			return s, s.refuse(attempt, fleet.Overloaded, wait)
+		}
+		s, l = s.dequeue(l, last)
+		effects = s.refuse(last, fleet.Overloaded, l.expectedWait(last.Class))
 	}
-	l.inFlight++
+	s.arrivals++
+	t := newTicket(attempt.Class, s.arrivals)
+	l.queue = l.queue.with(t, attempt)
+	s.waiting = s.waiting.With(attempt.ID, place{target: attempt.Target, ticket: t})
 	s.targets = s.targets.With(attempt.Target, l)
-	s.running = s.running.With(attempt.ID, Run{Attempt: attempt, Started: now})
-	run := effect.Run{Attempt: attempt, Address: l.announcement.Address, Connections: l.announcement.Connections}
-	return s, []effect.Effect{run}
+	return s, effects
 }
 
-func (s State) refuse(attempt fleet.Attempt, cause fleet.Cause) []effect.Effect {
-	problem := fleet.NewProblem(cause, fleet.NotRun, "target "+string(attempt.Target)+" refused the attempt")
-	return []effect.Effect{effect.RefuseAttempt{Attempt: attempt.ID, Problem: problem, Report: s.Report(attempt)}}
+// dequeue takes an attempt out of a target's queue.
+func (s State) dequeue(l local, attempt fleet.Attempt) (State, local) {
+	p, _ := s.waiting.Get(attempt.ID)
+	l.queue = l.queue.without(p.ticket)
+	s.waiting = s.waiting.Without(attempt.ID)
+	s.targets = s.targets.With(attempt.Target, l)
+	return s, l
 }
 
-// Canceled ends an attempt that its ingress gave up.
-func (s State) Canceled(_ time.Time, id fleet.AttemptID) (State, []effect.Effect) {
-	if _, ok := s.running.Get(id); !ok {
-		return s, nil
+// flush refuses everything that waits for a target.
+func (s State) flush(id fleet.TargetID, cause fleet.Cause) (State, []effect.Effect) {
+	l, _ := s.targets.Get(id)
+	var effects []effect.Effect
+	for attempt := range l.queue.all() {
+		s, l = s.dequeue(l, attempt)
+		effects = append(effects, s.refuse(attempt, cause, 0)...)
 	}
-	return s, []effect.Effect{effect.CancelRun{Attempt: id}}
+	return s, effects
 }
 
-// RunFinished frees the attempt's slot. The run is absent when the attempt did not run here.
-func (s State) RunFinished(_ time.Time, id fleet.AttemptID, _ fleet.Outcome) (State, []effect.Effect, fleet.Option[Run]) {
-	run, ok := s.running.Get(id)
-	if !ok {
-		return s, nil, fleet.Option[Run]{}
+// Canceled ends an attempt that its ingress gave up. One that waits is confirmed as not run; one that is not known yet is
+// never started.
+func (s State) Canceled(ctx Context, id fleet.AttemptID) (State, []effect.Effect) {
+	if _, ok := s.running.Get(id); ok {
+		return s, []effect.Effect{effect.CancelRun{Attempt: id}}
 	}
-	s.running = s.running.Without(id)
-	if l, ok := s.targets.Get(run.Attempt.Target); ok {
-		l.inFlight--
-		s.targets = s.targets.With(run.Attempt.Target, l)
+	if p, ok := s.waiting.Get(id); ok {
+		l, _ := s.targets.Get(p.target)
+		attempt, _ := l.queue.get(p.ticket)
+		s, _ = s.dequeue(l, attempt)
+		return s, s.refuse(attempt, fleet.Canceled, 0)
 	}
-	return s, nil, fleet.Some(run)
+	if _, ok := s.seen.get(id); !ok {
+		s.seen = s.seen.with(ctx.Now, id, false)
+	}
+	return s, nil
 }
 
-// Tick removes targets whose heartbeats stopped and refuses queued attempts whose deadline passed.
-func (s State) Tick(time.Time) (State, []effect.Effect) { return s, nil }
-
-// Drained refuses all new attempts from now on.
-func (s State) Drained(time.Time) (State, []effect.Effect) { return s, nil }
-
 // Report returns the load of the attempt's target. The detector adds what it knows.
 func (s State) Report(attempt fleet.Attempt) fleet.Report {
 	return fleet.Report{Target: attempt.Target, Class: attempt.Class, Load: s.Load(attempt.Target)}
@@ -126,13 +202,16 @@
 // Load returns a target's load.
 func (s State) Load(id fleet.TargetID) fleet.Load {
 	l, _ := s.targets.Get(id)
-	return fleet.Load{InFlight: l.inFlight, Slots: l.announcement.Slots}
+	return fleet.Load{InFlight: l.running.Len(), Queued: l.queue.len(), Slots: l.slots}
 }
 
-// Targets returns the targets on this host in id order, for the member record.
+// Targets returns the targets on this host that can be reached, in id order, for the member record.
 func (s State) Targets() []fleet.Target {
 	targets := make([]fleet.Target, 0, s.targets.Len())
 	for id, l := range s.targets.All() {
+		if l.down {
+			continue
+		}
 		targets = append(targets, fleet.Target{
 			ID:    id,
 			Pool:  l.announcement.Pool,
@@ -143,5 +222,11 @@
 	return targets
 }
 
+// Knows reports whether a target has announced itself and is not gone.
+func (s State) Knows(id fleet.TargetID) bool {
+	_, ok := s.targets.Get(id)
+	return ok
+}
+
 // InFlight returns the number of attempts that run on targets of this host.
 func (s State) InFlight() int { return s.running.Len() }
--- /dev/null
+++ b/internal/core/admission/state_test.go
@@ -0,0 +1,308 @@
+package admission_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jayfold.dev/jayfold/internal/core/admission"
+	"jayfold.dev/jayfold/internal/core/effect"
+	"jayfold.dev/jayfold/internal/core/fleet"
+)
+
+const targetA = fleet.TargetID("n1/a")
+
+// rig is a sidecar with a clock that the test sets.
+type rig struct {
+	state       admission.State
+	now         time.Time
+	gate        admission.Gate
+	quarantined fleet.Set[fleet.Fingerprint]
+	suspected   fleet.Set[fleet.Fingerprint]
+	effects     []effect.Effect
+}
+
+func newRig() *rig {
+	return &rig{state: admission.New("n1"), now: time.Unix(1000, 0)}
+}
+
+// newWarmRig returns a sidecar whose target a has all of its slots.
+func newWarmRig(slots int) *rig {
+	r := newRig()
+	r.announce("i1", slots)
+	r.pass(9*time.Second, "i1", slots)
+	r.pass(time.Second, "i1", slots)
+	return r
+}
+
+func (r *rig) context() admission.Context {
+	return admission.Context{
+		Now:         r.now,
+		Gate:        func(fleet.TargetID) admission.Gate { return r.gate },
+		Quarantined: r.quarantined.Has,
+		Suspected:   r.suspected.Has,
+	}
+}
+
+func announcement(instance string, slots int) fleet.Announcement {
+	return fleet.Announcement{
+		Name: "a", Pool: "p", Address: "127.0.0.1:1", Slots: slots, Connections: 300, Instance: instance,
+	}
+}
+
+func (r *rig) announce(instance string, slots int) admission.Change {
+	return r.announceAs(announcement(instance, slots))
+}
+
+func (r *rig) announceAs(a fleet.Announcement) admission.Change {
+	var change admission.Change
+	r.state, r.effects, change = r.state.Announced(r.context(), a)
+	return change
+}
+
+// pass lets time go by with ticks and heartbeats.
+func (r *rig) pass(d time.Duration, instance string, slots int) {
+	for end := r.now.Add(d); r.now.Before(end); {
+		r.now = r.now.Add(500 * time.Millisecond)
+		r.announce(instance, slots)
+		r.tick()
+	}
+}
+
+func (r *rig) tick() { r.state, r.effects = r.state.Tick(r.context()) }
+
+// attempt returns an attempt with ten seconds left.
+func (r *rig) attempt(id string, class fleet.Class) fleet.Attempt {
+	return fleet.Attempt{
+		ID: fleet.AttemptID(id), Target: targetA, Pool: "p", Class: class, Idempotent: class == fleet.Lookup,
+		Deadline: r.now.Add(10 * time.Second), Fingerprint: fleet.Fingerprint(id[0]),
+	}
+}
+
+func (r *rig) ask(id string, class fleet.Class) { r.askAs(r.attempt(id, class)) }
+
+func (r *rig) askAs(attempt fleet.Attempt) {
+	r.state, r.effects = r.state.Asked(r.context(), attempt)
+}
+
+func (r *rig) finish(id string, outcome fleet.Outcome) fleet.Option[admission.Finished] {
+	var finished fleet.Option[admission.Finished]
+	r.state, r.effects, finished = r.state.RunFinished(r.context(), fleet.AttemptID(id), outcome)
+	return finished
+}
+
+func failed(cause fleet.Cause, verdict fleet.Verdict, crashed bool) fleet.Outcome {
+	return fleet.Outcome{Problem: fleet.Some(fleet.NewProblem(cause, verdict, "")), Crashed: crashed}
+}
+
+// assertRuns checks which attempts the last event started.
+func (r *rig) assertRuns(is *is.I, want ...fleet.AttemptID) {
+	is.Helper()
+	var got []fleet.AttemptID
+	for _, e := range r.effects {
+		if run, ok := e.(effect.Run); ok {
+			got = append(got, run.Attempt.ID)
+		}
+	}
+	is.Equal(got, want) // the attempts that start
+}
+
+// assertRefused checks that the last event refused exactly one attempt, and how.
+func (r *rig) assertRefused(is *is.I, id fleet.AttemptID, cause fleet.Cause, verdict fleet.Verdict) effect.RefuseAttempt {
+	is.Helper()
+	var refusals []effect.RefuseAttempt
+	for _, e := range r.effects {
+		if refusal, ok := e.(effect.RefuseAttempt); ok {
+			refusals = append(refusals, refusal)
+		}
+	}
+	is.Equal(len(refusals), 1) // one attempt is refused
+	is.Equal(refusals[0].Attempt, id)
+	is.Equal(refusals[0].Problem.Cause, cause)
+	is.Equal(refusals[0].Problem.Verdict, verdict)
+	is.Equal(refusals[0].Report.Target, targetA) // the refusal carries the load
+	return refusals[0]
+}
+
+// Guards against a target that runs more than its slots, and against a queue without bound or order.
+func TestQueue(t *testing.T) {
+	t.Run("runs up to the slots and queues beyond", func(t *testing.T) {
+		is, r := is.New(t), newWarmRig(2)
+		for _, id := range []string{"1", "2"} {
+			r.ask(id, fleet.Lookup)
+			r.assertRuns(is, fleet.AttemptID(id))
+		}
+		r.ask("3", fleet.Lookup)
+		r.assertRuns(is)
+		is.Equal(r.state.Load(targetA), fleet.Load{InFlight: 2, Queued: 1, Slots: 2})
+		r.finish("1", fleet.Outcome{})
+		r.assertRuns(is, "3")
+	})
+	t.Run("fewer connections than slots bound the runs", func(t *testing.T) {
+		is, r := is.New(t), newWarmRig(2)
+		a := announcement("i1", 2)
+		a.Connections = 1
+		r.announceAs(a)
+		is.Equal(r.state.Load(targetA).Slots, 1)
+	})
+	t.Run("orders before internal requests before lookups", func(t *testing.T) {
+		is, r := is.New(t), newWarmRig(1)
+		r.ask("0", fleet.Lookup)
+		r.ask("1", fleet.Lookup)
+		r.ask("2", fleet.Internal)
+		r.ask("3", fleet.Order)
+		r.ask("4", fleet.Order)
+		for i, next := range []fleet.AttemptID{"3", "4", "2", "1"} {
+			r.finish([]string{"0", "3", "4", "2"}[i], fleet.Outcome{})
+			r.assertRuns(is, next)
+		}
+	})
+	t.Run("full queue refuses a lookup and gives way to an order", func(t *testing.T) {
+		is, r := is.New(t), newWarmRig(1)
+		for _, id := range []string{"0", "1", "2", "3", "4"} {
+			r.ask(id, fleet.Lookup)
+		}
+		r.ask("5", fleet.Lookup)
+		r.assertRefused(is, "5", fleet.Overloaded, fleet.NotRun)
+		r.ask("6", fleet.Order)
+		r.assertRefused(is, "4", fleet.Overloaded, fleet.NotRun)
+		r.finish("0", fleet.Outcome{})
+		r.assertRuns(is, "6")
+	})
+	t.Run("refuses at once what would wait past its deadline", func(t *testing.T) {
+		is, r := is.New(t), newWarmRig(1)
+		r.ask("0", fleet.Lookup)
+		r.finish("0", fleet.Outcome{Took: 6 * time.Second})
+		r.ask("1", fleet.Lookup)
+		r.ask("2", fleet.Lookup) // 6 s of waiting and 6 s of service exceed 10 s
+		refusal := r.assertRefused(is, "2", fleet.Overloaded, fleet.NotRun)
+		is.Equal(refusal.Problem.RetryAfter, 6*time.Second)
+	})
+	t.Run("refuses what has waited past its deadline", func(t *testing.T) {
+		is, r := is.New(t), newWarmRig(1)
+		r.ask("0", fleet.Lookup)
+		short := r.attempt("1", fleet.Lookup)
+		r.askAs(short.WithDeadline(r.now.Add(100 * time.Millisecond)))
+		r.now = r.now.Add(200 * time.Millisecond)
+		r.tick()
+		r.assertRefused(is, "1", fleet.DeadlinePassed, fleet.NotRun)
+	})
+}
+
+// Guards against work for targets that must not get any.
+func TestRefusals(t *testing.T) {
+	cases := []struct {
+		name  string
+		setUp func(*rig)
+		cause fleet.Cause
+	}{
+		{"unknown target", func(r *rig) { r.state = admission.New("n1") }, fleet.UnknownTarget},
+		{"target of another pool", func(r *rig) {
+			a := announcement("i2", 4)
+			a.Pool = "q"
+			r.announceAs(a)
+		}, fleet.UnknownTarget},
+		{"target drains", func(r *rig) {
+			a := announcement("i1", 4)
+			a.State = fleet.TargetDraining
+			r.announceAs(a)
+		}, fleet.Draining},
+		{"heartbeat overtaken by the drain", func(r *rig) {
+			a := announcement("i1", 4)
+			a.State = fleet.TargetDraining
+			r.announceAs(a)
+			r.announce("i1", 4)
+		}, fleet.Draining},
+		{"target withdrew", func(r *rig) {
+			r.state, _ = r.state.Withdrawn(r.now, "a")
+			r.announce("i1", 4)
+		}, fleet.UnknownTarget},
+		{"node drains", func(r *rig) { r.state, _ = r.state.Drained(r.now) }, fleet.Draining},
+		{"target ejected", func(r *rig) { r.gate = admission.Closed }, fleet.Ejected},
+		{"request quarantined", func(r *rig) { r.quarantined = fleet.NewSet[fleet.Fingerprint]('x') }, fleet.Quarantined},
+		{"no connection", func(r *rig) {
+			r.ask("0", fleet.Lookup)
+			r.finish("0", failed(fleet.Unreachable, fleet.NotRun, false))
+		}, fleet.Unreachable},
+		{"three heartbeats missed", func(r *rig) {
+			for range 7 {
+				r.now = r.now.Add(500 * time.Millisecond)
+				r.tick()
+			}
+		}, fleet.UnknownTarget},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is, r := is.New(t), newWarmRig(4)
+			c.setUp(r)
+			r.ask("x", fleet.Order)
+			r.assertRuns(is)
+			r.assertRefused(is, "x", c.cause, fleet.NotRun)
+		})
+	}
+	t.Run("trial takes one idempotent attempt", func(t *testing.T) {
+		is, r := is.New(t), newWarmRig(4)
+		r.gate = admission.Trial
+		r.ask("1", fleet.Order)
+		r.assertRefused(is, "1", fleet.Ejected, fleet.NotRun)
+		r.ask("2", fleet.Lookup)
+		r.assertRuns(is, "2")
+		r.ask("3", fleet.Lookup)
+		r.assertRefused(is, "3", fleet.Ejected, fleet.NotRun)
+	})
+}
+
+// Guards against attempts that are forgotten in the queue of a target that leaves, and against cutting off what runs.
+func TestLeavingRefusesTheQueue(t *testing.T) {
+	draining := announcement("i1", 1)
+	draining.State = fleet.TargetDraining
+	cases := []struct {
+		name  string
+		leave func(*rig)
+		cause fleet.Cause
+	}{
+		{"target drains", func(r *rig) { r.announceAs(draining) }, fleet.Draining},
+		{"target withdraws", func(r *rig) { r.state, r.effects = r.state.Withdrawn(r.now, "a") }, fleet.Draining},
+		{"node drains", func(r *rig) { r.state, r.effects = r.state.Drained(r.now) }, fleet.Draining},
+		{"target is ejected", func(r *rig) {
+			r.gate = admission.Closed
+			r.tick()
+		}, fleet.Ejected},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is, r := is.New(t), newWarmRig(1)
+			r.ask("0", fleet.Order)
+			r.ask("1", fleet.Order)
+			c.leave(r)
+			r.assertRefused(is, "1", c.cause, fleet.NotRun)
+			is.Equal(r.state.InFlight(), 1) // the running attempt goes on
+			_, ok := r.finish("0", fleet.Outcome{}).Get()
+			is.True(ok)
+			is.Equal(r.state.InFlight(), 0)
+		})
+	}
+}
+
+// Guards against flooding a process that has just started.
+func TestSlowStart(t *testing.T) {
+	is, r := is.New(t), newRig()
+	is.True(r.announce("i1", 11).Fresh)
+	is.Equal(r.state.Load(targetA).Slots, 1)
+	r.pass(5*time.Second, "i1", 11)
+	is.Equal(r.state.Load(targetA).Slots, 6)
+	r.pass(5*time.Second, "i1", 11)
+	is.Equal(r.state.Load(targetA).Slots, 11)
+	is.True(!r.announce("i1", 11).Fresh)
+	is.True(r.announce("i2", 11).Fresh) // a new process starts anew
+	is.Equal(r.state.Load(targetA).Slots, 1)
+}
+
+// Guards against a node that was paused taking its own silence for that of its targets.
+func TestPauseOfTheNode(t *testing.T) {
+	is, r := is.New(t), newWarmRig(2)
+	r.now = r.now.Add(time.Minute)
+	r.tick()
+	is.True(r.state.Knows(targetA))
+}
--- a/internal/core/message/message.go
+++ b/internal/core/message/message.go
@@ -114,6 +114,11 @@
 	Content  []byte
 }
 
+// Suspicions spreads what is known of requests that crash targets. Each node passes on what is new to it.
+type Suspicions struct {
+	Suspicions []fleet.Suspicion
+}
+
 func (Ping) isMessage()          {}
 func (Ack) isMessage()           {}
 func (PingRequest) isMessage()   {}
@@ -126,3 +131,4 @@
 func (LeaseRecall) isMessage()   {}
 func (TablesRequest) isMessage() {}
 func (TablesContent) isMessage() {}
+func (Suspicions) isMessage()    {}
--- a/internal/core/node/clock.go
+++ b/internal/core/node/clock.go
@@ -9,16 +9,16 @@
 func (s State) tick(ev event.Event) (State, []effect.Effect) {
 	var attempts, admission, ejection, membership, orders, tables, stop []effect.Effect
 	s.attempts, attempts = s.attempts.Tick(s.attemptContext(ev))
-	s.admission, admission = s.admission.Tick(ev.At)
+	s.admission, admission = s.admission.Tick(s.admissionContext(ev))
 	s.ejection, ejection = s.ejection.Tick(s.ejectionContext(ev))
-	s.quarantine = s.quarantine.Tick(ev.At)
+	s, suspicions := s.tickQuarantine(ev)
 	s = s.publishTargets(ev)
 	s.membership, membership = s.membership.Tick(ev.At, ev.Random)
 	s.orders, orders = s.orders.Tick(ev.At)
 	s.tables, tables = s.tables.Tick(ev.At, ev.Random)
 	s.shutdown, stop = s.shutdown.tick(ev.At, s.attempts.InFlight()+s.admission.InFlight())
 	effects := append(attempts, s.completeReports(ev.At, admission)...)
-	for _, more := range [][]effect.Effect{ejection, membership, orders, tables, stop} {
+	for _, more := range [][]effect.Effect{ejection, suspicions, membership, orders, tables, stop} {
 		effects = append(effects, more...)
 	}
 	return s, effects
--- a/internal/core/node/fleet.go
+++ b/internal/core/node/fleet.go
@@ -11,11 +11,13 @@
 	envelope := body.Envelope
 	s, effects := s.revisionSeen(ev, event.RevisionSeen{From: envelope.From, Revision: envelope.Revision})
 	var more []effect.Effect
-	switch envelope.Message.(type) {
+	switch body := envelope.Message.(type) {
 	case message.TablesRequest, message.TablesContent:
 		s.tables, more = s.tables.Received(ev.At, envelope)
 	case message.LeaseRequest, message.LeaseGrant, message.LeaseRefusal, message.LeaseRelease, message.LeaseRecall:
 		s.ejection, more = s.ejection.Received(s.ejectionContext(ev), envelope.From, envelope.Message)
+	case message.Suspicions:
+		s, more = s.suspicionsReceived(ev, body)
 	default:
 		s.membership, more = s.membership.Received(ev.At, envelope)
 	}
--- a/internal/core/node/sidecar.go
+++ b/internal/core/node/sidecar.go
@@ -24,9 +24,17 @@
 	}
 }
 
+func (s State) admissionContext(ev event.Event) admission.Context {
+	return admission.Context{
+		Now:         ev.At,
+		Gate:        func(id fleet.TargetID) admission.Gate { return s.ejection.Gate(ev.At, id) },
+		Quarantined: func(f fleet.Fingerprint) bool { return s.quarantine.Has(ev.At, f) },
+		Suspected:   func(f fleet.Fingerprint) bool { return s.quarantine.Suspected(ev.At, f) },
+	}
+}
+
 func (s State) admissionAsked(ev event.Event, body event.AdmissionAsked) (State, []effect.Effect) {
-	gate := s.ejection.Gate(ev.At, body.Attempt.Target)
-	next, effects := s.admission.Asked(ev.At, body.Attempt, gate)
+	next, effects := s.admission.Asked(s.admissionContext(ev), body.Attempt)
 	s.admission = next
 	return s, s.completeReports(ev.At, effects)
 }
@@ -45,45 +53,59 @@
 func (s State) completeReport(now time.Time, report fleet.Report) fleet.Report {
 	report.P95 = s.detection.P95(report.Target, report.Class)
 	report.Ejected = s.ejection.Ejected(now, report.Target)
-	report.Quarantine = s.quarantine.Recent()
+	report.Quarantine = s.quarantine.Recent(now)
 	return report
 }
 
 func (s State) admissionCanceled(ev event.Event, body event.AdmissionCanceled) (State, []effect.Effect) {
-	next, effects := s.admission.Canceled(ev.At, body.Attempt)
+	next, effects := s.admission.Canceled(s.admissionContext(ev), body.Attempt)
 	s.admission = next
 	return s, s.completeReports(ev.At, effects)
 }
 
 // runFinished frees the slot, feeds the detector and carries out its judgement.
 func (s State) runFinished(ev event.Event, body event.RunFinished) (State, []effect.Effect) {
-	next, effects, finished := s.admission.RunFinished(ev.At, body.Attempt, body.Outcome)
+	next, effects, result := s.admission.RunFinished(s.admissionContext(ev), body.Attempt, body.Outcome)
 	s.admission = next
-	run, ok := finished.Get()
+	finished, ok := result.Get()
 	if !ok {
 		return s, effects
 	}
-	if body.Outcome.Crashed {
-		var crash []effect.Effect
-		s, crash = s.targetCrashed(ev, run)
-		effects = append(effects, crash...)
-	} else {
+	run := finished.Run
+	if body.Outcome.Verdict() == fleet.Ran {
 		s.quarantine = s.quarantine.Succeeded(ev.At, run.Attempt.Fingerprint)
+	} else {
+		s = s.publishTargets(ev)
+	}
+	crash, crashed := finished.Crash.Get()
+	s, crashEffects := s.targetCrashed(ev, finished.Crash)
+	effects = append(effects, crashEffects...)
+	if !crashed || !s.suspects(ev.At, crash.InFlight) {
+		var judged []effect.Effect
+		s, judged = s.judge(ev, run, body.Outcome)
+		effects = append(effects, judged...)
 	}
-	s, judged := s.judge(ev, run, body.Outcome)
-	effects = append(effects, judged...)
 	report := s.completeReport(ev.At, s.admission.Report(run.Attempt))
 	effects = append(effects, effect.ReportRun{Attempt: body.Attempt, Report: report})
 	return s, s.completeReports(ev.At, effects)
 }
 
-func (s State) targetCrashed(ev event.Event, run admission.Run) (State, []effect.Effect) {
-	inFlight := []fleet.Fingerprint{run.Attempt.Fingerprint}
-	next, effects := s.quarantine.Crashed(ev.At, run.Attempt.Target, inFlight)
+// targetCrashed passes on what was in flight at a crash, once per crash.
+func (s State) targetCrashed(ev event.Event, crash fleet.Option[admission.Crash]) (State, []effect.Effect) {
+	c, crashed := crash.Get()
+	if !crashed || !c.First {
+		return s, nil
+	}
+	next, effects := s.quarantine.Crashed(s.quarantineContext(ev), c.Target, c.InFlight)
 	s.quarantine = next
 	return s, effects
 }
 
+// suspects reports whether a crash may be the fault of a request that was in flight, rather than the target's.
+func (s State) suspects(now time.Time, inFlight []fleet.Fingerprint) bool {
+	return slices.ContainsFunc(inFlight, func(f fleet.Fingerprint) bool { return s.quarantine.Suspected(now, f) })
+}
+
 // judge feeds the detector. Cancelled runs and crashes by a quarantined request say nothing of the target.
 func (s State) judge(ev event.Event, run admission.Run, outcome fleet.Outcome) (State, []effect.Effect) {
 	problem, failed := outcome.Problem.Get()
@@ -120,9 +142,15 @@
 	detection.Relapsed:  ejection.State.Relapsed,
 }
 
+// targetAnnounced takes in a heartbeat. What the detector knows of a target's last process does not count for a new one.
 func (s State) targetAnnounced(ev event.Event, body event.TargetAnnounced) (State, []effect.Effect) {
-	next, effects := s.admission.Announced(ev.At, body.Announcement)
+	next, effects, change := s.admission.Announced(s.admissionContext(ev), body.Announcement)
 	s.admission = next
+	if change.Fresh {
+		s.detection = s.detection.Forget(change.Target)
+	}
+	s, crash := s.targetCrashed(ev, change.Crash)
+	effects = append(effects, crash...)
 	return s.publishTargets(ev), s.completeReports(ev.At, effects)
 }
 
@@ -138,8 +166,15 @@
 	for i, t := range targets {
 		targets[i].Ejected = s.ejection.Ejected(ev.At, t.ID)
 	}
-	if !slices.Equal(targets, s.membership.Self().Targets) {
-		s.membership = s.membership.TargetsChanged(targets)
+	published := s.membership.Self().Targets
+	if slices.Equal(targets, published) {
+		return s
+	}
+	for _, t := range published {
+		if !s.admission.Knows(t.ID) {
+			s.detection = s.detection.Forget(t.ID)
+		}
 	}
+	s.membership = s.membership.TargetsChanged(targets)
 	return s
 }
--- a/internal/core/node/status.go
+++ b/internal/core/node/status.go
@@ -22,7 +22,7 @@
 		Services:         s.services(),
 		Targets:          s.localTargets(now),
 		Members:          s.membership.Members(),
-		Quarantine:       s.quarantine.Status(),
+		Quarantine:       s.quarantine.Status(now),
 	}
 }
 
--- /dev/null
+++ b/internal/core/quarantine/spread.go
@@ -0,0 +1,142 @@
+package quarantine
+
+import (
+	"jayfold.dev/jayfold/internal/core/effect"
+	"jayfold.dev/jayfold/internal/core/fleet"
+	"jayfold.dev/jayfold/internal/core/message"
+)
+
+const (
+	// spreadAtOnce is the number of members that get news at once: a caller sends a request that crashed a target again
+	// within milliseconds, and in a small fleet three members are all.
+	spreadAtOnce = 3
+	// spreadTicks is the number of ticks on which news goes to one more member each. With eight sends per node, all but one
+	// in 3,000 members learn it.
+	spreadTicks = 5
+	// maxPerMessage bounds the suspicions in one message.
+	maxPerMessage = 16
+	// maxOutgoing bounds the news that waits for the next ticks.
+	maxOutgoing = 128
+)
+
+// Received takes in what another node says of fingerprints and passes on what is new.
+func (s State) Received(ctx Context, suspicions []fleet.Suspicion) (State, []effect.Effect) {
+	var news []fleet.Fingerprint
+	for _, said := range suspicions[:min(len(suspicions), maxPerMessage)] {
+		var isNew bool
+		if said.Cleared {
+			s, isNew = s.cleared(ctx, said.Fingerprint)
+		} else {
+			s, isNew = s.accused(ctx, said)
+		}
+		if isNew {
+			news = append(news, said.Fingerprint)
+		}
+	}
+	return s.spread(ctx, news)
+}
+
+// accused joins the evidence of another node with this node's own.
+func (s State) accused(ctx Context, said fleet.Suspicion) (State, bool) {
+	before := s.get(ctx.Now, said.Fingerprint)
+	after := before
+	after.targets = union(before.targets, said.Targets)
+	if until := ctx.Now.Add(min(said.Remaining, expiry)); until.After(after.until) {
+		after.until = until
+	}
+	if len(after.targets) == len(before.targets) {
+		return s, false
+	}
+	return s.put(said.Fingerprint, after), after.suspected(ctx.Now)
+}
+
+// cleared drops the evidence against a fingerprint that was answered elsewhere since.
+func (s State) cleared(ctx Context, f fleet.Fingerprint) (State, bool) {
+	known, ok := s.suspects.Get(f)
+	if !ok || !known.suspected(ctx.Now) {
+		return s, false
+	}
+	known.credit = clearedCredit
+	s.suspects = s.suspects.With(f, known)
+	return s, true
+}
+
+// spread sends news to the first members and keeps it for the next ticks.
+func (s State) spread(ctx Context, news []fleet.Fingerprint) (State, []effect.Effect) {
+	if len(news) == 0 {
+		return s, nil
+	}
+	for _, f := range news {
+		s = s.queue(f)
+	}
+	return s, s.send(ctx, news, spreadAtOnce)
+}
+
+// queue keeps news for the next ticks.
+func (s State) queue(f fleet.Fingerprint) State {
+	if s.outgoing.Len() < maxOutgoing {
+		s.outgoing = s.outgoing.With(f, spreadTicks)
+	}
+	return s
+}
+
+// Tick sends news on and drops the evidence that has expired.
+func (s State) Tick(ctx Context) (State, []effect.Effect) {
+	for f, known := range s.suspects.All() {
+		if !ctx.Now.Before(known.until) {
+			s.suspects = s.suspects.Without(f)
+		}
+	}
+	var news []fleet.Fingerprint
+	for f, ticks := range s.outgoing.All() {
+		if len(news) == maxPerMessage {
+			break
+		}
+		news = append(news, f)
+		s.outgoing = s.outgoing.With(f, ticks-1)
+		if ticks == 1 {
+			s.outgoing = s.outgoing.Without(f)
+		}
+	}
+	if len(news) == 0 {
+		return s, nil
+	}
+	return s, s.send(ctx, news, 1)
+}
+
+// send gives the news to as many members, from a random one on.
+func (s State) send(ctx Context, news []fleet.Fingerprint, members int) []effect.Effect {
+	peers := ctx.Peers()
+	said := s.said(ctx, news)
+	var effects []effect.Effect
+	for i := range min(members, len(peers)) {
+		peer := peers[(ctx.Random%uint64(len(peers))+uint64(i))%uint64(len(peers))]
+		effects = append(effects, effect.Send{
+			To:      peer.Node,
+			Address: peer.PeerAddress,
+			Message: message.Suspicions{Suspicions: said},
+		})
+	}
+	return effects
+}
+
+// said returns what is to be told of the fingerprints.
+func (s State) said(ctx Context, news []fleet.Fingerprint) []fleet.Suspicion {
+	var said []fleet.Suspicion
+	for _, f := range news[:min(len(news), maxPerMessage)] {
+		known, ok := s.suspects.Get(f)
+		switch {
+		case !ok:
+			continue
+		case !known.suspected(ctx.Now):
+			said = append(said, fleet.Suspicion{Fingerprint: f, Cleared: true})
+		default:
+			said = append(said, fleet.Suspicion{
+				Fingerprint: f,
+				Targets:     known.targets,
+				Remaining:   known.until.Sub(ctx.Now),
+			})
+		}
+	}
+	return said
+}
--- a/internal/core/quarantine/state.go
+++ b/internal/core/quarantine/state.go
@@ -1,45 +1,239 @@
 // Package quarantine finds the requests that crash targets and refuses them.
 //
+// A fingerprint becomes suspected when a target's process dies while a request with it is in flight. It is quarantined
+// when it was in flight at crashes of two different targets with almost no successes, and until ten minutes after the
+// second. Successes count from before the first crash; each further crash halves them, so that a request which turns bad is
+// found as well, and a popular lookup that merely was in flight is not.
+//
+// The second crash often happens beside another node than the first. Suspicions therefore spread from node to node: each
+// node sends what is new to it to spreadAtOnce random members, and on each of the next spreadTicks ticks to one more. What a
+// node knows is the union of what it saw and was told, so the order of the messages does not matter.
+//
 // # Usage
 //
 //	state := quarantine.New()
-//	state = state.Succeeded(fingerprint)
-//	state, effects := state.Crashed(now, target, inFlight)
-//	if state.Has(fingerprint) { ... }
+//	state = state.Succeeded(now, fingerprint)
+//	state, effects := state.Crashed(ctx, target, inFlight)
+//	state, effects = state.Received(ctx, suspicions)
+//	if state.Has(now, fingerprint) { ... }
 package quarantine
 
 import (
+	"slices"
 	"time"
 
 	"jayfold.dev/jayfold/internal/core/effect"
 	"jayfold.dev/jayfold/internal/core/fleet"
 )
 
+const (
+	// expiry is how long the evidence of a crash counts, and how long a quarantine lasts.
+	expiry = 10 * time.Minute
+	// crashesNeeded is the number of different targets whose crashes quarantine a fingerprint.
+	crashesNeeded = 2
+	// fewSuccesses is the credit up to which a fingerprint can be the cause of a crash: almost no successes.
+	fewSuccesses = 1
+	// clearedCredit is the credit of a fingerprint that another node cleared.
+	clearedCredit = fewSuccesses + 1
+	// maxSuspects bounds the fingerprints that are remembered; the ones that expire first make room.
+	maxSuspects = 512
+	// maxPerCrash bounds the fingerprints that one crash makes suspected.
+	maxPerCrash = 64
+	// recentlyDecided is how long a node's own decisions go with its replies.
+	recentlyDecided = time.Minute
+	// maxRecent bounds the fingerprints that go with one reply.
+	maxRecent = 16
+)
+
 // State holds the suspected and the quarantined fingerprints.
-type State struct{}
+type State struct {
+	suspects  fleet.Map[fleet.Fingerprint, suspect]
+	successes successes
+	// outgoing gives the ticks on which news is still to be sent.
+	outgoing fleet.Map[fleet.Fingerprint, int]
+}
+
+// Context is what the quarantine part is given with an event that may make it send messages.
+type Context struct {
+	Now    time.Time
+	Random uint64
+	// Peers lists the other members that are alive.
+	Peers func() []fleet.Member
+}
+
+// suspect is what is known of one fingerprint.
+type suspect struct {
+	// targets are those that crashed while a request with the fingerprint was in flight, in id order.
+	targets []fleet.TargetID
+	// credit counts successes, halved by each crash.
+	credit float64
+	until  time.Time
+	// told means that another node has quarantined the fingerprint.
+	told bool
+	// decided is when this node saw the crash that made the evidence sufficient.
+	decided time.Time
+}
+
+// convicted reports whether the evidence suffices for a quarantine.
+func (s suspect) convicted(now time.Time) bool {
+	return s.suspected(now) && (s.told || len(s.targets) >= crashesNeeded)
+}
+
+// suspected reports whether the fingerprint can be the cause of a crash.
+func (s suspect) suspected(now time.Time) bool {
+	return s.credit <= fewSuccesses && now.Before(s.until)
+}
 
 // New returns the state without any fingerprint.
 func New() State { return State{} }
 
 // Crashed says that a local target died while requests with these fingerprints were in flight.
-func (s State) Crashed(time.Time, fleet.TargetID, []fleet.Fingerprint) (State, []effect.Effect) {
-	return s, nil
+func (s State) Crashed(
+	ctx Context, target fleet.TargetID, inFlight []fleet.Fingerprint,
+) (State, []effect.Effect) {
+	inFlight = distinct(inFlight)
+	var effects []effect.Effect
+	var news []fleet.Fingerprint
+	for _, f := range inFlight[:min(len(inFlight), maxPerCrash)] {
+		before := s.get(ctx.Now, f)
+		after := before.crashed(ctx.Now, target)
+		if after.convicted(ctx.Now) && !before.convicted(ctx.Now) {
+			after.decided = ctx.Now
+			effects = append(effects, decided(f, after))
+		}
+		s = s.put(f, after)
+		if after.suspected(ctx.Now) {
+			news = append(news, f)
+		}
+	}
+	s, sent := s.spread(ctx, news)
+	return s, append(effects, sent...)
 }
 
-// Succeeded says that a request with this fingerprint was answered.
-func (s State) Succeeded(time.Time, fleet.Fingerprint) State { return s }
+// crashed returns the suspect after one more crash with it in flight.
+func (s suspect) crashed(now time.Time, target fleet.TargetID) suspect {
+	s.targets = union(s.targets, []fleet.TargetID{target})
+	s.credit /= 2
+	s.until = now.Add(expiry)
+	return s
+}
+
+// get returns what is known of a fingerprint. One that is new, or whose evidence has expired, starts with its successes.
+func (s State) get(now time.Time, f fleet.Fingerprint) suspect {
+	known, ok := s.suspects.Get(f)
+	if !ok || !now.Before(known.until) {
+		return suspect{credit: s.successes.of(f)}
+	}
+	return known
+}
 
-// Learned takes in fingerprints that another node quarantined.
-func (s State) Learned(time.Time, []fleet.Fingerprint) (State, []effect.Effect) { return s, nil }
+// put remembers a suspect, in place of the one that expires first when there are too many.
+func (s State) put(f fleet.Fingerprint, changed suspect) State {
+	if _, known := s.suspects.Get(f); !known && s.suspects.Len() >= maxSuspects {
+		s.suspects = s.suspects.Without(s.soonest())
+	}
+	s.suspects = s.suspects.With(f, changed)
+	return s
+}
+
+func (s State) soonest() fleet.Fingerprint {
+	var soonest fleet.Fingerprint
+	var until time.Time
+	for f, known := range s.suspects.All() {
+		if until.IsZero() || known.until.Before(until) {
+			soonest, until = f, known.until
+		}
+	}
+	return soonest
+}
+
+// Succeeded says that a request with this fingerprint was answered by a target.
+func (s State) Succeeded(now time.Time, f fleet.Fingerprint) State {
+	s.successes = s.successes.with(now, f)
+	before, ok := s.suspects.Get(f)
+	if !ok {
+		return s
+	}
+	after := before
+	after.credit++
+	s.suspects = s.suspects.With(f, after)
+	if before.suspected(now) && !after.suspected(now) {
+		s = s.queue(f)
+	}
+	return s
+}
+
+// Learned takes in fingerprints that another node quarantined, as its replies say.
+func (s State) Learned(now time.Time, fingerprints []fleet.Fingerprint) (State, []effect.Effect) {
+	for _, f := range fingerprints {
+		known := s.get(now, f)
+		if known.convicted(now) {
+			continue
+		}
+		known.told = true
+		known.until = now.Add(expiry)
+		s = s.put(f, known)
+	}
+	return s, nil
+}
 
 // Has reports whether a fingerprint is quarantined.
-func (s State) Has(time.Time, fleet.Fingerprint) bool { return false }
+func (s State) Has(now time.Time, f fleet.Fingerprint) bool {
+	known, ok := s.suspects.Get(f)
+	return ok && known.convicted(now)
+}
 
-// Recent lists the fingerprints to pass on with replies.
-func (s State) Recent() []fleet.Fingerprint { return nil }
+// Suspected reports whether a request with this fingerprint may have crashed a target, quarantined or not.
+func (s State) Suspected(now time.Time, f fleet.Fingerprint) bool {
+	known, ok := s.suspects.Get(f)
+	return ok && known.suspected(now)
+}
+
+// Recent lists the fingerprints that this node quarantined lately, to pass on with replies. What it was told is left out,
+// so that no quarantine outlives its time by going round.
+func (s State) Recent(now time.Time) []fleet.Fingerprint {
+	var recent []fleet.Fingerprint
+	for f, known := range s.suspects.All() {
+		if known.convicted(now) && now.Sub(known.decided) < recentlyDecided && len(recent) < maxRecent {
+			recent = append(recent, f)
+		}
+	}
+	return recent
+}
 
 // Status lists the quarantined fingerprints in order.
-func (s State) Status() []effect.QuarantineStatus { return nil }
+func (s State) Status(now time.Time) []effect.QuarantineStatus {
+	var status []effect.QuarantineStatus
+	for f, known := range s.suspects.All() {
+		if known.convicted(now) {
+			status = append(status, effect.QuarantineStatus{Fingerprint: f, Until: known.until})
+		}
+	}
+	return status
+}
+
+func distinct(fingerprints []fleet.Fingerprint) []fleet.Fingerprint {
+	sorted := slices.Clone(fingerprints)
+	slices.Sort(sorted)
+	return slices.Compact(sorted)
+}
+
+// union returns the targets of both lists in order, up to as many as a quarantine needs.
+func union(a, b []fleet.TargetID) []fleet.TargetID {
+	joined := slices.Concat(a, b)
+	slices.Sort(joined)
+	joined = slices.Compact(joined)
+	return joined[:min(len(joined), crashesNeeded)]
+}
 
-// Tick drops fingerprints whose time is over.
-func (s State) Tick(time.Time) State { return s }
+func decided(f fleet.Fingerprint, known suspect) effect.Effect {
+	return effect.Log{
+		Level: effect.Warn,
+		Part:  "quarantine",
+		Text:  "request quarantined",
+		Fields: []effect.Field{
+			{Name: "fingerprint", Value: uint64(f)},
+			{Name: "targets", Value: known.targets},
+		},
+	}
+}
