core/quarantine: tests, and evidence that a clearance drops

Cause: a member missed the news in the test at 540 members, and a popular lookup that had been cleared beside another node was quarantined at its next crash. Change: twelve sends per node and news instead of eight; a clearance drops the old evidence. The peer edge encodes message.Suspicions.

--- a/internal/core/quarantine/spread.go
+++ b/internal/core/quarantine/spread.go
@@ -10,9 +10,9 @@
 	// spreadAtOnce is the number of members that get news at once: a caller sends a request that crashed a target again
 	// within milliseconds, and in a small fleet three members are all.
 	spreadAtOnce = 3
-	// spreadTicks is the number of ticks on which news goes to one more member each. With eight sends per node, all but one
-	// in 3,000 members learn it.
-	spreadTicks = 5
+	// spreadTicks is the number of ticks on which news goes to one more member each. With twelve sends per node, a member
+	// misses the news with a probability of about 6e-6.
+	spreadTicks = 9
 	// maxPerMessage bounds the suspicions in one message.
 	maxPerMessage = 16
 	// maxOutgoing bounds the news that waits for the next ticks.
@@ -57,6 +57,7 @@
 		return s, false
 	}
 	known.credit = clearedCredit
+	known.targets, known.told = nil, false
 	s.suspects = s.suspects.With(f, known)
 	return s, true
 }
--- a/internal/core/quarantine/state.go
+++ b/internal/core/quarantine/state.go
@@ -33,8 +33,9 @@
 	crashesNeeded = 2
 	// fewSuccesses is the credit up to which a fingerprint can be the cause of a crash: almost no successes.
 	fewSuccesses = 1
-	// clearedCredit is the credit of a fingerprint that another node cleared.
-	clearedCredit = fewSuccesses + 1
+	// clearedCredit is the credit of a fingerprint that another node cleared. It outlasts the halving by one crash, before
+	// which old evidence may arrive late.
+	clearedCredit = 2*fewSuccesses + 1
 	// maxSuspects bounds the fingerprints that are remembered; the ones that expire first make room.
 	maxSuspects = 512
 	// maxPerCrash bounds the fingerprints that one crash makes suspected.
@@ -156,10 +157,11 @@
 	}
 	after := before
 	after.credit++
-	s.suspects = s.suspects.With(f, after)
 	if before.suspected(now) && !after.suspected(now) {
+		after.targets, after.told = nil, false
 		s = s.queue(f)
 	}
+	s.suspects = s.suspects.With(f, after)
 	return s
 }
 
--- /dev/null
+++ b/internal/core/quarantine/state_test.go
@@ -0,0 +1,212 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jayfold.dev/jayfold/internal/core/effect"
+	"jayfold.dev/jayfold/internal/core/fleet"
+	"jayfold.dev/jayfold/internal/core/message"
+	"jayfold.dev/jayfold/internal/core/quarantine"
+)
+
+const (
+	poison  = fleet.Fingerprint(1)
+	popular = fleet.Fingerprint(2)
+)
+
+// cluster is a few nodes whose messages arrive at once.
+type cluster struct {
+	now    time.Time
+	states map[fleet.NodeID]quarantine.State
+	nodes  []fleet.NodeID
+	random uint64
+	sent   int
+}
+
+func newCluster(size int) *cluster {
+	c := &cluster{now: time.Unix(1000, 0), states: map[fleet.NodeID]quarantine.State{}}
+	for i := range size {
+		id := fleet.NodeID(fmt.Sprintf("n%03d", i))
+		c.nodes = append(c.nodes, id)
+		c.states[id] = quarantine.New()
+	}
+	return c
+}
+
+func (c *cluster) context(self fleet.NodeID) quarantine.Context {
+	c.random = c.random*6364136223846793005 + 1442695040888963407
+	return quarantine.Context{Now: c.now, Random: c.random >> 8, Peers: func() []fleet.Member {
+		var peers []fleet.Member
+		for _, id := range c.nodes {
+			if id != self {
+				peers = append(peers, fleet.Member{Node: id})
+			}
+		}
+		return peers
+	}}
+}
+
+// deliver hands every message on until there is none.
+func (c *cluster) deliver(effects []effect.Effect) {
+	for len(effects) > 0 {
+		send, ok := effects[0].(effect.Send)
+		effects = effects[1:]
+		if !ok {
+			continue
+		}
+		c.sent++
+		suspicions := send.Message.(message.Suspicions).Suspicions
+		state, more := c.states[send.To].Received(c.context(send.To), suspicions)
+		c.states[send.To] = state
+		effects = append(effects, more...)
+	}
+}
+
+func (c *cluster) crash(node fleet.NodeID, target string, inFlight ...fleet.Fingerprint) {
+	state, effects := c.states[node].Crashed(c.context(node), fleet.NewTargetID(node, target), inFlight)
+	c.states[node] = state
+	c.deliver(effects)
+}
+
+func (c *cluster) succeed(node fleet.NodeID, f fleet.Fingerprint, times int) {
+	for range times {
+		c.states[node] = c.states[node].Succeeded(c.now, f)
+	}
+}
+
+func (c *cluster) tick() {
+	c.now = c.now.Add(100 * time.Millisecond)
+	for _, id := range c.nodes {
+		state, effects := c.states[id].Tick(c.context(id))
+		c.states[id] = state
+		c.deliver(effects)
+	}
+}
+
+// holding returns the number of nodes that quarantine the fingerprint.
+func (c *cluster) holding(f fleet.Fingerprint) int {
+	count := 0
+	for _, state := range c.states {
+		if state.Has(c.now, f) {
+			count++
+		}
+	}
+	return count
+}
+
+// Guards against a request that crashes one target after the other because no node sees two of its crashes.
+func TestTwoTargetsQuarantineEverywhere(t *testing.T) {
+	t.Run("crashes beside two nodes", func(t *testing.T) {
+		is, c := is.New(t), newCluster(3)
+		c.crash("n000", "a", poison)
+		is.Equal(c.holding(poison), 0)
+		is.True(c.states["n002"].Suspected(c.now, poison))
+		c.crash("n001", "a", poison)
+		is.Equal(c.holding(poison), 3)
+		is.Equal(c.states["n001"].Recent(c.now), []fleet.Fingerprint{poison})
+		is.Equal(len(c.states["n002"].Recent(c.now)), 0) // only the node that decided tells it on
+	})
+	t.Run("both before either node was told", func(t *testing.T) {
+		is, c := is.New(t), newCluster(2)
+		a, fromA := c.states["n000"].Crashed(c.context("n000"), "n000/a", []fleet.Fingerprint{poison})
+		b, fromB := c.states["n001"].Crashed(c.context("n001"), "n001/a", []fleet.Fingerprint{poison})
+		c.states["n000"], c.states["n001"] = a, b
+		c.deliver(append(fromA, fromB...))
+		is.Equal(c.holding(poison), 2)
+	})
+	t.Run("one target twice is not enough", func(t *testing.T) {
+		is, c := is.New(t), newCluster(3)
+		c.crash("n000", "a", poison)
+		c.crash("n000", "a", poison)
+		is.Equal(c.holding(poison), 0)
+	})
+	t.Run("design size", func(t *testing.T) {
+		is, c := is.New(t), newCluster(540)
+		c.crash("n000", "a", poison)
+		c.crash("n001", "a", poison)
+		for range 30 {
+			c.tick()
+		}
+		is.Equal(c.holding(poison), 540)
+		is.True(c.sent <= 2*12*540) // each node sends each piece of news at most twelve times
+		before := c.sent
+		c.tick()
+		is.Equal(c.sent, before) // nothing goes round for ever
+	})
+}
+
+// Guards against refusing a popular lookup that merely was in flight when targets crashed.
+func TestSuccessesClear(t *testing.T) {
+	t.Run("successes before the crashes", func(t *testing.T) {
+		is, c := is.New(t), newCluster(3)
+		c.succeed("n000", popular, 10)
+		c.crash("n000", "a", poison, popular)
+		c.crash("n001", "a", poison, popular)
+		is.Equal(c.holding(poison), 3)
+		is.Equal(c.holding(popular), 0)
+	})
+	t.Run("successes between the crashes, beside another node", func(t *testing.T) {
+		is, c := is.New(t), newCluster(3)
+		c.crash("n000", "a", popular)
+		c.succeed("n001", popular, 3)
+		for range 10 {
+			c.tick()
+		}
+		is.True(!c.states["n000"].Suspected(c.now, popular))
+		c.crash("n002", "a", popular)
+		is.Equal(c.holding(popular), 0)
+	})
+	t.Run("a request that turned bad is found by its further crashes", func(t *testing.T) {
+		is, c := is.New(t), newCluster(1)
+		c.succeed("n000", poison, 10)
+		for i := range 4 {
+			is.Equal(c.holding(poison), 0)
+			c.crash("n000", fmt.Sprint(i), poison)
+		}
+		is.Equal(c.holding(poison), 1)
+	})
+}
+
+// Guards against a quarantine that never ends, and against memory that grows with the number of requests.
+func TestExpiryAndBounds(t *testing.T) {
+	t.Run("ten minutes", func(t *testing.T) {
+		is, c := is.New(t), newCluster(3)
+		c.crash("n000", "a", poison)
+		c.crash("n001", "a", poison)
+		state, _ := c.states["n002"].Learned(c.now, c.states["n001"].Recent(c.now))
+		c.states["n002"] = state
+		c.now = c.now.Add(10*time.Minute - time.Second)
+		is.Equal(c.holding(poison), 3)
+		is.Equal(len(c.states["n000"].Status(c.now)), 1)
+		c.now = c.now.Add(time.Second)
+		is.Equal(c.holding(poison), 0)
+	})
+	t.Run("told by a reply", func(t *testing.T) {
+		is, c := is.New(t), newCluster(1)
+		c.states["n000"], _ = c.states["n000"].Learned(c.now, []fleet.Fingerprint{poison})
+		is.Equal(c.holding(poison), 1)
+		is.Equal(len(c.states["n000"].Recent(c.now)), 0)
+	})
+	t.Run("crashes more than ten minutes apart", func(t *testing.T) {
+		is, c := is.New(t), newCluster(1)
+		c.crash("n000", "a", poison)
+		c.now = c.now.Add(10 * time.Minute)
+		c.crash("n000", "b", poison)
+		is.Equal(c.holding(poison), 0)
+	})
+	t.Run("many fingerprints", func(t *testing.T) {
+		is, c := is.New(t), newCluster(1)
+		for i := range 2000 {
+			c.now = c.now.Add(time.Millisecond)
+			for _, target := range []string{"a", "b"} {
+				c.crash("n000", target, fleet.Fingerprint(i))
+			}
+		}
+		is.Equal(len(c.states["n000"].Status(c.now)), 512)
+		is.True(c.states["n000"].Has(c.now, 1999)) // the oldest make room
+	})
+}
--- a/internal/edge/peer/message_codec.go
+++ b/internal/edge/peer/message_codec.go
@@ -80,6 +80,7 @@
 	newCodec("LeaseRefusal", messageLimit, leaseRefusalToWire, leaseRefusalFromWire),
 	newCodec("LeaseRelease", messageLimit, leaseReleaseToWire, leaseReleaseFromWire),
 	newCodec("LeaseRecall", messageLimit, leaseRecallToWire, leaseRecallFromWire),
+	newCodec("Suspicions", messageLimit, suspicionsToWire, suspicionsFromWire),
 	newCodec("TablesRequest", messageLimit, tablesRequestToWire, tablesRequestFromWire),
 	newCodec("TablesContent", contentLimit, tablesContentToWire, tablesContentFromWire),
 }
--- /dev/null
+++ b/internal/edge/peer/message_suspicion.go
@@ -0,0 +1,58 @@
+package peer
+
+import (
+	"errors"
+	"time"
+
+	"jayfold.dev/jayfold/internal/core/fleet"
+	"jayfold.dev/jayfold/internal/core/message"
+)
+
+type wireSuspicion struct {
+	Fingerprint uint64
+	Targets     []string
+	Remaining   time.Duration
+	Cleared     bool
+}
+
+type wireSuspicions struct {
+	Suspicions []wireSuspicion
+}
+
+var errSuspicion = errors.New("a suspicion has a missing or oversized name or a negative duration")
+
+func suspicionsToWire(m message.Suspicions) wireSuspicions {
+	return wireSuspicions{Suspicions: each(m.Suspicions, suspicionToWire)}
+}
+
+func suspicionsFromWire(w wireSuspicions) (message.Suspicions, error) {
+	suspicions, err := eachChecked(w.Suspicions, suspicionFromWire)
+	return message.Suspicions{Suspicions: suspicions}, err
+}
+
+func suspicionToWire(s fleet.Suspicion) wireSuspicion {
+	return wireSuspicion{
+		Fingerprint: uint64(s.Fingerprint),
+		Targets:     each(s.Targets, func(id fleet.TargetID) string { return string(id) }),
+		Remaining:   s.Remaining,
+		Cleared:     s.Cleared,
+	}
+}
+
+func suspicionFromWire(w wireSuspicion) (fleet.Suspicion, error) {
+	targets, err := eachChecked(w.Targets, func(name string) (fleet.TargetID, error) {
+		if !named(name) {
+			return "", errSuspicion
+		}
+		return fleet.TargetID(name), nil
+	})
+	if err == nil && w.Remaining < 0 {
+		err = errSuspicion
+	}
+	return fleet.Suspicion{
+		Fingerprint: fleet.Fingerprint(w.Fingerprint),
+		Targets:     targets,
+		Remaining:   w.Remaining,
+		Cleared:     w.Cleared,
+	}, err
+}
--- a/internal/edge/peer/message_test.go
+++ b/internal/edge/peer/message_test.go
@@ -229,6 +229,7 @@
 	"LeaseRefusal":  sample[message.LeaseRefusal](),
 	"LeaseRelease":  sample[message.LeaseRelease](),
 	"LeaseRecall":   sample[message.LeaseRecall](),
+	"Suspicions":    sample[message.Suspicions](),
 	"TablesRequest": sample[message.TablesRequest](),
 	"TablesContent": sample[message.TablesContent](),
 }
