core/ejection: eject failing targets under in-service leases

Cause: the part was a stub, so no target was ever ejected. Change: a failing target asks targets of its pool for leases and is ejected when Floor of them promise to stay in service. The asker's lease counts from the send time and loses 1% for clock drift, the promise counts from the receive time. Targets that are suspect refuse and say so; when two of them and a third of the answers are suspect, the pool fails as a whole and nobody is ejected. LeaseRequest carries the asker's share of bad requests, which decides about recalls; LeaseRefusal says whether the grantor is suspect; LeaseRelease names the request number that it ends, because a release delayed past a later request would drop a promise that is in use. The context gives the detector's evidence. A stateful fuzz over a network that loses, repeats, delays, reorders and cuts, with pauses, restarts, deaths, drains, changing floors and drifting clocks, checks the floor after each step and the return at the end. Conclusion: an early form kept the floor from when a target began to ask. The fuzz found that a floor raised during the round was then broken; the floor is now read from the tables at every event.

--- /dev/null
+++ b/internal/core/ejection/decision.go
@@ -0,0 +1,148 @@
+package ejection
+
+import (
+	"time"
+
+	"jayfold.dev/jayfold/internal/core/effect"
+	"jayfold.dev/jayfold/internal/core/fleet"
+)
+
+// The pool fails as a whole when at least minSuspects other targets, and one in suspectShare of those that answered, are
+// suspect themselves. An availability zone of three, or a rack, stays below the share and can be ejected.
+const (
+	minSuspects  = 2
+	suspectShare = 3
+)
+
+// hold is a reason for which a failing target is not ejected.
+type hold string
+
+const (
+	heldFloor      hold = "too few healthy targets granted a lease"
+	heldCorrelated hold = "the pool fails as a whole"
+	heldPromised   hold = "the target has granted a lease"
+	heldStarted    hold = "the node has just started"
+)
+
+// round sums up the answers to a round of requests.
+type round struct {
+	asked, answered, suspects int
+}
+
+func (l local) round() round {
+	r := round{asked: l.leases.Len()}
+	for _, held := range l.leases.All() {
+		switch held.answer {
+		case suspect:
+			r.suspects++
+			r.answered++
+		case granted, refused:
+			r.answered++
+		}
+	}
+	return r
+}
+
+func (r round) correlated() bool {
+	return r.suspects >= minSuspects && r.suspects*suspectShare >= r.answered
+}
+
+// decide ends a target's round of requests when enough is known.
+func (s State) decide(ctx Context, id fleet.TargetID) (State, []effect.Effect) {
+	l, _ := s.targets.Get(id)
+	if l.phase != asking {
+		return s, nil
+	}
+	r := l.round()
+	complete := r.answered == r.asked
+	waited := ctx.Now.Sub(l.asked)
+	switch {
+	case !complete && waited < opinionWait:
+		return s, nil
+	case r.correlated():
+		return s.hold(ctx, id, heldCorrelated)
+	case l.fresh(ctx.Now) >= l.needed():
+		return s.eject(ctx, id)
+	case complete || waited >= askWindow:
+		return s.hold(ctx, id, heldFloor)
+	default:
+		return s, nil
+	}
+}
+
+// eject takes the target out of service and releases the leases beyond the spare ones.
+func (s State) eject(ctx Context, id fleet.TargetID) (State, []effect.Effect) {
+	l, _ := s.targets.Get(id)
+	l.phase = ejected
+	l.retry = false
+	l.held = fleet.Set[hold]{}
+	l.comeback = l.comeback.ejected(ctx.Now)
+	s.targets = s.targets.With(id, l)
+	kept := 0
+	var effects []effect.Effect
+	for grantor, held := range l.leases.All() {
+		if held.fresh(ctx.Now) && kept < l.needed()+spareLeases {
+			kept++
+			continue
+		}
+		next, more := s.release(ctx, id, grantor)
+		s = next
+		effects = append(effects, more...)
+	}
+	return s, append(effects,
+		decision(effect.Warn, "target set out of service", id, l,
+			effect.Field{Name: "Leases", Value: kept},
+			effect.Field{Name: "TrialsAfter", Value: l.comeback.wait}),
+		count("ejections", l, "failing"))
+}
+
+// hold keeps a failing target in service. Each reason is logged once until the target
+// is ejected or has been healthy for long. A target of a pool
+// that fails as a whole asks again only after another judgement.
+func (s State) hold(ctx Context, id fleet.TargetID, reason hold) (State, []effect.Effect) {
+	s, effects := s.releaseAll(ctx, id)
+	l, _ := s.targets.Get(id)
+	logged := l.held.Has(reason)
+	l.phase = serving
+	l.held = l.held.With(reason)
+	l.retry = reason != heldCorrelated
+	l.nextAsk = ctx.Now.Add(minBackoff + time.Duration(ctx.Random%uint64(minBackoff)))
+	s.targets = s.targets.With(id, l)
+	if logged {
+		return s, effects
+	}
+	return s, append(effects,
+		decision(effect.Warn, "failing target kept in service", id, l, effect.Field{Name: "Reason", Value: string(reason)}),
+		count("ejections_held", l, string(reason)))
+}
+
+// returned puts an ejected target back into service.
+func (s State) returned(ctx Context, id fleet.TargetID, reason string) (State, []effect.Effect) {
+	s, effects := s.releaseAll(ctx, id)
+	l, _ := s.targets.Get(id)
+	l.phase = serving
+	l.comeback = l.comeback.back(ctx.Now)
+	s.targets = s.targets.With(id, l)
+	return s, append(effects,
+		decision(effect.Info, "target returned to service", id, l, effect.Field{Name: "Reason", Value: reason}),
+		count("returns", l, reason))
+}
+
+// decision returns the log line of a decision with the evidence for it.
+func decision(level effect.Level, text string, id fleet.TargetID, l local, more ...effect.Field) effect.Effect {
+	fields := []effect.Field{
+		{Name: "Target", Value: id},
+		{Name: "Pool", Value: l.pool},
+		{Name: "Floor", Value: l.floor},
+		{Name: "Judged", Value: l.evidence.Judged},
+		{Name: "Bad", Value: l.evidence.Bad},
+		{Name: "Threshold", Value: l.evidence.Threshold},
+		{Name: "Baseline", Value: l.evidence.Baseline},
+	}
+	return effect.Log{Level: level, Part: "ejection", Text: text, Fields: append(fields, more...)}
+}
+
+func count(name string, l local, reason string) effect.Effect {
+	tags := []effect.Tag{{Name: "Pool", Value: string(l.pool)}, {Name: "Reason", Value: reason}}
+	return effect.Count{Name: name, Tags: tags, Delta: 1}
+}
--- a/internal/core/message/message.go
+++ b/internal/core/message/message.go
@@ -74,6 +74,8 @@
 	Asker   fleet.TargetID
 	Grantor fleet.TargetID
 	Pool    fleet.PoolName
+	// BadShare is the share of bad requests that the asker was judged on.
+	BadShare float64
 }
 
 // LeaseGrant answers a LeaseRequest. The lease ends Duration after the asker sent the request.
@@ -89,10 +91,15 @@
 	Number  uint64
 	Asker   fleet.TargetID
 	Grantor fleet.TargetID
+	// Suspect means that the grantor may be failing itself.
+	Suspect bool
 }
 
-// LeaseRelease says that the asker no longer needs the lease.
+// LeaseRelease says that the asker no longer relies on the lease, nor on any earlier request to the grantor.
 type LeaseRelease struct {
+	// Number is that of the asker's last request to the grantor. A release with another number than the grantor's last
+	// one was overtaken by a request and has no effect.
+	Number  uint64
 	Asker   fleet.TargetID
 	Grantor fleet.TargetID
 }
--- a/internal/core/node/sidecar.go
+++ b/internal/core/node/sidecar.go
@@ -20,7 +20,7 @@
 		Directory:   s.membership.Directory(),
 		Local:       s.admission.Targets(),
 		PeerAddress: s.membership.PeerAddress,
-		Score:       func(id fleet.TargetID) float64 { return s.detection.Evidence(id).Score },
+		Evidence:    s.detection.Evidence,
 	}
 }
 
