core/node: report trials to the ejection part and count server errors

Cause: the ejection part spaces the trials of an ejected target and must know when one starts and ends; an answer with a status of 500 or more carries no problem and was counted as good. Change: admissionAsked reports a trial that started, runFinished one that ended; judge counts statuses from 500.

--- a/internal/core/node/sidecar.go
+++ b/internal/core/node/sidecar.go
@@ -28,9 +28,17 @@
 	gate := s.ejection.Gate(ev.At, body.Attempt.Target)
 	next, effects := s.admission.Asked(ev.At, body.Attempt, gate)
 	s.admission = next
+	if gate == admission.Trial && slices.ContainsFunc(effects, startsRun) {
+		s.ejection = s.ejection.Tried(ev.At, body.Attempt.Target)
+	}
 	return s, s.completeReports(ev.At, effects)
 }
 
+func startsRun(e effect.Effect) bool {
+	_, ok := e.(effect.Run)
+	return ok
+}
+
 // completeReports adds to the reports on their way to an ingress what the other parts know.
 func (s State) completeReports(now time.Time, effects []effect.Effect) []effect.Effect {
 	for i, e := range effects {
@@ -63,6 +71,7 @@
 	if !ok {
 		return s, effects
 	}
+	s.ejection = s.ejection.TrialFinished(run.Attempt.Target)
 	if body.Outcome.Crashed {
 		var crash []effect.Effect
 		s, crash = s.targetCrashed(ev, run)
@@ -84,6 +93,9 @@
 	return s, effects
 }
 
+// firstServerError is the lowest HTTP status of an answer that counts as a failure of the target.
+const firstServerError = 500
+
 // judge feeds the detector. Cancelled runs and crashes by a quarantined request say nothing of the target.
 func (s State) judge(ev event.Event, run admission.Run, outcome fleet.Outcome) (State, []effect.Effect) {
 	problem, failed := outcome.Problem.Get()
@@ -95,7 +107,7 @@
 	next, judgement := s.detection.Observed(ev.At, detection.Sample{
 		Target:                target,
 		Class:                 run.Attempt.Class,
-		Failed:                failed,
+		Failed:                failed || outcome.Status >= firstServerError,
 		Took:                  outcome.Took,
 		Baseline:              run.Attempt.Baseline,
 		FalseEjectionInterval: pool.FalseEjectionInterval,
