--- a/internal/core/node/sidecar.go
+++ b/internal/core/node/sidecar.go
@@ -20,7 +20,7 @@
 		Directory:   s.membership.Directory(),
 		Local:       s.admission.Targets(),
 		PeerAddress: s.membership.PeerAddress,
-		Score:       func(id fleet.TargetID) float64 { return s.detection.Evidence(id).Score },
+		Evidence:    s.detection.Evidence,
 	}
 }
 
@@ -34,11 +34,20 @@
 }
 
 func (s State) admissionAsked(ev event.Event, body event.AdmissionAsked) (State, []effect.Effect) {
+	gate := s.ejection.Gate(ev.At, body.Attempt.Target)
 	next, effects := s.admission.Asked(s.admissionContext(ev), body.Attempt)
 	s.admission = next
+	if gate == admission.Trial && slices.ContainsFunc(effects, startsRun) {
+		s.ejection = s.ejection.Tried(ev.At, body.Attempt.Target)
+	}
 	return s, s.completeReports(ev.At, effects)
 }
 
+func startsRun(e effect.Effect) bool {
+	_, ok := e.(effect.Run)
+	return ok
+}
+
 // completeReports adds to the reports on their way to an ingress what the other parts know.
 func (s State) completeReports(now time.Time, effects []effect.Effect) []effect.Effect {
 	for i, e := range effects {
@@ -72,6 +81,7 @@
 		return s, effects
 	}
 	run := finished.Run
+	s.ejection = s.ejection.TrialFinished(run.Attempt.Target)
 	if body.Outcome.Verdict() == fleet.Ran {
 		s.quarantine = s.quarantine.Succeeded(ev.At, run.Attempt.Fingerprint)
 	} else {
@@ -106,6 +116,9 @@
 	return slices.ContainsFunc(inFlight, func(f fleet.Fingerprint) bool { return s.quarantine.Suspected(now, f) })
 }
 
+// firstServerError is the lowest HTTP status of an answer that counts as a failure of the target.
+const firstServerError = 500
+
 // judge feeds the detector. Cancelled runs and crashes by a quarantined request say nothing of the target.
 func (s State) judge(ev event.Event, run admission.Run, outcome fleet.Outcome) (State, []effect.Effect) {
 	problem, failed := outcome.Problem.Get()
@@ -117,7 +130,7 @@
 	next, judgement := s.detection.Observed(ev.At, detection.Sample{
 		Target:                target,
 		Class:                 run.Attempt.Class,
-		Failed:                failed,
+		Failed:                failed || outcome.Status >= firstServerError,
 		Took:                  outcome.Took,
 		Baseline:              run.Attempt.Baseline,
 		FalseEjectionInterval: pool.FalseEjectionInterval,
