core/tables: keep a step short and bound the time after an outage

Cause: a node that was behind walked over all 540 peers on each tick, the delays followed from the peers seen lately instead of the fleet's size, and a change made at the end of an outage came late.

Change: at most 8 peers with a newer revision are kept; the fleet's size comes from membership; the longest retry is 10 s, and a node that comes back after three failures reads at once.

--- a/internal/core/node/platform.go
+++ b/internal/core/node/platform.go
@@ -10,7 +10,7 @@
 	var effects []effect.Effect
 	switch body := ev.Body.(type) {
 	case event.HeadRead:
-		s.tables, effects = s.tables.HeadRead(ev.At, ev.Random, body.Head, body.Version)
+		s.tables, effects = s.tables.HeadRead(ev.At, ev.Random, s.membership.Len(), body.Head, body.Version)
 	case event.TablesDecoded:
 		s.tables, effects = s.tables.Decoded(ev.At, body.Tables, body.Content)
 	case event.TablesRejected:
--- a/internal/core/tables/delay.go
+++ b/internal/core/tables/delay.go
@@ -6,39 +6,42 @@
 )
 
 const (
-	// rearmPerPeer and longestRearm spread the watches that one change ends: 540 nodes start new ones over a second,
+	// rearmPerMember and longestRearm spread the watches that one change ends: 540 nodes start new ones over a second,
 	// within the 2,000 reads a second that the platform accepts.
-	rearmPerPeer = 2 * time.Millisecond
-	longestRearm = time.Second
-	// fetchPerPeer and longestFetch spread the reads of a new revision. Together with the longest rearm, the wait for one
+	rearmPerMember = 2 * time.Millisecond
+	longestRearm   = time.Second
+	// fetchPerMember and longestFetch spread the reads of a new revision. Together with the longest rearm, the wait for one
 	// peer and the reads themselves, a change is in force within 6 s.
-	fetchPerPeer = 10 * time.Millisecond
-	longestFetch = 3 * time.Second
-	// firstRetry and longestRetry bound the delay after a failed call, which doubles with each failure. At 30 s, 540 nodes
-	// make 18 to 36 calls a second during an outage and come back over half a minute after it.
+	fetchPerMember = 10 * time.Millisecond
+	longestFetch   = 3 * time.Second
+	// firstRetry and longestRetry bound the delay after a failed call, which doubles with each failure. At 10 s, 540 nodes
+	// make 54 to 108 calls a second during an outage, and a change made right after it is in force within 6 s: the first
+	// nodes find it at once and their peers ask them. With 30 s it took 6.5 s.
 	firstRetry   = time.Second
-	longestRetry = 30 * time.Second
+	longestRetry = 10 * time.Second
+	// spreadFailures is the number of failures in a row after which the retries alone spread the nodes over 2 s or more, so
+	// that no delay before a fetch is needed.
+	spreadFailures = 3
 	// rejectedDelay comes before a revision that did not decode is read again. It can become readable only when someone
 	// repairs the platform's values.
 	rejectedDelay = time.Minute
 )
 
-// rearmDelay returns the delay before the next watch.
-func (s State) rearmDelay(random uint64) time.Duration {
-	return scale(min(longestRearm, rearmPerPeer*time.Duration(s.peers.Len())), lowFraction(random))
+// rearmDelay returns the delay before the next watch in a fleet of the given size.
+func rearmDelay(random uint64, members int) time.Duration {
+	return scale(min(longestRearm, rearmPerMember*time.Duration(members)), lowFraction(random))
 }
 
 // fetchDelay returns the delay before a node reads a new revision from the platform. Its density grows exponentially, by
 // the size of the fleet: few nodes draw a short delay and read the platform, and by the time the many others are due they
-// have seen the revision at a peer. A node that serves nothing yet does not wait.
-func (s State) fetchDelay(random uint64) time.Duration {
-	if s.current.Revision == 0 {
+// have seen the revision at a peer. A node that serves nothing yet, or comes back after an outage, does not wait.
+func (s State) fetchDelay(random uint64, members int) time.Duration {
+	if s.current.Revision == 0 || s.watch.failures >= spreadFailures {
 		return 0
 	}
-	peers := s.peers.Len()
-	longest := min(longestFetch, fetchPerPeer*time.Duration(peers))
+	longest := min(longestFetch, fetchPerMember*time.Duration(members))
 	// With this growth about one node of the fleet is due in the first part of the time, whatever the fleet's size.
-	growth := math.Log(float64(peers) + math.E)
+	growth := math.Log(float64(members) + math.E)
 	return scale(longest, math.Log1p(highFraction(random)*math.Expm1(growth))/growth)
 }
 
--- a/internal/core/tables/peers.go
+++ b/internal/core/tables/peers.go
@@ -16,19 +16,17 @@
 	askPause = 5 * time.Second
 )
 
-// peer is a node that showed its revision.
-type peer struct {
+// maxHolders bounds the peers kept for the case that one does not answer. It keeps a step short in a fleet of any size.
+const maxHolders = 8
+
+// holder is a peer that showed a newer revision than the one in force.
+type holder struct {
 	address  string
 	revision fleet.Revision
 	// barred is when the peer may be asked again after its tables did not decode.
 	barred time.Time
 }
 
-// wanted reports whether the peer is to be asked by a node with the given revision.
-func (p peer) wanted(now time.Time, current fleet.Revision) bool {
-	return p.revision > current && !now.Before(p.barred)
-}
-
 // ask is the request for the tables of one peer. At most one is under way.
 type ask struct {
 	// of is the peer that was asked; empty means none.
@@ -55,13 +53,15 @@
 
 // Seen takes in the revision that another node showed, and asks for it when it is newer.
 func (s State) Seen(now time.Time, from fleet.NodeID, address string, r fleet.Revision) (State, []effect.Effect) {
-	known, ok := s.peers.Get(from)
-	p := peer{address: address, revision: r, barred: known.barred}
-	if !ok || p != known {
-		s.peers = s.peers.With(from, p)
-	}
 	s.newest = max(s.newest, r)
-	if !p.wanted(now, s.current.Revision) || s.ask.waiting(now) || now.Before(s.pause) {
+	if r <= s.current.Revision {
+		if s.holders.Len() > 0 {
+			s.holders = s.holders.Without(from)
+		}
+		return s, nil
+	}
+	s = s.withHolder(from, address, r)
+	if known, _ := s.holders.Get(from); now.Before(known.barred) || !s.mayAsk(now) {
 		return s, nil
 	}
 	silent := s.ask.of
@@ -73,43 +73,64 @@
 	return s.askPeer(now, from, address)
 }
 
-// barPeer keeps a peer whose tables did not decode from being asked for a while.
-func (s State) barPeer(now time.Time, id fleet.NodeID) State {
+// withHolder notes a peer with a newer revision, if there is room.
+func (s State) withHolder(id fleet.NodeID, address string, r fleet.Revision) State {
+	known, ok := s.holders.Get(id)
+	next := holder{address: address, revision: r, barred: known.barred}
+	if known == next || (!ok && s.holders.Len() >= maxHolders) {
+		return s
+	}
+	s.holders = s.holders.With(id, next)
+	return s
+}
+
+// withoutOlder drops the peers whose revision is no longer newer.
+func (s State) withoutOlder() State {
+	for id, h := range s.holders.All() {
+		if h.revision <= s.current.Revision {
+			s.holders = s.holders.Without(id)
+		}
+	}
+	return s
+}
+
+// barHolder keeps a peer whose tables did not decode from being asked for a while.
+func (s State) barHolder(now time.Time, id fleet.NodeID) State {
 	s.pause = now.Add(askPause)
-	if p, ok := s.peers.Get(id); ok {
-		p.barred = now.Add(rejectedDelay)
-		s.peers = s.peers.With(id, p)
+	if h, ok := s.holders.Get(id); ok {
+		h.barred = now.Add(rejectedDelay)
+		s.holders = s.holders.With(id, h)
 	}
 	return s
 }
 
+// mayAsk reports whether a peer may be asked now.
+func (s State) mayAsk(now time.Time) bool { return !s.ask.waiting(now) && !now.Before(s.pause) }
+
 // askAny asks a randomly chosen peer that showed a newer revision, when there is one and none is being asked.
 func (s State) askAny(now time.Time, random uint64) (State, []effect.Effect) {
-	if s.ask.waiting(now) || now.Before(s.pause) {
+	if !s.mayAsk(now) {
 		return s, nil
 	}
 	s = s.dropSilent()
-	if s.newest <= s.current.Revision {
-		return s, nil
-	}
-	var holders []fleet.NodeID
-	for id, p := range s.peers.All() {
-		if p.wanted(now, s.current.Revision) {
-			holders = append(holders, id)
+	var ids []fleet.NodeID
+	for id, h := range s.holders.All() {
+		if !now.Before(h.barred) {
+			ids = append(ids, id)
 		}
 	}
-	if len(holders) == 0 {
+	if len(ids) == 0 {
 		return s, nil
 	}
-	chosen := holders[random%uint64(len(holders))]
-	p, _ := s.peers.Get(chosen)
-	return s.askPeer(now, chosen, p.address)
+	chosen := ids[random%uint64(len(ids))]
+	h, _ := s.holders.Get(chosen)
+	return s.askPeer(now, chosen, h.address)
 }
 
 // dropSilent forgets a peer that did not answer in time, until it shows its revision again.
 func (s State) dropSilent() State {
 	if s.ask.of != "" {
-		s.peers = s.peers.Without(s.ask.of)
+		s.holders = s.holders.Without(s.ask.of)
 		s.ask = ask{}
 	}
 	return s
--- a/internal/core/tables/platform.go
+++ b/internal/core/tables/platform.go
@@ -69,10 +69,14 @@
 }
 
 // HeadRead takes in what the platform's head says. The head has revision 0 when it has not changed or does not exist.
-func (s State) HeadRead(now time.Time, random uint64, head fleet.Head, version uint64) (State, []effect.Effect) {
+// Members is the number of nodes in the fleet, which sets the delays.
+func (s State) HeadRead(
+	now time.Time, random uint64, members int, head fleet.Head, version uint64,
+) (State, []effect.Effect) {
 	effects := s.found()
 	s.platform = true
-	s.watch = watch{due: now.Add(s.rearmDelay(random)), version: version}
+	fetchDelay := s.fetchDelay(random, members)
+	s.watch = watch{due: now.Add(rearmDelay(random, members)), version: version}
 	if head.Revision == 0 {
 		return s, effects
 	}
@@ -83,7 +87,7 @@
 	}
 	if head.Revision > s.fetch.head.Revision {
 		s.fetch.head = head
-		s.fetch.due = now.Add(s.fetchDelay(random))
+		s.fetch.due = now.Add(fetchDelay)
 		s.fetch.failures = 0
 	}
 	s, asking := s.askAny(now, random)
--- /dev/null
+++ b/internal/core/tables/property_test.go
@@ -0,0 +1,68 @@
+package tables_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"jayfold.dev/jayfold/internal/core/fleet"
+)
+
+// TestRevisionsNeverGoBack guards against a node that takes an older revision, or one that was never accepted, when
+// messages are lost, repeated and reordered and the platform fails; and against a node that stays behind afterwards.
+func TestRevisionsNeverGoBack(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		random := rapid.Uint64()
+		w := newWorld(rapid.IntRange(2, 5).Draw(rt, "nodes"), func() uint64 { return random.Draw(rt, "random") })
+		reached := make([]fleet.Revision, len(w.nodes))
+		node := rapid.IntRange(0, len(w.nodes)-1)
+		pick := func(rt *rapid.T) int {
+			if len(w.queue) == 0 {
+				rt.Skip("nothing is under way")
+			}
+			return rapid.IntRange(0, len(w.queue)-1).Draw(rt, "under way")
+		}
+		pickMessage := func(rt *rapid.T) int {
+			i := pick(rt)
+			if !w.queue[i].message {
+				rt.Skip("only messages are lost and repeated")
+			}
+			return i
+		}
+		rt.Repeat(map[string]func(*rapid.T){
+			"apply":   func(*rapid.T) { w.apply() },
+			"outage":  func(*rapid.T) { w.setOutage(!w.outage) },
+			"deliver": func(rt *rapid.T) { w.deliver(pick(rt)) },
+			"lose": func(rt *rapid.T) {
+				i := pickMessage(rt)
+				w.queue = append(w.queue[:i:i], w.queue[i+1:]...)
+			},
+			"repeat": func(rt *rapid.T) { w.queue = append(w.queue, w.queue[pickMessage(rt)]) },
+			"talk":   func(rt *rapid.T) { w.exchange(node.Draw(rt, "from"), node.Draw(rt, "to")) },
+			"tick": func(rt *rapid.T) {
+				w.now = w.now.Add(time.Duration(rapid.IntRange(1, 2000).Draw(rt, "milliseconds")) * time.Millisecond)
+				w.tick(node.Draw(rt, "node"))
+			},
+			"": func(rt *rapid.T) {
+				for i, s := range w.nodes {
+					r := s.Current().Revision
+					if r < reached[i] || r > w.head {
+						rt.Fatalf("node %d went from revision %d to %d; the platform has %d", i, reached[i], r, w.head)
+					}
+					if w.watches[i] > 1 {
+						rt.Fatalf("node %d has %d watches", i, w.watches[i])
+					}
+					reached[i] = r
+				}
+			},
+		})
+		// After the longest retry and the longest delays everything is in force.
+		w.setOutage(false)
+		w.random = newRandom(uint64(len(w.queue)))
+		w.run(40 * time.Second)
+		if behind := w.behind(); behind > 0 {
+			rt.Fatalf("%d nodes do not have revision %d", behind, w.head)
+		}
+	})
+}
--- a/internal/core/tables/state.go
+++ b/internal/core/tables/state.go
@@ -29,7 +29,7 @@
 	newest  fleet.Revision
 	watch   watch
 	fetch   fetch
-	peers   fleet.Map[fleet.NodeID, peer]
+	holders fleet.Map[fleet.NodeID, holder]
 	ask     ask
 	// pause is when the next peer may be asked.
 	pause time.Time
@@ -71,6 +71,7 @@
 	s.content = content
 	s.router = routing.New(t)
 	s.newest = max(s.newest, t.Revision)
+	s = s.withoutOlder()
 	s, fetching := s.startFetch(now)
 	return s, append(fetching, log(effect.Info, "revision in force", effect.Field{Name: "Revision", Value: t.Revision}))
 }
@@ -78,7 +79,7 @@
 // Rejected takes in that the content of a revision, from a peer or from the platform, does not decode.
 func (s State) Rejected(now time.Time, r fleet.Revision, detail string) (State, []effect.Effect) {
 	if s.ask.decoding == r {
-		s = s.barPeer(now, s.ask.from)
+		s = s.barHolder(now, s.ask.from)
 		s.ask = s.ask.decoded(r)
 	} else if s.fetch.running == r {
 		s.fetch = s.fetch.ended(r).postponed(now.Add(rejectedDelay))
--- /dev/null
+++ b/internal/core/tables/state_test.go
@@ -0,0 +1,158 @@
+package tables_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jayfold.dev/jayfold/internal/core/effect"
+	"jayfold.dev/jayfold/internal/core/event"
+	"jayfold.dev/jayfold/internal/core/fleet"
+	"jayfold.dev/jayfold/internal/core/message"
+	"jayfold.dev/jayfold/internal/core/tables"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// assertAsked checks that the effects ask one peer for its tables, or none when peer is empty.
+func assertAsked(t *testing.T, effects []effect.Effect, peer fleet.NodeID) {
+	t.Helper()
+	var asked fleet.NodeID
+	for _, e := range effects {
+		if send, ok := e.(effect.Send); ok {
+			is.New(t).Equal(asked, fleet.NodeID(""))
+			asked = send.To
+		}
+	}
+	is.New(t).Equal(asked, peer)
+}
+
+// content is the answer of a peer.
+func content(from fleet.NodeID, r fleet.Revision) message.Envelope {
+	return message.Envelope{From: from, Message: message.TablesContent{Revision: r, Content: []byte("content")}}
+}
+
+func TestPeers(t *testing.T) {
+	// A state in which a was asked and b has the revision as well.
+	asked := func(t *testing.T) tables.State {
+		t.Helper()
+		s, effects := tables.New().Seen(start, "a", "address", 7)
+		assertAsked(t, effects, "a")
+		s, effects = s.Seen(start, "b", "address", 7)
+		assertAsked(t, effects, "")
+		return s
+	}
+
+	t.Run("a peer that does not answer is followed by another", func(t *testing.T) {
+		s, effects := asked(t).Tick(start.Add(999*time.Millisecond), 0)
+		assertAsked(t, effects, "")
+		_, effects = s.Tick(start.Add(time.Second), 0)
+		assertAsked(t, effects, "b")
+	})
+
+	t.Run("a peer that sent what does not decode is not asked again at once", func(t *testing.T) {
+		s, effects := asked(t).Received(start, content("a", 7))
+		is.New(t).Equal(effects, []effect.Effect{effect.DecodeTables{Revision: 7, Content: []byte("content")}})
+		s, _ = s.Rejected(start, 7, "not valid")
+		s, effects = s.Seen(start, "a", "address", 7)
+		assertAsked(t, effects, "")
+		_, effects = s.Tick(start.Add(10*time.Second), 0)
+		assertAsked(t, effects, "b")
+	})
+
+	t.Run("a late answer with an older revision is dropped", func(t *testing.T) {
+		s, _ := asked(t).Decoded(start, fleet.Tables{Revision: 8}, nil)
+		s, effects := s.Received(start, content("a", 7))
+		is.New(t).Equal(len(effects), 0)
+		s, _ = s.Decoded(start, fleet.Tables{Revision: 7}, nil)
+		is.New(t).Equal(s.Current().Revision, fleet.Revision(8))
+	})
+
+	t.Run("a peer with an older revision gets the tables, one with the same gets nothing", func(t *testing.T) {
+		s, _ := tables.New().Decoded(start, fleet.Tables{Revision: 7}, []byte("content"))
+		request := message.Envelope{From: "a", Address: "address", Message: message.TablesRequest{Revision: 6}}
+		_, effects := s.Received(start, request)
+		assertAsked(t, effects, "a")
+		request.Message = message.TablesRequest{Revision: 7}
+		_, effects = s.Received(start, request)
+		is.New(t).Equal(len(effects), 0)
+	})
+}
+
+func TestPlatform(t *testing.T) {
+	watching := func() tables.State {
+		s, _ := tables.New().Tick(start, 0)
+		return s
+	}
+
+	t.Run("a failure of another part's call starts no second watch", func(t *testing.T) {
+		s, _ := watching().PlatformFailed(start, 0, event.CallListMembers, "outage")
+		_, effects := s.Tick(start.Add(time.Hour), 0)
+		is.New(t).Equal(len(effects), 0)
+	})
+
+	t.Run("failed watches are repeated later and later, up to a bound", func(t *testing.T) {
+		s, at := watching(), start
+		for _, wait := range []time.Duration{500, 1000, 2000, 4000, 5000, 5000} {
+			s, _ = s.PlatformFailed(at, 0, event.CallWatchHead, "outage")
+			_, effects := s.Tick(at.Add(wait*time.Millisecond-1), 0)
+			is.New(t).Equal(len(effects), 0)
+			at = at.Add(wait * time.Millisecond)
+			s, effects = s.Tick(at, 0)
+			is.New(t).Equal(len(effects), 1)
+		}
+	})
+
+	t.Run("a platform that shows an older revision changes nothing", func(t *testing.T) {
+		s, _ := watching().Decoded(start, fleet.Tables{Revision: 8}, nil)
+		s, effects := s.HeadRead(start, 0, 3, fleet.Head{Revision: 7}, 9)
+		is.New(t).Equal(len(effects), 1) // the log line
+		is.New(t).Equal(s.Current().Revision, fleet.Revision(8))
+	})
+
+	t.Run("a revision that a peer sends first is not read from the platform", func(t *testing.T) {
+		s, _ := watching().Decoded(start, fleet.Tables{Revision: 6}, nil)
+		s, effects := s.HeadRead(start, 1<<63, 540, fleet.Head{Revision: 7}, 9)
+		is.New(t).Equal(len(effects), 0)
+		s, effects = s.Seen(start, "a", "address", 7)
+		assertAsked(t, effects, "a")
+		s, _ = s.Decoded(start, fleet.Tables{Revision: 7}, nil)
+		_, effects = s.Tick(start.Add(time.Minute), 0)
+		is.New(t).Equal(effects, []effect.Effect{effect.WatchHead{Version: 9}})
+	})
+}
+
+// BenchmarkTickBehind measures the most expensive tick: a node that is behind and looks for a peer among 540.
+func BenchmarkTickBehind(b *testing.B) {
+	s, _ := tables.New().Tick(start, 0)
+	for i := range 540 {
+		s, _ = s.Seen(start, nodeID(i), "address", 7)
+	}
+	for b.Loop() {
+		s.Tick(start.Add(time.Second), 99)
+	}
+}
+
+// BenchmarkSeen measures what every message and reply of another node costs.
+func BenchmarkSeen(b *testing.B) {
+	s := tables.New()
+	for i := range 540 {
+		s, _ = s.Seen(start, nodeID(i), "address", 0)
+	}
+	for b.Loop() {
+		s.Seen(start, "node-100", "address", 0)
+	}
+}
+
+// BenchmarkDecoded measures the step that brings tables of the design size into force.
+func BenchmarkDecoded(b *testing.B) {
+	t := fleet.Tables{Revision: 1}
+	for i := range 4600 {
+		t.Routes = append(t.Routes, fleet.Route{PathPrefix: fmt.Sprintf("/service-%d/route-%d", i%140, i), Pool: "pool"})
+	}
+	for b.Loop() {
+		tables.New().Decoded(start, t, nil)
+	}
+}
