--- a/internal/edge/platform/claim.go
+++ b/internal/edge/platform/claim.go
@@ -14,20 +14,19 @@
 )
 
 const (
-	// claimPrefix begins the keys of claims; the SHA-256 sum of the order's name follows, since a name may hold any
-	// character.
-	claimPrefix = "claims/"
+	// claimPrefix begins the keys of claim objects. A hash follows, since callers choose the names.
+	claimPrefix = "orders/"
+	// claimTries bounds the writes for one claim: the first, and one after a lost answer or a concurrent release.
+	claimTries = 2
 	// claimTimeout bounds a claim with its read-back, because an order waits for it.
 	claimTimeout = time.Second
-	// claimTries bounds how often a claim is sent when its outcome stays unknown.
-	claimTries = 2
 )
 
-// wireClaim is the value of a claim.
+// wireClaim is the value of a claim object.
 type wireClaim struct {
-	// Owner is drawn at random by each process.
-	Owner   string
-	Attempt fleet.AttemptID
+	Order   string
+	Process string
+	Attempt string
 }
 
 // ClaimOrder carries out the effect.
@@ -35,64 +34,68 @@
 	c.start(0, func(ctx context.Context) event.Body {
 		ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 		defer cancel()
-		claim := wireClaim{Owner: c.owner, Attempt: e.Attempt}
-		return event.OrderClaimed{Attempt: e.Attempt, Result: c.claim(ctx, claimKey(e.Name), claim)}
+		return event.OrderClaimed{Attempt: e.Attempt, Result: c.claim(ctx, e)}
+	})
+}
+
+// ReleaseOrder carries out the effect. A claim that cannot be released now stays; it makes other homes refuse the order.
+func (c *Client) ReleaseOrder(e effect.ReleaseOrder) {
+	c.running.Go(func() {
+		found, claim, err := c.readClaim(c.ctx, e.Name)
+		if err != nil || found.version == 0 || claim.Attempt != string(e.Attempt) {
+			return
+		}
+		if err := c.objects.remove(c.ctx, claimKey(e.Name), unchanged(found.version)); err != nil {
+			c.log.WithError(err).Warn("orders: claim not released")
+		}
 	})
 }
 
-// claim creates the claim if there is none. When the outcome of the write is unknown it reads the claim back.
-func (c *Client) claim(ctx context.Context, key string, claim wireClaim) fleet.ClaimResult {
-	// The wire types have no value that JSON lacks.
-	value, _ := json.Marshal(claim)
+// claim creates the claim object, or takes over one that this process made for an attempt that did not run. After a lost
+// answer the object is read back before it is written again.
+func (c *Client) claim(ctx context.Context, e effect.ClaimOrder) fleet.ClaimResult {
+	value, _ := json.Marshal(wireClaim{Order: e.Name, Process: c.process, Attempt: string(e.Attempt)})
+	version := uint64(0)
 	for range claimTries {
-		err := c.objects.put(ctx, key, value, unchanged(0))
+		err := c.objects.put(ctx, claimKey(e.Name), value, unchanged(version))
 		if err == nil {
 			return fleet.ClaimCreated
 		}
-		if !unknown(err) && !errors.Is(err, errConflict) {
+		if !readBack(err) {
 			return fleet.ClaimFailed
 		}
-		found, err := c.objects.get(ctx, key)
-		if err != nil {
+		found, claim, err := c.readClaim(ctx, e.Name)
+		switch {
+		case err != nil:
 			return fleet.ClaimFailed
+		case found.version != 0 && claim.Attempt == string(e.Attempt):
+			return fleet.ClaimCreated
+		case found.version != 0 && claim.Process != c.process:
+			return fleet.ClaimExists
 		}
-		if found.version > 0 {
-			return c.owned(found, claim)
-		}
+		version = found.version
 	}
 	return fleet.ClaimFailed
 }
 
-// owned tells this process's own claim from another one. A claim that does not decode counts as another one.
-func (c *Client) owned(found object, claim wireClaim) fleet.ClaimResult {
-	var other wireClaim
-	if err := json.Unmarshal(found.value, &other); err != nil {
-		c.log.WithField("Key", found.key).WithError(err).Warn("platform: claim does not decode")
-		return fleet.ClaimExists
-	}
-	if other == claim {
-		return fleet.ClaimCreated
-	}
-	return fleet.ClaimExists
+// readBack reports whether a failed write leaves open what the object holds.
+func readBack(err error) bool {
+	var failure Failure
+	return errors.Is(err, errConflict) || errors.As(err, &failure) && failure.Unknown
 }
 
-// ReleaseOrder carries out the effect. It deletes a claim only when this process made it: the release of an order that was
-// canceled before its claim was answered must not delete the claim under which another node, or an earlier life of this
-// one, ran the order. A claim that stays only makes the order's resend refused.
-func (c *Client) ReleaseOrder(e effect.ReleaseOrder) {
-	c.running.Go(func() {
-		ctx, cancel := context.WithTimeout(c.ctx, callTimeout)
-		defer cancel()
-		key := claimKey(e.Name)
-		found, err := c.objects.get(ctx, key)
-		var claim wireClaim
-		if err != nil || found.version == 0 || json.Unmarshal(found.value, &claim) != nil || claim.Owner != c.owner {
-			return
-		}
-		if err := c.objects.remove(ctx, key, unchanged(found.version)); err != nil {
-			c.log.WithField("Key", key).WithError(err).Warn("platform: claim not released")
-		}
-	})
+// readClaim reads a claim object. One that does not decode belongs to nobody known, so that the order is refused.
+func (c *Client) readClaim(ctx context.Context, name string) (object, wireClaim, error) {
+	found, err := c.objects.get(ctx, claimKey(name))
+	if err != nil || found.version == 0 {
+		return object{}, wireClaim{}, err
+	}
+	var claim wireClaim
+	if err := json.Unmarshal(found.value, &claim); err != nil {
+		c.log.WithError(err).Error("orders: claim does not decode")
+		return found, wireClaim{}, nil
+	}
+	return found, claim, nil
 }
 
 func claimKey(name string) string {
--- a/internal/edge/platform/client.go
+++ b/internal/edge/platform/client.go
@@ -44,9 +44,9 @@
 
 // Client calls the platform.
 type Client struct {
-	// owner tells the claims of this process from those of its earlier lives and of other nodes.
-	owner   string
 	objects objects
+	// process tells the claims of this process from those of an earlier life of the node.
+	process string
 	post    func(event.Body)
 	log     log.Interface
 	ctx     context.Context
@@ -58,8 +58,8 @@
 func New(s Settings) *Client {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Client{
-		owner:   rand.Text(),
 		objects: objects{base: strings.TrimSuffix(s.Base, "/"), http: s.HTTP},
+		process: rand.Text(),
 		post:    s.Post,
 		log:     s.Log,
 		ctx:     ctx,
