lab/load: add the load generator

Cause: scenarios and experiments need a load that checks each answer and each verdict on an order. Conclusion: each breach that it looks for is shown by a test to be seen.

--- /dev/null
+++ b/cmd/jayfold-lab/load.go
@@ -0,0 +1,50 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"jayfold.dev/jayfold/internal/lab/load"
+)
+
+// loadCommand sends requests at a fixed rate and checks the answers. It fails when a guarantee was broken.
+type loadCommand struct {
+	URLs       []string      `arg:"" name:"url" help:"Addresses of nodes for callers, such as http://127.0.0.1:8080."`
+	Rate       float64       `default:"100" help:"Requests per second."`
+	Duration   time.Duration `default:"10s" help:"Time during which requests are sent."`
+	Orders     float64       `default:"0.1" help:"Share of orders among the requests."`
+	LookupPath string        `default:"/catalogue" help:"Path below which lookups are sent."`
+	OrderPath  string        `default:"/orders" help:"Path of orders."`
+	Timeout    time.Duration `default:"30s" help:"Time that a caller waits for an answer."`
+	Size       int           `default:"0" help:"Bytes by which answers are padded."`
+	Keys       bool          `help:"Give each order an idempotency key."`
+	Ledger     []string      `help:"Ledgers of the targets: URLs or files."`
+}
+
+// Run implements the command.
+func (c *loadCommand) Run() error {
+	ctx, cancel := untilStopped()
+	defer cancel()
+	report, err := load.New(load.Settings{
+		URLs:       c.URLs,
+		Rate:       c.Rate,
+		Duration:   c.Duration,
+		Orders:     c.Orders,
+		LookupPath: c.LookupPath,
+		OrderPath:  c.OrderPath,
+		Timeout:    c.Timeout,
+		Size:       c.Size,
+		Keys:       c.Keys,
+		Ledgers:    c.Ledger,
+	}, load.NewSeams()).Run(ctx)
+	if err != nil {
+		return err
+	}
+	report.Write(os.Stdout)
+	if breaches := report.Breaches(); len(breaches) > 0 {
+		return fmt.Errorf("guarantees were broken: %s", strings.Join(breaches, "; "))
+	}
+	return nil
+}
--- a/cmd/jayfold-lab/main.go
+++ b/cmd/jayfold-lab/main.go
@@ -29,6 +29,7 @@
 type commands struct {
 	Platform platformCommand `cmd:"" help:"Run the stand-in of the platform's object API."`
 	Target   targetCommand   `cmd:"" help:"Run a stand-in target."`
+	Load     loadCommand     `cmd:"" help:"Send requests at a fixed rate and check the answers."`
 }
 
 func main() {
--- a/cmd/jayfold-lab/target.go
+++ b/cmd/jayfold-lab/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"os"
 	"time"
 
 	"jayfold.dev/jayfold/internal/lab/target"
@@ -17,6 +18,7 @@
 	Connections int           `default:"300" help:"Connections that the target takes."`
 	ServiceTime time.Duration `default:"5ms" help:"Time that a request runs."`
 	ColdStart   time.Duration `default:"0s" help:"Time after the start in which requests run slower."`
+	Ledger      string        `type:"path" help:"File that gets the token of each request that starts."`
 }
 
 // Run implements the command.
@@ -36,5 +38,22 @@
 		ServiceTime: c.ServiceTime,
 		ColdStart:   c.ColdStart,
 	}
-	return target.New(settings, listener, target.NewSeams()).Run(ctx)
+	seams, err := c.seams()
+	if err != nil {
+		return err
+	}
+	return target.New(settings, listener, seams).Run(ctx)
+}
+
+// seams returns the seams of a process of its own, with the ledger file when there is one.
+func (c *targetCommand) seams() (target.Seams, error) {
+	seams := target.NewSeams()
+	if c.Ledger == "" {
+		return seams, nil
+	}
+	file, err := os.OpenFile(c.Ledger, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		return seams, err
+	}
+	return seams.WithLedger(file), nil
 }
--- a/internal/core/admission/state.go
+++ b/internal/core/admission/state.go
@@ -119,7 +119,7 @@
 
 // fits reports whether an attempt can start now.
 func (s State) fits(ctx Context, l local, attempt fleet.Attempt) bool {
-	return l.running.Len() < l.slots && !(ctx.Suspected(attempt.Fingerprint) && s.runsSuspect(ctx, l))
+	return l.running.Len() < l.slots && (!ctx.Suspected(attempt.Fingerprint) || !s.runsSuspect(ctx, l))
 }
 
 // runsSuspect reports whether a suspected request runs on the target. Alone, each suspect is cleared or convicted by itself.
--- /dev/null
+++ b/internal/lab/load/ledger.go
@@ -0,0 +1,118 @@
+package load
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+)
+
+// ledgerWait is how long orders that were given up may still reach a target before the ledgers are read.
+const ledgerWait = 500 * time.Millisecond
+
+// Comparison is how the verdicts on the orders agree with the targets' ledgers.
+type Comparison struct {
+	// Ledgers were read, Missing could not be.
+	Ledgers, Missing int
+	// Started counts the orders of this run in the ledgers.
+	Started int
+	// RanTwice counts orders that were started more than once, RanThoughNotRun those that were started although their callers
+	// were told that they did not run, and Lost those that were answered but never started.
+	RanTwice, RanThoughNotRun, Lost int
+}
+
+// String returns the comparison as a line of text.
+func (c Comparison) String() string {
+	return fmt.Sprintf("orders in %d ledgers (%d missing): started %d, twice %d, though told NotRun %d, lost %d",
+		c.Ledgers, c.Missing, c.Started, c.RanTwice, c.RanThoughNotRun, c.Lost)
+}
+
+// compare reads the ledgers and compares them with the verdict on each order.
+func (g *Generator) compare(ctx context.Context, verdicts map[string]string) Comparison {
+	select {
+	case <-time.After(ledgerWait):
+	case <-ctx.Done():
+	}
+	var c Comparison
+	starts := map[string]int{}
+	for _, ledger := range g.settings.Ledgers {
+		if err := readLedger(ledger, g.seams, starts); err != nil {
+			c.Missing++
+			continue
+		}
+		c.Ledgers++
+	}
+	for token, verdict := range verdicts {
+		c = c.with(verdict, starts[token])
+	}
+	return c
+}
+
+// with returns the comparison after one more order. Orders can be lost from view only while a ledger is missing.
+func (c Comparison) with(verdict string, starts int) Comparison {
+	if starts > 0 {
+		c.Started++
+	}
+	if starts > 1 {
+		c.RanTwice++
+	}
+	if starts > 0 && verdict == "NotRun" {
+		c.RanThoughNotRun++
+	}
+	if starts == 0 && verdict == "Ran" && c.Missing == 0 {
+		c.Lost++
+	}
+	return c
+}
+
+// readLedger adds the starts of each token in a ledger.
+func readLedger(ledger string, seams Seams, starts map[string]int) error {
+	if strings.HasPrefix(ledger, "http://") {
+		return fetchLedger(ledger, seams, starts)
+	}
+	file, err := os.Open(ledger)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = file.Close() }()
+	lines := bufio.NewScanner(file)
+	for lines.Scan() {
+		starts[lines.Text()]++
+	}
+	return lines.Err()
+}
+
+// wireEntry is one entry of a stand-in target's ledger.
+type wireEntry struct {
+	Token string
+	Runs  int
+}
+
+func fetchLedger(url string, seams Seams, starts map[string]int) error {
+	request, err := http.NewRequest(http.MethodGet, url+"/admin/ledger", nil)
+	if err != nil {
+		return err
+	}
+	response, err := seams.Send(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return err
+	}
+	var entries []wireEntry
+	if err := json.Unmarshal(body, &entries); err != nil {
+		return err
+	}
+	for _, e := range entries {
+		starts[e.Token] += e.Runs
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/load/load_test.go
@@ -0,0 +1,149 @@
+package load_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jayfold.dev/jayfold/internal/lab/load"
+)
+
+// server answers every request by the given function and keeps a ledger of orders.
+type server struct {
+	mu     sync.Mutex
+	ledger map[string]int
+	answer func(w http.ResponseWriter, r *http.Request, run func())
+}
+
+func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r.URL.Path == "/admin/ledger" {
+		var entries []map[string]any
+		for token, runs := range s.ledger {
+			entries = append(entries, map[string]any{"Token": token, "Runs": runs})
+		}
+		_ = json.NewEncoder(w).Encode(entries)
+		return
+	}
+	s.answer(w, r, func() { s.ledger[r.Header.Get("Lab-Token")]++ })
+}
+
+func echo(w http.ResponseWriter, token string) {
+	w.Header().Set("Jayfold-Verdict", "Ran")
+	_, _ = fmt.Fprintf(w, `{"Token":%q,"Padding":""}`, token)
+}
+
+// generate sends 20 requests to a server with the given answers.
+func generate(t *testing.T, orders float64, answer func(http.ResponseWriter, *http.Request, func())) load.Report {
+	t.Helper()
+	s := httptest.NewServer(&server{ledger: map[string]int{}, answer: answer})
+	defer s.Close()
+	report, err := load.New(load.Settings{
+		URLs: []string{s.URL}, Rate: 1000, Duration: 20 * time.Millisecond, Orders: orders, LookupPath: "/items",
+		OrderPath: "/orders", Timeout: time.Second, Ledgers: []string{s.URL},
+	}, load.NewSeams()).Run(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return report
+}
+
+func assertBreach(is *is.I, report load.Report, want string) {
+	is.Helper()
+	var text strings.Builder
+	report.Write(&text)
+	if want == "" {
+		is.Equal(report.Breaches(), nil) // no guarantee is broken
+		return
+	}
+	is.Equal(len(report.Breaches()), 1)
+	is.True(strings.Contains(report.Breaches()[0], want))
+	is.True(strings.Contains(text.String(), "BREACH")) // the table shows the breach
+}
+
+// Guards against a load generator that does not see a broken guarantee: every check that rests on it would pass.
+func TestBreaches(t *testing.T) {
+	token := func(r *http.Request) string { return r.Header.Get("Lab-Token") }
+	cases := []struct {
+		name   string
+		answer func(http.ResponseWriter, *http.Request, func())
+		want   string
+	}{
+		{"none", func(w http.ResponseWriter, r *http.Request, run func()) {
+			run()
+			echo(w, token(r))
+		}, ""},
+		{"another caller's answer", func(w http.ResponseWriter, _ *http.Request, run func()) {
+			run()
+			echo(w, "other")
+		}, "own request"},
+		{"order runs twice", func(w http.ResponseWriter, r *http.Request, run func()) {
+			run()
+			run()
+			echo(w, token(r))
+		}, "more than once"},
+		{"order runs though told NotRun", func(w http.ResponseWriter, _ *http.Request, run func()) {
+			run()
+			w.Header().Set("Jayfold-Verdict", "NotRun")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}, "told that they did not run"},
+		{"order is lost", func(w http.ResponseWriter, r *http.Request, _ func()) { echo(w, token(r)) }, "no target started"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			report := generate(t, 1, c.answer)
+			is.Equal(report.Sent["order"], 20)
+			assertBreach(is, report, c.want)
+		})
+	}
+}
+
+// Guards against counting a failed or truncated answer as a whole one.
+func TestCounts(t *testing.T) {
+	t.Run("truncated", func(t *testing.T) {
+		is := is.New(t)
+		report := generate(t, 0, func(w http.ResponseWriter, _ *http.Request, _ func()) {
+			w.Header().Set("Content-Length", "100")
+			_, _ = io.WriteString(w, `{"Tok`)
+		})
+		is.Equal(report.Whole["lookup"], 0)
+		is.Equal(report.Rows, []load.Row{{Class: "lookup", Status: 200, Fault: "truncated", Count: 20}})
+	})
+	t.Run("refused", func(t *testing.T) {
+		is := is.New(t)
+		report := generate(t, 0, func(w http.ResponseWriter, _ *http.Request, _ func()) { w.WriteHeader(503) })
+		is.Equal(report.Whole["lookup"], 0)
+		assertBreach(is, report, "")
+	})
+}
+
+// Guards against a ledger of a killed target that is not read.
+func TestLedgerFile(t *testing.T) {
+	is := is.New(t)
+	file := filepath.Join(t.TempDir(), "ledger")
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		token := r.Header.Get("Lab-Token")
+		is.NoErr(os.WriteFile(file, []byte(token+"\n"+token+"\n"), 0o600))
+		echo(w, token)
+	}))
+	defer s.Close()
+	report, err := load.New(load.Settings{
+		URLs: []string{s.URL}, Rate: 10, Duration: 50 * time.Millisecond, Orders: 1, OrderPath: "/orders",
+		Timeout: time.Second, Ledgers: []string{file, file + ".missing"},
+	}, load.NewSeams()).Run(t.Context())
+	is.NoErr(err)
+	is.Equal(report.Orders, load.Comparison{Ledgers: 1, Missing: 1, Started: 1, RanTwice: 1})
+	assertBreach(is, report, "more than once")
+}
--- /dev/null
+++ b/internal/lab/load/report.go
@@ -0,0 +1,157 @@
+package load
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// The histograms reach from 10 us to 2 min with three significant figures.
+const (
+	lowest  = int64(10 * time.Microsecond)
+	highest = int64(2 * time.Minute)
+	figures = 3
+)
+
+// Row counts the requests that ended in the same way.
+type Row struct {
+	Class   string
+	Status  int
+	Verdict string
+	Fault   string
+	Count   int
+}
+
+// Report is what a run showed.
+type Report struct {
+	Rate     float64
+	Duration time.Duration
+	Rows     []Row
+	// Sent, Whole and Foreign count requests by class, "lookup" or "order": all, those whose caller got the whole answer,
+	// and those that got an answer that is not theirs.
+	Sent, Whole, Foreign map[string]int
+	// Latency has the times of whole answers by class.
+	Latency map[string]*hdrhistogram.Histogram
+	// Orders compares the orders with the ledgers; it is zero without ledgers.
+	Orders Comparison
+
+	orders map[string]string // verdict of each order by token; see verdictOf
+}
+
+var classes = []string{"lookup", "order"}
+
+// collect counts results until there are no more.
+func collect(results <-chan result) Report {
+	report := Report{
+		Sent: map[string]int{}, Whole: map[string]int{}, Foreign: map[string]int{},
+		Latency: map[string]*hdrhistogram.Histogram{},
+		orders:  map[string]string{},
+	}
+	for _, class := range classes {
+		report.Latency[class] = hdrhistogram.New(lowest, highest, figures)
+	}
+	rows := map[Row]int{}
+	for r := range results {
+		class := classOf(r.call)
+		rows[Row{Class: class, Status: r.status, Verdict: r.verdict, Fault: string(r.fault)}]++
+		report.Sent[class]++
+		if r.call.order {
+			report.orders[r.call.token] = verdictOf(r)
+		}
+		if r.fault == foreign {
+			report.Foreign[class]++
+		}
+		if r.whole() {
+			report.Whole[class]++
+			_ = report.Latency[class].RecordValue(min(max(int64(r.took), lowest), highest))
+		}
+	}
+	report.Rows = sorted(rows)
+	return report
+}
+
+func classOf(c call) string {
+	if c.order {
+		return "order"
+	}
+	return "lookup"
+}
+
+// verdictOf returns what the caller of an order knows.
+func verdictOf(r result) string {
+	switch {
+	case r.fault == notSent:
+		return "NotRun"
+	case r.verdict == "":
+		return "MayHaveRun"
+	default:
+		return r.verdict
+	}
+}
+
+func sorted(counts map[Row]int) []Row {
+	rows := make([]Row, 0, len(counts))
+	for row, count := range counts {
+		row.Count = count
+		rows = append(rows, row)
+	}
+	slices.SortFunc(rows, func(a, b Row) int {
+		return cmp.Or(
+			cmp.Compare(a.Class, b.Class), cmp.Compare(a.Status, b.Status),
+			cmp.Compare(a.Verdict, b.Verdict), cmp.Compare(a.Fault, b.Fault),
+		)
+	})
+	return rows
+}
+
+// Breaches lists the guarantees that the run saw broken.
+func (r Report) Breaches() []string {
+	var breaches []string
+	add := func(count int, text string) {
+		if count > 0 {
+			breaches = append(breaches, fmt.Sprintf("%d %s", count, text))
+		}
+	}
+	add(r.Foreign["lookup"]+r.Foreign["order"], "answers were not the whole answer to their own request")
+	add(r.Orders.RanTwice, "orders were started more than once")
+	add(r.Orders.RanThoughNotRun, "orders were started although their callers were told that they did not run")
+	add(r.Orders.Lost, "orders were answered although no target started them")
+	return breaches
+}
+
+// Write prints the report as a text table.
+func (r Report) Write(w io.Writer) {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	defer func() { _ = table.Flush() }()
+	line := func(format string, values ...any) { _, _ = fmt.Fprintf(table, format+"\n", values...) }
+	line("rate %g/s for %s", r.Rate, r.Duration)
+	for _, class := range classes {
+		line("%ss: sent %d whole %d failed %d", class, r.Sent[class], r.Whole[class], r.Sent[class]-r.Whole[class])
+	}
+	line("\nclass\tstatus\tverdict\tfault\tcount")
+	for _, row := range r.Rows {
+		line("%s\t%d\t%s\t%s\t%d", row.Class, row.Status, dash(row.Verdict), dash(row.Fault), row.Count)
+	}
+	line("\nlatency of whole answers\tp50\tp90\tp99\tp99.9\tmax")
+	for _, class := range classes {
+		h := r.Latency[class]
+		line("%s\t%s\t%s\t%s\t%s\t%s", class, at(h, 50), at(h, 90), at(h, 99), at(h, 99.9), at(h, 100))
+	}
+	if r.Orders.Ledgers > 0 {
+		line("\n%s", r.Orders)
+	}
+	for _, breach := range r.Breaches() {
+		line("BREACH: %s", breach)
+	}
+}
+
+func dash(text string) string { return cmp.Or(text, "-") }
+
+func at(h *hdrhistogram.Histogram, percentile float64) time.Duration {
+	return time.Duration(h.ValueAtPercentile(percentile)).Round(10 * time.Microsecond)
+}
--- a/internal/lab/target/event.go
+++ b/internal/lab/target/event.go
@@ -40,6 +40,8 @@
 		takes  time.Duration
 		failed bool
 	}
+	// record writes the start of a request outside of the process, before it is served.
+	record struct{ token string }
 	// shed answers a request without running it.
 	shed struct{ number uint64 }
 	// answer ends a request.
@@ -52,6 +54,7 @@
 )
 
 func (serve) isEffect()  {}
+func (record) isEffect() {}
 func (shed) isEffect()   {}
 func (answer) isEffect() {}
 func (crash) isEffect()  {}
--- a/internal/lab/target/settings.go
+++ b/internal/lab/target/settings.go
@@ -73,6 +73,8 @@
 	Random func() uint64
 	// Exit ends the process at once. An in-process stand-in closes its connections instead.
 	Exit func(t *Target)
+	// Record is given the token of each request that starts, before it is served.
+	Record func(token string)
 }
 
 // crashStatus is the exit status of a crash on command.
@@ -84,6 +86,7 @@
 		Now:    time.Now,
 		Random: rand.Uint64,
 		Exit:   func(*Target) { os.Exit(crashStatus) },
+		Record: func(string) {},
 	}
 }
 
@@ -93,3 +96,9 @@
 	seams.Exit = func(t *Target) { t.Kill() }
 	return seams
 }
+
+// WithLedger returns the seams with a ledger in a file, one token per line, which outlives the process.
+func (s Seams) WithLedger(file *os.File) Seams {
+	s.Record = func(token string) { _, _ = fmt.Fprintln(file, token) }
+	return s
+}
--- a/internal/lab/target/state.go
+++ b/internal/lab/target/state.go
@@ -72,10 +72,11 @@
 	}
 	s.running = s.running.With(body.number)
 	s = s.record(body)
+	started := record{token: body.token}
 	if mark := s.faults.CrashMark; mark != "" && strings.Contains(body.content, mark) {
-		return s, []effect{crash{}}
+		return s, []effect{started, crash{}}
 	}
-	return s, []effect{serve{
+	return s, []effect{started, serve{
 		number: body.number,
 		takes:  s.serviceTime(ev.at),
 		failed: unit(ev.random) < s.errorRate(ev.at),
--- a/internal/lab/target/target.go
+++ b/internal/lab/target/target.go
@@ -133,6 +133,8 @@
 
 func (t *Target) carryOut(e effect, waiting map[uint64]chan effect) {
 	switch e := e.(type) {
+	case record:
+		t.seams.Record(e.token)
 	case serve:
 		waiting[e.number] <- e
 	case shed:
