--- a/internal/core/ejection/property_test.go
+++ b/internal/core/ejection/property_test.go
@@ -52,9 +52,18 @@
 
 func (w *world) checkFloor(t *rapid.T) {
 	for _, s := range w.servers {
-		if w.ejected(s) && w.guards(s) < w.floorOf(s) {
-			t.Fatalf("%s is ejected and %d targets stand for the floor of %d", s.id, w.guards(s), w.floorOf(s))
+		if !w.ejected(s) {
+			continue
 		}
+		if n := w.countFor(s, w.standing); n < w.floorOf(s) {
+			t.Fatalf("%s is ejected and %d healthy targets are in service, floor %d", s.id, n, w.floorOf(s))
+		}
+		if n := w.countFor(s, w.committed); n < w.floorOf(s) {
+			t.Fatalf("%s is ejected and %d targets are committed to it, floor %d", s.id, n, w.floorOf(s))
+		}
+	}
+	if len(w.faults) > 0 {
+		t.Fatal(w.faults[0])
 	}
 }
 
@@ -64,6 +73,7 @@
 // repair ends all faults but failing targets.
 func (w *world) repair() {
 	clear(w.cut)
+	clear(w.slow)
 	for _, h := range w.hosts {
 		h.paused = false
 		if h.dead {
@@ -149,36 +159,41 @@
 			h := host(t)
 			h.paused = !h.paused
 		},
-		"die":     func(t *rapid.T) { w.die(host(t)) },
+		"slow": func(t *rapid.T) {
+			link := [2]fleet.NodeID{host(t).id, host(t).id}
+			w.slow[link] = !w.slow[link]
+		},
+		"long pause": func(t *rapid.T) {
+			h := host(t)
+			w.failOn(h)
+			w.deliverAll()
+			h.paused = true
+			w.run(time.Duration(rapid.IntRange(1, 9).Draw(t, "seconds"))*time.Second, time.Second)
+			h.paused = false
+			w.exchange()
+		},
+		"die":     func(t *rapid.T) { host(t).dead = true },
 		"restart": func(t *rapid.T) { w.restart(host(t)) },
 		"drain": func(t *rapid.T) {
 			s := server(t)
-			w.losing(s)
 			s.draining = !s.draining
 		},
 		"vanish": func(t *rapid.T) {
 			s := server(t)
-			w.losing(s)
 			s.gone = !s.gone
 		},
 		"floor": func(t *rapid.T) { w.floor = rapid.IntRange(1, 4).Draw(t, "floor") },
 	}
 }
 
-// losing records that a target that works is about to stop for another reason than an ejection.
-func (w *world) losing(s *server) {
-	if w.working(s) && w.counts(s) {
-		s.lost = w.now
-	}
-}
-
-func (w *world) die(h *host) {
+// failOn lets the detector of the first target of a host judge it failing.
+func (w *world) failOn(h *host) {
 	for _, s := range w.servers {
 		if s.host == h {
-			w.losing(s)
+			w.fail(s)
+			return
 		}
 	}
-	h.dead = true
 }
 
 // failAgain lets the detectors of all failing targets judge again.
--- a/internal/core/ejection/world_test.go
+++ b/internal/core/ejection/world_test.go
@@ -36,32 +36,44 @@
 	id                      fleet.TargetID
 	host                    *host
 	failing, draining, gone bool
-	// failed and lost are the times of the last change to failing, and out of work for another reason than an ejection.
-	failed, lost time.Duration
 }
 
 // world runs the ejection states of several nodes over a network whose packets wait until they are delivered or dropped.
 type world struct {
-	now       time.Duration
-	hosts     []*host
-	servers   []*server
-	network   []packet
-	cut       map[[2]fleet.NodeID]bool
-	floor     int
-	random    uint64
-	ejections int
-	logs      []string
+	now     time.Duration
+	hosts   []*host
+	servers []*server
+	network []packet
+	// cut links lose their packets, slow ones keep them.
+	cut, slow map[[2]fleet.NodeID]bool
+	// grants are the times of the last grant from one target to another, by the grantor's clock.
+	grants map[[2]fleet.TargetID]time.Time
+	faults []string
+	floor  int
+	// evidenceBad is the number of bad requests of 20 that a failing target is judged on.
+	evidenceBad int
+	random      uint64
+	ejections   int
+	logs        []string
 }
 
 func newWorld(hosts, perHost, floor int) *world {
-	w := &world{cut: map[[2]fleet.NodeID]bool{}, floor: floor, now: time.Hour}
+	w := &world{
+		cut:    map[[2]fleet.NodeID]bool{},
+		slow:   map[[2]fleet.NodeID]bool{},
+		grants: map[[2]fleet.TargetID]time.Time{},
+		floor:  floor,
+		now:    time.Hour,
+
+		evidenceBad: 10,
+	}
 	for i := range hosts {
 		h := &host{id: fleet.NodeID(fmt.Sprintf("n%d", i)), rate: 1 + maxDrift*float64(i%3-1)}
 		h.state = New(h.id)
 		w.hosts = append(w.hosts, h)
 		for j := range perHost {
 			id := fleet.NewTargetID(h.id, fmt.Sprint(j))
-			w.servers = append(w.servers, &server{id: id, host: h, failed: -time.Hour, lost: -time.Hour})
+			w.servers = append(w.servers, &server{id: id, host: h})
 		}
 	}
 	w.tick()
@@ -101,7 +113,7 @@
 func (w *world) evidence(id fleet.TargetID) detection.Evidence {
 	for _, s := range w.servers {
 		if s.id == id && s.failing {
-			return detection.Evidence{Judged: 20, Bad: 10, Score: 6, Threshold: 12}
+			return detection.Evidence{Judged: 20, Bad: w.evidenceBad, Score: 6, Threshold: 12}
 		}
 	}
 	return detection.Evidence{Threshold: 12}
@@ -119,6 +131,9 @@
 		switch e := e.(type) {
 		case effect.Send:
 			w.network = append(w.network, packet{from: h.id, to: e.To, message: e.Message})
+			if grant, ok := e.Message.(message.LeaseGrant); ok {
+				w.recordGrant(grant)
+			}
 		case effect.Log:
 			w.logs = append(w.logs, e.Text)
 			if e.Text == "target set out of service" {
@@ -149,13 +164,24 @@
 	w.exchange()
 }
 
-// deliver hands the packet at index to its host, where it stays in the network while the host is paused.
+// recordGrant notes a promise, and a fault when the grantor was not fit to give it.
+func (w *world) recordGrant(m message.LeaseGrant) {
+	for _, s := range w.servers {
+		if s.id != m.Grantor {
+			continue
+		}
+		w.grants[[2]fleet.TargetID{m.Grantor, m.Asker}] = w.clock(s.host)
+		if s.failing || !w.working(s) || w.ejected(s) {
+			w.faults = append(w.faults, fmt.Sprintf("%s granted a lease while failing, leaving or ejected", s.id))
+		}
+	}
+}
+
+// deliver hands the packet at index to its host. It stays in the network while the host is paused or the link is slow.
 func (w *world) deliver(index int) {
 	p := w.network[index]
-	for _, h := range w.hosts {
-		if h.id == p.to && h.paused {
-			return
-		}
+	if w.stuck(p) {
+		return
 	}
 	w.drop(index)
 	if w.cut[[2]fleet.NodeID{p.from, p.to}] {
@@ -175,30 +201,33 @@
 // exchange delivers everything in order until three rounds of answers have passed.
 func (w *world) exchange() {
 	for range 3 {
-		for i, waiting := 0, len(w.network); waiting > 0; waiting-- {
-			before := len(w.network)
-			w.deliver(i)
-			if len(w.network) == before && w.isPaused(w.network[i].to) {
-				i++
-			}
+		w.deliverAll()
+	}
+}
+
+// deliverAll delivers what is in the network now, but not the answers.
+func (w *world) deliverAll() {
+	i := 0
+	for range len(w.network) {
+		if w.stuck(w.network[i]) {
+			i++
+			continue
 		}
+		w.deliver(i)
 	}
 }
 
-func (w *world) isPaused(id fleet.NodeID) bool {
+func (w *world) stuck(p packet) bool {
 	for _, h := range w.hosts {
-		if h.id == id {
-			return h.paused
+		if h.id == p.to && h.paused {
+			return true
 		}
 	}
-	return false
+	return w.slow[[2]fleet.NodeID{p.from, p.to}]
 }
 
 // fail makes the detector of a target judge it failing.
 func (w *world) fail(s *server) {
-	if !s.failing && w.counts(s) {
-		s.failed = w.now
-	}
 	s.failing = true
 	w.step(s.host, func(st State, ctx Context) (State, []effect.Effect) { return st.Failing(ctx, s.id) })
 }
@@ -222,23 +251,34 @@
 	w.step(h, State.Tick)
 }
 
-// counts reports whether target g stands for the floor: it is healthy and in service by its own sidecar's word, or it was
-// until an event of the last lease duration that its grantees cannot know of yet. An ejection is no such event.
-func (w *world) counts(g *server) bool {
-	if w.ejected(g) {
+func (w *world) working(s *server) bool { return !s.host.dead && !s.draining && !s.gone }
+
+// committed reports whether target g gave s a promise that lasts by the clock of g, and has not been ejected.
+func (w *world) committed(g, s *server) bool {
+	if g == s || w.ejected(g) {
 		return false
 	}
-	recently := func(at time.Duration) bool { return float64(w.now-at) <= float64(leaseDuration)*(1+driftMargin) }
-	return (w.working(g) || recently(g.lost)) && (!g.failing || recently(g.failed))
+	if g.host == s.host {
+		askers, _ := g.host.state.promises.Get(g.id)
+		p, ok := askers.Get(s.id)
+		return ok && w.clock(g.host).Before(p.until)
+	}
+	given, ok := w.grants[[2]fleet.TargetID{g.id, s.id}]
+	return ok && w.clock(g.host).Sub(given) < leaseDuration
 }
 
-func (w *world) working(s *server) bool { return !s.host.dead && !s.draining && !s.gone }
+// standing reports whether target g is healthy and in service by its own sidecar's word, or was when it gave s a promise
+// that still lasts: s cannot know yet of a grantor that has crashed, drained or started to fail since.
+func (w *world) standing(g, s *server) bool {
+	inService := g != s && !w.ejected(g) && w.working(g) && !g.failing
+	return inService || w.committed(g, s)
+}
 
-// guards returns how many other targets stand for the floor while s is ejected.
-func (w *world) guards(s *server) int {
+// countFor returns the number of targets that are in the given relation to s.
+func (w *world) countFor(s *server, relation func(g, s *server) bool) int {
 	count := 0
 	for _, g := range w.servers {
-		if g != s && w.counts(g) {
+		if relation(g, s) {
 			count++
 		}
 	}
