lab: add the testbed and the demo

Cause: a fresh machine needs one command that shows the product, and the experiments need a site in one process. Change: internal/lab/testbed runs platform, nodes and targets on loopback; internal/lab/demo runs Sicily's four services on it; README.

--- /dev/null
+++ b/cmd/jayfold-lab/demo.go
@@ -0,0 +1,17 @@
+package main
+
+import (
+	"os"
+
+	"jayfold.dev/jayfold/internal/lab/demo"
+)
+
+// demoCommand runs a small site in one process.
+type demoCommand struct{}
+
+// Run implements the command.
+func (*demoCommand) Run() error {
+	ctx, cancel := untilStopped()
+	defer cancel()
+	return demo.New(os.Stdout).Run(ctx)
+}
--- /dev/null
+++ b/examples/examples.go
@@ -0,0 +1,13 @@
+// Package examples holds the sample settings and tables of the two deployments.
+//
+// # Usage
+//
+//	routes, err := examples.Files.ReadFile("sicily/routes.jsonc")
+package examples
+
+import "embed"
+
+// Files are the sample files.
+//
+//go:embed sicily/*.jsonc croatia/*.jsonc
+var Files embed.FS
--- /dev/null
+++ b/internal/lab/demo/demo.go
@@ -0,0 +1,142 @@
+// Package demo runs Sicily's site in one process and shows live what it serves.
+//
+// # Usage
+//
+//	err := demo.New(os.Stdout).Run(ctx)
+//
+// It starts the stand-in of the platform, three nodes and the targets of four services on loopback, sends a light load, and
+// prints every two seconds what was served and which targets are ejected.
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/apex/log/handlers/text"
+
+	"jayfold.dev/jayfold/examples"
+	"jayfold.dev/jayfold/internal/core/fleet"
+	"jayfold.dev/jayfold/internal/edge/tablesfile"
+	"jayfold.dev/jayfold/internal/lab/testbed"
+)
+
+// showInterval is the time between two lines of the display.
+const showInterval = 2 * time.Second
+
+// Sicily's sizes: six targets with four slots and 300 connections serve each service.
+const (
+	targetsPerPool = 6
+	slots          = 4
+	connections    = 300
+	serviceTime    = 10 * time.Millisecond
+)
+
+// Demo is one run of the demo.
+type Demo struct {
+	out io.Writer
+}
+
+// New returns a demo that prints to out.
+func New(out io.Writer) *Demo { return &Demo{out: out} }
+
+// Run runs the demo until ctx ends.
+func (d *Demo) Run(ctx context.Context) error {
+	tables, err := sicily()
+	if err != nil {
+		return err
+	}
+	bed, err := testbed.New(testbed.Settings{
+		Nodes:             3,
+		AvailabilityZones: []fleet.AvailabilityZone{"palermo", "catania", "siracusa"},
+		Pools:             pools(tables),
+		Tables:            tables,
+		Log:               text.New(d.out),
+	})
+	if err != nil {
+		return err
+	}
+	defer bed.Stop()
+	d.explain(bed)
+	d.show(ctx, bed)
+	return nil
+}
+
+// sicily returns the tables of the example.
+func sicily() (fleet.Tables, error) {
+	var files [2]tablesfile.File
+	for i, name := range []string{"sicily/routes.jsonc", "sicily/pools.jsonc"} {
+		content, err := examples.Files.ReadFile(name)
+		if err != nil {
+			return fleet.Tables{}, err
+		}
+		files[i] = tablesfile.File{Name: name, Content: content}
+	}
+	return tablesfile.Parse(files[0], files[1])
+}
+
+func pools(tables fleet.Tables) []testbed.Pool {
+	var pools []testbed.Pool
+	for name := range tables.Pools.All() {
+		pools = append(pools, testbed.Pool{
+			Name:        name,
+			Targets:     targetsPerPool,
+			Slots:       slots,
+			Connections: connections,
+			ServiceTime: serviceTime,
+		})
+	}
+	return pools
+}
+
+// explain prints what to try.
+func (d *Demo) explain(bed *testbed.Testbed) {
+	node := bed.Nodes[0]
+	sick := bed.Targets[0]
+	url := "http://" + sick.Standin.Address() + "/admin/faults"
+	fmt.Fprintf(d.out, `
+Three nodes and %d targets are running. Try:
+
+  curl -i %s/catalogue/nets
+  curl -i -X POST -H 'Idempotency-Key: 1' -d '2 nets' %s/orders
+  go run ./cmd/jayfold status --node %s
+
+Make %s fail its requests while its health probes succeed, and heal it again:
+
+  curl -X PUT -d '{"ErrorRate": 0.5}' %s
+  curl -X PUT -d '{}' %s
+
+Make it slow instead: '{"Slowdown": 20}'. Stop with Ctrl-C.
+
+`, len(bed.Targets), node.CallersURL(), node.CallersURL(), node.OperatorsAddress(), sick.ID, url, url)
+}
+
+// show sends the load and prints the counts until ctx ends.
+func (d *Demo) show(ctx context.Context, bed *testbed.Testbed) {
+	traffic := newTraffic(bed)
+	stopped := traffic.start(ctx)
+	ticker := time.NewTicker(showInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			<-stopped
+			return
+		case <-ticker.C:
+			fmt.Fprintf(d.out, "%s; ejected: %s\n", traffic.summary(), ejected(ctx, bed))
+		}
+	}
+}
+
+func ejected(ctx context.Context, bed *testbed.Testbed) string {
+	var names []string
+	for _, id := range bed.Ejected(ctx) {
+		names = append(names, string(id))
+	}
+	if len(names) == 0 {
+		return "none"
+	}
+	return strings.Join(names, ", ")
+}
--- /dev/null
+++ b/internal/lab/demo/traffic.go
@@ -0,0 +1,107 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"jayfold.dev/jayfold/internal/lab/testbed"
+)
+
+// stream is one kind of request at a fixed rate.
+type stream struct {
+	name     string
+	method   string
+	path     string
+	interval time.Duration
+	served   atomic.Int64
+	failed   atomic.Int64
+}
+
+// traffic is the demo's own load.
+type traffic struct {
+	urls    []string
+	client  *http.Client
+	streams []*stream
+}
+
+func newTraffic(bed *testbed.Testbed) *traffic {
+	t := &traffic{
+		client: &http.Client{Timeout: 30 * time.Second},
+		streams: []*stream{
+			{name: "catalogue", method: http.MethodGet, path: "/catalogue/nets", interval: 10 * time.Millisecond},
+			{name: "tracking", method: http.MethodGet, path: "/tracking/4711", interval: 20 * time.Millisecond},
+			{name: "delivery", method: http.MethodGet, path: "/delivery/slots", interval: 50 * time.Millisecond},
+			{name: "ordering", method: http.MethodPost, path: "/orders", interval: 100 * time.Millisecond},
+		},
+	}
+	for _, n := range bed.Nodes {
+		t.urls = append(t.urls, n.CallersURL())
+	}
+	return t
+}
+
+// start sends until ctx ends. The channel closes when every request has ended.
+func (t *traffic) start(ctx context.Context) <-chan struct{} {
+	var running sync.WaitGroup
+	for _, s := range t.streams {
+		running.Go(func() { t.send(ctx, s) })
+	}
+	stopped := make(chan struct{})
+	go func() {
+		running.Wait()
+		close(stopped)
+	}()
+	return stopped
+}
+
+// send starts one request per interval, whether or not earlier ones were answered.
+func (t *traffic) send(ctx context.Context, s *stream) {
+	ticker := time.NewTicker(s.interval)
+	defer ticker.Stop()
+	var open sync.WaitGroup
+	defer open.Wait()
+	for number := 0; ; number++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			url := t.urls[number%len(t.urls)]
+			open.Go(func() { t.request(s, url) })
+		}
+	}
+}
+
+func (t *traffic) request(s *stream, url string) {
+	request, err := http.NewRequest(s.method, url+s.path, nil)
+	if err != nil {
+		s.failed.Add(1)
+		return
+	}
+	response, err := t.client.Do(request)
+	if err != nil {
+		s.failed.Add(1)
+		return
+	}
+	defer func() { _ = response.Body.Close() }()
+	_, err = io.Copy(io.Discard, response.Body)
+	if err != nil || response.StatusCode != http.StatusOK {
+		s.failed.Add(1)
+		return
+	}
+	s.served.Add(1)
+}
+
+// summary returns the counts since the last call.
+func (t *traffic) summary() string {
+	parts := make([]string, 0, len(t.streams))
+	for _, s := range t.streams {
+		parts = append(parts, fmt.Sprintf("%s %d served %d failed", s.name, s.served.Swap(0), s.failed.Swap(0)))
+	}
+	return strings.Join(parts, ", ")
+}
