test/scenario: add the harness and the thin path

Cause: guarantees must be shown with real processes. Change: a testscript harness that builds jayfold and jayfold-lab, hands out ports, starts a fleet and sends signals, with a TCP forwarder whose directions can be cut. Behind the build tag scenario, because testscript needs golang.org/x/tools, which go.mod lacks; the tag goes once it is there.

--- /dev/null
+++ b/test/scenario/norace_test.go
@@ -0,0 +1,6 @@
+//go:build scenario && !race
+
+package scenario
+
+// buildFlags builds the commands as the tests are built.
+var buildFlags []string
--- /dev/null
+++ b/test/scenario/process_test.go
@@ -0,0 +1,118 @@
+//go:build scenario
+
+package scenario
+
+import (
+	"bytes"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// endWait bounds how long a process may take to end: the longest deadline is 10 s.
+const endWait = 30 * time.Second
+
+// shownBytes is how much of each process's output is shown after a scenario.
+const shownBytes = 2000
+
+// The signals that scenarios send.
+const (
+	kill = syscall.SIGKILL
+	stop = syscall.SIGSTOP
+	cont = syscall.SIGCONT
+	term = syscall.SIGTERM
+)
+
+// processes holds what a scenario has started, by name.
+type processes struct {
+	dir     string
+	running map[string]*process
+	links   map[string]*forwarder
+}
+
+type processesKey struct{}
+
+// process is one started process. ended is closed once it is over, with its error.
+type process struct {
+	command *exec.Cmd
+	ended   chan struct{}
+	err     error
+}
+
+// newProcesses returns a holder that ends everything after the scenario.
+func newProcesses(env *testscript.Env) *processes {
+	p := &processes{dir: env.WorkDir, running: map[string]*process{}, links: map[string]*forwarder{}}
+	env.Defer(func() {
+		for _, l := range p.links {
+			l.close()
+		}
+		for name, started := range p.running {
+			_ = started.command.Process.Kill()
+			<-started.ended
+			env.T().Log(name + ":\n" + p.tail(name))
+		}
+	})
+	return p
+}
+
+// tail returns the end of a process's output.
+func (p *processes) tail(name string) string {
+	out, _ := os.ReadFile(filepath.Join(p.dir, name+".out"))
+	return string(bytes.TrimSpace(out[max(0, len(out)-shownBytes):]))
+}
+
+func held(ts *testscript.TestScript) *processes { return ts.Value(processesKey{}).(*processes) }
+
+func start(ts *testscript.TestScript, _ bool, args []string) {
+	if len(args) < 2 {
+		ts.Fatalf("usage: start NAME COMMAND ARGS...")
+	}
+	p := held(ts)
+	out, err := os.OpenFile(filepath.Join(p.dir, args[0]+".out"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	ts.Check(err)
+	defer func() { _ = out.Close() }()
+	command := exec.Command(args[1], args[2:]...)
+	command.Dir, command.Stdout, command.Stderr = p.dir, out, out
+	ts.Check(command.Start())
+	started := &process{command: command, ended: make(chan struct{})}
+	go func() {
+		started.err = command.Wait()
+		close(started.ended)
+	}()
+	p.running[args[0]] = started
+}
+
+// named returns a started process.
+func named(ts *testscript.TestScript, args []string) *process {
+	if len(args) != 1 {
+		ts.Fatalf("want the name of one process")
+	}
+	started, ok := held(ts).running[args[0]]
+	if !ok {
+		ts.Fatalf("no process %s was started", args[0])
+	}
+	return started
+}
+
+func signal(s syscall.Signal) func(*testscript.TestScript, bool, []string) {
+	return func(ts *testscript.TestScript, _ bool, args []string) {
+		ts.Check(named(ts, args).command.Process.Signal(s))
+	}
+}
+
+func wait(ts *testscript.TestScript, neg bool, args []string) {
+	started := named(ts, args)
+	select {
+	case <-started.ended:
+	case <-time.After(endWait):
+		ts.Fatalf("%s has not ended after %s", args[0], endWait)
+	}
+	ts.Logf("%s", held(ts).tail(args[0]))
+	if failed := started.err != nil; failed != neg {
+		ts.Fatalf("%s ended with: %v", args[0], started.err)
+	}
+}
--- /dev/null
+++ b/test/scenario/scenario_test.go
@@ -0,0 +1,82 @@
+//go:build scenario
+
+// Package scenario runs scripted scenarios with real processes on loopback.
+//
+// # Usage
+//
+// Each file testdata/*.txtar is one scenario for github.com/rogpeppe/go-internal/testscript. The harness builds jayfold and
+// jayfold-lab, hands out free ports and writes the settings and the tables. These commands are added:
+//
+//	fleet                         start the platform, apply the tables, start three nodes and six targets, wait for them
+//	start NAME COMMAND ARGS...    start a process; its output goes to NAME.out
+//	[!] wait NAME                 wait for a process to end by itself with status 0 (or another)
+//	kill|stop|cont|term NAME      send SIGKILL, SIGSTOP, SIGCONT or SIGTERM
+//	waitfor URL                   wait until a GET is answered with status 200
+//	get|post|put URL STATUS [TEXT]  repeat a request until its status and body match; a body is read from the file "body"
+//	link NAME LISTEN TARGET       forward a TCP address
+//	cut NAME forward|backward     stop one direction of a link; heal NAME restores it
+package scenario
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// atOnce bounds the scenarios that run at the same time. Each has about a dozen processes.
+const atOnce = 3
+
+func TestMain(m *testing.M) { os.Exit(build(m)) }
+
+// build puts the two commands on the path and runs the tests.
+func build(m *testing.M) int {
+	bin, err := os.MkdirTemp("", "jayfold-scenario")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(bin) }()
+	args := append([]string{"build", "-o", bin}, buildFlags...)
+	command := exec.Command("go", append(args, "jayfold.dev/jayfold/cmd/jayfold", "jayfold.dev/jayfold/cmd/jayfold-lab")...)
+	if out, err := command.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "go build: %v\n%s", err, out)
+		return 1
+	}
+	if err := os.Setenv("PATH", bin+string(filepath.ListSeparator)+os.Getenv("PATH")); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return m.Run()
+}
+
+func TestScenarios(t *testing.T) {
+	places := make(chan struct{}, atOnce)
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata",
+		Setup: func(env *testscript.Env) error {
+			places <- struct{}{}
+			env.Defer(func() { <-places })
+			return setUp(env)
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"fleet":   fleet,
+			"start":   start,
+			"wait":    wait,
+			"kill":    signal(kill),
+			"stop":    signal(stop),
+			"cont":    signal(cont),
+			"term":    signal(term),
+			"waitfor": waitFor,
+			"get":     request("GET"),
+			"post":    request("POST"),
+			"put":     request("PUT"),
+			"link":    link,
+			"cut":     cut,
+			"heal":    heal,
+		},
+	})
+}
