--- a/test/scenario/process_test.go
+++ b/test/scenario/process_test.go
@@ -19,14 +19,6 @@
 // shownBytes is how much of each process's output is shown after a scenario.
 const shownBytes = 2000
 
-// The signals that scenarios send.
-const (
-	kill = syscall.SIGKILL
-	stop = syscall.SIGSTOP
-	cont = syscall.SIGCONT
-	term = syscall.SIGTERM
-)
-
 // processes holds what a scenario has started, by name.
 type processes struct {
 	dir     string
@@ -53,7 +45,9 @@
 		for name, started := range p.running {
 			_ = started.command.Process.Kill()
 			<-started.ended
-			env.T().Log(name + ":\n" + p.tail(name))
+			if tail := p.tail(name); tail != "" {
+				env.T().Log(name + ":\n" + tail)
+			}
 		}
 	})
 	return p
@@ -104,7 +98,7 @@
 	}
 }
 
-func wait(ts *testscript.TestScript, neg bool, args []string) {
+func ended(ts *testscript.TestScript, neg bool, args []string) {
 	started := named(ts, args)
 	select {
 	case <-started.ended:
--- a/test/scenario/scenario_test.go
+++ b/test/scenario/scenario_test.go
@@ -7,10 +7,10 @@
 // Each file testdata/*.txtar is one scenario for github.com/rogpeppe/go-internal/testscript. The harness builds jayfold and
 // jayfold-lab, hands out free ports and writes the settings and the tables. These commands are added:
 //
-//	fleet                         start the platform, apply the tables, start three nodes and six targets, wait for them
+//	fleet [SERVICETIME]           start the platform, apply the tables, start three nodes and six targets, wait for them
 //	start NAME COMMAND ARGS...    start a process; its output goes to NAME.out
-//	[!] wait NAME                 wait for a process to end by itself with status 0 (or another)
-//	kill|stop|cont|term NAME      send SIGKILL, SIGSTOP, SIGCONT or SIGTERM
+//	[!] ended NAME                wait for a process to end by itself with status 0 (or another)
+//	sigkill|sigstop|sigcont|sigterm NAME  send a signal; testscript itself has kill, stop and wait
 //	waitfor URL                   wait until a GET is answered with status 200
 //	get|post|put URL STATUS [TEXT]  repeat a request until its status and body match; a body is read from the file "body"
 //	link NAME LISTEN TARGET       forward a TCP address
@@ -22,6 +22,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"syscall"
 	"testing"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -65,11 +66,11 @@
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"fleet":   fleet,
 			"start":   start,
-			"wait":    wait,
-			"kill":    signal(kill),
-			"stop":    signal(stop),
-			"cont":    signal(cont),
-			"term":    signal(term),
+			"ended":   ended,
+			"sigkill": signal(syscall.SIGKILL),
+			"sigstop": signal(syscall.SIGSTOP),
+			"sigcont": signal(syscall.SIGCONT),
+			"sigterm": signal(syscall.SIGTERM),
 			"waitfor": waitFor,
 			"get":     request("GET"),
 			"post":    request("POST"),
--- a/test/scenario/setup_test.go
+++ b/test/scenario/setup_test.go
@@ -4,10 +4,12 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 
 	"github.com/rogpeppe/go-internal/testscript"
 )
@@ -44,9 +46,7 @@
 	for n := 1; n <= targets; n++ {
 		names = append(names, fmt.Sprintf("TARGET%d", n))
 	}
-	if err := setPorts(env, names); err != nil {
-		return err
-	}
+	setPorts(env, names)
 	var ledgers []string
 	for n := 1; n <= targets; n++ {
 		ledgers = append(ledgers, filepath.Join(env.WorkDir, fmt.Sprintf("t%d.ledger", n)))
@@ -57,17 +57,34 @@
 	return writeFiles(env)
 }
 
-// setPorts sets each name to a free address. All are held until the last is taken, so that they differ.
-func setPorts(env *testscript.Env, names []string) error {
+// Ports are taken below the range from which the system takes those of outgoing connections.
+const (
+	lowestPort = 12000
+	portRange  = 20000
+)
+
+// taken holds the ports handed out by this process.
+var taken sync.Map
+
+// setPorts sets each name to a free address.
+func setPorts(env *testscript.Env, names []string) {
 	for _, name := range names {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return err
+		env.Setenv(name, freeAddress())
+	}
+}
+
+// freeAddress returns an address on which nothing listens and that was not handed out before.
+func freeAddress() string {
+	for {
+		address := fmt.Sprintf("127.0.0.1:%d", lowestPort+rand.IntN(portRange))
+		if _, before := taken.LoadOrStore(address, true); before {
+			continue
+		}
+		if listener, err := net.Listen("tcp", address); err == nil {
+			_ = listener.Close()
+			return address
 		}
-		defer func() { _ = listener.Close() }()
-		env.Setenv(name, listener.Addr().String())
 	}
-	return nil
 }
 
 func writeFiles(env *testscript.Env) error {
@@ -83,8 +100,15 @@
 	return nil
 }
 
+// defaultServiceTime is that of the targets when a scenario gives none.
+const defaultServiceTime = "5ms"
+
 // fleet starts the whole fleet. Each node must answer a lookup before the scenario goes on.
-func fleet(ts *testscript.TestScript, _ bool, _ []string) {
+func fleet(ts *testscript.TestScript, _ bool, args []string) {
+	serviceTime := defaultServiceTime
+	if len(args) > 0 {
+		serviceTime = args[0]
+	}
 	start(ts, false, []string{"platform", "jayfold-lab", "platform", "--listen", ts.Getenv("PLATFORM")})
 	waitFor(ts, false, []string{"http://" + ts.Getenv("PLATFORM") + "/v1/objects?prefix=x"})
 	ts.Check(ts.Exec("jayfold", "tables", "apply", "--platform", "http://"+ts.Getenv("PLATFORM"),
@@ -93,7 +117,7 @@
 		start(ts, false, []string{fmt.Sprintf("n%d", n), "jayfold", "node", "--settings", fmt.Sprintf("n%d.json", n)})
 	}
 	for n := 1; n <= targets; n++ {
-		startTarget(ts, n)
+		startTarget(ts, n, serviceTime)
 	}
 	for n := 1; n <= nodes; n++ {
 		operators := ts.Getenv(fmt.Sprintf("OPERATORS%d", n))
@@ -103,12 +127,12 @@
 }
 
 // startTarget starts the nth target beside the node that it belongs to.
-func startTarget(ts *testscript.TestScript, n int) {
+func startTarget(ts *testscript.TestScript, n int, serviceTime string) {
 	name := fmt.Sprintf("t%d", n)
 	start(ts, false, []string{
 		name, "jayfold-lab", "target", "--name", name, "--pool", "shop",
 		"--listen", ts.Getenv(fmt.Sprintf("TARGET%d", n)),
 		"--node", ts.Getenv(fmt.Sprintf("TARGETS%d", (n-1)%nodes+1)),
-		"--ledger", name + ".ledger",
+		"--ledger", name + ".ledger", "--service-time", serviceTime,
 	})
 }
