core/membership: keep the fleet's records by gossip

Cause: a node knew others only from the platform's list and never noticed that one died.

Change: SWIM with one direct probe a second, indirect probes through 3 peers, suspicion for 2 s per round of gossip (20 s at 540 nodes), refutation by a higher sequence number and tombstones for 6 h. One dead member is contacted every 5 s, so that both sides of a healed partition and a node that restarts during an outage of the platform are found again. The platform's list is only contacted, not believed. Messages of a stale incarnation are counted and ignored.

--- /dev/null
+++ b/internal/core/membership/probe.go
@@ -0,0 +1,197 @@
+package membership
+
+import (
+	"time"
+
+	"jayfold.dev/jayfold/internal/core/effect"
+	"jayfold.dev/jayfold/internal/core/fleet"
+	"jayfold.dev/jayfold/internal/core/message"
+)
+
+const (
+	// probePeriod is the time between two probes.
+	probePeriod = time.Second
+	// directTimeout is the wait for an Ack before others are asked to probe. A new connection to another region takes two
+	// round trips, and the rest of the period must suffice for an indirect probe.
+	directTimeout = 400 * time.Millisecond
+	// indirectProbes is how many peers are asked to probe.
+	indirectProbes = 3
+	// relayTime is how long a probe on behalf of another node is remembered, and relayLimit how many are.
+	relayTime  = 2 * time.Second
+	relayLimit = 256
+	// reconnectInterval is the time between two contacts with dead members, to find them again after a partition.
+	reconnectInterval = 5 * time.Second
+)
+
+// probe is the probe of the current period.
+type probe struct {
+	subject  fleet.NodeID
+	sequence uint64
+	started  time.Time
+	// indirect means that others were asked; hurried that they are to be asked at once.
+	indirect bool
+	hurried  bool
+}
+
+// open reports whether the subject has still to answer.
+func (p probe) open() bool { return p.subject != "" }
+
+// relay is a probe on behalf of another node.
+type relay struct {
+	subject   fleet.NodeID
+	requester fleet.NodeID
+	address   string
+	sequence  uint64
+	until     time.Time
+}
+
+// probing runs one probe a period: directly, then through others; then it suspects the subject.
+func (s State) probing(now time.Time, random uint64) (State, []effect.Effect) {
+	s = s.dropRelays(now)
+	waited := now.Sub(s.probe.started)
+	if s.probe.open() && !s.probe.indirect && (s.probe.hurried || waited >= directTimeout) {
+		return s.askOthers()
+	}
+	if waited < probePeriod {
+		return s, nil
+	}
+	if s.probe.open() {
+		s = s.suspect(now, s.probe.subject)
+	}
+	return s.startProbe(now, random)
+}
+
+// startProbe probes the next present member of the ring, which is shuffled anew when it ends.
+func (s State) startProbe(now time.Time, random uint64) (State, []effect.Effect) {
+	s.probe = probe{started: now}
+	for range s.ring {
+		if s.next >= len(s.ring) {
+			s.next = 0
+			s.ring = shuffled(s.ring, random)
+		}
+		m, _ := s.members.Get(s.ring[s.next])
+		s.next++
+		if present(m) {
+			s, ping := s.ping(m.Node, m.PeerAddress)
+			s.probe.subject = m.Node
+			s.probe.sequence = s.sequence
+			return s, []effect.Effect{ping}
+		}
+	}
+	return s, nil
+}
+
+// ping returns a Ping under the next sequence number.
+func (s State) ping(to fleet.NodeID, address string) (State, effect.Effect) {
+	s.sequence++
+	s, records := s.gossip(to)
+	return s, effect.Send{To: to, Address: address, Message: message.Ping{Sequence: s.sequence, Members: records}}
+}
+
+// pingAll sends the least sent records to several members at once.
+func (s State) pingAll(members []fleet.Member) (State, []effect.Effect) {
+	effects := make([]effect.Effect, 0, len(members))
+	for _, m := range members {
+		next, ping := s.ping(m.Node, m.PeerAddress)
+		s = next
+		effects = append(effects, ping)
+	}
+	return s, effects
+}
+
+func (s State) askOthers() (State, []effect.Effect) {
+	s.probe.indirect = true
+	subject, _ := s.members.Get(s.probe.subject)
+	request := message.PingRequest{Sequence: s.probe.sequence, Subject: subject.Node, Address: subject.PeerAddress}
+	var effects []effect.Effect
+	for _, m := range s.peers(indirectProbes, subject.Node) {
+		effects = append(effects, effect.Send{To: m.Node, Address: m.PeerAddress, Message: request})
+	}
+	return s, effects
+}
+
+// SendFailed says that a message to a node could not be sent. Others are asked at once; only they can confirm that the
+// fault is not on this side.
+func (s State) SendFailed(_ time.Time, to fleet.NodeID) (State, []effect.Effect) {
+	if s.probe.subject == to {
+		s.probe.hurried = true
+	}
+	return s, nil
+}
+
+func (s State) pinged(now time.Time, envelope message.Envelope, m message.Ping) (State, []effect.Effect) {
+	s, effects := s.mergeAll(now, m.Members, true)
+	s, records := s.gossip(envelope.From)
+	effects = append(effects, effect.Send{
+		To:      envelope.From,
+		Address: envelope.Address,
+		Message: message.Ack{Sequence: m.Sequence, Subject: s.self, Members: records},
+	})
+	if s.sync.joined || s.sync.running() {
+		return s, effects
+	}
+	s, request := s.startSync(now, fleet.Member{Node: envelope.From, PeerAddress: envelope.Address})
+	return s, append(effects, request)
+}
+
+// acked ends this node's probe or passes the answer on to the node that asked for it. The subject must be the one that
+// was probed: another node may have taken over its address.
+func (s State) acked(now time.Time, m message.Ack) (State, []effect.Effect) {
+	s, effects := s.mergeAll(now, m.Members, true)
+	if s.probe.open() && m.Sequence == s.probe.sequence && m.Subject == s.probe.subject {
+		s.probe.subject = ""
+	}
+	if r, ok := s.relays.Get(m.Sequence); ok && r.subject == m.Subject {
+		s.relays = s.relays.Without(m.Sequence)
+		effects = append(effects, effect.Send{
+			To:      r.requester,
+			Address: r.address,
+			Message: message.Ack{Sequence: r.sequence, Subject: r.subject},
+		})
+	}
+	return s, effects
+}
+
+// pingAsked probes a node on behalf of another one.
+func (s State) pingAsked(now time.Time, envelope message.Envelope, m message.PingRequest) (State, []effect.Effect) {
+	if m.Subject == s.self || s.relays.Len() >= relayLimit {
+		return s, nil
+	}
+	s, ping := s.ping(m.Subject, m.Address)
+	s.relays = s.relays.With(s.sequence, relay{
+		subject:   m.Subject,
+		requester: envelope.From,
+		address:   envelope.Address,
+		sequence:  m.Sequence,
+		until:     now.Add(relayTime),
+	})
+	return s, []effect.Effect{ping}
+}
+
+// dropRelays forgets relays whose requester has given up. Sequence numbers grow with time, so the oldest come first.
+func (s State) dropRelays(now time.Time) State {
+	for sequence, r := range s.relays.All() {
+		if now.Before(r.until) {
+			break
+		}
+		s.relays = s.relays.Without(sequence)
+	}
+	return s
+}
+
+// reconnecting contacts one dead member now and then. After a partition it refutes its death; after a restart while the
+// platform is down it learns of the fleet.
+func (s State) reconnecting(now time.Time, random uint64) (State, []effect.Effect) {
+	if now.Before(s.reconnect) {
+		return s, nil
+	}
+	s.reconnect = now.Add(jitter(reconnectInterval, random))
+	for i := range s.ring {
+		id := s.ring[(uint64(i)+random%uint64(len(s.ring)))%uint64(len(s.ring))]
+		if m, _ := s.members.Get(id); !present(m) {
+			s, ping := s.ping(id, m.PeerAddress)
+			return s, []effect.Effect{ping}
+		}
+	}
+	return s, nil
+}
--- /dev/null
+++ b/internal/core/membership/record.go
@@ -0,0 +1,152 @@
+package membership
+
+import (
+	"time"
+
+	"jayfold.dev/jayfold/internal/core/effect"
+	"jayfold.dev/jayfold/internal/core/fleet"
+	"jayfold.dev/jayfold/internal/core/message"
+)
+
+const (
+	// suspicionPerRound times the rounds of gossip is the time a suspect has to refute: 20 s in a fleet of 540. The word
+	// reaches it within one round per second, and the answer takes as long. Ingresses avoid a node that they cannot reach
+	// at once, so nothing waits for the end of a suspicion.
+	suspicionPerRound = 2 * time.Second
+	// leavingTime is how long a member is shown as leaving; it has left long before.
+	leavingTime = time.Minute
+	// tombstoneTime is how long a dead member is remembered, so that an old record does not bring it back. Regions are cut
+	// off from each other for an hour, and dead members are contacted to find them again after the cut.
+	tombstoneTime = 6 * time.Hour
+	// pauseTime without a tick means that this process was paused.
+	pauseTime = 2 * time.Second
+	// refusedInterval is the time between two log lines on messages of a stale incarnation.
+	refusedInterval = time.Minute
+)
+
+// mergeAll takes in the records of a message.
+func (s State) mergeAll(now time.Time, records []fleet.Member, spread bool) (State, []effect.Effect) {
+	var effects []effect.Effect
+	for _, m := range records {
+		next, more := s.merge(now, m, spread)
+		s = next
+		effects = append(effects, more...)
+	}
+	return s, effects
+}
+
+// merge takes in a record, when it is newer than the known one, and passes it on when spread is set.
+func (s State) merge(now time.Time, m fleet.Member, spread bool) (State, []effect.Effect) {
+	known, ok := s.members.Get(m.Node)
+	if m.Node == s.self {
+		return s.accused(now, m)
+	}
+	if ok && !m.Newer(known) || !ok && !present(m) {
+		return s, nil
+	}
+	s = s.judged(now, outgoing(m))
+	if spread {
+		s = s.spread(m.Node)
+	}
+	if m.Status == fleet.Dead {
+		return s, []effect.Effect{died(m)}
+	}
+	return s, nil
+}
+
+// judged puts a record in force and starts or ends the times that go with its status.
+func (s State) judged(now time.Time, m fleet.Member) State {
+	s = s.with(m)
+	s.deadlines = s.deadlines.Without(m.Node)
+	s.tombstones = s.tombstones.Without(m.Node)
+	switch m.Status {
+	case fleet.Suspect:
+		s.deadlines = s.deadlines.With(m.Node, now.Add(suspicionPerRound*time.Duration(s.rounds())))
+	case fleet.Leaving:
+		s.deadlines = s.deadlines.With(m.Node, now.Add(leavingTime))
+	case fleet.Dead:
+		s.tombstones = s.tombstones.With(m.Node, now.Add(tombstoneTime))
+	case fleet.Alive:
+	}
+	return s
+}
+
+// suspect marks a member that answered no probe.
+func (s State) suspect(now time.Time, id fleet.NodeID) State {
+	m, ok := s.members.Get(id)
+	if !ok || m.Status != fleet.Alive {
+		return s
+	}
+	return s.judged(now, m.WithStatus(fleet.Suspect)).spread(id)
+}
+
+// expire ends suspicions that were not refuted, and drops old tombstones.
+func (s State) expire(now time.Time, _ uint64) (State, []effect.Effect) {
+	var effects []effect.Effect
+	for id, deadline := range s.deadlines.All() {
+		if now.Before(deadline) {
+			continue
+		}
+		m, _ := s.members.Get(id)
+		wasSuspect := m.Status == fleet.Suspect
+		m = outgoing(m.WithStatus(fleet.Dead))
+		s = s.judged(now, m)
+		if wasSuspect {
+			s = s.spread(id)
+			effects = append(effects, died(m))
+		}
+	}
+	for id, until := range s.tombstones.All() {
+		if !now.Before(until) {
+			s = s.without(id)
+		}
+	}
+	return s, effects
+}
+
+// resume gives every suspect and the running probe their time again after a pause of this process, in which it could not
+// hear their answers.
+func (s State) resume(now time.Time, _ uint64) (State, []effect.Effect) {
+	pause := now.Sub(s.ticked)
+	if !s.ticked.IsZero() && pause > pauseTime {
+		s.probe = probe{}
+		for id, deadline := range s.deadlines.All() {
+			s.deadlines = s.deadlines.With(id, deadline.Add(pause))
+		}
+	}
+	s.ticked = now
+	return s, nil
+}
+
+// Stale reports whether a message comes from an earlier life of its sender.
+func (s State) Stale(envelope message.Envelope) bool {
+	m, ok := s.members.Get(envelope.From)
+	return ok && envelope.Incarnation < m.Incarnation
+}
+
+// Refused takes in that a stale message was ignored. It logs at most one line a minute.
+func (s State) Refused(now time.Time, envelope message.Envelope) (State, []effect.Effect) {
+	effects := []effect.Effect{effect.Count{Name: "messages_stale", Delta: 1}}
+	if now.Sub(s.refused) < refusedInterval {
+		return s, effects
+	}
+	s.refused = now
+	return s, append(effects, effect.Log{
+		Level: effect.Warn,
+		Part:  "membership",
+		Text:  "message of a stale incarnation ignored",
+		Fields: []effect.Field{
+			{Name: "Node", Value: envelope.From},
+			{Name: "Incarnation", Value: envelope.Incarnation},
+		},
+	})
+}
+
+func died(m fleet.Member) effect.Effect {
+	return effect.Log{
+		Level:  effect.Warn,
+		Part:   "membership",
+		Text:   "node is dead",
+		Fields: []effect.Field{{Name: "Node", Value: m.Node}, {Name: "Incarnation", Value: m.Incarnation}},
+	}
+}
--- /dev/null
+++ b/internal/core/membership/seed.go
@@ -0,0 +1,91 @@
+package membership
+
+import (
+	"time"
+
+	"jayfold.dev/jayfold/internal/core/effect"
+	"jayfold.dev/jayfold/internal/core/fleet"
+)
+
+const (
+	// registerInterval is the time between two writes of this node's record to the platform.
+	registerInterval = 5 * time.Minute
+	// listInterval is the time between two reads of the member list by a node that knows others.
+	listInterval = 30 * time.Minute
+	// firstList and lastList bound the time between two reads by a node that knows no other.
+	firstList = 2 * time.Second
+	lastList  = time.Minute
+	// listSpread and registerSpread are the times over which nodes that start together spread their first calls: 540 nodes
+	// make at most 1,080 reads and 360 writes per second.
+	listSpread     = 500 * time.Millisecond
+	registerSpread = 1500 * time.Millisecond
+	// seedContacts is how many nodes of the list are contacted.
+	seedContacts = 3
+)
+
+// seeds are the calls on the platform and the nodes that it listed, which are only contacted: what the platform has on a
+// node may be old.
+type seeds struct {
+	listed   []fleet.Member
+	list     time.Time
+	wait     time.Duration
+	register time.Time
+}
+
+// Listed takes in the records kept on the platform.
+func (s State) Listed(_ time.Time, members []fleet.Member) (State, []effect.Effect) {
+	s.seeds.listed = members
+	return s, nil
+}
+
+// seek calls the platform when it is time, and contacts nodes that it listed.
+func (s State) seek(now time.Time, random uint64) (State, []effect.Effect) {
+	var effects []effect.Effect
+	if s.started.IsZero() {
+		s.started = now
+		s.seeds.wait = firstList
+	}
+	if !now.Before(s.seeds.list) {
+		effects = append(effects, effect.ListMembers{After: within(listSpread, random)})
+		s = s.scheduleList(now, random)
+	}
+	if !now.Before(s.seeds.register) {
+		effects = append(effects, effect.RegisterMember{Member: s.Self(), After: within(registerSpread, random)})
+		s.seeds.register = now.Add(jitter(registerInterval, random))
+	}
+	s, contacts := s.contact(now, random)
+	return s, append(effects, contacts...)
+}
+
+// scheduleList doubles the time to the next read while this node knows no other.
+func (s State) scheduleList(now time.Time, random uint64) State {
+	wait := listInterval
+	if len(s.peers(1, s.self)) == 0 {
+		wait = s.seeds.wait
+		s.seeds.wait = min(2*wait, lastList)
+	}
+	s.seeds.list = now.Add(jitter(wait, random))
+	return s
+}
+
+// contact pings some listed nodes that are not known to be present, and pulls the records of one of them when this node
+// has just started.
+func (s State) contact(now time.Time, random uint64) (State, []effect.Effect) {
+	listed := s.seeds.listed
+	s.seeds.listed = nil
+	var unknown []fleet.Member
+	for i := range listed {
+		m := listed[(uint64(i)+random%uint64(len(listed)))%uint64(len(listed))]
+		known, ok := s.members.Get(m.Node)
+		if m.Node != s.self && present(m) && (!ok || !present(known)) && len(unknown) < seedContacts {
+			unknown = append(unknown, m)
+		}
+	}
+	s, effects := s.pingAll(unknown)
+	if len(unknown) > 0 && !s.sync.joined && !s.sync.running() {
+		next, request := s.startSync(now, unknown[0])
+		s = next
+		effects = append(effects, request)
+	}
+	return s, effects
+}
--- a/internal/core/membership/state.go
+++ b/internal/core/membership/state.go
@@ -4,10 +4,19 @@
 //
 //	state := membership.New(record)
 //	state, effects := state.Tick(now, random)
+//	state, effects = state.Received(now, envelope)
 //	candidates := state.Directory().Pool("catalogue")
+//
+// A node probes one peer a second, directly and then through others, and suspects a peer that does not answer. A suspect
+// refutes with a higher sequence number, or is dead after a time that grows with the logarithm of the fleet. Changed
+// records ride on probes and their answers, each a bounded number of times, so the number and the size of messages do not
+// grow with the fleet. A pull of differing records from one random peer repairs what gossip missed.
 package membership
 
 import (
+	"math/bits"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"jayfold.dev/jayfold/internal/core/effect"
@@ -20,23 +29,63 @@
 	self      fleet.NodeID
 	members   fleet.Map[fleet.NodeID, fleet.Member]
 	directory fleet.Directory
-	listed    time.Time
-	changed   bool
+	// ring lists all members but this node in random order; next is the index of the next peer to probe.
+	ring     []fleet.NodeID
+	next     int
+	sequence uint64
+	probe    probe
+	relays   fleet.Map[uint64, relay]
+	rumors   rumors
+	// deadlines says when a suspected or leaving member counts as dead.
+	deadlines fleet.Map[fleet.NodeID, time.Time]
+	// tombstones says when a dead member's record is dropped.
+	tombstones fleet.Map[fleet.NodeID, time.Time]
+	own        own
+	sync       sync
+	seeds      seeds
+	started    time.Time
+	ticked     time.Time
+	reconnect  time.Time
+	refused    time.Time
 }
 
-// seedInterval is the time between reads of the member list on the platform.
-const seedInterval = time.Second
-
 // New returns the state of a node that knows only its own record.
 func New(self fleet.Member) State {
-	return State{self: self.Node}.with(self)
+	return State{self: self.Node}.with(self).spread(self.Node)
 }
 
 // with returns the state with a record that overrides the known one of the same node.
 func (s State) with(m fleet.Member) State {
-	old, _ := s.members.Get(m.Node)
+	old, known := s.members.Get(m.Node)
 	s.members = s.members.With(m.Node, m)
-	s.directory = s.directory.WithMember(old, m)
+	if !sameCandidates(old, m) {
+		s.directory = s.directory.WithMember(old, m)
+	}
+	if !known && m.Node != s.self {
+		s.ring = append(slices.Clip(s.ring), m.Node)
+	}
+	return s
+}
+
+// sameCandidates reports whether two records of a node give the same candidates. A change of sequence or of suspicion
+// alone is frequent and leaves the directory as it is.
+func sameCandidates(old, changed fleet.Member) bool {
+	return present(old) == present(changed) && old.AvailabilityZone == changed.AvailabilityZone &&
+		old.ForwardAddress == changed.ForwardAddress && slices.Equal(old.Targets, changed.Targets)
+}
+
+// present reports whether a member's targets may be used.
+func present(m fleet.Member) bool { return m.Status == fleet.Alive || m.Status == fleet.Suspect }
+
+// without returns the state without a member.
+func (s State) without(id fleet.NodeID) State {
+	s.members = s.members.Without(id)
+	s.rumors = s.rumors.without(id)
+	s.deadlines = s.deadlines.Without(id)
+	s.tombstones = s.tombstones.Without(id)
+	if i := slices.Index(s.ring, id); i >= 0 {
+		s.ring = slices.Delete(slices.Clone(s.ring), i, i+1)
+	}
 	return s
 }
 
@@ -67,46 +116,79 @@
 	return m.PeerAddress, ok
 }
 
-// TargetsChanged puts the targets on this host into the node's own record.
-func (s State) TargetsChanged(targets []fleet.Target) State {
-	s = s.with(s.Self().WithTargets(targets))
-	s.changed = true
-	return s
+// steps are what a tick does, in order.
+var steps = []func(State, time.Time, uint64) (State, []effect.Effect){
+	State.resume,
+	State.seek,
+	State.publish,
+	State.expire,
+	State.probing,
+	State.reconnecting,
+	State.syncing,
 }
 
-// Listed merges the records kept on the platform.
-func (s State) Listed(_ time.Time, members []fleet.Member) (State, []effect.Effect) {
-	for _, m := range members {
-		known, ok := s.members.Get(m.Node)
-		if m.Node != s.self && (!ok || m.Newer(known)) {
-			s = s.with(m)
-		}
+// Tick probes a peer, ends suspicions, and renews what is due.
+func (s State) Tick(now time.Time, random uint64) (State, []effect.Effect) {
+	var effects []effect.Effect
+	for _, step := range steps {
+		next, more := step(s, now, random)
+		s = next
+		effects = append(effects, more...)
 	}
-	return s, nil
+	return s, effects
 }
 
 // Received handles a membership message.
-func (s State) Received(time.Time, message.Envelope) (State, []effect.Effect) { return s, nil }
-
-// SendFailed says that a message to a node could not be sent.
-func (s State) SendFailed(_ time.Time, _ fleet.NodeID) (State, []effect.Effect) { return s, nil }
-
-// Tick probes a peer, and reads the seeds when they are due.
-func (s State) Tick(now time.Time, _ uint64) (State, []effect.Effect) {
-	if now.Sub(s.listed) < seedInterval {
+func (s State) Received(now time.Time, envelope message.Envelope) (State, []effect.Effect) {
+	if envelope.From == s.self {
 		return s, nil
 	}
-	s.listed = now
-	effects := []effect.Effect{effect.ListMembers{}}
-	if s.changed {
-		s.changed = false
-		effects = append(effects, effect.RegisterMember{Member: s.Self()})
+	switch m := envelope.Message.(type) {
+	case message.Ping:
+		return s.pinged(now, envelope, m)
+	case message.Ack:
+		return s.acked(now, m)
+	case message.PingRequest:
+		return s.pingAsked(now, envelope, m)
+	case message.SyncRequest:
+		return s.syncAsked(envelope, m)
+	case message.Sync:
+		return s.synced(now, m)
 	}
-	return s, effects
+	return s, nil
+}
+
+// peers returns up to count present members other than except, from a place in the ring that moves with each message.
+func (s State) peers(count int, except fleet.NodeID) []fleet.Member {
+	var found []fleet.Member
+	for i := range s.ring {
+		if len(found) == count {
+			break
+		}
+		id := s.ring[(uint64(i)+s.sequence)%uint64(len(s.ring))]
+		if m, _ := s.members.Get(id); id != except && present(m) {
+			found = append(found, m)
+		}
+	}
+	return found
+}
+
+// rounds is the logarithm of the fleet's size to base 2, rounded up: the rounds in which gossip reaches everyone.
+func (s State) rounds() int { return bits.Len(uint(s.members.Len())) }
+
+// jitter returns a duration between 0.8 and 1.2 times the interval, so that nodes started together drift apart.
+func jitter(interval time.Duration, random uint64) time.Duration {
+	return interval*4/5 + within(interval*2/5, random)
+}
+
+// within returns a duration from 0 up to the limit.
+func within(limit time.Duration, random uint64) time.Duration {
+	return time.Duration(random % uint64(limit))
 }
 
-// Left announces that this node leaves.
-func (s State) Left(time.Time) (State, []effect.Effect) {
-	s = s.with(s.Self().WithStatus(fleet.Leaving))
-	return s, []effect.Effect{effect.RegisterMember{Member: s.Self()}}
+func shuffled(ids []fleet.NodeID, random uint64) []fleet.NodeID {
+	ids = slices.Clone(ids)
+	source := rand.New(rand.NewPCG(random, 0))
+	source.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	return ids
 }
--- a/internal/core/node/fleet.go
+++ b/internal/core/node/fleet.go
@@ -9,6 +9,11 @@
 // messageReceived hands a message to the part that speaks its protocol.
 func (s State) messageReceived(ev event.Event, body event.MessageReceived) (State, []effect.Effect) {
 	envelope := body.Envelope
+	if s.membership.Stale(envelope) {
+		next, effects := s.membership.Refused(ev.At, envelope)
+		s.membership = next
+		return s, effects
+	}
 	s, effects := s.revisionSeen(ev, event.RevisionSeen{From: envelope.From, Revision: envelope.Revision})
 	var more []effect.Effect
 	switch envelope.Message.(type) {
--- /dev/null
+++ b/internal/edge/peer/message_bench_test.go
@@ -0,0 +1,71 @@
+package peer
+
+import (
+	"fmt"
+	"testing"
+
+	"jayfold.dev/jayfold/internal/core/fleet"
+	"jayfold.dev/jayfold/internal/core/message"
+)
+
+// hostRecord is the record of a host of the design size: 7,800 targets on 540 hosts.
+func hostRecord(i int) fleet.Member {
+	m := fleet.Member{
+		Node:             fleet.NodeID(fmt.Sprintf("host-%03d", i)),
+		AvailabilityZone: "eu-south-1a",
+		PeerAddress:      fmt.Sprintf("10.20.%d.%d:7402", i/256, i%256),
+		ForwardAddress:   fmt.Sprintf("10.20.%d.%d:7401", i/256, i%256),
+		Incarnation:      1_790_000_000_000,
+		Sequence:         17,
+	}
+	for t := range 7800 / 540 {
+		name := fmt.Sprintf("catalogue-%d", t)
+		pool := fleet.PoolName(fmt.Sprintf("service-%03d", (i*14+t)%140))
+		m.Targets = append(m.Targets, fleet.Target{ID: fleet.NewTargetID(m.Node, name), Pool: pool, Slots: 4})
+	}
+	return m
+}
+
+func hostRecords(count int) []fleet.Member {
+	var records []fleet.Member
+	for i := range count {
+		records = append(records, hostRecord(i))
+	}
+	return records
+}
+
+func versions(count int) []message.MemberVersion {
+	var digest []message.MemberVersion
+	for _, m := range hostRecords(count) {
+		digest = append(digest, message.MemberVersion{Node: m.Node, Incarnation: m.Incarnation, Sequence: m.Sequence})
+	}
+	return digest
+}
+
+// BenchmarkEncode measures the bytes that the budget of 18 KB/s per node is made of, at the design size.
+func BenchmarkEncode(b *testing.B) {
+	for _, c := range []struct {
+		name string
+		body message.Message
+	}{
+		{"Ping/0", message.Ping{Sequence: 1 << 20}},
+		{"Ping/1", message.Ping{Sequence: 1 << 20, Members: hostRecords(1)}},
+		{"Ping/4", message.Ping{Sequence: 1 << 20, Members: hostRecords(4)}},
+		{"Ack/0", message.Ack{Sequence: 1 << 20, Subject: "host-001"}},
+		{"SyncRequest/64", message.SyncRequest{Digest: versions(64)}},
+		{"Sync/18", message.Sync{Members: hostRecords(18)}},
+	} {
+		b.Run(c.name, func(b *testing.B) {
+			envelope := message.Envelope{From: "host-000", Incarnation: 1_790_000_000_000, Address: "10.20.0.1:7402", Revision: 4000, Message: c.body}
+			size := 0
+			for b.Loop() {
+				encoded, err := encode(envelope)
+				if err != nil {
+					b.Fatal(err)
+				}
+				size = len(encoded)
+			}
+			b.ReportMetric(float64(size), "bytes")
+		})
+	}
+}
