--- a/test/scenario/race_test.go
+++ b/test/scenario/race_test.go
@@ -1,4 +1,4 @@
-//go:build scenario && race
+//go:build race
 
 package scenario
 
--- a/test/scenario/scenario_test.go
+++ b/test/scenario/scenario_test.go
@@ -1,5 +1,3 @@
-//go:build scenario
-
 // Package scenario runs scripted scenarios with real processes on loopback.
 //
 // # Usage
--- a/test/scenario/setup_test.go
+++ b/test/scenario/setup_test.go
@@ -1,5 +1,3 @@
-//go:build scenario
-
 package scenario
 
 import (
