--- a/internal/edge/peer/message_lease.go
+++ b/internal/edge/peer/message_lease.go
@@ -15,6 +15,8 @@
 	Grantor  string
 	Pool     string        `msgpack:",omitempty"`
 	Duration time.Duration `msgpack:",omitempty"`
+	BadShare float64       `msgpack:",omitempty"`
+	Suspect  bool          `msgpack:",omitempty"`
 }
 
 type wireTablesRequest struct {
@@ -26,26 +28,34 @@
 	Content  []byte
 }
 
-var errLease = errors.New("a lease has a missing or oversized name or a negative duration")
+var errLease = errors.New("a lease has a missing or oversized name, a negative duration or a share outside 0 to 1")
 
 // check returns an error unless both targets are named.
 func (w wireLease) check() error {
-	if !named(w.Asker) || !named(w.Grantor) || !short(w.Pool) || w.Duration < 0 {
+	share := w.BadShare >= 0 && w.BadShare <= 1 // false for NaN
+	if !named(w.Asker) || !named(w.Grantor) || !short(w.Pool) || w.Duration < 0 || !share {
 		return errLease
 	}
 	return nil
 }
 
 func leaseRequestToWire(m message.LeaseRequest) wireLease {
-	return wireLease{Number: m.Number, Asker: string(m.Asker), Grantor: string(m.Grantor), Pool: string(m.Pool)}
+	return wireLease{
+		Number:   m.Number,
+		Asker:    string(m.Asker),
+		Grantor:  string(m.Grantor),
+		Pool:     string(m.Pool),
+		BadShare: m.BadShare,
+	}
 }
 
 func leaseRequestFromWire(w wireLease) (message.LeaseRequest, error) {
 	return message.LeaseRequest{
-		Number:  w.Number,
-		Asker:   fleet.TargetID(w.Asker),
-		Grantor: fleet.TargetID(w.Grantor),
-		Pool:    fleet.PoolName(w.Pool),
+		Number:   w.Number,
+		Asker:    fleet.TargetID(w.Asker),
+		Grantor:  fleet.TargetID(w.Grantor),
+		Pool:     fleet.PoolName(w.Pool),
+		BadShare: w.BadShare,
 	}, w.check()
 }
 
@@ -63,7 +73,7 @@
 }
 
 func leaseRefusalToWire(m message.LeaseRefusal) wireLease {
-	return wireLease{Number: m.Number, Asker: string(m.Asker), Grantor: string(m.Grantor)}
+	return wireLease{Number: m.Number, Asker: string(m.Asker), Grantor: string(m.Grantor), Suspect: m.Suspect}
 }
 
 func leaseRefusalFromWire(w wireLease) (message.LeaseRefusal, error) {
@@ -71,15 +81,20 @@
 		Number:  w.Number,
 		Asker:   fleet.TargetID(w.Asker),
 		Grantor: fleet.TargetID(w.Grantor),
+		Suspect: w.Suspect,
 	}, w.check()
 }
 
 func leaseReleaseToWire(m message.LeaseRelease) wireLease {
-	return wireLease{Asker: string(m.Asker), Grantor: string(m.Grantor)}
+	return wireLease{Number: m.Number, Asker: string(m.Asker), Grantor: string(m.Grantor)}
 }
 
 func leaseReleaseFromWire(w wireLease) (message.LeaseRelease, error) {
-	return message.LeaseRelease{Asker: fleet.TargetID(w.Asker), Grantor: fleet.TargetID(w.Grantor)}, w.check()
+	return message.LeaseRelease{
+		Number:  w.Number,
+		Asker:   fleet.TargetID(w.Asker),
+		Grantor: fleet.TargetID(w.Grantor),
+	}, w.check()
 }
 
 func leaseRecallToWire(m message.LeaseRecall) wireLease {
