core/tables, edge/platform: notice a silent watch within the bound

Cause: a watch of 30 s on a connection that has gone silent was noticed after 35 s, so a fleet whose members all have that fault, or of one node, got a change late.

Change: the wait follows from the fleet's size, 3 s up to 150 nodes and 10.8 s at 540, and a watch is given up 1.5 s after it; calls on the platform use new connections.

Conclusion: a node without peers notices a silent watch after at most 4.5 s. At 540 nodes the fleet makes at most 50 watches a second while nothing changes, instead of 18.

--- a/internal/core/effect/platform.go
+++ b/internal/core/effect/platform.go
@@ -9,6 +9,8 @@
 // WatchHead waits until the platform's head object has another version than Version. Event: event.HeadRead.
 type WatchHead struct {
 	Version uint64
+	// Wait is how long the platform holds the call when nothing changes.
+	Wait time.Duration
 	// After delays the call, so that many nodes do not call at once.
 	After time.Duration
 }
--- a/internal/core/tables/delay.go
+++ b/internal/core/tables/delay.go
@@ -14,6 +14,12 @@
 	// peer and the reads themselves, a change is in force within 6 s.
 	fetchPerMember = 10 * time.Millisecond
 	longestFetch   = 3 * time.Second
+	// watchPerMember, shortestWatch and longestWatch set how long a watch waits. At 20 ms per member the fleet makes at most
+	// 50 calls a second while nothing changes. A watch whose connection has gone silent is noticed at its end, so that a
+	// small fleet, whose members may all have that fault, still has a change in force within 6 s.
+	watchPerMember = 20 * time.Millisecond
+	shortestWatch  = 3 * time.Second
+	longestWatch   = 30 * time.Second
 	// firstRetry and longestRetry bound the delay after a failed call, which doubles with each failure. At 10 s, 540 nodes
 	// make 54 to 108 calls a second during an outage, and a change made right after it is in force within 6 s: the first
 	// nodes find it at once and their peers ask them. With 30 s it took 6.5 s.
@@ -27,6 +33,11 @@
 	rejectedDelay = time.Minute
 )
 
+// watchWait returns how long a watch waits in a fleet of the given size.
+func watchWait(members int) time.Duration {
+	return min(longestWatch, max(shortestWatch, watchPerMember*time.Duration(members)))
+}
+
 // rearmDelay returns the delay before the next watch in a fleet of the given size.
 func rearmDelay(random uint64, members int) time.Duration {
 	return scale(min(longestRearm, rearmPerMember*time.Duration(members)), lowFraction(random))
--- a/internal/core/tables/state_test.go
+++ b/internal/core/tables/state_test.go
@@ -121,7 +121,7 @@
 		assertAsked(t, effects, "a")
 		s, _ = s.Decoded(start, fleet.Tables{Revision: 7}, routing.Router{}, nil)
 		_, effects = s.Tick(start.Add(time.Minute), 0)
-		is.New(t).Equal(effects, []effect.Effect{effect.WatchHead{Version: 9}})
+		is.New(t).Equal(effects, []effect.Effect{effect.WatchHead{Version: 9, Wait: 10800 * time.Millisecond}})
 	})
 }
 
--- a/internal/edge/platform/client.go
+++ b/internal/edge/platform/client.go
@@ -80,7 +80,7 @@
 // WatchHead carries out the effect.
 func (c *Client) WatchHead(e effect.WatchHead) {
 	c.start(e.After, func(ctx context.Context) event.Body {
-		found, err := c.objects.watch(ctx, headKey, e.Version)
+		found, err := c.objects.watch(ctx, headKey, e.Version, e.Wait)
 		if err != nil {
 			return failed(event.CallWatchHead, err)
 		}
--- a/internal/edge/platform/client_test.go
+++ b/internal/edge/platform/client_test.go
@@ -214,7 +214,7 @@
 func TestEffects(t *testing.T) {
 	t.Run("a waiting watch tells of a change, and the change is fetched", func(t *testing.T) {
 		w := newWorld(t)
-		w.client.WatchHead(effect.WatchHead{})
+		w.client.WatchHead(effect.WatchHead{Wait: 30 * time.Second})
 		_, err := w.client.ApplyTables(t.Context(), tablesOf("a"), 0, "change-1")
 		is.New(t).NoErr(err)
 		read, ok := w.next(t).(event.HeadRead)
@@ -228,7 +228,7 @@
 
 	t.Run("an outage ends a waiting watch with an event", func(t *testing.T) {
 		w := newWorld(t)
-		w.client.WatchHead(effect.WatchHead{})
+		w.client.WatchHead(effect.WatchHead{Wait: 30 * time.Second})
 		for w.server.Counters().Watches == 0 {
 			time.Sleep(time.Millisecond)
 		}
@@ -238,10 +238,19 @@
 		is.New(t).Equal(failed.Call, event.CallWatchHead)
 	})
 
+	t.Run("a watch on a connection that has gone silent ends with an event", func(t *testing.T) {
+		w := newWorld(t)
+		w.server.SetFaults(lab.Faults{Silent: true})
+		w.client.WatchHead(effect.WatchHead{Wait: time.Millisecond})
+		failed, ok := w.next(t).(event.PlatformFailed)
+		is.New(t).True(ok)
+		is.New(t).Equal(failed.Call, event.CallWatchHead)
+	})
+
 	t.Run("a head that does not decode is reported", func(t *testing.T) {
 		w := newWorld(t)
 		w.put(t, "tables/head", `{"Revision":`)
-		w.client.WatchHead(effect.WatchHead{})
+		w.client.WatchHead(effect.WatchHead{Wait: 30 * time.Second})
 		failed, ok := w.next(t).(event.PlatformFailed)
 		is.New(t).True(ok)
 		is.New(t).Equal(failed.Call, event.CallWatchHead)
--- a/internal/edge/platform/objects.go
+++ b/internal/edge/platform/objects.go
@@ -18,10 +18,8 @@
 const (
 	// callTimeout bounds every call but a watch. The platform answers in milliseconds when it is well.
 	callTimeout = 5 * time.Second
-	// watchWait is how long the platform holds a watch without a change.
-	watchWait = 30 * time.Second
-	// watchTimeout bounds a watch, so that a silent connection is noticed.
-	watchTimeout = watchWait + callTimeout
+	// watchSlack is how long after the end of its wait a watch is given up, so that a silent connection is noticed.
+	watchSlack = 1500 * time.Millisecond
 	// maxObject is above the platform's limit of 1 MB for a value.
 	maxObject = 2 << 20
 	// maxList is above the size of 540 member records of 14 targets each.
@@ -93,10 +91,10 @@
 
 // watch waits until the object has another version. It returns the object with that version and no value when nothing
 // changed.
-func (o objects) watch(ctx context.Context, key string, version uint64) (object, error) {
-	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+func (o objects) watch(ctx context.Context, key string, version uint64, wait time.Duration) (object, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
 	defer cancel()
-	return o.read(ctx, key, fmt.Sprintf("?after=%d&wait=%s", version, watchWait))
+	return o.read(ctx, key, fmt.Sprintf("?after=%d&wait=%s", version, wait))
 }
 
 func (o objects) read(ctx context.Context, key, query string) (object, error) {
@@ -199,6 +197,8 @@
 	if err != nil {
 		return answer{}, Failure{Call: call, Err: err}
 	}
+	// An open connection can have gone silent. A new one costs 1 ms, and a node makes few calls.
+	req.Close = true
 	if c.name != "" {
 		req.Header.Set(c.name, c.value)
 	}
--- a/internal/lab/platform/handler.go
+++ b/internal/lab/platform/handler.go
@@ -36,6 +36,15 @@
 	Delay         string
 }
 
+// wireCounters are the counters in /admin/counters.
+type wireCounters struct {
+	Reads   int
+	Writes  int
+	Watches int
+	Limited int
+	Lost    int
+}
+
 func (s *Server) handler() http.Handler {
 	router := mux.NewRouter().SkipClean(true)
 	router.HandleFunc("/v1/objects", s.handleList).Methods(http.MethodGet)
@@ -180,5 +189,5 @@
 }
 
 func (s *Server) handleCounters(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, s.Counters())
+	writeJSON(w, wireCounters(s.Counters()))
 }
