tablesedit: let apply repair tables that cannot be read

Cause: a head or a chunk on the platform that does not decode made apply fail, so that operators could not replace it.

Change: platform.Corrupt says which revision cannot be read; apply replaces it with a warning, and asks for the expected revision when the head itself does not decode.

Conclusion: tested through the command line with a damaged head.

--- a/cmd/jayfold/tables_test.go
+++ b/cmd/jayfold/tables_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"net"
+	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
@@ -101,6 +102,17 @@
 		assertRun(t, exitDone, `"Deadline": "2s"`, "show", "--platform", url)
 	})
 
+	t.Run("apply repairs what the platform cannot show", func(t *testing.T) {
+		req, err := http.NewRequest(http.MethodPut, url+"/v1/objects/tables/head", strings.NewReader("nonsense"))
+		is.New(t).NoErr(err)
+		res, err := http.DefaultClient.Do(req)
+		is.New(t).NoErr(err)
+		is.New(t).NoErr(res.Body.Close())
+		assertRun(t, exitFailed, "does not decode", "show", "--platform", url)
+		assertRun(t, exitFailed, "expect the highest revision", command("apply", good, "--platform", url)...)
+		assertRun(t, exitDone, "revision 3 is accepted", command("apply", good, "--platform", url, "--expect", "2")...)
+	})
+
 	t.Run("an unreachable platform", func(t *testing.T) {
 		assertRun(t, exitFailed, "refused", "show", "--platform", "http://127.0.0.1:1")
 	})
--- a/internal/edge/platform/client.go
+++ b/internal/edge/platform/client.go
@@ -98,8 +98,8 @@
 // FetchTables carries out the effect.
 func (c *Client) FetchTables(e effect.FetchTables) {
 	c.start(e.After, func(ctx context.Context) event.Body {
-		content, err := c.content(ctx, e.Head.Chunks)
-		var corrupt corruptChunk
+		content, err := c.content(ctx, wireHead{Revision: e.Head.Revision, Chunks: e.Head.Chunks})
+		var corrupt Corrupt
 		if errors.As(err, &corrupt) {
 			return event.TablesRejected{Revision: e.Head.Revision, Detail: err.Error()}
 		}
--- a/internal/edge/platform/tables.go
+++ b/internal/edge/platform/tables.go
@@ -33,35 +33,53 @@
 		"for revision %d", c.Found, c.Expected)
 }
 
-// corruptChunk says that a chunk is not what its key says.
-type corruptChunk struct {
-	sum string
+// Corrupt says that the platform answered, and that what it has for the tables does not decode or is not complete.
+type Corrupt struct {
+	// Revision is what the head says; 0 means that the head does not decode.
+	Revision fleet.Revision
+	Err      error
 }
 
-func (c corruptChunk) Error() string {
-	return "the value of " + chunkPrefix + c.sum + " has another SHA-256 sum"
+// Error implements error.
+func (c Corrupt) Error() string {
+	return fmt.Sprintf("revision %d on the platform cannot be read: %v", c.Revision, c.Err)
 }
 
-// ReadTables reads the newest revision. Revision 0 means that there is none.
+// Unwrap returns the cause.
+func (c Corrupt) Unwrap() error { return c.Err }
+
+var errNoChunk = errors.New("the chunk is not there")
+
+// ReadTables reads the newest revision. Revision 0 means that there is none. The error is Corrupt when it cannot be read.
 func (c *Client) ReadTables(ctx context.Context) (fleet.Tables, error) {
 	head, _, err := c.readHead(ctx)
 	if err != nil || head.Revision == 0 {
 		return fleet.Tables{}, err
 	}
-	content, err := c.content(ctx, head.Chunks)
+	content, err := c.content(ctx, head)
+	if errors.Is(err, errNoChunk) {
+		return fleet.Tables{}, Corrupt{Revision: head.Revision, Err: err}
+	}
 	if err != nil {
 		return fleet.Tables{}, err
 	}
-	return tablesfile.Decode(head.Revision, content)
+	tables, err := tablesfile.Decode(head.Revision, content)
+	if err != nil {
+		return fleet.Tables{}, Corrupt{Revision: head.Revision, Err: err}
+	}
+	return tables, nil
 }
 
 // ApplyTables writes tables as the revision after expected and returns the new revision. The change id must be new. When
-// another change came first it returns Conflict and nothing is in force.
+// another change came first it returns Conflict and nothing is in force. A head that does not decode is replaced.
 func (c *Client) ApplyTables(
 	ctx context.Context, tables fleet.Tables, expected fleet.Revision, changeID string,
 ) (fleet.Revision, error) {
 	head, version, err := c.readHead(ctx)
-	if err != nil {
+	var corrupt Corrupt
+	if errors.As(err, &corrupt) {
+		head = wireHead{Revision: expected}
+	} else if err != nil {
 		return 0, err
 	}
 	if head.Revision != expected {
@@ -84,14 +102,18 @@
 	return revision, nil
 }
 
-// readHead returns the head and its version. Version 0 means that there is none.
+// readHead returns the head and its version. Version 0 means that there is none. The version is right also when the head
+// is Corrupt.
 func (c *Client) readHead(ctx context.Context) (wireHead, uint64, error) {
 	found, err := c.objects.get(ctx, headKey)
 	if err != nil || found.version == 0 {
 		return wireHead{}, 0, err
 	}
 	head, err := decodeHead(found.value)
-	return head, found.version, err
+	if err != nil {
+		return wireHead{}, found.version, Corrupt{Err: err}
+	}
+	return head, found.version, nil
 }
 
 // writeHead writes the head in the place of the given version. When the outcome of the write is unknown it reads the head
@@ -147,19 +169,20 @@
 	return err
 }
 
-// content reads the chunks with the given sums.
-func (c *Client) content(ctx context.Context, sums []string) ([]byte, error) {
+// content reads the chunks that a head names.
+func (c *Client) content(ctx context.Context, head wireHead) ([]byte, error) {
 	var content []byte
-	for _, name := range sums {
+	for _, name := range head.Chunks {
 		found, err := c.objects.get(ctx, chunkPrefix+name)
 		if err != nil {
 			return nil, err
 		}
 		if found.version == 0 {
-			return nil, Failure{Call: "GET " + chunkPrefix + name, Err: errors.New("the chunk is not there")}
+			return nil, Failure{Call: "GET " + chunkPrefix + name, Err: errNoChunk}
 		}
 		if sum := sha256.Sum256(found.value); hex.EncodeToString(sum[:]) != name {
-			return nil, corruptChunk{sum: name}
+			err := errors.New("the value of " + chunkPrefix + name + " has another SHA-256 sum")
+			return nil, Corrupt{Revision: head.Revision, Err: err}
 		}
 		content = append(content, found.value...)
 	}
--- a/internal/process/tablesedit/editor.go
+++ b/internal/process/tablesedit/editor.go
@@ -97,7 +97,7 @@
 	if err != nil {
 		return err
 	}
-	current, err := e.client.ReadTables(ctx)
+	current, err := e.readForApply(ctx, expected)
 	if err != nil {
 		return err
 	}
@@ -107,7 +107,7 @@
 	if current.Revision != expected {
 		return errors.Join(platform.Conflict{Expected: expected, Found: current.Revision}, e.printDiff(current, wanted))
 	}
-	if len(tablesfile.Diff(current, wanted)) == 0 && current.Revision > 0 {
+	if len(tablesfile.Diff(current, wanted)) == 0 && current.Pools.Len() > 0 {
 		return e.printDiff(current, wanted)
 	}
 	if err := e.warn(ctx, wanted); err != nil {
@@ -125,6 +125,23 @@
 	return err
 }
 
+// readForApply reads the newest revision. One that cannot be read counts as empty, so that applying repairs it.
+func (e Editor) readForApply(ctx context.Context, expected fleet.Revision) (fleet.Tables, error) {
+	current, err := e.client.ReadTables(ctx)
+	var corrupt platform.Corrupt
+	if !errors.As(err, &corrupt) {
+		return current, err
+	}
+	if corrupt.Revision == 0 {
+		if expected == Newest {
+			return fleet.Tables{}, fmt.Errorf("%w; apply again and expect the highest revision that the nodes show", err)
+		}
+		corrupt.Revision = expected
+	}
+	_, err = fmt.Fprintf(e.out, "warning: %v\n", corrupt)
+	return fleet.Tables{Revision: corrupt.Revision}, err
+}
+
 func (e Editor) printDiff(from, to fleet.Tables) error {
 	changes := tablesfile.Diff(from, to)
 	if len(changes) == 0 {
