core/tables: damage content in the property test

Cause: the property covered lost, repeated and reordered messages, but not content that does not decode.

Change: an action that makes every decoding fail until it is undone.

Conclusion: no counterexample found.

--- a/internal/core/tables/property_test.go
+++ b/internal/core/tables/property_test.go
@@ -10,7 +10,7 @@
 )
 
 // TestRevisionsNeverGoBack guards against a node that takes an older revision, or one that was never accepted, when
-// messages are lost, repeated and reordered and the platform fails; and against a node that stays behind afterwards.
+// messages are lost, repeated, damaged and reordered and the platform fails; and against a node that stays behind afterwards.
 func TestRevisionsNeverGoBack(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		random := rapid.Uint64()
@@ -33,6 +33,7 @@
 		rt.Repeat(map[string]func(*rapid.T){
 			"apply":   func(*rapid.T) { w.apply() },
 			"outage":  func(*rapid.T) { w.setOutage(!w.outage) },
+			"damage":  func(*rapid.T) { w.damage = !w.damage },
 			"deliver": func(rt *rapid.T) { w.deliver(pick(rt)) },
 			"lose": func(rt *rapid.T) {
 				i := pickMessage(rt)
@@ -57,10 +58,11 @@
 				}
 			},
 		})
-		// After the longest retry and the longest delays everything is in force.
+		// After the longest delay, the one after damaged content, everything is in force.
 		w.setOutage(false)
+		w.damage = false
 		w.random = newRandom(uint64(len(w.queue)))
-		w.run(40 * time.Second)
+		w.run(80 * time.Second)
 		if behind := w.behind(); behind > 0 {
 			rt.Fatalf("%d nodes do not have revision %d", behind, w.head)
 		}
--- a/internal/core/tables/world_test.go
+++ b/internal/core/tables/world_test.go
@@ -20,6 +20,8 @@
 	// head is the platform's newest revision, which is also the version of the head object.
 	head   fleet.Revision
 	outage bool
+	// damage makes every content that is decoded invalid.
+	damage bool
 	// watches counts the watches of each node that have no answer yet; waiting holds the nodes whose watch waits.
 	watches []int
 	waiting []int
@@ -136,6 +138,10 @@
 }
 
 func (w *world) decode(i int, r fleet.Revision) {
+	if w.damage {
+		w.post(i, false, func(s tables.State) (tables.State, []effect.Effect) { return s.Rejected(w.now, r, "damaged") })
+		return
+	}
 	w.post(i, false, func(s tables.State) (tables.State, []effect.Effect) {
 		return s.Decoded(w.now, fleet.Tables{Revision: r}, routing.Router{}, []byte("content"))
 	})
