--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -19,6 +19,8 @@
 //		},
 //		"Platform": "http://10.0.1.2:7000"
 //	}
+//
+// "Advertise": {"Peers": ..., "Forward": ...} gives the addresses for other nodes where ports are mapped on the way.
 package settings
 
 import (
@@ -37,6 +39,8 @@
 	// Host is the address under which other nodes reach this host.
 	Host   netip.Addr
 	Listen Listen
+	// Advertise replaces the addresses that other nodes use, where they are not those of Host and Listen.
+	Advertise Advertise
 	// Platform is the URL of the object API, without a path.
 	Platform string
 	// LogLevel is debug, info, warn or error.
@@ -58,6 +62,13 @@
 	Operators netip.AddrPort
 }
 
+// Advertise are addresses under which other nodes reach this one when ports are mapped on the way. An address that is not
+// valid is not set.
+type Advertise struct {
+	Peers   netip.AddrPort
+	Forward netip.AddrPort
+}
+
 // Limits bound what one caller's request may take.
 type Limits struct {
 	// MaxBodyBytes and MaxHeaderBytes are sizes in bytes.
@@ -82,12 +93,15 @@
 }
 
 // PeerAddress returns the address under which other nodes send messages to this one.
-func (s Settings) PeerAddress() string { return s.advertised(s.Listen.Peers) }
+func (s Settings) PeerAddress() string { return s.advertised(s.Advertise.Peers, s.Listen.Peers) }
 
 // ForwardAddress returns the address under which other nodes forward requests to this one.
-func (s Settings) ForwardAddress() string { return s.advertised(s.Listen.Forward) }
+func (s Settings) ForwardAddress() string { return s.advertised(s.Advertise.Forward, s.Listen.Forward) }
 
-func (s Settings) advertised(listen netip.AddrPort) string {
+func (s Settings) advertised(mapped, listen netip.AddrPort) string {
+	if mapped.IsValid() {
+		return mapped.String()
+	}
 	return netip.AddrPortFrom(s.Host, listen.Port()).String()
 }
 
--- a/test/scenario/scenario_test.go
+++ b/test/scenario/scenario_test.go
@@ -7,7 +7,8 @@
 // Each file testdata/*.txtar is one scenario for github.com/rogpeppe/go-internal/testscript. The harness builds jayfold and
 // jayfold-lab, hands out free ports and writes the settings and the tables. These commands are added:
 //
-//	fleet [SERVICETIME]           start the platform, apply the tables, start three nodes and six targets, wait for them
+//	fleet [SERVICETIME]           start the platform, apply the tables, start three nodes and six targets, wait for them;
+//	                              the links peersN and forwardN carry what other nodes send to the nth
 //	start NAME COMMAND ARGS...    start a process; its output goes to NAME.out
 //	[!] ended NAME                wait for a process to end by itself with status 0 (or another)
 //	sigkill|sigstop|sigcont|sigterm NAME  send a signal; testscript itself has kill, stop and wait
--- a/test/scenario/setup_test.go
+++ b/test/scenario/setup_test.go
@@ -19,9 +19,15 @@
 	targets = 6
 )
 
-// settings is the settings file of a node. A link may stand between a node's advertised addresses and its listeners.
+// listeners are the addresses of a node. Other nodes use the ADVERTISED ones, which a link joins with PEERS and FORWARD.
+var listeners = []string{
+	"CALLERS", "TARGETS", "PEERS", "FORWARD", "OPERATORS", "ADVERTISED_PEERS", "ADVERTISED_FORWARD",
+}
+
+// settings is the settings file of a node.
 const settings = `{
 	"Node": "n%[1]d", "AvailabilityZone": "az%[1]d", "Host": "127.0.0.1", "Platform": "http://$PLATFORM",
+	"Advertise": {"Peers": "$ADVERTISED_PEERS%[1]d", "Forward": "$ADVERTISED_FORWARD%[1]d"},
 	"Listen": {
 		"Callers": "$CALLERS%[1]d", "Targets": "$TARGETS%[1]d", "Peers": "$PEERS%[1]d",
 		"Forward": "$FORWARD%[1]d", "Operators": "$OPERATORS%[1]d"
@@ -37,9 +43,9 @@
 
 // setUp hands out free ports and writes the files of a fleet.
 func setUp(env *testscript.Env) error {
-	names := []string{"PLATFORM", "LINK"}
+	names := []string{"PLATFORM"}
 	for n := 1; n <= nodes; n++ {
-		for _, listener := range []string{"CALLERS", "TARGETS", "PEERS", "FORWARD", "OPERATORS"} {
+		for _, listener := range listeners {
 			names = append(names, fmt.Sprintf("%s%d", listener, n))
 		}
 	}
@@ -114,6 +120,7 @@
 	ts.Check(ts.Exec("jayfold", "tables", "apply", "--platform", "http://"+ts.Getenv("PLATFORM"),
 		"--routes", "routes.json", "--pools", "pools.json"))
 	for n := 1; n <= nodes; n++ {
+		linkNode(ts, n)
 		start(ts, false, []string{fmt.Sprintf("n%d", n), "jayfold", "node", "--settings", fmt.Sprintf("n%d.json", n)})
 	}
 	for n := 1; n <= targets; n++ {
@@ -126,6 +133,14 @@
 	}
 }
 
+// linkNode starts the links peersN and forwardN, through which the other nodes reach the nth.
+func linkNode(ts *testscript.TestScript, n int) {
+	for name, listener := range map[string]string{"peers": "PEERS", "forward": "FORWARD"} {
+		advertised := ts.Getenv(fmt.Sprintf("ADVERTISED_%s%d", listener, n))
+		link(ts, false, []string{fmt.Sprintf("%s%d", name, n), advertised, ts.Getenv(fmt.Sprintf("%s%d", listener, n))})
+	}
+}
+
 // startTarget starts the nth target beside the node that it belongs to.
 func startTarget(ts *testscript.TestScript, n int, serviceTime string) {
 	name := fmt.Sprintf("t%d", n)
