--- a/internal/core/node/fleet.go
+++ b/internal/core/node/fleet.go
@@ -9,6 +9,11 @@
 // messageReceived hands a message to the part that speaks its protocol.
 func (s State) messageReceived(ev event.Event, body event.MessageReceived) (State, []effect.Effect) {
 	envelope := body.Envelope
+	if s.membership.Stale(envelope) {
+		next, effects := s.membership.Refused(ev.At, envelope)
+		s.membership = next
+		return s, effects
+	}
 	// A node without tables may hear from peers whose records it does not have yet, so the address is the envelope's.
 	seen, effects := s.tables.Seen(ev.At, envelope.From, envelope.Address, envelope.Revision)
 	s.tables = seen
