--- /dev/null
+++ b/cmd/jayfold-lab/target.go
@@ -0,0 +1,59 @@
+package main
+
+import (
+	"net"
+	"os"
+	"time"
+
+	"jayfold.dev/jayfold/internal/lab/target"
+)
+
+// targetCommand runs a stand-in target.
+type targetCommand struct {
+	Listen      string        `default:"127.0.0.1:0" help:"Address to listen on."`
+	Node        string        `required:"" help:"Address for announcements of the node on this host."`
+	Name        string        `required:"" help:"Name of the target on its host."`
+	Pool        string        `required:"" help:"Pool that the target joins."`
+	Slots       int           `default:"4" help:"Requests that run at once."`
+	Connections int           `default:"300" help:"Connections that the target takes."`
+	ServiceTime time.Duration `default:"5ms" help:"Time that a request runs."`
+	ColdStart   time.Duration `default:"0s" help:"Time after the start in which requests run slower."`
+	Ledger      string        `type:"path" help:"File that gets the token of each request that starts."`
+}
+
+// Run implements the command.
+func (c *targetCommand) Run() error {
+	ctx, cancel := untilStopped()
+	defer cancel()
+	listener, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return err
+	}
+	settings := target.Settings{
+		Name:        c.Name,
+		Pool:        c.Pool,
+		Node:        c.Node,
+		Slots:       c.Slots,
+		Connections: c.Connections,
+		ServiceTime: c.ServiceTime,
+		ColdStart:   c.ColdStart,
+	}
+	seams, err := c.seams()
+	if err != nil {
+		return err
+	}
+	return target.New(settings, listener, seams).Run(ctx)
+}
+
+// seams returns the seams of a process of its own, with the ledger file when there is one.
+func (c *targetCommand) seams() (target.Seams, error) {
+	seams := target.NewSeams()
+	if c.Ledger == "" {
+		return seams, nil
+	}
+	file, err := os.OpenFile(c.Ledger, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		return seams, err
+	}
+	return seams.WithLedger(file), nil
+}
--- a/internal/core/membership/probe.go
+++ b/internal/core/membership/probe.go
@@ -61,24 +61,22 @@
 	return s.startProbe(now, random)
 }
 
-// startProbe probes the next present member of the ring, which is shuffled anew when it ends.
+// startProbe probes the next member of the ring, which is shuffled anew when it ends.
 func (s State) startProbe(now time.Time, random uint64) (State, []effect.Effect) {
 	s.probe = probe{started: now}
-	for range s.ring {
-		if s.next >= len(s.ring) {
-			s.next = 0
-			s.ring = shuffled(s.ring, random)
-		}
-		m, _ := s.members.Get(s.ring[s.next])
-		s.next++
-		if present(m) {
-			s, ping := s.ping(m.Node, m.PeerAddress)
-			s.probe.subject = m.Node
-			s.probe.sequence = s.sequence
-			return s, []effect.Effect{ping}
-		}
+	if s.next >= len(s.ring) {
+		s.next = 0
+		s.ring = shuffled(s.ring, random)
 	}
-	return s, nil
+	if len(s.ring) == 0 {
+		return s, nil
+	}
+	m, _ := s.members.Get(s.ring[s.next])
+	s.next++
+	s, ping := s.ping(m.Node, m.PeerAddress)
+	s.probe.subject = m.Node
+	s.probe.sequence = s.sequence
+	return s, []effect.Effect{ping}
 }
 
 // ping returns a Ping under the next sequence number.
@@ -179,19 +177,41 @@
 	return s
 }
 
+// reconnect is when a dead member is contacted next, and which one was contacted last.
+type reconnect struct {
+	next time.Time
+	last fleet.NodeID
+}
+
 // reconnecting contacts one dead member now and then. After a partition it refutes its death; after a restart while the
-// platform is down it learns of the fleet.
+// platform is down it learns of the fleet. The first one is drawn, so that not all nodes contact the same.
 func (s State) reconnecting(now time.Time, random uint64) (State, []effect.Effect) {
-	if now.Before(s.reconnect) {
+	if now.Before(s.reconnect.next) {
 		return s, nil
 	}
-	s.reconnect = now.Add(jitter(reconnectInterval, random))
-	for i := range s.ring {
-		id := s.ring[(uint64(i)+random%uint64(len(s.ring)))%uint64(len(s.ring))]
-		if m, _ := s.members.Get(id); !present(m) {
-			s, ping := s.ping(id, m.PeerAddress)
-			return s, []effect.Effect{ping}
+	s.reconnect.next = now.Add(jitter(reconnectInterval, random))
+	if s.reconnect.last == "" && len(s.ring) > 0 {
+		s.reconnect.last = s.ring[random%uint64(len(s.ring))]
+	}
+	id, ok := s.nextDead(s.reconnect.last)
+	if !ok {
+		return s, nil
+	}
+	s.reconnect.last = id
+	m, _ := s.members.Get(id)
+	s, ping := s.ping(id, m.PeerAddress)
+	return s, []effect.Effect{ping}
+}
+
+// nextDead returns the dead member after an id, or the first one.
+func (s State) nextDead(after fleet.NodeID) (fleet.NodeID, bool) {
+	for id := range s.tombstones.From(after) {
+		if id != after {
+			return id, true
 		}
 	}
-	return s, nil
+	for id := range s.tombstones.All() {
+		return id, true
+	}
+	return "", false
 }
--- a/internal/core/message/message.go
+++ b/internal/core/message/message.go
@@ -83,6 +83,8 @@
 	Asker   fleet.TargetID
 	Grantor fleet.TargetID
 	Pool    fleet.PoolName
+	// BadShare is the share of bad requests that the asker was judged on.
+	BadShare float64
 }
 
 // LeaseGrant answers a LeaseRequest. The lease ends Duration after the asker sent the request.
@@ -98,10 +100,15 @@
 	Number  uint64
 	Asker   fleet.TargetID
 	Grantor fleet.TargetID
+	// Suspect means that the grantor may be failing itself.
+	Suspect bool
 }
 
-// LeaseRelease says that the asker no longer needs the lease.
+// LeaseRelease says that the asker no longer relies on the lease, nor on any earlier request to the grantor.
 type LeaseRelease struct {
+	// Number is that of the asker's last request to the grantor. A release with another number than the grantor's last
+	// one was overtaken by a request and has no effect.
+	Number  uint64
 	Asker   fleet.TargetID
 	Grantor fleet.TargetID
 }
@@ -123,6 +130,11 @@
 	Content  []byte
 }
 
+// Suspicions spreads what is known of requests that crash targets. Each node passes on what is new to it.
+type Suspicions struct {
+	Suspicions []fleet.Suspicion
+}
+
 func (Ping) isMessage()          {}
 func (Ack) isMessage()           {}
 func (PingRequest) isMessage()   {}
@@ -135,3 +147,4 @@
 func (LeaseRecall) isMessage()   {}
 func (TablesRequest) isMessage() {}
 func (TablesContent) isMessage() {}
+func (Suspicions) isMessage()    {}
--- a/internal/core/node/platform.go
+++ b/internal/core/node/platform.go
@@ -10,15 +10,26 @@
 	var effects []effect.Effect
 	switch body := ev.Body.(type) {
 	case event.HeadRead:
-		s.tables, effects = s.tables.HeadRead(ev.At, ev.Random, body.Head, body.Version)
+		s.tables, effects = s.tables.HeadRead(ev.At, ev.Random, s.membership.Len(), body.Head, body.Version)
 	case event.TablesDecoded:
-		s.tables, effects = s.tables.Decoded(ev.At, body.Tables, body.Content)
+		return s.tablesDecoded(ev, body)
 	case event.TablesRejected:
 		s.tables, effects = s.tables.Rejected(ev.At, body.Revision, body.Detail)
 	case event.MembersListed:
 		s.membership, effects = s.membership.Listed(ev.At, body.Members)
 	case event.PlatformFailed:
-		s.tables, effects = s.tables.PlatformFailed(ev.At, ev.Random)
+		s.tables, effects = s.tables.PlatformFailed(ev.At, ev.Random, body.Call, body.Detail)
+	}
+	return s, effects
+}
+
+// tablesDecoded brings a revision into force and shows it to the edges.
+func (s State) tablesDecoded(ev event.Event, body event.TablesDecoded) (State, []effect.Effect) {
+	before := s.Revision()
+	next, effects := s.tables.Decoded(ev.At, body.Tables, body.Router, body.Content)
+	s.tables = next
+	if s.Revision() != before {
+		effects = append(effects, effect.UseTables{Tables: s.tables.Current()})
 	}
 	return s, effects
 }
--- a/internal/edge/peer/message_test.go
+++ b/internal/edge/peer/message_test.go
@@ -229,6 +229,7 @@
 	"LeaseRefusal":  sample[message.LeaseRefusal](),
 	"LeaseRelease":  sample[message.LeaseRelease](),
 	"LeaseRecall":   sample[message.LeaseRecall](),
+	"Suspicions":    sample[message.Suspicions](),
 	"TablesRequest": sample[message.TablesRequest](),
 	"TablesContent": sample[message.TablesContent](),
 }
@@ -266,6 +267,8 @@
 		v.SetUint(1)
 	case reflect.Uint64:
 		v.SetUint(rapid.Uint64Min(1).Draw(t, "uint64"))
+	case reflect.Float64:
+		v.SetFloat(rapid.Float64Range(0.001, 1).Draw(t, "share"))
 	default:
 		v.SetInt(rapid.Int64Range(1, 1<<40).Draw(t, "int"))
 	}
