core/node: measure requests and attempts

Cause: no request was counted and no duration recorded.

Change: after each step that ended a request the root reducer counts it by service, class and outcome and records its duration by service, class and caller; likewise each attempt that ended while its request was in flight. It reads the request from the state before the step. The ingress keeps the time of arrival with the request.

Conclusion: /metrics shows requests and attempts.

--- a/internal/core/attempt/flight.go
+++ b/internal/core/attempt/flight.go
@@ -30,6 +30,7 @@
 	id fleet.RequestID
 	// template is what all attempts of the request have in common.
 	template fleet.Attempt
+	arrived  time.Time
 	// attempts counts the attempts started so far.
 	attempts int
 	live     []try
--- a/internal/core/attempt/state.go
+++ b/internal/core/attempt/state.go
@@ -54,7 +54,8 @@
 	}
 	s.budget = s.budget.credited(ctx.Now)
 	f := flight{
-		id: request.ID,
+		id:      request.ID,
+		arrived: ctx.Now,
 		template: fleet.Attempt{
 			Pool:        route.Pool,
 			Class:       route.Class,
--- a/internal/core/node/state.go
+++ b/internal/core/node/state.go
@@ -54,6 +54,7 @@
 func (s State) Reduce(ev event.Event) (State, []effect.Effect) {
 	next, effects := s.dispatch(ev)
 	next, effects = next.settleOrders(effects)
+	effects = s.observe(ev, effects)
 	return next, next.stamp(effects)
 }
 
