--- a/internal/core/membership/state.go
+++ b/internal/core/membership/state.go
@@ -29,7 +29,7 @@
 	self      fleet.NodeID
 	members   fleet.Map[fleet.NodeID, fleet.Member]
 	directory fleet.Directory
-	// ring lists all members but this node in random order; next is the index of the next peer to probe.
+	// ring lists the present members but this node in random order; next is the index of the next peer to probe.
 	ring     []fleet.NodeID
 	next     int
 	sequence uint64
@@ -45,7 +45,7 @@
 	seeds      seeds
 	started    time.Time
 	ticked     time.Time
-	reconnect  time.Time
+	reconnect  reconnect
 	refused    time.Time
 }
 
@@ -61,8 +61,22 @@
 	if !sameCandidates(old, m) {
 		s.directory = s.directory.WithMember(old, m)
 	}
-	if !known && m.Node != s.self {
+	switch {
+	case m.Node == s.self || (known && present(old)) == present(m):
+	case present(m):
 		s.ring = append(slices.Clip(s.ring), m.Node)
+	case known:
+		s = s.unprobed(m.Node)
+	}
+	return s
+}
+
+// unprobed takes a member that is no longer present out of the ring.
+func (s State) unprobed(id fleet.NodeID) State {
+	i := slices.Index(s.ring, id)
+	s.ring = slices.Delete(slices.Clone(s.ring), i, i+1)
+	if i < s.next {
+		s.next--
 	}
 	return s
 }
@@ -77,15 +91,12 @@
 // present reports whether a member's targets may be used.
 func present(m fleet.Member) bool { return m.Status == fleet.Alive || m.Status == fleet.Suspect }
 
-// without returns the state without a member.
+// without returns the state without a member that is dead.
 func (s State) without(id fleet.NodeID) State {
 	s.members = s.members.Without(id)
 	s.rumors = s.rumors.without(id)
 	s.deadlines = s.deadlines.Without(id)
 	s.tombstones = s.tombstones.Without(id)
-	if i := slices.Index(s.ring, id); i >= 0 {
-		s.ring = slices.Delete(slices.Clone(s.ring), i, i+1)
-	}
 	return s
 }
 
@@ -161,12 +172,10 @@
 // peers returns up to count present members other than except, from a place in the ring that moves with each message.
 func (s State) peers(count int, except fleet.NodeID) []fleet.Member {
 	var found []fleet.Member
-	for i := range s.ring {
-		if len(found) == count {
-			break
-		}
+	for i := range s.ring[:min(len(s.ring), count+1)] {
 		id := s.ring[(uint64(i)+s.sequence)%uint64(len(s.ring))]
-		if m, _ := s.members.Get(id); id != except && present(m) {
+		if id != except && len(found) < count {
+			m, _ := s.members.Get(id)
 			found = append(found, m)
 		}
 	}
--- a/internal/core/node/reduce_bench_test.go
+++ b/internal/core/node/reduce_bench_test.go
@@ -8,6 +8,8 @@
 	"jayfold.dev/jayfold/internal/core/effect"
 	"jayfold.dev/jayfold/internal/core/event"
 	"jayfold.dev/jayfold/internal/core/fleet"
+	"jayfold.dev/jayfold/internal/core/message"
+	"jayfold.dev/jayfold/internal/core/routing"
 )
 
 // The sizes that the fleet is designed for.
@@ -52,8 +54,10 @@
 		m.Targets = append(m.Targets, fleet.Target{ID: id, Pool: designPool(i), Slots: 4})
 	}
 	r := &runner{state: New(members[0]), now: time.Unix(1_800_000_000, 0)}
-	r.reduce(event.MembersListed{Members: members[1:]})
-	r.reduce(event.TablesDecoded{Tables: designTables()})
+	r.reduce(event.MessageReceived{Envelope: message.Envelope{
+		From: members[1].Node, Incarnation: 1, Message: message.Sync{Members: members[1:]},
+	}})
+	r.reduce(event.TablesDecoded{Tables: designTables(), Router: routing.New(designTables())})
 	for _, t := range members[0].Targets {
 		r.reduce(event.TargetAnnounced{Announcement: fleet.Announcement{
 			Name: string(t.ID[len("node-000/"):]), Pool: t.Pool, Address: "127.0.0.1:8000", Slots: 4, Instance: "1",
