core/attempt: stop after a request has crashed two targets

Ruled out: the spread of suspicions, which reached the other nodes in time for the caller's own resend. Change: the sidecar names the cause TargetCrashed, and a request that has crashed targets gets no attempt that could make them more than two. A leaving node answers with Connection: close. Conclusion: the ingress bounds the damage itself; gossip only covers resends.

--- a/internal/core/attempt/finish.go
+++ b/internal/core/attempt/finish.go
@@ -80,6 +80,9 @@
 
 // again starts a further attempt on another target, if the budget allows and there is one.
 func (s State) again(ctx Context, f flight) (State, []effect.Effect, bool) {
+	if f.mayCrash() {
+		return s, nil, false
+	}
 	spent, ok := s.budget.spent(f.template.Idempotent)
 	if !ok {
 		return s, nil, false
--- a/internal/core/attempt/flight.go
+++ b/internal/core/attempt/flight.go
@@ -11,6 +11,8 @@
 const (
 	// maxAttempts bounds the attempts of one request. A fourth failure says more of the pool than of the targets.
 	maxAttempts = 4
+	// maxCrashes is how many targets one request may crash: the first may be a coincidence, the second confirms it.
+	maxCrashes = 2
 	// hedgeFactor is how many times the pool's p95 a lookup waits before it is sent to a second target.
 	hedgeFactor = 3
 	// timeoutFactor is how many times the pool's p95 an idempotent attempt waits before it is given up.
@@ -39,6 +41,8 @@
 	verdict fleet.Verdict
 	// problem is that of the last attempt that failed.
 	problem fleet.Problem
+	// crashes counts the targets that died while they ran the request.
+	crashes int
 	// fallback is an attempt with a server error as its answer, passed on when nothing better comes.
 	fallback fleet.AttemptID
 	// closing means that the deadline passed and that the last attempt was asked to stop.
@@ -119,6 +123,9 @@
 	f = f.without(id)
 	f.verdict = f.verdict.Join(problem.Verdict)
 	f.problem = problem
+	if problem.Cause == fleet.TargetCrashed {
+		f.crashes++
+	}
 	if status != 0 {
 		f.fallback = id
 	}
@@ -152,6 +159,11 @@
 	return f.attempts < maxAttempts && now.Before(f.template.Deadline)
 }
 
+// mayCrash reports whether one more attempt could make the request crash more targets than maxCrashes.
+func (f flight) mayCrash() bool {
+	return f.crashes > 0 && f.crashes+len(f.live) >= maxCrashes
+}
+
 // expired returns the problem of a request whose deadline passed.
 func (f flight) expired() flight {
 	f.problem = fleet.NewProblem(fleet.DeadlinePassed, f.verdict, "the deadline passed")
--- a/internal/core/fleet/problem.go
+++ b/internal/core/fleet/problem.go
@@ -25,6 +25,7 @@
 	Canceled       Cause = "Canceled"       // the caller went away
 	Unreachable    Cause = "Unreachable"    // no connection to the node or the target
 	Broken         Cause = "Broken"         // the connection broke before the whole answer came
+	TargetCrashed  Cause = "TargetCrashed"  // the target's process died while the request ran
 	TargetFailed   Cause = "TargetFailed"   // the target answered with a server error
 	KeyConflict    Cause = "KeyConflict"    // the idempotency key is in use by another request or its outcome is unknown
 )
--- a/internal/core/node/world_test.go
+++ b/internal/core/node/world_test.go
@@ -11,6 +11,7 @@
 	"jayfold.dev/jayfold/internal/core/event"
 	"jayfold.dev/jayfold/internal/core/fleet"
 	"jayfold.dev/jayfold/internal/core/message"
+	"jayfold.dev/jayfold/internal/core/routing"
 )
 
 const (
@@ -160,7 +161,7 @@
 			Name: class.String(), PathPrefix: "/" + class.String(), Pool: "p", Class: class, Deadline: time.Second,
 		})
 	}
-	w.post(h, h.life, event.TablesDecoded{Tables: tables})
+	w.post(h, h.life, event.TablesDecoded{Tables: tables, Router: routing.New(tables)})
 	w.tick(h, h.life)
 }
 
--- a/internal/edge/caller/exchange.go
+++ b/internal/edge/caller/exchange.go
@@ -163,6 +163,10 @@
 		header[name] = values
 	}
 	mark(header, x.request.ID, fleet.Ran)
+	if x.server.leaving.Load() {
+		// A caller that sends its next request on a connection while it is being closed would get no answer.
+		header.Set("Connection", "close")
+	}
 	w.WriteHeader(a.response.StatusCode)
 	if _, err := io.Copy(w, bytes.NewReader(a.buffered)); err != nil {
 		return
--- a/internal/edge/caller/refusal.go
+++ b/internal/edge/caller/refusal.go
@@ -45,6 +45,7 @@
 	fleet.Canceled:       http.StatusGatewayTimeout,
 	fleet.Unreachable:    http.StatusBadGateway,
 	fleet.Broken:         http.StatusBadGateway,
+	fleet.TargetCrashed:  http.StatusBadGateway,
 	fleet.TargetFailed:   http.StatusBadGateway,
 	fleet.KeyConflict:    http.StatusConflict,
 }
--- a/internal/edge/peer/forwardrun.go
+++ b/internal/edge/peer/forwardrun.go
@@ -64,7 +64,11 @@
 // failed answers with a problem instead of an answer of the target.
 func (f forwardRun) failed(w http.ResponseWriter, problem fleet.Problem) {
 	took := f.seams.Now().Sub(f.started)
-	outcome := fleet.Outcome{Problem: fleet.Some(problem), Took: took, Crashed: f.crashed(problem)}
+	crashed := f.crashed(problem)
+	if crashed {
+		problem.Cause = fleet.TargetCrashed
+	}
+	outcome := fleet.Outcome{Problem: fleet.Some(problem), Took: took, Crashed: crashed}
 	if report, ok := f.finish(outcome).Get(); ok {
 		encodeReport(w.Header(), "", report)
 	}
