edge/target, core/attempt: a poison request crashes no third target

Cause: in the poison scenario the dial after a crash was taken by the listener of the process that was just ending, so the crash was missed; and the ingress retried the request on a third target before it read the quarantine in the reply. Change: Crashed dials again when a new connection is dropped at once. The ingress learns the quarantine of a reply before it decides on another attempt, and makes none for a quarantined request.

--- a/internal/core/attempt/finish.go
+++ b/internal/core/attempt/finish.go
@@ -49,11 +49,16 @@
 	return s
 }
 
+// refusesAll holds the causes with which a sidecar refuses every attempt on a target.
+var refusesAll = map[fleet.Cause]bool{
+	fleet.Ejected: true, fleet.Draining: true, fleet.UnknownTarget: true,
+}
+
 // blamed remembers which targets refuse and which nodes cannot be reached.
 func (s State) blamed(ctx Context, f flight, t try, problem fleet.Problem, report fleet.Option[fleet.Report]) State {
 	_, reported := report.Get()
 	switch {
-	case problem.Cause == fleet.Ejected || problem.Cause == fleet.Draining || problem.Cause == fleet.UnknownTarget:
+	case refusesAll[problem.Cause], reported && problem.Cause == fleet.Unreachable:
 		name := f.template.Pool
 		s.pools = s.pools.With(name, s.pool(name).refused(ctx.Now, t.target))
 	case !reported && (problem.Cause == fleet.Unreachable || problem.Cause == fleet.Broken):
@@ -81,7 +86,7 @@
 // again starts a further attempt on another target, if the budget allows and there is one.
 func (s State) again(ctx Context, f flight) (State, []effect.Effect, bool) {
 	spent, ok := s.budget.spent(f.template.Idempotent)
-	if !ok {
+	if !ok || ctx.quarantined(f) {
 		return s, nil, false
 	}
 	candidate, ok := s.choose(ctx, f)
--- a/internal/core/attempt/state.go
+++ b/internal/core/attempt/state.go
@@ -39,6 +39,13 @@
 	Now       time.Time
 	Random    uint64
 	Directory fleet.Directory
+	// Quarantined reports whether a fingerprint is refused by now; nil means that none is.
+	Quarantined func(fleet.Fingerprint) bool
+}
+
+// quarantined reports whether a request must not be tried again, because it crashes targets.
+func (c Context) quarantined(f flight) bool {
+	return c.Quarantined != nil && c.Quarantined(f.template.Fingerprint)
 }
 
 // New returns the state of an ingress in the given availability zone.
--- a/internal/core/node/ingress.go
+++ b/internal/core/node/ingress.go
@@ -9,7 +9,12 @@
 )
 
 func (s State) attemptContext(ev event.Event) attempt.Context {
-	return attempt.Context{Now: ev.At, Random: ev.Random, Directory: s.membership.Directory()}
+	return attempt.Context{
+		Now:         ev.At,
+		Random:      ev.Random,
+		Directory:   s.membership.Directory(),
+		Quarantined: func(f fleet.Fingerprint) bool { return s.quarantine.Has(ev.At, f) },
+	}
 }
 
 // requestArrived refuses a request that cannot be routed or that crashes targets, and starts any other.
@@ -44,14 +49,12 @@
 	return s, effects
 }
 
+// attemptFinished takes in what the reply says of quarantined requests before it decides on another attempt.
 func (s State) attemptFinished(ev event.Event, body event.AttemptFinished) (State, []effect.Effect) {
-	next, effects := s.attempts.Finished(s.attemptContext(ev), body.Attempt, body.Outcome, body.Report)
-	s.attempts = next
-	report, ok := body.Report.Get()
-	if !ok || len(report.Quarantine) == 0 {
-		return s, effects
+	var effects, more []effect.Effect
+	if report, ok := body.Report.Get(); ok && len(report.Quarantine) > 0 {
+		s.quarantine, effects = s.quarantine.Learned(ev.At, report.Quarantine)
 	}
-	learned, more := s.quarantine.Learned(ev.At, report.Quarantine)
-	s.quarantine = learned
+	s.attempts, more = s.attempts.Finished(s.attemptContext(ev), body.Attempt, body.Outcome, body.Report)
 	return s, append(effects, more...)
 }
--- a/internal/edge/target/client.go
+++ b/internal/edge/target/client.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"os"
 	"strings"
 	"sync"
 	"syscall"
@@ -31,6 +32,8 @@
 	dialTimeout = time.Second
 	// probeTimeout bounds the dial that tells a dead process from a busy one.
 	probeTimeout = 250 * time.Millisecond
+	// dropWait is how long a new connection must stay open for its process to count as alive.
+	dropWait = 50 * time.Millisecond
 	// maxResponseHeader bounds the headers of a response, in bytes.
 	maxResponseHeader = 256 << 10
 	// maxTransports bounds the endpoints that are kept. A host has about 15 targets, each with a new port per start.
@@ -167,16 +170,29 @@
 	}
 }
 
-// Crashed reports whether no process listens at the address any more. A process that is slow or stopped has not crashed.
+// Crashed reports whether no process listens at the address any more. A process that is slow or stopped has not crashed. One
+// that is ending may still take a connection, but drops it at once, so that a dropped connection is followed by another dial.
 func (c *Client) Crashed(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	conn, err := c.dial(ctx, "tcp", address)
-	if err == nil {
+	for {
+		conn, err := c.dial(ctx, "tcp", address)
+		if err != nil {
+			return errors.Is(err, syscall.ECONNREFUSED)
+		}
+		dropped := drops(conn)
 		_ = conn.Close()
-		return false
+		if !dropped || ctx.Err() != nil {
+			return false
+		}
 	}
-	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// drops reports whether the peer closes an idle connection at once. A server leaves it open for a request.
+func drops(conn net.Conn) bool {
+	_ = conn.SetReadDeadline(time.Now().Add(dropWait))
+	_, err := conn.Read(make([]byte, 1))
+	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
 }
 
 // transport returns the transport with the connections to a target.
--- a/internal/edge/target/client_test.go
+++ b/internal/edge/target/client_test.go
@@ -220,9 +220,13 @@
 	}
 }
 
-// Guards against taking a stopped or busy process for a dead one, and the reverse.
+// Guards against taking a stopped or busy process for a dead one, and the reverse, also while the process is just ending.
 func TestClientCrashed(t *testing.T) {
 	is := is.New(t)
 	is.True(newClient().Crashed(t.Context(), "127.0.0.1:1"))
 	is.True(!newClient().Crashed(t.Context(), listen(t, func(net.Conn) {})))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	time.AfterFunc(20*time.Millisecond, func() { _ = listener.Close() }) // resets what it has not accepted
+	is.True(newClient().Crashed(t.Context(), listener.Addr().String()))
 }
