--- a/test/scenario/setup_test.go
+++ b/test/scenario/setup_test.go
@@ -22,9 +22,9 @@
 	"CALLERS", "TARGETS", "PEERS", "FORWARD", "OPERATORS", "ADVERTISED_PEERS", "ADVERTISED_FORWARD",
 }
 
-// settings is the settings file of a node.
+// settings is the settings file of a node. All are in one availability zone, so that each ingress uses all targets.
 const settings = `{
-	"Node": "n%[1]d", "AvailabilityZone": "az%[1]d", "Host": "127.0.0.1", "Platform": "http://$PLATFORM",
+	"Node": "n%[1]d", "AvailabilityZone": "az", "Host": "127.0.0.1", "Platform": "http://$PLATFORM",
 	"Advertise": {"Peers": "$ADVERTISED_PEERS%[1]d", "Forward": "$ADVERTISED_FORWARD%[1]d"},
 	"Listen": {
 		"Callers": "$CALLERS%[1]d", "Targets": "$TARGETS%[1]d", "Peers": "$PEERS%[1]d",
