lab/experiment: measure the detector and the ejection part against two baselines

Change: a table of experiments by name, and 'detection': single targets run into faults and slowdowns at three rates, false alarms of healthy targets, and pools of six targets with the real ejection part over simulated messages.

--- /dev/null
+++ b/internal/lab/experiment/detection.go
@@ -0,0 +1,197 @@
+package experiment
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+	"time"
+)
+
+// size is how often each part of the detection experiment is repeated.
+type size struct {
+	// runs into a fault at each of the rates, which end after limit requests.
+	runs  int
+	rates []float64
+	limit int
+	// healthy requests in the search for false alarms, and runs of each scenario of a pool.
+	healthy, pools int
+}
+
+var (
+	allRates  = []float64{goalRate, designRate, nightRate}
+	fullSize  = size{runs: 2000, rates: allRates, limit: 20_000, healthy: 10_000_000, pools: 20}
+	shortSize = size{runs: 300, rates: []float64{goalRate}, limit: 1000, healthy: 300_000, pools: 2}
+)
+
+// faults are the conditions that a target is run into.
+var faults = []struct {
+	name  string
+	fault condition
+}{
+	{"fails 20%", condition{0.2, 1}},
+	{"fails 30%", condition{0.3, 1}},
+	{"fails 50%", condition{0.5, 1}},
+	{"fails 80%", condition{0.8, 1}},
+	{"fails 100%", condition{1, 1}},
+	{"slow 2x", condition{0.001, 2}},
+	{"slow 3x", condition{0.001, 3}},
+	{"slow 5x", condition{0.001, 5}},
+	{"slow 10x", condition{0.001, 10}},
+	{"slow 20x", condition{0.001, 20}},
+}
+
+// The goals of the design page, section 1.4.
+const (
+	goalMedianRequests = 20
+	goalP99Requests    = 40
+	goalSlow           = 2 * time.Second
+)
+
+// Detection measures the time to detection and the false ejections of the real detector and ejection part against two
+// usual baselines. The error names the goals that were missed.
+func Detection(w io.Writer, o Options) error {
+	n := fullSize
+	if o.Short {
+		n = shortSize
+	}
+	out := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintf(out, "detection, seed %d\n", o.Seed)
+	var missed []error
+	for _, perSecond := range n.rates {
+		missed = append(missed, detectionTimes(out, o.Seed, n, perSecond)...)
+	}
+	missed = append(missed, falseEjections(out, o.Seed, n)...)
+	missed = append(missed, poolScenarios(out, o.Seed, n)...)
+	return errors.Join(append(missed, out.Flush())...)
+}
+
+// detectionTimes prints requests and seconds until each fault is found.
+func detectionTimes(w io.Writer, seed uint64, n size, perSecond float64) []error {
+	_, _ = fmt.Fprintf(w, "\n%d runs at %v req/s per target: requests p50/p99, seconds p50/p99\n", n.runs, perSecond)
+	header(w, contenders)
+	var missed []error
+	for _, f := range faults {
+		_, _ = fmt.Fprint(w, f.name, "\t")
+		for k, c := range contenders {
+			results := parallel(n.runs, func(i int) found {
+				return detect(random(seed, i), c.start(c.interval, poolP95), perSecond, f.fault, n.limit)
+			})
+			requests, after := sorted(results)
+			_, _ = fmt.Fprintf(w, "%d/%d %.1f/%.1f s\t", quantile(requests, 0.5), quantile(requests, 0.99),
+				quantile(after, 0.5).Seconds(), quantile(after, 0.99).Seconds())
+			if k == croatia && perSecond == goalRate {
+				missed = append(missed, checkCroatia(f.fault, requests, after)...)
+			}
+		}
+		_, _ = fmt.Fprintln(w)
+	}
+	return missed
+}
+
+func checkCroatia(fault condition, requests []int, after []time.Duration) []error {
+	var missed []error
+	if fault == (condition{0.5, 1}) {
+		missed = append(missed,
+			atMost("Croatia, requests to find a target that fails half, p50", quantile(requests, 0.5), goalMedianRequests),
+			atMost("Croatia, requests to find a target that fails half, p99", quantile(requests, 0.99), goalP99Requests))
+	}
+	if fault == (condition{0.001, 5}) {
+		missed = append(missed, atMost("Croatia, time to find a target slowed 5x, p99", quantile(after, 0.99), goalSlow))
+	}
+	return missed
+}
+
+// falseEjections prints the alarms per million requests of targets that are healthy.
+func falseEjections(w io.Writer, seed uint64, n size) []error {
+	const parts = 20
+	_, _ = fmt.Fprintf(w, "\nalarms in %d healthy requests of one target\n", n.healthy)
+	header(w, contenders)
+	rows := []struct {
+		name      string
+		perSecond float64
+		condition condition
+		goal      bool
+	}{
+		{"as fast as the pool, 10 req/s", goalRate, healthy, true},
+		{"as fast as the pool, 0.05 req/s", nightRate, healthy, true},
+		{"20% slower, 10 req/s", goalRate, condition{0.001, 1.2}, false},
+		{"bad rate 5%, 10 req/s", goalRate, condition{0, slowFactor}, false},
+	}
+	var missed []error
+	for _, row := range rows {
+		_, _ = fmt.Fprint(w, row.name, "\t")
+		for k, c := range contenders {
+			alarms := 0
+			for _, a := range parallel(parts, func(i int) int {
+				d := c.start(c.interval, poolP95)
+				return falseAlarms(random(seed, i), d, row.perSecond, row.condition, n.healthy/parts)
+			}) {
+				alarms += a
+			}
+			_, _ = fmt.Fprint(w, alarms, "\t")
+			if k == sicily && row.goal {
+				missed = append(missed, atMost("Sicily, false ejections, "+row.name, alarms, 0))
+			}
+		}
+		_, _ = fmt.Fprintln(w)
+	}
+	return missed
+}
+
+// poolScenarios prints the ejections in a pool of six targets, by jayfold with each setting and by the baselines, which
+// ask nobody.
+func poolScenarios(w io.Writer, seed uint64, n size) []error {
+	_, _ = fmt.Fprintf(w, "\n%d runs of a pool of %d targets, floor %d: ejections of the target at fault + of others\n",
+		n.pools, poolSize, poolFloor)
+	header(w, contenders)
+	var missed []error
+	for _, s := range scenarios {
+		var sums [2]outcome
+		for k := range sums {
+			for _, o := range parallel(n.pools, func(i int) outcome { return s.run(seed, i, contenders[k].interval) }) {
+				sums[k] = sums[k].plus(o)
+			}
+		}
+		_, _ = fmt.Fprintf(w, "%s\t%d+%d\t%d+%d\t%d+%d\t%d+%d\t\n", s.name,
+			sums[sicily].guilty[0], sums[sicily].innocent[0], sums[croatia].guilty[0], sums[croatia].innocent[0],
+			sums[sicily].guilty[1], sums[sicily].innocent[1], sums[sicily].guilty[2], sums[sicily].innocent[2])
+		missed = append(missed, atMost("Sicily, false ejections, "+s.name, sums[sicily].innocent[0], 0))
+	}
+	return missed
+}
+
+func header(w io.Writer, contenders []contender) {
+	_, _ = fmt.Fprint(w, "\t")
+	for _, c := range contenders {
+		_, _ = fmt.Fprint(w, c.name, "\t")
+	}
+	_, _ = fmt.Fprintln(w)
+}
+
+// sorted returns the requests and the times of the results in order.
+func sorted(results []found) ([]int, []time.Duration) {
+	requests := make([]int, len(results))
+	after := make([]time.Duration, len(results))
+	for i, f := range results {
+		requests[i] = f.requests
+		after[i] = f.after
+	}
+	slices.Sort(requests)
+	slices.Sort(after)
+	return requests, after
+}
+
+// quantile returns the value that a share q of the ordered values does not exceed.
+func quantile[T any](ordered []T, q float64) T {
+	return ordered[min(int(q*float64(len(ordered))), len(ordered)-1)]
+}
+
+// atMost returns an error when a figure misses its goal.
+func atMost[T int | time.Duration](what string, got, goal T) error {
+	if got <= goal {
+		return nil
+	}
+	return fmt.Errorf("goal missed: %s is %v, goal %v", what, got, goal)
+}
--- /dev/null
+++ b/internal/lab/experiment/detection_test.go
@@ -0,0 +1,41 @@
+package experiment
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// TestDetectionGoals guards against a detector that misses the goals of the design page: time to detection, and no false
+// ejection at the strict setting, also in bursts and slowdowns of the whole pool.
+func TestDetectionGoals(t *testing.T) {
+	var out strings.Builder
+	err := Detection(&out, Options{Seed: 1, Short: true})
+	if err != nil {
+		t.Log(out.String())
+	}
+	is.New(t).NoErr(err)
+}
+
+// TestSeed guards against figures that cannot be reproduced.
+func TestSeed(t *testing.T) {
+	is := is.New(t)
+	s := scenarios[0]
+	is.Equal(s.run(7, 1, contenders[sicily].interval), s.run(7, 1, contenders[sicily].interval))
+}
+
+// TestBaselines guards against a comparison with baselines that do not do what their names say.
+func TestBaselines(t *testing.T) {
+	alarmAfter := func(d detector, bits string) int {
+		for i, b := range bits {
+			if d(start, 0, b == 'x') {
+				return i + 1
+			}
+		}
+		return 0
+	}
+	is := is.New(t)
+	is.Equal(alarmAfter(fiveInARow(0, poolP95), "xxxx.xxxxx"), 10)
+	is.Equal(alarmAfter(failureRate(0, poolP95), "..............xxxxx.x"), 21)
+}
--- /dev/null
+++ b/internal/lab/experiment/detector.go
@@ -0,0 +1,103 @@
+package experiment
+
+import (
+	"time"
+
+	"jayfold.dev/jayfold/internal/core/detection"
+	"jayfold.dev/jayfold/internal/core/fleet"
+)
+
+// detector says after each request whether it takes the target for failing. It starts anew after each alarm.
+type detector func(now time.Time, took time.Duration, failed bool) bool
+
+// contender is a way of detection that is measured.
+type contender struct {
+	name string
+	// interval is the pool's FalseEjectionInterval; 0 for the baselines, which have none.
+	interval time.Duration
+	// start returns the detector of one target of a pool with the given p95.
+	start func(interval, p95 time.Duration) detector
+}
+
+var contenders = []contender{
+	{name: "Sicily, 8760h", interval: 8760 * time.Hour, start: jayfold},
+	{name: "Croatia, 24h", interval: 24 * time.Hour, start: jayfold},
+	{name: "five in a row", start: fiveInARow},
+	{name: "30% of 20", start: failureRate},
+}
+
+const (
+	sicily = iota
+	croatia
+)
+
+// jayfold is the project's own detector on one target.
+func jayfold(interval, p95 time.Duration) detector {
+	state := detection.New()
+	return func(now time.Time, took time.Duration, failed bool) bool {
+		next, judgement := state.Observed(now, detection.Sample{
+			Target:                "n1/a",
+			Class:                 fleet.Lookup,
+			Failed:                failed,
+			Took:                  took,
+			Baseline:              p95,
+			FalseEjectionInterval: interval,
+		})
+		state = next
+		if judgement != detection.Failing {
+			return false
+		}
+		state = state.Forget("n1/a")
+		return true
+	}
+}
+
+// slowFactor is how much longer than the pool's p95 a request takes before the baselines count it as failed. It is that of
+// jayfold's detector, so that the baselines are judged by their rule and not by their idea of a failure.
+const slowFactor = 1.25
+
+func isBad(took, p95 time.Duration, failed bool) bool {
+	return failed || float64(took) > slowFactor*float64(p95)
+}
+
+// fiveInARow is the usual baseline: five failures without a success between them.
+func fiveInARow(_, p95 time.Duration) detector {
+	const limit = 5
+	row := 0
+	return func(_ time.Time, took time.Duration, failed bool) bool {
+		if !isBad(took, p95, failed) {
+			row = 0
+			return false
+		}
+		row++
+		if row < limit {
+			return false
+		}
+		row = 0
+		return true
+	}
+}
+
+// failureRate is the other usual baseline: a share of the requests of a window failed.
+func failureRate(_, p95 time.Duration) detector {
+	const window, limit = 20, 6
+	var bits [window]bool
+	seen, bad := 0, 0
+	return func(_ time.Time, took time.Duration, failed bool) bool {
+		i := seen % window
+		if bits[i] {
+			bad--
+		}
+		bits[i] = isBad(took, p95, failed)
+		if bits[i] {
+			bad++
+		}
+		seen++
+		if seen < window || bad < limit {
+			return false
+		}
+		bits = [window]bool{}
+		seen, bad = 0, 0
+		return true
+	}
+}
--- /dev/null
+++ b/internal/lab/experiment/experiment.go
@@ -0,0 +1,69 @@
+// Package experiment measures the real decision code with seeded simulations and prints text tables.
+//
+// # Usage
+//
+//	for _, e := range experiment.All {
+//		err := e.Run(os.Stdout, experiment.Options{Seed: 1})
+//	}
+//
+// An experiment prints the seed with its figures; the same seed gives the same figures. It returns an error that names
+// each goal of the design page that was missed. The short form runs fewer repetitions and checks the same goals.
+package experiment
+
+import (
+	"io"
+	"math/rand/v2"
+	"runtime"
+	"sync"
+	"sync/atomic"
+)
+
+// Options say how an experiment runs.
+type Options struct {
+	Seed  uint64
+	Short bool
+}
+
+// Experiment is one experiment of the command line.
+type Experiment struct {
+	Name  string
+	About string
+	Run   func(io.Writer, Options) error
+}
+
+// All lists the experiments in name order.
+var All = []Experiment{
+	{Name: "detection", About: "time to detect a failing target, and false ejections", Run: Detection},
+}
+
+// Find returns the experiment with the given name.
+func Find(name string) (Experiment, bool) {
+	for _, e := range All {
+		if e.Name == name {
+			return e, true
+		}
+	}
+	return Experiment{}, false
+}
+
+// random returns the random numbers of one repetition. They depend on nothing else, so that repetitions can run in any
+// order.
+func random(seed uint64, repetition int) *rand.Rand {
+	return rand.New(rand.NewPCG(seed, uint64(repetition)))
+}
+
+// parallel runs count repetitions over all cores and returns their results in order.
+func parallel[T any](count int, run func(repetition int) T) []T {
+	results := make([]T, count)
+	var next atomic.Int64
+	var workers sync.WaitGroup
+	for range runtime.GOMAXPROCS(0) {
+		workers.Go(func() {
+			for i := int(next.Add(1)) - 1; i < count; i = int(next.Add(1)) - 1 {
+				results[i] = run(i)
+			}
+		})
+	}
+	workers.Wait()
+	return results
+}
--- /dev/null
+++ b/internal/lab/experiment/pool.go
@@ -0,0 +1,227 @@
+package experiment
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"jayfold.dev/jayfold/internal/core/admission"
+	"jayfold.dev/jayfold/internal/core/detection"
+	"jayfold.dev/jayfold/internal/core/effect"
+	"jayfold.dev/jayfold/internal/core/ejection"
+	"jayfold.dev/jayfold/internal/core/fleet"
+)
+
+const (
+	poolName       fleet.PoolName = "catalogue"
+	tickInterval                  = 100 * time.Millisecond
+	messageLatency                = 1500 * time.Microsecond
+	// baselineLag is the age of the ingresses' view of the targets' p95s.
+	baselineLag = 500 * time.Millisecond
+)
+
+// fault gives the condition of a target at a time after the start.
+type fault func(target int, at time.Duration) condition
+
+// pool simulates the targets of one pool, each with a node of its own that runs the real detector and ejection part.
+type pool struct {
+	random    *rand.Rand
+	now       time.Time
+	agenda    agenda
+	nodes     []*node
+	tables    fleet.Tables
+	directory fleet.Directory
+	interval  time.Duration
+	fault     fault
+	baseline  time.Duration
+}
+
+type node struct {
+	id        fleet.NodeID
+	target    fleet.Target
+	detection detection.State
+	ejection  ejection.State
+	// baselines are other detectors over the same requests.
+	baselines []detector
+	// alarms counts the ejections by jayfold and then the alarms of each baseline.
+	alarms []int
+}
+
+func newPool(r *rand.Rand, targets, floor int, interval time.Duration, f fault) *pool {
+	p := &pool{random: r, now: start, interval: interval, fault: f, baseline: poolP95}
+	p.tables.Pools = p.tables.Pools.With(poolName,
+		fleet.Pool{Name: poolName, Floor: floor, FalseEjectionInterval: interval})
+	var candidates []fleet.Candidate
+	for i := range targets {
+		id := fleet.NodeID(fmt.Sprintf("n%03d", i))
+		t := fleet.Target{ID: fleet.NewTargetID(id, "a"), Pool: poolName}
+		p.nodes = append(p.nodes, &node{
+			id:        id,
+			target:    t,
+			ejection:  ejection.New(id),
+			detection: detection.New(),
+			baselines: []detector{fiveInARow(0, poolP95), failureRate(0, poolP95)},
+			alarms:    make([]int, 3),
+		})
+		candidates = append(candidates, fleet.Candidate{Target: t, Node: id})
+	}
+	p.directory = p.directory.WithPool(poolName, candidates)
+	return p
+}
+
+// run simulates the pool with perSecond requests per target.
+func (p *pool) run(duration time.Duration, perSecond float64) {
+	p.every(tickInterval, p.tick)
+	p.every(baselineLag, p.refresh)
+	p.arrive(perSecond * float64(len(p.nodes)))
+	end := start.Add(duration)
+	for len(p.agenda) > 0 && p.agenda[0].at.Before(end) {
+		next := heap.Pop(&p.agenda).(task)
+		p.now = next.at
+		next.run()
+	}
+}
+
+func (p *pool) after(d time.Duration, run func()) {
+	heap.Push(&p.agenda, task{at: p.now.Add(d), run: run})
+}
+
+func (p *pool) every(d time.Duration, run func()) {
+	p.after(d, func() {
+		run()
+		p.every(d, run)
+	})
+}
+
+func (p *pool) tick() {
+	for _, n := range p.nodes {
+		p.step(n, ejection.State.Tick)
+	}
+}
+
+// refresh takes the median of the targets' p95s as the baseline, as the ingresses do.
+func (p *pool) refresh() {
+	var known []time.Duration
+	for _, n := range p.nodes {
+		if p95 := n.detection.P95(n.target.ID, fleet.Lookup); p95 > 0 {
+			known = append(known, p95)
+		}
+	}
+	if len(known) > len(p.nodes)/2 {
+		slices.Sort(known)
+		p.baseline = known[len(known)/2]
+	}
+}
+
+// arrive starts a request on a random target that takes it.
+func (p *pool) arrive(perSecond float64) {
+	p.after(arrival(p.random, perSecond), func() {
+		for _, i := range p.random.Perm(len(p.nodes)) {
+			if p.start(i) {
+				break
+			}
+		}
+		p.arrive(perSecond)
+	})
+}
+
+func (p *pool) start(i int) bool {
+	n := p.nodes[i]
+	switch n.ejection.Gate(p.now, n.target.ID) {
+	case admission.Closed:
+		return false
+	case admission.Trial:
+		n.ejection = n.ejection.Tried(p.now, n.target.ID)
+	}
+	took, failed := p.fault(i, p.now.Sub(start)).answer(p.random)
+	p.after(took, func() { p.finish(n, took, failed) })
+	return true
+}
+
+func (p *pool) finish(n *node, took time.Duration, failed bool) {
+	n.ejection = n.ejection.TrialFinished(n.target.ID)
+	for i, d := range n.baselines {
+		if d(p.now, took, failed) {
+			n.alarms[i+1]++
+		}
+	}
+	next, judgement := n.detection.Observed(p.now, detection.Sample{
+		Target:                n.target.ID,
+		Class:                 fleet.Lookup,
+		Failed:                failed,
+		Took:                  took,
+		Baseline:              p.baseline,
+		FalseEjectionInterval: p.interval,
+		Ejected:               n.ejection.Ejected(p.now, n.target.ID),
+	})
+	n.detection = next
+	if decide, ok := judgements[judgement]; ok {
+		p.step(n, func(s ejection.State, ctx ejection.Context) (ejection.State, []effect.Effect) {
+			return decide(s, ctx, n.target.ID)
+		})
+	}
+}
+
+var judgements = map[detection.Judgement]func(
+	ejection.State, ejection.Context, fleet.TargetID,
+) (ejection.State, []effect.Effect){
+	detection.Failing:   ejection.State.Failing,
+	detection.Recovered: ejection.State.Recovered,
+	detection.Relapsed:  ejection.State.Relapsed,
+}
+
+// step runs one event of a node's ejection part and sends its messages.
+func (p *pool) step(n *node, event func(ejection.State, ejection.Context) (ejection.State, []effect.Effect)) {
+	before := n.ejection.Ejected(p.now, n.target.ID)
+	next, effects := event(n.ejection, ejection.Context{
+		Now:         p.now,
+		Random:      p.random.Uint64(),
+		Tables:      p.tables,
+		Directory:   p.directory,
+		Local:       []fleet.Target{n.target},
+		PeerAddress: func(id fleet.NodeID) (string, bool) { return string(id), true },
+		Evidence:    n.detection.Evidence,
+	})
+	n.ejection = next
+	if !before && n.ejection.Ejected(p.now, n.target.ID) {
+		n.alarms[0]++
+	}
+	for _, e := range effects {
+		if send, ok := e.(effect.Send); ok {
+			p.after(messageLatency, func() { p.receive(n.id, send) })
+		}
+	}
+}
+
+func (p *pool) receive(from fleet.NodeID, send effect.Send) {
+	for _, n := range p.nodes {
+		if n.id == send.To {
+			p.step(n, func(s ejection.State, ctx ejection.Context) (ejection.State, []effect.Effect) {
+				return s.Received(ctx, from, send.Message)
+			})
+		}
+	}
+}
+
+// task is something that happens at a time.
+type task struct {
+	at  time.Time
+	run func()
+}
+
+// agenda is a heap of tasks by time.
+type agenda []task
+
+func (a agenda) Len() int           { return len(a) }
+func (a agenda) Less(i, j int) bool { return a[i].at.Before(a[j].at) }
+func (a agenda) Swap(i, j int)      { a[i], a[j] = a[j], a[i] }
+func (a *agenda) Push(x any)        { *a = append(*a, x.(task)) }
+
+// Pop removes the last task.
+func (a *agenda) Pop() any {
+	last := (*a)[len(*a)-1]
+	*a = (*a)[:len(*a)-1]
+	return last
+}
