--- a/internal/core/event/platform.go
+++ b/internal/core/event/platform.go
@@ -1,10 +1,13 @@
 package event
 
-import "jayfold.dev/jayfold/internal/core/fleet"
+import (
+	"jayfold.dev/jayfold/internal/core/fleet"
+	"jayfold.dev/jayfold/internal/core/routing"
+)
 
 // HeadRead says which revision the platform has. It answers effect.WatchHead, also when nothing changed.
 type HeadRead struct {
-	// Head has revision 0 when no tables were ever applied.
+	// Head has revision 0 when Version has not changed and when no tables were ever applied.
 	Head fleet.Head
 	// Version is the platform's version of the head object.
 	Version uint64
@@ -14,6 +17,8 @@
 // effect.DecodeTables.
 type TablesDecoded struct {
 	Tables fleet.Tables
+	// Router is over Tables. Building it takes 1.7 ms at the design size, too long for a step of the reducer.
+	Router routing.Router
 	// Content is the encoded form, kept to pass it on to peers.
 	Content []byte
 }
--- a/internal/core/node/fleet.go
+++ b/internal/core/node/fleet.go
@@ -9,13 +9,22 @@
 // messageReceived hands a message to the part that speaks its protocol.
 func (s State) messageReceived(ev event.Event, body event.MessageReceived) (State, []effect.Effect) {
 	envelope := body.Envelope
-	s, effects := s.revisionSeen(ev, event.RevisionSeen{From: envelope.From, Revision: envelope.Revision})
+	if s.membership.Stale(envelope) {
+		next, effects := s.membership.Refused(ev.At, envelope)
+		s.membership = next
+		return s, effects
+	}
+	// A node without tables may hear from peers whose records it does not have yet, so the address is the envelope's.
+	seen, effects := s.tables.Seen(ev.At, envelope.From, envelope.Address, envelope.Revision)
+	s.tables = seen
 	var more []effect.Effect
-	switch envelope.Message.(type) {
+	switch body := envelope.Message.(type) {
 	case message.TablesRequest, message.TablesContent:
 		s.tables, more = s.tables.Received(ev.At, envelope)
 	case message.LeaseRequest, message.LeaseGrant, message.LeaseRefusal, message.LeaseRelease, message.LeaseRecall:
 		s.ejection, more = s.ejection.Received(s.ejectionContext(ev), envelope.From, envelope.Message)
+	case message.Suspicions:
+		s, more = s.suspicionsReceived(ev, body)
 	default:
 		s.membership, more = s.membership.Received(ev.At, envelope)
 	}
--- /dev/null
+++ b/test/scenario/setup_test.go
@@ -0,0 +1,151 @@
+package scenario
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+const (
+	nodes   = 3
+	targets = 6
+)
+
+// listeners are the addresses of a node. Other nodes use the ADVERTISED ones, which a link joins with PEERS and FORWARD.
+var listeners = []string{
+	"CALLERS", "TARGETS", "PEERS", "FORWARD", "OPERATORS", "ADVERTISED_PEERS", "ADVERTISED_FORWARD",
+}
+
+// settings is the settings file of a node.
+const settings = `{
+	"Node": "n%[1]d", "AvailabilityZone": "az%[1]d", "Host": "127.0.0.1", "Platform": "http://$PLATFORM",
+	"Advertise": {"Peers": "$ADVERTISED_PEERS%[1]d", "Forward": "$ADVERTISED_FORWARD%[1]d"},
+	"Listen": {
+		"Callers": "$CALLERS%[1]d", "Targets": "$TARGETS%[1]d", "Peers": "$PEERS%[1]d",
+		"Forward": "$FORWARD%[1]d", "Operators": "$OPERATORS%[1]d"
+	}
+}`
+
+const routes = `{"Routes": [
+	{"Name": "read", "PathPrefix": "/catalogue", "Pool": "shop", "Class": "Lookup", "Deadline": "5s"},
+	{"Name": "order", "PathPrefix": "/orders", "Methods": ["POST"], "Pool": "shop", "Class": "Order", "Deadline": "10s"}
+]}`
+
+const pools = `{"Pools": [{"Name": "shop", "Service": "shop", "Floor": 4, "FalseEjectionInterval": "24h"}]}`
+
+// setUp hands out free ports and writes the files of a fleet.
+func setUp(env *testscript.Env) error {
+	names := []string{"PLATFORM"}
+	for n := 1; n <= nodes; n++ {
+		for _, listener := range listeners {
+			names = append(names, fmt.Sprintf("%s%d", listener, n))
+		}
+	}
+	for n := 1; n <= targets; n++ {
+		names = append(names, fmt.Sprintf("TARGET%d", n))
+	}
+	setPorts(env, names)
+	var ledgers []string
+	for n := 1; n <= targets; n++ {
+		ledgers = append(ledgers, filepath.Join(env.WorkDir, fmt.Sprintf("t%d.ledger", n)))
+	}
+	env.Setenv("LEDGERS", strings.Join(ledgers, ","))
+	env.Setenv("PATH", os.Getenv("PATH"))
+	env.Values[processesKey{}] = newProcesses(env)
+	return writeFiles(env)
+}
+
+// Ports are taken below the range from which the system takes those of outgoing connections.
+const (
+	lowestPort = 12000
+	portRange  = 20000
+)
+
+// taken holds the ports handed out by this process.
+var taken sync.Map
+
+// setPorts sets each name to a free address.
+func setPorts(env *testscript.Env, names []string) {
+	for _, name := range names {
+		env.Setenv(name, freeAddress())
+	}
+}
+
+// freeAddress returns an address on which nothing listens and that was not handed out before.
+func freeAddress() string {
+	for {
+		address := fmt.Sprintf("127.0.0.1:%d", lowestPort+rand.IntN(portRange))
+		if _, before := taken.LoadOrStore(address, true); before {
+			continue
+		}
+		if listener, err := net.Listen("tcp", address); err == nil {
+			_ = listener.Close()
+			return address
+		}
+	}
+}
+
+func writeFiles(env *testscript.Env) error {
+	files := map[string]string{"routes.json": routes, "pools.json": pools}
+	for n := 1; n <= nodes; n++ {
+		files[fmt.Sprintf("n%d.json", n)] = os.Expand(fmt.Sprintf(settings, n), env.Getenv)
+	}
+	for name, content := range files {
+		if err := os.WriteFile(filepath.Join(env.WorkDir, name), []byte(content), 0o600); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// defaultServiceTime is that of the targets when a scenario gives none.
+const defaultServiceTime = "5ms"
+
+// fleet starts the whole fleet. Each node must answer a lookup before the scenario goes on.
+func fleet(ts *testscript.TestScript, _ bool, args []string) {
+	serviceTime := defaultServiceTime
+	if len(args) > 0 {
+		serviceTime = args[0]
+	}
+	start(ts, false, []string{"platform", "jayfold-lab", "platform", "--listen", ts.Getenv("PLATFORM")})
+	waitFor(ts, false, []string{"http://" + ts.Getenv("PLATFORM") + "/v1/objects?prefix=x"})
+	ts.Check(ts.Exec("jayfold", "tables", "apply", "--platform", "http://"+ts.Getenv("PLATFORM"),
+		"--routes", "routes.json", "--pools", "pools.json"))
+	for n := 1; n <= nodes; n++ {
+		linkNode(ts, n)
+		start(ts, false, []string{fmt.Sprintf("n%d", n), "jayfold", "node", "--settings", fmt.Sprintf("n%d.json", n)})
+	}
+	for n := 1; n <= targets; n++ {
+		startTarget(ts, n, serviceTime)
+	}
+	for n := 1; n <= nodes; n++ {
+		operators := ts.Getenv(fmt.Sprintf("OPERATORS%d", n))
+		waitFor(ts, false, []string{"http://" + ts.Getenv(fmt.Sprintf("CALLERS%d", n)) + "/catalogue/1"})
+		request("GET")(ts, false, []string{"http://" + operators + "/status", "200", `"Known": ?6`})
+	}
+}
+
+// linkNode starts the links peersN and forwardN, through which the other nodes reach the nth.
+func linkNode(ts *testscript.TestScript, n int) {
+	for name, listener := range map[string]string{"peers": "PEERS", "forward": "FORWARD"} {
+		advertised := ts.Getenv(fmt.Sprintf("ADVERTISED_%s%d", listener, n))
+		link(ts, false, []string{fmt.Sprintf("%s%d", name, n), advertised, ts.Getenv(fmt.Sprintf("%s%d", listener, n))})
+	}
+}
+
+// startTarget starts the nth target beside the node that it belongs to.
+func startTarget(ts *testscript.TestScript, n int, serviceTime string) {
+	name := fmt.Sprintf("t%d", n)
+	start(ts, false, []string{
+		name, "jayfold-lab", "target", "--name", name, "--pool", "shop",
+		"--listen", ts.Getenv(fmt.Sprintf("TARGET%d", n)),
+		"--node", ts.Getenv(fmt.Sprintf("TARGETS%d", (n-1)%nodes+1)),
+		"--ledger", name + ".ledger", "--service-time", serviceTime,
+	})
+}
