edge/target: wait between the dials that tell a dead process

Cause: the loop redialed without a pause while a process dropped each new connection. Change: 10 ms between two dials. Conclusion: nothing spins.

--- a/internal/edge/target/client.go
+++ b/internal/edge/target/client.go
@@ -34,6 +34,8 @@
 	probeTimeout = 250 * time.Millisecond
 	// dropWait is how long a new connection must stay open for its process to count as alive.
 	dropWait = 50 * time.Millisecond
+	// redialWait is the time between two dials to a process that drops new connections.
+	redialWait = 10 * time.Millisecond
 	// maxResponseHeader bounds the headers of a response, in bytes.
 	maxResponseHeader = 256 << 10
 	// maxTransports bounds the endpoints that are kept. A host has about 15 targets, each with a new port per start.
@@ -182,12 +184,24 @@
 		}
 		dropped := drops(conn)
 		_ = conn.Close()
-		if !dropped || ctx.Err() != nil {
+		if !dropped || !pause(ctx, redialWait) {
 			return false
 		}
 	}
 }
 
+// pause waits, and reports whether it came to the end.
+func pause(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // drops reports whether the peer closes an idle connection at once. A server leaves it open for a request.
 func drops(conn net.Conn) bool {
 	_ = conn.SetReadDeadline(time.Now().Add(dropWait))
