--- a/cmd/jayfold-lab/main.go
+++ b/cmd/jayfold-lab/main.go
@@ -27,10 +27,11 @@
 
 // commands are the commands of the program.
 type commands struct {
-	Demo     demoCommand     `cmd:"" help:"Run the platform, three nodes and four services in this process."`
-	Platform platformCommand `cmd:"" help:"Run the stand-in of the platform's object API."`
-	Target   targetCommand   `cmd:"" help:"Run a stand-in target."`
-	Load     loadCommand     `cmd:"" help:"Send requests at a fixed rate and check the answers."`
+	Demo       demoCommand       `cmd:"" help:"Run the platform, three nodes and four services in this process."`
+	Platform   platformCommand   `cmd:"" help:"Run the stand-in of the platform's object API."`
+	Target     targetCommand     `cmd:"" help:"Run a stand-in target."`
+	Load       loadCommand       `cmd:"" help:"Send requests at a fixed rate and check the answers."`
+	Experiment experimentCommand `cmd:"" help:"Run an experiment and print its table."`
 }
 
 func main() {
--- /dev/null
+++ b/internal/lab/experiment/overload.go
@@ -0,0 +1,128 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"jayfold.dev/jayfold/internal/lab/load"
+	"jayfold.dev/jayfold/internal/lab/testbed"
+)
+
+// Six targets with four slots and 50 ms a request serve 480 requests per second.
+const (
+	overloadServiceTime = 50 * time.Millisecond
+	overloadOrders      = 0.2
+	// goodputGoal is the share of the capacity that is served at twice the capacity.
+	goodputGoal = 0.9
+	// retryGoal is the share of retries among the requests.
+	retryGoal = 0.1
+)
+
+// overloadRun is what one rate gave.
+type overloadRun struct {
+	rate    float64
+	goodput float64
+	orders  float64
+	p99     time.Duration
+	retries float64
+}
+
+// Overload measures the goodput on the process rig from half to four times the capacity.
+func Overload(w io.Writer, o Options) error {
+	duration := 15 * time.Second
+	if o.Short {
+		duration = 4 * time.Second
+	}
+	capacity := float64(sicilyTargets*sicilySlots) / overloadServiceTime.Seconds()
+	fmt.Fprintf(w, "overload, seed %d, capacity %.0f/s, %.0f%% orders, %v per rate\n\n",
+		o.Seed, capacity, 100*overloadOrders, duration)
+	bed, err := newSite(deploymentSettings[0].interval, overloadServiceTime)
+	if err != nil {
+		return err
+	}
+	defer bed.Stop()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	// The targets start slowly for 10 s.
+	if _, err := sendLoad(ctx, bed, capacity/2, overloadOrders, 12*time.Second); err != nil {
+		return err
+	}
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "load\trate/s\tgoodput/s\tof capacity\torders served\tlookup p99\tretries\t")
+	runs := map[float64]overloadRun{}
+	for _, factor := range []float64{0.5, 1, 2, 4} {
+		run, err := overloaded(ctx, bed, factor*capacity, duration)
+		if err != nil {
+			return err
+		}
+		runs[factor] = run
+		fmt.Fprintf(table, "%.1fx\t%.0f\t%.0f\t%.0f%%\t%.1f%%\t%v\t%.1f%%\t\n", factor, run.rate, run.goodput,
+			100*run.goodput/capacity, 100*run.orders, run.p99.Round(time.Millisecond), 100*run.retries)
+	}
+	if err := table.Flush(); err != nil {
+		return err
+	}
+	return checkOverload(w, runs)
+}
+
+func checkOverload(w io.Writer, runs map[float64]overloadRun) error {
+	kept := runs[2].goodput / runs[1].goodput
+	fmt.Fprintf(w, "\ngoodput at 2x is %.0f%% of that at 1x, goal at least %.0f%%\n", 100*kept, 100*goodputGoal)
+	if kept < goodputGoal {
+		return fmt.Errorf("overload: goodput at 2x is %.0f%% of that at 1x, goal at least %.0f%%", 100*kept, 100*goodputGoal)
+	}
+	for factor, run := range runs {
+		if run.retries > retryGoal {
+			return fmt.Errorf("overload: %.1f%% retries at %.1fx, goal at most %.0f%%", 100*run.retries, factor, 100*retryGoal)
+		}
+	}
+	return nil
+}
+
+// overloaded sends at one rate and counts what was served.
+func overloaded(ctx context.Context, bed *testbed.Testbed, rate float64, duration time.Duration) (overloadRun, error) {
+	before, err := attemptsAndRequests(ctx, bed)
+	if err != nil {
+		return overloadRun{}, err
+	}
+	report, err := sendLoad(ctx, bed, rate, overloadOrders, duration)
+	if err != nil {
+		return overloadRun{}, err
+	}
+	// The metrics are handed over every 2 s.
+	time.Sleep(3 * time.Second)
+	after, err := attemptsAndRequests(ctx, bed)
+	if err != nil {
+		return overloadRun{}, err
+	}
+	sent := after.requests - before.requests
+	return overloadRun{
+		rate:    rate,
+		goodput: float64(report.Whole["lookup"]+report.Whole["order"]) / duration.Seconds(),
+		orders:  served(report, "order"),
+		p99:     lookupQuantile(report, 99),
+		retries: max(0, (after.attempts-before.attempts-sent)/sent),
+	}, nil
+}
+
+func served(report load.Report, class string) float64 {
+	return float64(report.Whole[class]) / float64(report.Sent[class])
+}
+
+// traffic counts requests and attempts.
+type traffic struct {
+	requests float64
+	attempts float64
+}
+
+func attemptsAndRequests(ctx context.Context, bed *testbed.Testbed) (traffic, error) {
+	requests, err := counter(ctx, bed, "jayfold_requests")
+	if err != nil {
+		return traffic{}, err
+	}
+	attempts, err := counter(ctx, bed, "jayfold_attempts")
+	return traffic{requests: requests, attempts: attempts}, err
+}
--- /dev/null
+++ b/internal/lab/experiment/site.go
@@ -0,0 +1,135 @@
+package experiment
+
+import (
+	"bufio"
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/apex/log/handlers/discard"
+
+	"jayfold.dev/jayfold/internal/core/fleet"
+	"jayfold.dev/jayfold/internal/lab/load"
+	"jayfold.dev/jayfold/internal/lab/testbed"
+)
+
+// Sicily's sizes: three availability zones, six targets with four slots and 300 connections.
+const (
+	sicilyNodes       = 3
+	sicilyTargets     = 6
+	sicilySlots       = 4
+	sicilyConnections = 300
+)
+
+const sitePool fleet.PoolName = "catalogue"
+
+// newSite starts one service at Sicily's size on the process rig.
+func newSite(interval, serviceTime time.Duration) (*testbed.Testbed, error) {
+	return testbed.New(testbed.Settings{
+		Nodes:             sicilyNodes,
+		AvailabilityZones: []fleet.AvailabilityZone{"palermo", "catania", "siracusa"},
+		Tables:            oneService(interval, 4),
+		Pools: []testbed.Pool{{
+			Name:        sitePool,
+			Targets:     sicilyTargets,
+			Slots:       sicilySlots,
+			Connections: sicilyConnections,
+			ServiceTime: serviceTime,
+		}},
+		Log: discard.New(),
+	})
+}
+
+// oneService returns tables with lookups and orders to one pool.
+func oneService(interval time.Duration, floor int) fleet.Tables {
+	var pools fleet.Map[fleet.PoolName, fleet.Pool]
+	return fleet.Tables{
+		Routes: []fleet.Route{
+			{Name: "lookup", PathPrefix: "/catalogue", Pool: sitePool, Class: fleet.Lookup, Deadline: 2 * time.Second},
+			{Name: "order", PathPrefix: "/orders", Pool: sitePool, Class: fleet.Order, Deadline: 10 * time.Second},
+		},
+		Pools: pools.With(sitePool, fleet.Pool{
+			Name:                  sitePool,
+			Service:               "catalogue",
+			Floor:                 floor,
+			FalseEjectionInterval: interval,
+		}),
+	}
+}
+
+// sendLoad sends requests to all nodes of a site.
+func sendLoad(ctx context.Context, bed *testbed.Testbed, rate, orders float64, duration time.Duration) (load.Report, error) {
+	settings := load.Settings{
+		Rate:       rate,
+		Duration:   duration,
+		Orders:     orders,
+		LookupPath: "/catalogue",
+		OrderPath:  "/orders",
+		Timeout:    30 * time.Second,
+	}
+	for _, n := range bed.Nodes {
+		settings.URLs = append(settings.URLs, n.CallersURL())
+	}
+	for _, t := range bed.Targets {
+		settings.Ledgers = append(settings.Ledgers, "http://"+t.Standin.Address()+"/admin/ledger")
+	}
+	return load.New(settings, load.NewSeams()).Run(ctx)
+}
+
+// later counts the whole answers to lookups that took longer than limit.
+func later(report load.Report, limit time.Duration) int {
+	count := int64(0)
+	for _, bar := range report.Latency["lookup"].Distribution() {
+		if bar.From > limit.Microseconds()*int64(time.Microsecond) {
+			count += bar.Count
+		}
+	}
+	return int(count)
+}
+
+// lookupQuantile returns a quantile of the lookups' latency; q is in percent.
+func lookupQuantile(report load.Report, q float64) time.Duration {
+	return time.Duration(report.Latency["lookup"].ValueAtQuantile(q))
+}
+
+// counter sums a counter over all nodes and tags, as /metrics shows it.
+func counter(ctx context.Context, bed *testbed.Testbed, name string) (float64, error) {
+	sum := 0.0
+	for _, n := range bed.Nodes {
+		value, err := nodeCounter(ctx, "http://"+n.OperatorsAddress()+"/metrics", name)
+		if err != nil {
+			return 0, err
+		}
+		sum += value
+	}
+	return sum, nil
+}
+
+func nodeCounter(ctx context.Context, url, name string) (float64, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return 0, err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	sum := 0.0
+	lines := bufio.NewScanner(response.Body)
+	for lines.Scan() {
+		series, value, found := strings.Cut(lines.Text(), " ")
+		metric, _, _ := strings.Cut(series, "{")
+		if !found || metric != name {
+			continue
+		}
+		number, err := strconv.ParseFloat(value, 64)
+		if err != nil {
+			return 0, err
+		}
+		sum += number
+	}
+	return sum, lines.Err()
+}
--- /dev/null
+++ b/internal/lab/experiment/traffic.go
@@ -0,0 +1,150 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"jayfold.dev/jayfold/internal/lab/load"
+	"jayfold.dev/jayfold/internal/lab/target"
+	"jayfold.dev/jayfold/internal/lab/testbed"
+)
+
+// The load of the experiment: 100 lookups per second are 17 per second and target.
+const (
+	faultRate        = 100.0
+	faultServiceTime = 10 * time.Millisecond
+	// noticedFactor is how many times the healthy p99 an answer takes when its caller notices.
+	noticedFactor = 3
+	// noticedGoal is the share of lookups whose callers may notice.
+	noticedGoal = 0.001
+)
+
+// grayFault is one way in which a target turns sick.
+type grayFault struct {
+	name   string
+	faults target.Faults
+}
+
+var grayFaults = []grayFault{
+	{"errors 0.3", target.Faults{ErrorRate: 0.3}},
+	{"errors 0.5", target.Faults{ErrorRate: 0.5}},
+	{"errors 1.0", target.Faults{ErrorRate: 1}},
+	{"slowdown 5x", target.Faults{Slowdown: 5}},
+	{"slowdown 20x", target.Faults{Slowdown: 20}},
+	{"frozen", target.Faults{Frozen: true}},
+}
+
+// deploymentSettings are the two deployments' FalseEjectionInterval.
+var deploymentSettings = []struct {
+	name     string
+	interval time.Duration
+}{
+	{"Sicily", 8760 * time.Hour},
+	{"Croatia", 24 * time.Hour},
+}
+
+// faultResult is what one fault did.
+type faultResult struct {
+	reached int
+	ejected time.Duration
+	lookups int
+	failed  int
+	late    int
+}
+
+// TrafficAfterFault measures on the process rig how many requests still reach a target after it turned sick, and how many
+// callers notice.
+func TrafficAfterFault(w io.Writer, o Options) error {
+	duration := 20 * time.Second
+	if o.Short {
+		duration = 5 * time.Second
+	}
+	fmt.Fprintf(w, "traffic-after-fault, seed %d, %v lookups/s to 6 targets, %v per fault\n\n", o.Seed, faultRate, duration)
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "setting\tfault\tejected after\treached the target\tlookups\tfailed\tlate\tnoticed\t")
+	total, noticed := 0, 0
+	for _, setting := range deploymentSettings {
+		for _, fault := range grayFaults {
+			result, err := afterFault(setting.interval, fault, duration)
+			if err != nil {
+				return err
+			}
+			total += result.lookups
+			noticed += result.failed + result.late
+			fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%d\t%d\t%d\t%.2f%%\t\n", setting.name, fault.name, result.ejectedText(),
+				result.reached, result.lookups, result.failed, result.late,
+				100*float64(result.failed+result.late)/float64(result.lookups))
+		}
+	}
+	if err := table.Flush(); err != nil {
+		return err
+	}
+	share := float64(noticed) / float64(total)
+	fmt.Fprintf(w, "\n%d of %d lookups noticed: %.4f%%, goal below %.1f%%\n", noticed, total, 100*share, 100*noticedGoal)
+	if share >= noticedGoal {
+		return fmt.Errorf("traffic-after-fault: callers of %.4f%% of the lookups noticed, goal below %.1f%%",
+			100*share, 100*noticedGoal)
+	}
+	return nil
+}
+
+func (r faultResult) ejectedText() string {
+	if r.ejected == 0 {
+		return "not ejected"
+	}
+	return r.ejected.Round(10 * time.Millisecond).String()
+}
+
+// afterFault runs one fault on a fresh site: a healthy time for the baseline, then the fault under load.
+func afterFault(interval time.Duration, fault grayFault, duration time.Duration) (faultResult, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	bed, err := newSite(interval, faultServiceTime)
+	if err != nil {
+		return faultResult{}, err
+	}
+	defer bed.Stop()
+	// The targets start slowly for 10 s, and the baseline needs answers of all of them.
+	if _, err := sendLoad(ctx, bed, faultRate, 0, 12*time.Second); err != nil {
+		return faultResult{}, err
+	}
+	healthy, err := sendLoad(ctx, bed, faultRate, 0, duration)
+	if err != nil {
+		return faultResult{}, err
+	}
+	sick := bed.Targets[0]
+	before := len(sick.Standin.Ledger())
+	sick.Standin.SetFaults(fault.faults)
+	ejected := make(chan time.Duration, 1)
+	go func() { ejected <- waitEjected(ctx, bed, duration) }()
+	report, err := sendLoad(ctx, bed, faultRate, 0, duration)
+	if err != nil {
+		return faultResult{}, err
+	}
+	return faultResult{
+		reached: len(sick.Standin.Ledger()) - before,
+		ejected: <-ejected,
+		lookups: report.Sent["lookup"],
+		failed:  failedLookups(report),
+		late:    later(report, noticedFactor*lookupQuantile(healthy, 99)),
+	}, nil
+}
+
+func failedLookups(report load.Report) int { return report.Sent["lookup"] - report.Whole["lookup"] }
+
+// waitEjected returns how long it took until a target was ejected; 0 means that none was.
+func waitEjected(ctx context.Context, bed *testbed.Testbed, limit time.Duration) time.Duration {
+	start := time.Now()
+	ticker := time.NewTicker(20 * time.Millisecond)
+	defer ticker.Stop()
+	for time.Since(start) < limit {
+		if len(bed.Ejected(ctx)) > 0 {
+			return time.Since(start)
+		}
+		<-ticker.C
+	}
+	return 0
+}
