edge/tablesfile: decode a revision entry by entry

Cause: decoding a revision of the design size held the whole parsed content, and a file full of problems was read in quadratic time.

Change: entries are parsed one at a time and keep only their places; places find their line by binary search.

--- a/internal/edge/configfile/object.go
+++ b/internal/edge/configfile/object.go
@@ -90,9 +90,9 @@
 }
 
 // Position returns a reader that notes where the value stands, for problems found later, and reads it with read.
-func Position(at *Value, read Reader) Reader {
+func Position(at *Place, read Reader) Reader {
 	return func(v Value) Problems {
-		*at = v
+		*at = v.Place
 		return read(v)
 	}
 }
--- a/internal/edge/configfile/value.go
+++ b/internal/edge/configfile/value.go
@@ -19,6 +19,7 @@
 import (
 	"bytes"
 	"fmt"
+	"slices"
 	"strings"
 
 	"github.com/tailscale/hujson"
@@ -30,24 +31,45 @@
 
 // Value is one value of a file. The zero Value is absent: it has no fields and no problems.
 type Value struct {
-	file    string
-	content []byte
-	field   string
-	node    hujson.Value
+	Place
+	node hujson.Value
+}
+
+// Place is where a value stands. It keeps no parsed value alive.
+type Place struct {
+	file string
+	// lines are the offsets at which the file's lines start. With them a file full of problems is read in linear time.
+	lines  []int
+	offset int
+	field  string
 }
 
 // Parse parses the content of a file.
-func Parse(file string, content []byte) (Value, Problems) {
-	v := Value{file: file, content: content}
+func Parse(file string, content []byte) (Value, Problems) { return ParseField(file, "", content) }
+
+// ParseField parses the content of one field of a file. Lines and columns count from the start of the field.
+func ParseField(file, field string, content []byte) (Value, Problems) {
+	v := Value{Place: Place{file: file, lines: lineStarts(content), field: field}}
 	if bytes.Count(content, []byte("["))+bytes.Count(content, []byte("{")) > maxValues {
 		return Value{}, v.Problem("more than %d arrays and objects", maxValues)
 	}
 	node, err := hujson.Parse(content)
 	if err != nil {
-		return Value{}, Problems{syntaxProblem(file, err)}
+		p := syntaxProblem(file, err)
+		p.Field = field
+		return Value{}, Problems{p}
 	}
-	v.node = node
-	return v, nil
+	return v.child(field, node), nil
+}
+
+func lineStarts(content []byte) []int {
+	starts := []int{0}
+	for i, b := range content {
+		if b == '\n' {
+			starts = append(starts, i+1)
+		}
+	}
+	return starts
 }
 
 // syntaxProblem takes the position out of the parser's error, which has no type of its own.
@@ -60,14 +82,17 @@
 	return p
 }
 
-// Problem returns one problem at the value.
-func (v Value) Problem(format string, args ...any) Problems {
-	before := v.content[:min(max(v.node.StartOffset, 0), len(v.content))]
+// Problem returns one problem at the place.
+func (p Place) Problem(format string, args ...any) Problems {
+	line, found := slices.BinarySearch(p.lines, p.offset)
+	if found {
+		line++
+	}
 	return Problems{{
-		File:   v.file,
-		Line:   1 + bytes.Count(before, []byte("\n")),
-		Column: len(before) - bytes.LastIndexByte(before, '\n'),
-		Field:  v.field,
+		File:   p.file,
+		Line:   line,
+		Column: 1 + p.offset - p.lines[line-1],
+		Field:  p.field,
 		Detail: fmt.Sprintf(format, args...),
 	}}
 }
@@ -77,7 +102,8 @@
 
 // child returns a value inside v.
 func (v Value) child(field string, node hujson.Value) Value {
-	return Value{file: v.file, content: v.content, field: field, node: node}
+	place := Place{file: v.file, lines: v.lines, offset: node.StartOffset, field: field}
+	return Value{Place: place, node: node}
 }
 
 // literal returns the value as a literal of the given kind.
--- a/internal/edge/tablesfile/entry.go
+++ b/internal/edge/tablesfile/entry.go
@@ -23,7 +23,7 @@
 
 // readRoute reads one entry of the routes table.
 func (d *draft) readRoute(v configfile.Value) configfile.Problems {
-	entry := routeEntry{whole: v}
+	entry := routeEntry{whole: v.Place}
 	r := &entry.route
 	problems := v.Object(
 		configfile.Required("Name", configfile.Position(&entry.name, configfile.Text(&r.Name, identifier))),
--- a/internal/edge/tablesfile/parse.go
+++ b/internal/edge/tablesfile/parse.go
@@ -51,14 +51,14 @@
 type routeEntry struct {
 	route fleet.Route
 	// whole, name and pool are where the entry and its fields stand.
-	whole configfile.Value
-	name  configfile.Value
-	pool  configfile.Value
+	whole configfile.Place
+	name  configfile.Place
+	pool  configfile.Place
 }
 
 type poolEntry struct {
 	pool fleet.Pool
-	name configfile.Value
+	name configfile.Place
 }
 
 // tables returns the entries as tables. They must have been checked.
