edge/platform: never write an older member record after a newer one

Cause: each registration ran on a goroutine of its own, so that an older record could overwrite a newer one, for instance the one that says that the node leaves.

Change: registrations are written one after another, and one that a newer record overtook is left out.

--- a/internal/edge/platform/client.go
+++ b/internal/edge/platform/client.go
@@ -28,6 +28,7 @@
 
 	"jayfold.dev/jayfold/internal/core/effect"
 	"jayfold.dev/jayfold/internal/core/event"
+	"jayfold.dev/jayfold/internal/core/fleet"
 	"jayfold.dev/jayfold/internal/core/routing"
 	"jayfold.dev/jayfold/internal/edge/tablesfile"
 )
@@ -53,6 +54,9 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	running sync.WaitGroup
+	// registered is the newest record of this node that was sent to the platform, under registering.
+	registering sync.Mutex
+	registered  fleet.Member
 }
 
 // New returns a client. Close ends its calls.
@@ -125,9 +129,16 @@
 	})
 }
 
-// RegisterMember carries out the effect.
+// RegisterMember carries out the effect. Records are written one after another, and one that a newer record overtook is
+// not written.
 func (c *Client) RegisterMember(e effect.RegisterMember) {
 	c.start(e.After, func(ctx context.Context) event.Body {
+		c.registering.Lock()
+		defer c.registering.Unlock()
+		if c.registered.Newer(e.Member) {
+			return event.MemberRegistered{}
+		}
+		c.registered = e.Member
 		key := memberPrefix + string(e.Member.Node)
 		if err := c.objects.put(ctx, key, encodeMember(e.Member), condition{}); err != nil {
 			return failed(event.CallRegisterMember, err)
--- a/internal/edge/platform/client_test.go
+++ b/internal/edge/platform/client_test.go
@@ -256,6 +256,17 @@
 		is.New(t).Equal(failed.Call, event.CallWatchHead)
 	})
 
+	t.Run("a record that a newer one overtook is not written", func(t *testing.T) {
+		w := newWorld(t)
+		member := fleet.Member{Node: "n1", Incarnation: 3, Sequence: 7}
+		w.client.RegisterMember(effect.RegisterMember{Member: member, After: 20 * time.Millisecond})
+		w.client.RegisterMember(effect.RegisterMember{Member: member.WithTargets(nil)})
+		w.next(t)
+		w.next(t)
+		w.client.ListMembers(effect.ListMembers{})
+		is.New(t).Equal(w.next(t), event.MembersListed{Members: []fleet.Member{member.WithTargets(nil)}})
+	})
+
 	t.Run("a member record that does not decode does not hide the others", func(t *testing.T) {
 		w := newWorld(t)
 		member := fleet.Member{Node: "n1", PeerAddress: "127.0.0.1:1", Incarnation: 3, Targets: []fleet.Target{
