core/attempt, control: hedge lookups when they are due, not at the next tick

Cause: hedges were looked for on ticks 100 ms apart and only after three times the pool's p95, so that an answer from a slow target reached its caller later than three times the healthy p99, which is when callers notice. Change: the state says when a request needs attention next and the control loop sets a timer to it; a lookup is hedged after 1.5 times the p95.

--- a/internal/core/attempt/flight.go
+++ b/internal/core/attempt/flight.go
@@ -13,12 +13,13 @@
 	maxAttempts = 4
 	// maxCrashes is how many targets one request may crash: the first may be a coincidence, the second confirms it.
 	maxCrashes = 2
-	// hedgeFactor is how many times the pool's p95 a lookup waits before it is sent to a second target.
-	hedgeFactor = 3
+	// hedgeFactor is how many times the pool's p95 a lookup waits before it is sent to a second target. A caller notices
+	// an answer after three times the healthy p99, so the second target must answer before that.
+	hedgeFactor = 1.5
 	// timeoutFactor is how many times the pool's p95 an idempotent attempt waits before it is given up.
 	timeoutFactor = 10
 	// minHedge and minTimeout keep the noise of a very fast pool from spending the retry budget.
-	minHedge   = 20 * time.Millisecond
+	minHedge   = 5 * time.Millisecond
 	minTimeout = 200 * time.Millisecond
 	// closeWait is how long past the deadline a request that is not idempotent waits for the sidecar to confirm the
 	// cancel, which tells its caller whether it ran. The forwarder ends the attempt after 200 ms.
@@ -49,7 +50,7 @@
 	closing bool
 	// wake is when the request needs attention next, and due its place in the timetable.
 	wake time.Time
-	due  int64
+	due  time.Duration
 }
 
 // try is an attempt in flight.
@@ -79,11 +80,11 @@
 }
 
 // patience returns a multiple of the baseline within bounds, and the upper bound while no baseline is known.
-func patience(baseline time.Duration, factor int, low, high time.Duration) time.Duration {
+func patience(baseline time.Duration, factor float64, low, high time.Duration) time.Duration {
 	if baseline == 0 {
 		return high
 	}
-	return min(max(baseline*time.Duration(factor), low), high)
+	return min(max(time.Duration(float64(baseline)*factor), low), high)
 }
 
 // rescheduled sets the next time at which something is due after now.
--- a/internal/core/attempt/tick.go
+++ b/internal/core/attempt/tick.go
@@ -31,6 +31,9 @@
 	return s.pruned(ctx.Now), effects
 }
 
+// Due returns when Tick has something to do next. A lookup's hedge cannot wait for the next regular tick.
+func (s State) Due() (time.Time, bool) { return s.wakes.next() }
+
 // woken does what is due for a request.
 func (s State) woken(ctx Context, f flight) (State, []effect.Effect) {
 	if !ctx.Now.Before(f.template.Deadline) {
--- a/internal/core/event/event.go
+++ b/internal/core/event/event.go
@@ -28,8 +28,12 @@
 // Tick says that time has passed. The control loop posts one every 100 ms.
 type Tick struct{}
 
+// RequestsDue says that the time of node.State.Due has come.
+type RequestsDue struct{}
+
 // ShutdownStarted says that the process was asked to stop.
 type ShutdownStarted struct{}
 
 func (Tick) isBody()            {}
+func (RequestsDue) isBody()     {}
 func (ShutdownStarted) isBody() {}
--- a/internal/core/node/clock.go
+++ b/internal/core/node/clock.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"time"
+
 	"jayfold.dev/jayfold/internal/core/effect"
 	"jayfold.dev/jayfold/internal/core/event"
 )
@@ -23,3 +25,14 @@
 	}
 	return s, effects
 }
+
+// Due returns when a request needs attention next. The control loop then posts event.RequestsDue, since a hedge that waits
+// for the next tick comes too late for a lookup that takes a few milliseconds.
+func (s State) Due() (time.Time, bool) { return s.attempts.Due() }
+
+// requestsDue hedges, replaces and ends the attempts whose time has come.
+func (s State) requestsDue(ev event.Event) (State, []effect.Effect) {
+	next, effects := s.attempts.Tick(s.attemptContext(ev))
+	s.attempts = next
+	return s, effects
+}
--- a/internal/core/node/observe.go
+++ b/internal/core/node/observe.go
@@ -28,7 +28,7 @@
 		if view, ok := s.attempts.Observed(body.Request); ok {
 			effects = append(effects, s.requestMeasured(ev, view, outcomeCanceled)...)
 		}
-	case event.RequestArrived, event.Tick:
+	case event.RequestArrived, event.RequestsDue, event.Tick:
 	default:
 		return effects
 	}
--- a/internal/core/node/state.go
+++ b/internal/core/node/state.go
@@ -85,6 +85,8 @@
 	switch body := ev.Body.(type) {
 	case event.Tick:
 		return s.tick(ev)
+	case event.RequestsDue:
+		return s.requestsDue(ev)
 	case event.ShutdownStarted:
 		return s.shutdownStarted(ev)
 	case event.RequestArrived:
--- a/internal/process/control/loop.go
+++ b/internal/process/control/loop.go
@@ -37,7 +37,9 @@
 	state  node.State
 	seams  Seams
 	events chan event.Body
-	done   chan struct{}
+	// due is the time to which the timer is set.
+	due  time.Time
+	done chan struct{}
 }
 
 // New returns a loop over the given state. It does nothing before Run.
@@ -63,6 +65,8 @@
 	defer close(l.done)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	due := time.NewTimer(tickInterval)
+	defer due.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -71,7 +75,23 @@
 			l.step(body)
 		case <-ticker.C:
 			l.step(event.Tick{})
+		case <-due.C:
+			l.step(event.RequestsDue{})
 		}
+		l.schedule(due)
+	}
+}
+
+// schedule sets the timer to the time at which a request needs attention next.
+func (l *Loop) schedule(due *time.Timer) {
+	at, ok := l.state.Due()
+	switch {
+	case !ok:
+		due.Stop()
+		l.due = time.Time{}
+	case !at.Equal(l.due):
+		due.Reset(at.Sub(l.seams.Now()))
+		l.due = at
 	}
 }
 
