edge/peer: test faults of connections, cancels and bad input

Cause: the verdicts of the forwarder and the sidecar were tested without faults. Change: tests with connections that fall silent before and after they were verified, a server that breaks the connection after the headers, a graceful stop during orders, cancels before and during a run, duplicates and malformed headers; a fuzz target for the decoder of attempt headers. The timetable of the ingress measures from its first entry, so that a step of the wall clock moves no deadline.

--- a/internal/core/attempt/flight.go
+++ b/internal/core/attempt/flight.go
@@ -44,7 +44,7 @@
 	closing bool
 	// wake is when the request needs attention next, and due its place in the timetable.
 	wake time.Time
-	due  int64
+	due  time.Duration
 }
 
 // try is an attempt in flight.
--- /dev/null
+++ b/internal/edge/peer/forward_fault_test.go
@@ -0,0 +1,290 @@
+package peer
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jayfold.dev/jayfold/internal/core/effect"
+	"jayfold.dev/jayfold/internal/core/event"
+	"jayfold.dev/jayfold/internal/core/fleet"
+)
+
+// silencer is a TCP forwarder whose open connections can go silent for ever while new ones work.
+type silencer struct {
+	address string
+	mu      sync.Mutex
+	silent  *atomic.Bool
+	dials   int
+}
+
+func newSilencer(t *testing.T, to string) *silencer {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = listener.Close() })
+	s := &silencer{address: listener.Addr().String(), silent: new(atomic.Bool)}
+	go func() {
+		for {
+			in, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			out, err := net.Dial("tcp", to)
+			if err != nil {
+				return
+			}
+			silent := s.accepted()
+			go pipe(in, out, silent)
+			go pipe(out, in, silent)
+		}
+	}()
+	return s
+}
+
+func (s *silencer) accepted() *atomic.Bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dials++
+	return s.silent
+}
+
+// silence makes the open connections silent.
+func (s *silencer) silence() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent.Store(true)
+	s.silent = new(atomic.Bool)
+}
+
+func pipe(from, to net.Conn, silent *atomic.Bool) {
+	buffer := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(buffer)
+		if err != nil && !silent.Load() {
+			_ = to.Close()
+		}
+		if err != nil {
+			return
+		}
+		if !silent.Load() {
+			_, _ = to.Write(buffer[:n])
+		}
+	}
+}
+
+// Guards against an order that is lost on a connection that went silent while nobody looked.
+func TestOrderAvoidsSilentConnection(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	through := newSilencer(t, b.address)
+	attempt := b.attempt()
+	attempt.Address = through.address
+	wantWhole(t, b.send(t.Context(), attempt, http.MethodPost, "1"), http.StatusOK, "hello")
+	through.silence()
+	time.Sleep(freshWithin + 50*time.Millisecond)
+	attempt.ID, attempt.Deadline = "r.2", time.Now().Add(2*time.Second)
+	wantWhole(t, b.send(t.Context(), attempt, http.MethodPost, "1"), http.StatusOK, "hello")
+	is.Equal(through.dials, 2)
+}
+
+// Guards against a claim that an order did not run, or a second try of the library, when the connection falls silent after
+// it was verified.
+func TestOrderOnConnectionThatFallsSilent(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	through := newSilencer(t, b.address)
+	attempt := b.attempt()
+	attempt.Address = through.address
+	wantWhole(t, b.send(t.Context(), attempt, http.MethodPost, "1"), http.StatusOK, "hello")
+	through.silence()
+	attempt.ID, attempt.Deadline = "r.2", time.Now().Add(200*time.Millisecond)
+	wantProblem(t, b.send(t.Context(), attempt, http.MethodPost, "1").err, fleet.Broken, fleet.MayHaveRun)
+	is.Equal(through.dials, 1)
+}
+
+// Guards against net/http sending a request again by itself when its connection breaks.
+func TestLibraryNeverSendsTwice(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		t.Run(method, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(t)
+			var asked atomic.Int32
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			server := &http.Server{Protocols: new(http.Protocols)}
+			server.Protocols.SetUnencryptedHTTP2(true)
+			server.Handler = http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				if r.Header.Get(headerAttempt) != "" {
+					asked.Add(1)
+					_ = server.Close()
+				}
+			})
+			go func() { _ = server.Serve(listener) }()
+			attempt := b.attempt()
+			attempt.Address, attempt.Key = listener.Addr().String(), "key"
+			wantProblem(t, b.send(t.Context(), attempt, method, "1").err, fleet.Broken, fleet.MayHaveRun)
+			is.Equal(asked.Load(), int32(1))
+		})
+	}
+}
+
+// Guards against orders that a graceful stop of the sidecar's node interrupts or leaves in doubt.
+func TestGracefulStopOfThePeer(t *testing.T) {
+	b := newBench(t)
+	b.target = func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(20 * time.Millisecond)
+		_, _ = io.WriteString(w, "hello")
+	}
+	var group sync.WaitGroup
+	for i := range 50 {
+		group.Go(func() {
+			time.Sleep(time.Duration(i) * 2 * time.Millisecond)
+			attempt := b.attempt()
+			attempt.ID = fleet.NewAttemptID(fleet.RequestID(rune('A'+i)), 1)
+			got := b.send(t.Context(), attempt, http.MethodPost, "1")
+			if got.err != nil {
+				wantProblem(t, got.err, fleet.Unreachable, fleet.NotRun)
+				return
+			}
+			wantWhole(t, got, http.StatusOK, "hello")
+		})
+	}
+	time.Sleep(50 * time.Millisecond)
+	is.New(t).NoErr(b.server.Shutdown(t.Context()))
+	group.Wait()
+}
+
+// canceledAfter forwards an order whose context ends as soon as the sidecar has started on it.
+func (b *bench) canceledAfter(t *testing.T, started <-chan struct{}) forwarded {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() {
+		<-started
+		cancel()
+	}()
+	return b.send(ctx, b.attempt(), http.MethodPost, "1")
+}
+
+// Guards against orders in doubt although the sidecar knows that they did not start, and against the reverse.
+func TestCancel(t *testing.T) {
+	t.Run("before the start", func(t *testing.T) {
+		b := newBench(t)
+		queued := make(chan struct{}, 1)
+		b.decide = func(s *Sidecar, body event.Body) {
+			switch body := body.(type) {
+			case event.AdmissionAsked:
+				queued <- struct{}{}
+			case event.AdmissionCanceled:
+				problem := fleet.NewProblem(fleet.Canceled, fleet.NotRun, "not started")
+				s.RefuseAttempt(effect.RefuseAttempt{Attempt: body.Attempt, Problem: problem, Report: testReport})
+			}
+		}
+		wantProblem(t, b.canceledAfter(t, queued).err, fleet.Canceled, fleet.NotRun)
+	})
+	t.Run("while it runs", func(t *testing.T) {
+		b := newBench(t)
+		running := make(chan struct{}, 1)
+		b.target = func(_ http.ResponseWriter, r *http.Request) {
+			// net/http notices that the other side is gone once the body is read.
+			_, _ = io.Copy(io.Discard, r.Body)
+			running <- struct{}{}
+			<-r.Context().Done()
+		}
+		b.decide = func(s *Sidecar, body event.Body) {
+			if canceled, ok := body.(event.AdmissionCanceled); ok {
+				s.CancelRun(effect.CancelRun{Attempt: canceled.Attempt})
+			}
+			admitAll(s, body)
+		}
+		wantProblem(t, b.canceledAfter(t, running).err, fleet.Canceled, fleet.MayHaveRun)
+		wantProblem(t, b.finished(t).Problem.Or(fleet.Problem{}), fleet.Canceled, fleet.MayHaveRun)
+	})
+	t.Run("without a word of the sidecar", func(t *testing.T) {
+		b := newBench(t)
+		queued := make(chan struct{}, 1)
+		b.decide = func(_ *Sidecar, body event.Body) {
+			if _, ok := body.(event.AdmissionAsked); ok {
+				queued <- struct{}{}
+			}
+		}
+		wantProblem(t, b.canceledAfter(t, queued).err, fleet.Broken, fleet.MayHaveRun)
+	})
+	t.Run("before a late Run", func(t *testing.T) {
+		b := newBench(t)
+		b.sidecar.Run(effect.Run{Attempt: b.attempt()})
+		wantProblem(t, b.finished(t).Problem.Or(fleet.Problem{}), fleet.Canceled, fleet.NotRun)
+	})
+}
+
+// Guards against a second copy of an attempt that runs, or that is told as not run.
+func TestDuplicateAttempt(t *testing.T) {
+	b := newBench(t)
+	running := make(chan struct{})
+	release := make(chan struct{})
+	b.target = func(w http.ResponseWriter, _ *http.Request) {
+		close(running)
+		<-release
+		_, _ = io.WriteString(w, "hello")
+	}
+	first := make(chan forwarded, 1)
+	go func() { first <- b.send(t.Context(), b.attempt(), http.MethodPost, "1") }()
+	<-running
+	wantProblem(t, b.send(t.Context(), b.attempt(), http.MethodPost, "1").err, fleet.Duplicate, fleet.MayHaveRun)
+	close(release)
+	wantWhole(t, <-first, http.StatusOK, "hello")
+}
+
+// Guards against malformed attempts that reach the reducer.
+func TestMalformedAttempt(t *testing.T) {
+	for name, value := range map[string]string{
+		headerAttempt: "", headerClass: "Best", headerBudget: "-1", headerIdempotent: "maybe", headerFingerprint: "xyz",
+		headerBaseline: "99999999999999", headerRevision: "1.5", headerTarget: strings.Repeat("t", maxNameBytes+1),
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(t)
+			r := httptest.NewRequest(http.MethodPost, "/", nil)
+			encodeAttempt(r.Header, wireAttempt{Attempt: b.attempt(), From: "a", Revision: 1}, time.Now())
+			r.Header.Set(name, value)
+			recorder := httptest.NewRecorder()
+			b.sidecar.ServeHTTP(recorder, r)
+			is.Equal(recorder.Code, http.StatusBadRequest)
+			is.Equal(recorder.Header().Get(headerVerdict), "NotRun")
+			is.Equal(len(b.events), 0)
+		})
+	}
+}
+
+// FuzzDecodeAttempt guards against headers that crash the decoder, and against attempts that change on their way.
+func FuzzDecodeAttempt(f *testing.F) {
+	f.Add("r.1", "b/t", "p", "a", "Order", "250", "1000", "00000000000000ff", "false", "acme", "key", "7")
+	f.Add("", "", "", "", "", "-1", "1e9", "g", "no", "\x00", "\xff", "18446744073709551616")
+	f.Fuzz(func(t *testing.T, id, target, pool, from, class, budget, baseline, fingerprint, idempotent, caller, key, revision string) {
+		now := time.Unix(1_800_000_000, 0)
+		header := http.Header{
+			headerAttempt: {id}, headerTarget: {target}, headerPool: {pool}, headerFrom: {from}, headerClass: {class},
+			headerBudget: {budget}, headerBaseline: {baseline}, headerFingerprint: {fingerprint}, headerIdempotent: {idempotent},
+			headerCaller: {caller}, headerKey: {key}, headerRevision: {revision},
+		}
+		wire, err := decodeAttempt(header, now)
+		if err != nil {
+			return
+		}
+		again := http.Header{}
+		encodeAttempt(again, wire, now)
+		decoded, err := decodeAttempt(again, now)
+		if err != nil || decoded != wire {
+			t.Fatalf("%+v became %+v (%v)", wire, decoded, err)
+		}
+	})
+}
--- a/internal/edge/peer/forward_test.go
+++ b/internal/edge/peer/forward_test.go
@@ -23,6 +23,7 @@
 type bench struct {
 	sidecar   *Sidecar
 	forwarder *Forwarder
+	server    *http.Server
 	address   string
 	// decide stands in for the reducer. The default runs everything at once.
 	decide func(*Sidecar, event.Body)
@@ -50,9 +51,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := NewForwardServer(b.sidecar)
-	go func() { _ = server.Serve(listener) }()
-	t.Cleanup(func() { _ = server.Close() })
+	b.server = NewForwardServer(b.sidecar)
+	go func() { _ = b.server.Serve(listener) }()
+	t.Cleanup(func() { _ = b.server.Close() })
 	b.address = listener.Addr().String()
 	b.forwarder = NewForwarder("a", ForwarderSeams{Now: time.Now, Post: func(event.Body) {}})
 	t.Cleanup(b.forwarder.Close)
