--- a/internal/edge/platform/client.go
+++ b/internal/edge/platform/client.go
@@ -28,6 +28,8 @@
 
 	"jayfold.dev/jayfold/internal/core/effect"
 	"jayfold.dev/jayfold/internal/core/event"
+	"jayfold.dev/jayfold/internal/core/fleet"
+	"jayfold.dev/jayfold/internal/core/routing"
 	"jayfold.dev/jayfold/internal/edge/tablesfile"
 )
 
@@ -52,6 +54,9 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	running sync.WaitGroup
+	// registered is the newest record of this node that was sent to the platform, under registering.
+	registering sync.Mutex
+	registered  fleet.Member
 }
 
 // New returns a client. Close ends its calls.
@@ -79,7 +84,7 @@
 // WatchHead carries out the effect.
 func (c *Client) WatchHead(e effect.WatchHead) {
 	c.start(e.After, func(ctx context.Context) event.Body {
-		found, err := c.objects.watch(ctx, headKey, e.Version)
+		found, err := c.objects.watch(ctx, headKey, e.Version, e.Wait)
 		if err != nil {
 			return failed(event.CallWatchHead, err)
 		}
@@ -97,8 +102,8 @@
 // FetchTables carries out the effect.
 func (c *Client) FetchTables(e effect.FetchTables) {
 	c.start(e.After, func(ctx context.Context) event.Body {
-		content, err := c.content(ctx, e.Head.Chunks)
-		var corrupt corruptChunk
+		content, err := c.content(ctx, wireHead{Revision: e.Head.Revision, Chunks: e.Head.Chunks})
+		var corrupt Corrupt
 		if errors.As(err, &corrupt) {
 			return event.TablesRejected{Revision: e.Head.Revision, Detail: err.Error()}
 		}
@@ -109,7 +114,7 @@
 		if err != nil {
 			return event.TablesRejected{Revision: e.Head.Revision, Detail: err.Error()}
 		}
-		return event.TablesDecoded{Tables: tables, Content: content}
+		return event.TablesDecoded{Tables: tables, Router: routing.New(tables), Content: content}
 	})
 }
 
@@ -124,9 +129,16 @@
 	})
 }
 
-// RegisterMember carries out the effect.
+// RegisterMember carries out the effect. Records are written one after another, and one that a newer record overtook is
+// not written.
 func (c *Client) RegisterMember(e effect.RegisterMember) {
 	c.start(e.After, func(ctx context.Context) event.Body {
+		c.registering.Lock()
+		defer c.registering.Unlock()
+		if c.registered.Newer(e.Member) {
+			return event.MemberRegistered{}
+		}
+		c.registered = e.Member
 		key := memberPrefix + string(e.Member.Node)
 		if err := c.objects.put(ctx, key, encodeMember(e.Member), condition{}); err != nil {
 			return failed(event.CallRegisterMember, err)
