--- a/internal/lab/load/call.go
+++ b/internal/lab/load/call.go
@@ -43,6 +43,8 @@
 	verdict string
 	took    time.Duration
 	fault   fault
+	// problem is the text of a refusal.
+	problem string
 }
 
 // whole reports whether the caller got what it asked for.
@@ -73,6 +75,8 @@
 		r.fault = truncated
 	case r.status == http.StatusOK && !c.answeredBy(body):
 		r.fault = foreign
+	case r.status != http.StatusOK:
+		r.problem = problemIn(body)
 	}
 	return r
 }
@@ -111,6 +115,13 @@
 	Padding string
 }
 
+// problemIn returns the text of a refusal.
+func problemIn(body []byte) string {
+	var refusal struct{ Problem string }
+	_ = json.Unmarshal(body, &refusal)
+	return refusal.Problem
+}
+
 // answeredBy reports whether the body is the whole answer to this request.
 func (c call) answeredBy(body []byte) bool {
 	var answer wireAnswer
--- a/internal/lab/load/report.go
+++ b/internal/lab/load/report.go
@@ -25,6 +25,8 @@
 	Verdict string
 	Fault   string
 	Count   int
+	// Problem is that of one of the requests.
+	Problem string
 }
 
 // Report is what a run showed.
@@ -56,9 +58,12 @@
 		report.Latency[class] = hdrhistogram.New(lowest, highest, figures)
 	}
 	rows := map[Row]int{}
+	problems := map[Row]string{}
 	for r := range results {
 		class := classOf(r.call)
-		rows[Row{Class: class, Status: r.status, Verdict: r.verdict, Fault: string(r.fault)}]++
+		row := Row{Class: class, Status: r.status, Verdict: r.verdict, Fault: string(r.fault)}
+		rows[row]++
+		problems[row] = r.problem
 		report.Sent[class]++
 		if r.call.order {
 			report.orders[r.call.token] = verdictOf(r)
@@ -71,7 +76,7 @@
 			_ = report.Latency[class].RecordValue(min(max(int64(r.took), lowest), highest))
 		}
 	}
-	report.Rows = sorted(rows)
+	report.Rows = sorted(rows, problems)
 	return report
 }
 
@@ -94,10 +99,10 @@
 	}
 }
 
-func sorted(counts map[Row]int) []Row {
+func sorted(counts map[Row]int, problems map[Row]string) []Row {
 	rows := make([]Row, 0, len(counts))
 	for row, count := range counts {
-		row.Count = count
+		row.Count, row.Problem = count, problems[row]
 		rows = append(rows, row)
 	}
 	slices.SortFunc(rows, func(a, b Row) int {
@@ -133,9 +138,10 @@
 	for _, class := range classes {
 		line("%ss: sent %d whole %d failed %d", class, r.Sent[class], r.Whole[class], r.Sent[class]-r.Whole[class])
 	}
-	line("\nclass\tstatus\tverdict\tfault\tcount")
+	line("\nclass\tstatus\tverdict\tfault\tcount\tsuch as")
 	for _, row := range r.Rows {
-		line("%s\t%d\t%s\t%s\t%d", row.Class, row.Status, dash(row.Verdict), dash(row.Fault), row.Count)
+		line("%s\t%d\t%s\t%s\t%d\t%s",
+			row.Class, row.Status, dash(row.Verdict), dash(row.Fault), row.Count, dash(row.Problem))
 	}
 	line("\nlatency of whole answers\tp50\tp90\tp99\tp99.9\tmax")
 	for _, class := range classes {
