lab/capacity: measure what a node costs as the fleet grows

Cause: docs/CAPACITY.md needs slopes that are measured.

Change: Run prints four kinds of tables with the measured points, a fitted line (gonum stat) and its residual: CPU per step of the reducer, heap of the state, encoded bytes per message, and the control traffic and CPU of nodes that talk over loopback, by nodes and by changed records. A change of one target now makes one pool of the directory anew instead of the member's 14.

--- a/internal/core/fleet/directory.go
+++ b/internal/core/fleet/directory.go
@@ -1,5 +1,7 @@
 package fleet
 
+import "slices"
+
 // Candidate is a target with the node beside it.
 type Candidate struct {
 	Target           Target
@@ -28,23 +30,43 @@
 }
 
 // WithMember returns the directory after a member's record changed from old to changed. Targets of a member that is
-// leaving or dead are left out.
+// leaving or dead are left out. Only the pools in which the member's candidates changed are made anew, since a record has
+// some 14 pools and most changes concern one.
 func (d Directory) WithMember(old, changed Member) Directory {
-	for pool := range poolsOf(old, changed).All() {
-		d = d.WithPool(pool, d.replaced(pool, changed))
+	for _, pool := range changedPools(old, changed) {
+		d = d.WithPool(pool, d.replaced(pool, changed.Node, candidatesOf(changed, pool)))
 	}
 	return d
 }
 
-// replaced returns the pool's candidates with those of member's node replaced.
-func (d Directory) replaced(pool PoolName, member Member) []Candidate {
-	var mine []Candidate
-	if member.Status == Alive || member.Status == Suspect {
-		mine = candidatesOf(member, pool)
+// changedPools returns the pools in which two records of a member may have different candidates.
+func changedPools(old, changed Member) []PoolName {
+	comparable := old.usable() == changed.usable() && old.AvailabilityZone == changed.AvailabilityZone &&
+		old.ForwardAddress == changed.ForwardAddress && len(old.Targets) == len(changed.Targets)
+	var pools []PoolName
+	add := func(pool PoolName) {
+		if !slices.Contains(pools, pool) {
+			pools = append(pools, pool)
+		}
+	}
+	for i, t := range old.Targets {
+		if !comparable || t != changed.Targets[i] {
+			add(t.Pool)
+		}
 	}
+	for i, t := range changed.Targets {
+		if !comparable || t != old.Targets[i] {
+			add(t.Pool)
+		}
+	}
+	return pools
+}
+
+// replaced returns the pool's candidates with those of a node replaced by the given ones.
+func (d Directory) replaced(pool PoolName, node NodeID, mine []Candidate) []Candidate {
 	merged := make([]Candidate, 0, len(d.Pool(pool))+len(mine))
 	for _, c := range d.Pool(pool) {
-		if c.Node == member.Node {
+		if c.Node == node {
 			continue
 		}
 		for len(mine) > 0 && mine[0].Target.ID < c.Target.ID {
@@ -56,7 +78,14 @@
 	return append(merged, mine...)
 }
 
+// usable reports whether requests may go to the member's targets.
+func (m Member) usable() bool { return m.Status == Alive || m.Status == Suspect }
+
+// candidatesOf returns the candidates of a member for a pool.
 func candidatesOf(member Member, pool PoolName) []Candidate {
+	if !member.usable() {
+		return nil
+	}
 	var candidates []Candidate
 	for _, t := range member.Targets {
 		if t.Pool != pool || t.State != Ready {
@@ -71,13 +100,3 @@
 	}
 	return candidates
 }
-
-func poolsOf(members ...Member) Set[PoolName] {
-	var pools Set[PoolName]
-	for _, m := range members {
-		for _, t := range m.Targets {
-			pools = pools.With(t.Pool)
-		}
-	}
-	return pools
-}
--- /dev/null
+++ b/internal/lab/capacity/capacity_test.go
@@ -0,0 +1,50 @@
+package capacity
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a line that does not go through the points it is fitted to.
+func TestFitFindsTheLine(t *testing.T) {
+	is := is.New(t)
+	s := series{}
+	for x := range 5 {
+		s = s.with(float64(x), 3+2*float64(x))
+	}
+	l := s.fit()
+	is.True(l.residual < 1e-9)
+	is.True(l.at(100) > 203-1e-9 && l.at(100) < 203+1e-9)
+	is.True(s.with(5, 20).fit().residual > 0.1)
+}
+
+// Guards against a measurement that stops to work as the core changes: every section must give a row.
+func TestEverySectionIsMeasured(t *testing.T) {
+	is := is.New(t)
+	var b bytes.Buffer
+	options := Options{
+		Members: []int{6, 12, 18, 24}, Steps: 20, Nodes: []int{2, 3}, Changes: []float64{0, 2},
+		Measure: time.Second, Warm: time.Second,
+	}
+	is.NoErr(Run(context.Background(), &b, options))
+	for _, row := range []string{"request at the ingress", "tick", "routes", "Ping, records of dead", "sent", "% of a core"} {
+		is.True(strings.Contains(b.String(), row))
+	}
+}
+
+// Guards against nodes that measure their own isolation: all must know all when the measurement starts.
+func TestRunningNodesMeet(t *testing.T) {
+	is := is.New(t)
+	n, err := startNodes(context.Background(), 3)
+	is.NoErr(err)
+	defer n.stop()
+	n.change(context.Background(), 6*time.Second, 0)
+	c := n.measure(context.Background(), 3*time.Second, 0)
+	is.True(c.sent > 100 && c.received > 100)
+	is.True(c.connections >= 1)
+}
--- /dev/null
+++ b/internal/lab/capacity/fit.go
@@ -0,0 +1,81 @@
+package capacity
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"strings"
+	"text/tabwriter"
+
+	"gonum.org/v1/gonum/stat"
+)
+
+// series is one cost at growing sizes.
+type series struct {
+	name string
+	// unit is that of y; x is that of at.
+	unit string
+	x, y []float64
+	// at is the x of the design size.
+	at float64
+}
+
+func (s series) with(x, y float64) series {
+	s.x = append(s.x, x)
+	s.y = append(s.y, y)
+	return s
+}
+
+// line is a fitted line.
+type line struct {
+	intercept, slope float64
+	// residual is the root of the mean squared distance of the points from the line.
+	residual float64
+}
+
+func (s series) fit() line {
+	intercept, slope := stat.LinearRegression(s.x, s.y, nil, false)
+	squares := 0.0
+	for i, x := range s.x {
+		distance := s.y[i] - intercept - slope*x
+		squares += distance * distance
+	}
+	return line{intercept: intercept, slope: slope, residual: math.Sqrt(squares / float64(len(s.x)))}
+}
+
+func (l line) at(x float64) float64 { return l.intercept + l.slope*x }
+
+// printTable prints one row per series, with its points.
+func printTable(w io.Writer, title string, measured []series) error {
+	if len(measured) == 0 {
+		return nil
+	}
+	if _, err := fmt.Fprintf(w, "\n%s\n", title); err != nil {
+		return err
+	}
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintf(table, "\tunit\t%s\tintercept\tslope\tat %s\tresidual\n",
+		strings.Join(numbers("", measured[0].x), "\t"), number(measured[0].at))
+	for _, s := range measured {
+		l := s.fit()
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%s\t%s\n", s.name, s.unit, strings.Join(numbers("", s.y), "\t"),
+			number(l.intercept), number(l.slope), number(l.at(s.at)), number(l.residual))
+	}
+	return table.Flush()
+}
+
+func numbers(prefix string, values []float64) []string {
+	texts := make([]string, 0, len(values))
+	for _, v := range values {
+		texts = append(texts, prefix+number(v))
+	}
+	return texts
+}
+
+// number prints three significant digits, and all digits of large numbers.
+func number(v float64) string {
+	if math.Abs(v) >= 1000 {
+		return fmt.Sprintf("%.0f", v)
+	}
+	return fmt.Sprintf("%.3g", v)
+}
--- /dev/null
+++ b/internal/lab/capacity/nodes.go
@@ -0,0 +1,257 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"jayfold.dev/jayfold/internal/core/effect"
+	"jayfold.dev/jayfold/internal/core/event"
+	"jayfold.dev/jayfold/internal/core/fleet"
+	"jayfold.dev/jayfold/internal/core/node"
+	"jayfold.dev/jayfold/internal/edge/peer"
+	"jayfold.dev/jayfold/internal/process/control"
+)
+
+// targetsPerNode is the mean at the design size, 7,800 targets on 540 hosts.
+const targetsPerNode = designTargets / designMembers
+
+// heartbeatInterval is the time between two heartbeats of a target.
+const heartbeatInterval = time.Second
+
+// running is a node with its control loop and its messenger, without the edges for traffic.
+type running struct {
+	self      fleet.Member
+	loop      *control.Loop
+	messenger *peer.Messenger
+	listener  net.Listener
+}
+
+// nodes are nodes of one process that talk over loopback, with the member list of the platform in memory.
+type nodes struct {
+	mutex   sync.Mutex
+	listed  map[fleet.NodeID]fleet.Member
+	running []*running
+	cancel  context.CancelFunc
+	group   sync.WaitGroup
+}
+
+func startNodes(ctx context.Context, count int) (*nodes, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	n := &nodes{listed: make(map[fleet.NodeID]fleet.Member), cancel: cancel}
+	for i := range count {
+		if err := n.start(ctx, i); err != nil {
+			n.stop()
+			return nil, err
+		}
+	}
+	return n, nil
+}
+
+func (n *nodes) start(ctx context.Context, i int) error {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	r := &running{listener: listener, self: fleet.Member{
+		Node:             fleet.NodeID(fmt.Sprintf("host-%04d", i)),
+		AvailabilityZone: fleet.AvailabilityZone(fmt.Sprintf("zone-%d", i%7)),
+		PeerAddress:      listener.Addr().String(),
+		ForwardAddress:   listener.Addr().String(),
+		Incarnation:      fleet.Incarnation(time.Now().UnixMilli()),
+	}}
+	r.loop = control.New(node.New(r.self), control.Seams{
+		Now:      time.Now,
+		Random:   rand.Uint64,
+		Dispatch: func(e effect.Effect) { n.dispatch(r, e) },
+	})
+	r.messenger = peer.NewMessenger(r.self, peer.MessengerSeams{Post: r.loop.Post, Observe: func(effect.Effect) {}})
+	n.running = append(n.running, r)
+	n.group.Go(func() { r.loop.Run(ctx) })
+	n.group.Go(func() { _ = r.messenger.Serve(listener) })
+	n.group.Go(func() { r.heartbeats(ctx) })
+	return nil
+}
+
+// stop ends all nodes.
+func (n *nodes) stop() {
+	n.cancel()
+	for _, r := range n.running {
+		_ = r.listener.Close()
+		r.messenger.Close()
+	}
+	n.group.Wait()
+}
+
+func (n *nodes) dispatch(r *running, e effect.Effect) {
+	switch e := e.(type) {
+	case effect.Send:
+		r.messenger.Send(e)
+	case effect.RegisterMember:
+		n.mutex.Lock()
+		defer n.mutex.Unlock()
+		n.listed[e.Member.Node] = e.Member
+	case effect.ListMembers:
+		time.AfterFunc(e.After, func() { r.loop.Post(event.MembersListed{Members: n.members()}) })
+	}
+}
+
+func (n *nodes) members() []fleet.Member {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	members := make([]fleet.Member, 0, len(n.listed))
+	for _, m := range n.listed {
+		members = append(members, m)
+	}
+	return members
+}
+
+// heartbeats sends the heartbeats of the node's targets.
+func (r *running) heartbeats(ctx context.Context) {
+	ticker := time.NewTicker(heartbeatInterval)
+	defer ticker.Stop()
+	for {
+		for i := range targetsPerNode {
+			r.announce(i, fleet.Ready)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (r *running) announce(i int, state fleet.TargetState) {
+	r.loop.Post(event.TargetAnnounced{Announcement: fleet.Announcement{
+		Name:     fmt.Sprintf("target-%02d", i),
+		Pool:     fleet.PoolName(fmt.Sprintf("pool-%03d", i)),
+		Address:  "127.0.0.1:8000",
+		Slots:    4,
+		State:    state,
+		Instance: "1",
+	}})
+}
+
+// cost is what one node costs.
+type cost struct {
+	sent, received float64 // bytes per second
+	cpu            float64 // percent of a core
+	connections    float64
+}
+
+// measure returns the mean cost of a node over some time, while records change at the given rate in the whole fleet. A
+// change is a target that drains and returns, which makes two records.
+func (n *nodes) measure(ctx context.Context, duration time.Duration, changes float64) cost {
+	sent, received, _ := n.traffic()
+	cpu, start := cpuTime(), time.Now()
+	n.change(ctx, duration, changes)
+	used, took := cpuTime()-cpu, time.Since(start)
+	sentAfter, receivedAfter, connections := n.traffic()
+	perNode := float64(len(n.running)) * took.Seconds()
+	return cost{
+		sent:        (sentAfter - sent) / perNode,
+		received:    (receivedAfter - received) / perNode,
+		cpu:         100 * used.Seconds() / perNode,
+		connections: connections / float64(len(n.running)),
+	}
+}
+
+// change changes records at the given rate until the time is over.
+func (n *nodes) change(ctx context.Context, duration time.Duration, changes float64) {
+	ctx, cancel := context.WithTimeout(ctx, duration)
+	defer cancel()
+	if changes == 0 {
+		<-ctx.Done()
+		return
+	}
+	ticker := time.NewTicker(time.Duration(2 / changes * float64(time.Second)))
+	defer ticker.Stop()
+	for i := 0; ; i++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			n.running[i%len(n.running)].announce(0, fleet.TargetDraining)
+		}
+	}
+}
+
+func (n *nodes) traffic() (sent, received, connections float64) {
+	for _, r := range n.running {
+		s, g := r.messenger.Traffic()
+		out, in := r.messenger.Connections()
+		sent += float64(s)
+		received += float64(g)
+		connections += float64(out + in)
+	}
+	return sent, received, connections
+}
+
+// costSeries returns one series for each part of a cost, along the costs at growing sizes.
+func costSeries(x []float64, costs []cost, at float64) []series {
+	parts := []struct {
+		name, unit string
+		of         func(cost) float64
+	}{
+		{"sent", "bytes/s", func(c cost) float64 { return c.sent }},
+		{"received", "bytes/s", func(c cost) float64 { return c.received }},
+		{"CPU", "% of a core", func(c cost) float64 { return c.cpu }},
+		{"connections", "", func(c cost) float64 { return c.connections }},
+	}
+	var measured []series
+	for _, part := range parts {
+		s := series{name: part.name, unit: part.unit, at: at}
+		for i := range x {
+			s = s.with(x[i], part.of(costs[i]))
+		}
+		measured = append(measured, s)
+	}
+	return measured
+}
+
+// nodeCost measures running nodes without changes.
+func nodeCost(ctx context.Context, options Options) ([]series, string, error) {
+	if len(options.Nodes) == 0 {
+		return nil, "", nil
+	}
+	var costs []cost
+	var x []float64
+	for _, count := range options.Nodes {
+		n, err := startNodes(ctx, count)
+		if err != nil {
+			return nil, "", err
+		}
+		n.change(ctx, options.Warm, 0)
+		costs = append(costs, n.measure(ctx, options.Measure, 0))
+		x = append(x, float64(count))
+		n.stop()
+	}
+	return costSeries(x, costs, designMembers), "Control cost of a running node with 14 targets, by nodes of the fleet", ctx.Err()
+}
+
+// changesAtDesign is the rate of changed records at the design size: 1,300 restarts a day with 8 records each.
+const changesAtDesign = 1300.0 * 8 / 86400
+
+// changeCost measures running nodes while records change.
+func changeCost(ctx context.Context, options Options) ([]series, string, error) {
+	if len(options.Nodes) == 0 || len(options.Changes) == 0 {
+		return nil, "", nil
+	}
+	count := options.Nodes[len(options.Nodes)-1]
+	n, err := startNodes(ctx, count)
+	if err != nil {
+		return nil, "", err
+	}
+	defer n.stop()
+	n.change(ctx, options.Warm, 0)
+	var costs []cost
+	for _, changes := range options.Changes {
+		costs = append(costs, n.measure(ctx, options.Measure, changes))
+	}
+	title := fmt.Sprintf("Control cost of a running node among %d, by changed records per second in the fleet", count)
+	return costSeries(options.Changes, costs, changesAtDesign), title, ctx.Err()
+}
--- /dev/null
+++ b/internal/lab/capacity/reducer.go
@@ -0,0 +1,165 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"slices"
+	"time"
+
+	"jayfold.dev/jayfold/internal/core/effect"
+	"jayfold.dev/jayfold/internal/core/event"
+	"jayfold.dev/jayfold/internal/core/fleet"
+	"jayfold.dev/jayfold/internal/core/message"
+)
+
+const (
+	// batches are timed apart, and the median counts, so that a pause of this process does not.
+	batches = 7
+	// interval is the time between two requests at a node's share of 60,000 requests per second.
+	interval = 9 * time.Millisecond
+	// changedRecords is the number of records with 14 targets that fit into one message.
+	changedRecords = 4
+)
+
+// kinds are the steps whose CPU time is measured. Each function makes one round and returns its steps.
+var kinds = []struct {
+	name string
+	step func(*subject) int
+}{
+	{"request at the ingress", (*subject).request},
+	{"attempt at the sidecar", (*subject).attempt},
+	{"tick", (*subject).tick},
+	{"heartbeat of a target", (*subject).heartbeat},
+	{"ping without records", (*subject).pinged},
+	{"ping with 4 changed records", (*subject).pingedWithRecords},
+}
+
+// reducerCost measures the CPU time of one step of each kind.
+func reducerCost(ctx context.Context, options Options) ([]series, string, error) {
+	measured := make([]series, len(kinds))
+	for i, kind := range kinds {
+		measured[i] = series{name: kind.name, unit: "us/step", at: designMembers}
+	}
+	for _, members := range options.Members {
+		s := newSubject(scaled(members), options.Seed)
+		for i, kind := range kinds {
+			if err := ctx.Err(); err != nil {
+				return nil, "", err
+			}
+			cost := stepTime(options.Steps, func() int { return kind.step(s) })
+			measured[i] = measured[i].with(float64(members), float64(cost.Nanoseconds())/1000)
+		}
+	}
+	return measured, "CPU per step of the reducer, by nodes of the fleet", nil
+}
+
+// stepTime returns the median CPU time of one step over batches of the given number of steps.
+func stepTime(batch int, round func() int) time.Duration {
+	var times []time.Duration
+	for range batches {
+		runtime.GC()
+		start := cpuTime()
+		steps := 0
+		for steps < batch {
+			steps += round()
+		}
+		times = append(times, (cpuTime()-start)/time.Duration(steps))
+	}
+	slices.Sort(times)
+	return times[len(times)/2]
+}
+
+// next returns a number that no other request has, with a spread prefix as ids drawn at random have.
+func (s *subject) next() (int, string) {
+	s.serial++
+	return s.serial, fmt.Sprintf("%016x", uint64(s.serial)*0x9e3779b97f4a7c15)
+}
+
+// request has one request of a caller answered.
+func (s *subject) request() int {
+	s.now = s.now.Add(interval)
+	i, id := s.next()
+	effects := s.reduce(event.RequestArrived{Request: fleet.Request{
+		ID: fleet.RequestID(id), Method: "GET", Path: s.design.path(i) + "/7", Fingerprint: fleet.Fingerprint(i),
+	}})
+	forward, ok := effects[0].(effect.Forward)
+	if !ok {
+		panic(fmt.Sprintf("capacity: request was not forwarded: %v", effects[0]))
+	}
+	report := fleet.Report{Target: forward.Attempt.Target, P95: 5 * time.Millisecond, Load: fleet.Load{Slots: 4}, Revision: 1}
+	s.reduce(event.AttemptFinished{
+		Attempt: forward.Attempt.ID, Outcome: fleet.Outcome{Status: 200}, Report: fleet.Some(report),
+	})
+	return 2
+}
+
+// attempt has one attempt of another ingress run on a local target.
+func (s *subject) attempt() int {
+	s.now = s.now.Add(interval)
+	i, id := s.next()
+	t := s.self.Targets[i%len(s.self.Targets)]
+	attempt := fleet.Attempt{
+		ID: fleet.NewAttemptID(fleet.RequestID(id), 1), Target: t.ID, Pool: t.Pool, Deadline: s.now.Add(time.Second),
+		Baseline: 5 * time.Millisecond, Fingerprint: fleet.Fingerprint(i),
+	}
+	s.reduce(event.AdmissionAsked{From: s.peers[0].Node, Attempt: attempt})
+	s.reduce(event.RunFinished{Attempt: attempt.ID, Outcome: fleet.Outcome{Status: 200, Took: 4 * time.Millisecond}})
+	return 2
+}
+
+// tick lets 100 ms pass and answers the probe, if there is one. Targets keep sending heartbeats, which are not counted
+// but take part in the cost.
+func (s *subject) tick() int {
+	s.now = s.now.Add(100 * time.Millisecond)
+	steps := 1
+	for _, e := range s.reduce(event.Tick{}) {
+		send, ok := e.(effect.Send)
+		if !ok {
+			continue
+		}
+		if ping, ok := send.Message.(message.Ping); ok {
+			s.reduce(event.MessageReceived{Envelope: message.Envelope{
+				From: send.To, Incarnation: s.self.Incarnation, Address: send.Address, Revision: 1,
+				Message: message.Ack{Sequence: ping.Sequence, Subject: send.To},
+			}})
+			steps++
+		}
+	}
+	for i := range s.self.Targets {
+		if s.serial%10 == i%10 {
+			s.announce(i)
+			steps++
+		}
+	}
+	s.serial++
+	return steps
+}
+
+func (s *subject) heartbeat() int {
+	s.serial++
+	s.now = s.now.Add(time.Millisecond)
+	s.announce(s.serial)
+	return 1
+}
+
+func (s *subject) pinged() int {
+	s.serial++
+	s.receive(message.Ping{Sequence: uint64(s.serial)})
+	return 1
+}
+
+// pingedWithRecords has changed records of several members arrive.
+func (s *subject) pingedWithRecords() int {
+	records := make([]fleet.Member, 0, changedRecords)
+	for range changedRecords {
+		s.serial++
+		m := &s.peers[s.serial%len(s.peers)]
+		targets := slices.Clone(m.Targets)
+		targets[0].Ejected = !targets[0].Ejected
+		*m = m.WithTargets(targets)
+		records = append(records, *m)
+	}
+	s.receive(message.Ping{Sequence: uint64(s.serial), Members: records})
+	return 1
+}
