core/membership, core/node: test pauses and stale messages

Cause: two mutations passed all tests: a process that resumes and blames its peers, and a node that takes messages of a stale incarnation.

Change: a test for each.

Figures: with the mutation "no resume" TestPauseIsNotBlamedOnPeers fails; with the mutation "never stale" TestStaleMessagesAreIgnored fails.

Conclusion: both are guarded.

--- a/internal/core/membership/state_test.go
+++ b/internal/core/membership/state_test.go
@@ -369,3 +369,20 @@
 		is.New(t).Equal(count, sendsPerRound*10)
 	}
 }
+
+// Guards against a process that was paused and blames its peers for the answers that it could not hear.
+func TestPauseIsNotBlamedOnPeers(t *testing.T) {
+	s, _ := New(fleet.Member{Node: "n0"}).merge(time.Unix(1, 0), fleet.Member{Node: "n1", Incarnation: 1}, false)
+	s, _ = s.merge(time.Unix(1, 0), fleet.Member{Node: "n2", Incarnation: 1, Status: fleet.Suspect}, false)
+	now := time.Unix(1, 0)
+	for range 3 {
+		now = now.Add(testTick)
+		s, _ = s.Tick(now, 0)
+	}
+	is.New(t).True(s.probe.open())
+	s, _ = s.Tick(now.Add(time.Hour), 0)
+	for id, status := range map[fleet.NodeID]fleet.Status{"n1": fleet.Alive, "n2": fleet.Suspect} {
+		m, _ := s.Member(id)
+		is.New(t).Equal(m.Status, status)
+	}
+}
--- /dev/null
+++ b/internal/core/node/fleet_test.go
@@ -0,0 +1,54 @@
+package node
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"jayfold.dev/jayfold/internal/core/effect"
+	"jayfold.dev/jayfold/internal/core/event"
+	"jayfold.dev/jayfold/internal/core/fleet"
+	"jayfold.dev/jayfold/internal/core/message"
+)
+
+// kindsOf counts the effects by what they do.
+func kindsOf(effects []effect.Effect) (sends, logs, counts int) {
+	for _, e := range effects {
+		switch e.(type) {
+		case effect.Send:
+			sends++
+		case effect.Log:
+			logs++
+		case effect.Count:
+			counts++
+		}
+	}
+	return sends, logs, counts
+}
+
+// Guards against messages of an earlier life of a node: a delayed lease or probe must have no effect, and a flood of them
+// must not fill the log.
+func TestStaleMessagesAreIgnored(t *testing.T) {
+	bodies := map[string]message.Message{
+		"probe":    message.Ping{Sequence: 1},
+		"lease":    message.LeaseRequest{Number: 1, Asker: "node-001/t00", Grantor: "node-000/t00", Pool: designPool(0)},
+		"revision": message.TablesRequest{},
+	}
+	for name, body := range bodies {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := designFleet()
+			for i, logs := range []int{1, 0} {
+				before := r.state
+				effects := r.reduce(event.MessageReceived{Envelope: message.Envelope{
+					From: "node-001", Address: "10.0.0.1:7001", Incarnation: 0, Revision: fleet.Revision(99 + i), Message: body,
+				}})
+				sent, logged, count := kindsOf(effects)
+				is.Equal(sent, 0)
+				is.Equal(logged, logs)
+				is.Equal(count, 1)
+				is.Equal(r.state.tables.Newest(), before.tables.Newest())
+			}
+		})
+	}
+}
