core/membership: keep records behind pointers

Cause: each change of a record copied a leaf of the map with some 30 records of 170 bytes.

Change: the map holds pointers to immutable records, as the ingress does with its requests.

--- a/internal/core/membership/probe.go
+++ b/internal/core/membership/probe.go
@@ -71,7 +71,7 @@
 	if len(s.ring) == 0 {
 		return s, nil
 	}
-	m, _ := s.members.Get(s.ring[s.next])
+	m, _ := s.Member(s.ring[s.next])
 	s.next++
 	s, ping := s.ping(m.Node, m.PeerAddress)
 	s.probe.subject = m.Node
@@ -99,7 +99,7 @@
 
 func (s State) askOthers() (State, []effect.Effect) {
 	s.probe.indirect = true
-	subject, _ := s.members.Get(s.probe.subject)
+	subject, _ := s.Member(s.probe.subject)
 	request := message.PingRequest{Sequence: s.probe.sequence, Subject: subject.Node, Address: subject.PeerAddress}
 	var effects []effect.Effect
 	for _, m := range s.peers(indirectProbes, subject.Node) {
@@ -198,7 +198,7 @@
 		return s, nil
 	}
 	s.reconnect.last = id
-	m, _ := s.members.Get(id)
+	m, _ := s.Member(id)
 	s, ping := s.ping(id, m.PeerAddress)
 	return s, []effect.Effect{ping}
 }
--- a/internal/core/membership/record.go
+++ b/internal/core/membership/record.go
@@ -37,7 +37,7 @@
 
 // merge takes in a record, when it is newer than the known one, and passes it on when spread is set.
 func (s State) merge(now time.Time, m fleet.Member, spread bool) (State, []effect.Effect) {
-	known, ok := s.members.Get(m.Node)
+	known, ok := s.Member(m.Node)
 	if m.Node == s.self {
 		return s.accused(now, m)
 	}
@@ -73,7 +73,7 @@
 
 // suspect marks a member that answered no probe.
 func (s State) suspect(now time.Time, id fleet.NodeID) State {
-	m, ok := s.members.Get(id)
+	m, ok := s.Member(id)
 	if !ok || m.Status != fleet.Alive {
 		return s
 	}
@@ -87,7 +87,7 @@
 		if now.Before(deadline) {
 			continue
 		}
-		m, _ := s.members.Get(id)
+		m, _ := s.Member(id)
 		wasSuspect := m.Status == fleet.Suspect
 		m = outgoing(m.WithStatus(fleet.Dead))
 		s = s.judged(now, m)
@@ -120,7 +120,7 @@
 
 // Stale reports whether a message comes from an earlier life of its sender.
 func (s State) Stale(envelope message.Envelope) bool {
-	m, ok := s.members.Get(envelope.From)
+	m, ok := s.Member(envelope.From)
 	return ok && envelope.Incarnation < m.Incarnation
 }
 
--- a/internal/core/membership/rumor.go
+++ b/internal/core/membership/rumor.go
@@ -74,14 +74,14 @@
 // record comes first, so that the peer can refute it.
 func (s State) gossip(to fleet.NodeID) (State, []fleet.Member) {
 	var first []fleet.NodeID
-	if m, ok := s.members.Get(to); ok && m.Status != fleet.Alive {
+	if m, ok := s.Member(to); ok && m.Status != fleet.Alive {
 		first = append(first, to)
 	}
 	var records []fleet.Member
 	targets := 0
 	limit := sendsPerRound * s.rounds()
 	for _, id := range s.least(first) {
-		m, _ := s.members.Get(id)
+		m, _ := s.Member(id)
 		m = outgoing(m)
 		targets += len(m.Targets)
 		if len(records) > 0 && targets > targetsPerMessage {
--- a/internal/core/membership/seed.go
+++ b/internal/core/membership/seed.go
@@ -90,7 +90,7 @@
 func (s State) unknown(listed []fleet.Member) []fleet.Member {
 	var unknown []fleet.Member
 	for _, m := range listed {
-		known, ok := s.members.Get(m.Node)
+		known, ok := s.Member(m.Node)
 		if m.Node != s.self && present(m) && (!ok || !present(known)) {
 			unknown = append(unknown, m)
 		}
--- a/internal/core/membership/state.go
+++ b/internal/core/membership/state.go
@@ -26,8 +26,9 @@
 
 // State holds every member record that this node knows.
 type State struct {
-	self      fleet.NodeID
-	members   fleet.Map[fleet.NodeID, fleet.Member]
+	self fleet.NodeID
+	// members holds pointers to immutable records, so that a change of the map copies little.
+	members   fleet.Map[fleet.NodeID, *fleet.Member]
 	directory fleet.Directory
 	// ring lists the present members but this node in random order; next is the index of the next peer to probe.
 	ring     []fleet.NodeID
@@ -56,8 +57,8 @@
 
 // with returns the state with a record that overrides the known one of the same node.
 func (s State) with(m fleet.Member) State {
-	old, known := s.members.Get(m.Node)
-	s.members = s.members.With(m.Node, m)
+	old, known := s.Member(m.Node)
+	s.members = s.members.With(m.Node, &m)
 	if !sameCandidates(old, m) {
 		s.directory = s.directory.WithMember(old, m)
 	}
@@ -102,18 +103,24 @@
 
 // Self returns this node's own record.
 func (s State) Self() fleet.Member {
-	m, _ := s.members.Get(s.self)
+	m, _ := s.Member(s.self)
 	return m
 }
 
 // Member returns the record of a node.
-func (s State) Member(id fleet.NodeID) (fleet.Member, bool) { return s.members.Get(id) }
+func (s State) Member(id fleet.NodeID) (fleet.Member, bool) {
+	m, ok := s.members.Get(id)
+	if !ok {
+		return fleet.Member{}, false
+	}
+	return *m, true
+}
 
 // Members returns all records in node id order.
 func (s State) Members() []fleet.Member {
 	members := make([]fleet.Member, 0, s.members.Len())
 	for _, m := range s.members.All() {
-		members = append(members, m)
+		members = append(members, *m)
 	}
 	return members
 }
@@ -123,7 +130,7 @@
 
 // PeerAddress returns the address for messages to a node.
 func (s State) PeerAddress(id fleet.NodeID) (string, bool) {
-	m, ok := s.members.Get(id)
+	m, ok := s.Member(id)
 	return m.PeerAddress, ok
 }
 
@@ -175,7 +182,7 @@
 	for i := range s.ring[:min(len(s.ring), count+1)] {
 		id := s.ring[(uint64(i)+s.sequence)%uint64(len(s.ring))]
 		if id != except && len(found) < count {
-			m, _ := s.members.Get(id)
+			m, _ := s.Member(id)
 			found = append(found, m)
 		}
 	}
--- a/internal/core/membership/state_test.go
+++ b/internal/core/membership/state_test.go
@@ -80,7 +80,7 @@
 // apply makes a step of one process the new state, and checks that it forgot no newer record.
 func (n *network) apply(p *process, state State, effects []effect.Effect) {
 	for id, old := range p.state.members.All() {
-		if m, ok := state.members.Get(id); ok && old.Newer(m) {
+		if m, ok := state.Member(id); ok && old.Newer(m) {
 			n.failure = fmt.Sprintf("record of %s went back from %v to %v", id, old, m)
 		}
 	}
--- a/internal/core/membership/sync.go
+++ b/internal/core/membership/sync.go
@@ -115,7 +115,7 @@
 // behind reports whether this node needs the record of which it is told the version.
 func (s State) behind(version message.MemberVersion) bool {
 	record := fleet.Member{Incarnation: version.Incarnation, Sequence: version.Sequence, Status: version.Status}
-	known, ok := s.members.Get(version.Node)
+	known, ok := s.Member(version.Node)
 	return ok && record.Newer(known) || !ok && present(record)
 }
 
@@ -134,7 +134,7 @@
 			break
 		}
 		version, known := versions[id]
-		if id == m.After || !lacks(version, known, record) {
+		if id == m.After || !lacks(version, known, *record) {
 			last = id
 			continue
 		}
@@ -143,7 +143,7 @@
 			answer.Through = last
 			break
 		}
-		answer.Members = append(answer.Members, outgoing(record))
+		answer.Members = append(answer.Members, outgoing(*record))
 		last = id
 	}
 	return answer
