--- a/internal/core/membership/state_test.go
+++ b/internal/core/membership/state_test.go
@@ -80,7 +80,7 @@
 // apply makes a step of one process the new state, and checks that it forgot no newer record.
 func (n *network) apply(p *process, state State, effects []effect.Effect) {
 	for id, old := range p.state.members.All() {
-		if m, ok := state.members.Get(id); ok && old.Newer(m) {
+		if m, ok := state.Member(id); ok && old.Newer(m) {
 			n.failure = fmt.Sprintf("record of %s went back from %v to %v", id, old, m)
 		}
 	}
@@ -137,8 +137,9 @@
 
 // deliver hands a message over, keeps it for a paused process and drops it for a dead one.
 func (n *network) deliver(arrived parcel) {
-	p := n.processes[arrived.to]
+	p, ok := n.processes[arrived.to]
 	switch {
+	case !ok:
 	case p.dead:
 		sender := n.processes[arrived.body.From]
 		state, effects := sender.state.SendFailed(n.now, arrived.to)
@@ -293,6 +294,17 @@
 	converged(t, n, time.Minute)
 }
 
+// Guards against a join that looks for peers among the hosts that were replaced long ago.
+func TestOldSeedsDoNotDelayTheJoin(t *testing.T) {
+	n := started(t, 4)
+	for i := range 2000 {
+		id := fleet.NodeID(fmt.Sprintf("gone%d", i))
+		n.platform[id] = fleet.Member{Node: id, PeerAddress: string(id), Incarnation: 1}
+	}
+	n.start("n4")
+	converged(t, n, 15*time.Second)
+}
+
 // Guards against a node that cannot come back during an outage of the platform.
 func TestRestartedNodeIsFoundWithoutThePlatform(t *testing.T) {
 	n := started(t, 4)
@@ -369,3 +381,20 @@
 		is.New(t).Equal(count, sendsPerRound*10)
 	}
 }
+
+// Guards against a process that was paused and blames its peers for the answers that it could not hear.
+func TestPauseIsNotBlamedOnPeers(t *testing.T) {
+	s, _ := New(fleet.Member{Node: "n0"}).merge(time.Unix(1, 0), fleet.Member{Node: "n1", Incarnation: 1}, false)
+	s, _ = s.merge(time.Unix(1, 0), fleet.Member{Node: "n2", Incarnation: 1, Status: fleet.Suspect}, false)
+	now := time.Unix(1, 0)
+	for range 3 {
+		now = now.Add(testTick)
+		s, _ = s.Tick(now, 0)
+	}
+	is.New(t).True(s.probe.open())
+	s, _ = s.Tick(now.Add(time.Hour), 0)
+	for id, status := range map[fleet.NodeID]fleet.Status{"n1": fleet.Alive, "n2": fleet.Suspect} {
+		m, _ := s.Member(id)
+		is.New(t).Equal(m.Status, status)
+	}
+}
