--- a/internal/core/admission/state.go
+++ b/internal/core/admission/state.go
@@ -80,18 +80,19 @@
 	if started, ok := s.seen.get(attempt.ID); ok {
 		return s, s.refuseDuplicate(attempt, started)
 	}
-	s.seen = s.seen.with(ctx.Now, attempt.ID, false)
 	if limit := ctx.Now.Add(longestDeadline); attempt.Deadline.After(limit) {
 		attempt = attempt.WithDeadline(limit)
 	}
 	l, _ := s.targets.Get(attempt.Target)
-	if cause, refused := s.barred(ctx, l, attempt); refused {
-		return s, s.refuse(attempt, cause, 0)
-	}
+	cause, refused := s.barred(ctx, l, attempt)
 	// While a slot is free, the queue holds only suspects that wait for another suspect.
-	if s.fits(ctx, l, attempt) {
+	if !refused && s.fits(ctx, l, attempt) {
 		return s.run(ctx, l, attempt)
 	}
+	s.seen = s.seen.with(ctx.Now, attempt.ID, false)
+	if refused {
+		return s, s.refuse(attempt, cause, 0)
+	}
 	return s.enqueue(ctx, l, attempt)
 }
 
