core/admission: write on a tick only what has changed

Change: a target is stored when its slots or its pause changed, and only waiting attempts are looked at. The command capacity is wired. Conclusion: kept, since it does strictly less.

--- a/cmd/jayfold-lab/main.go
+++ b/cmd/jayfold-lab/main.go
@@ -32,6 +32,7 @@
 	Target     targetCommand     `cmd:"" help:"Run a stand-in target."`
 	Load       loadCommand       `cmd:"" help:"Send requests at a fixed rate and check the answers."`
 	Experiment experimentCommand `cmd:"" help:"Run an experiment and print its table."`
+	Capacity   capacityCommand   `cmd:"" help:"Measure what a node costs as the fleet grows."`
 }
 
 func main() {
--- a/internal/core/admission/heartbeat.go
+++ b/internal/core/admission/heartbeat.go
@@ -121,11 +121,16 @@
 	var effects []effect.Effect
 	for id, l := range s.targets.All() {
 		var more []effect.Effect
-		l.heard = l.heard.Add(paused)
-		s.targets = s.targets.With(id, l.warmed(ctx.Now))
+		warmed := l.warmed(ctx.Now)
+		warmed.heard = l.heard.Add(paused)
+		if paused > 0 || warmed.slots != l.slots {
+			s.targets = s.targets.With(id, warmed)
+		}
 		switch {
-		case ctx.Now.Sub(l.heard) >= silence:
+		case ctx.Now.Sub(warmed.heard) >= silence:
 			s, more = s.removed(id, fleet.UnknownTarget, "target stopped its heartbeats")
+		case l.queue.len() == 0:
+			continue
 		case ctx.Gate(id) != Open:
 			s, more = s.flush(id, fleet.Ejected)
 		default:
