--- a/internal/core/ejection/state_test.go
+++ b/internal/core/ejection/state_test.go
@@ -211,3 +211,21 @@
 	})
 	isEjected(t, w, 0)
 }
+
+// TestLateAnswers guards against a grant for an earlier request that is counted from the send time of a later one.
+func TestLateAnswers(t *testing.T) {
+	w := newWorld(2, 1, 1)
+	w.fail(w.servers[0])
+	request := w.network[0].message.(message.LeaseRequest)
+	grant := func(number uint64) {
+		w.step(w.hosts[0], func(s State, ctx Context) (State, []effect.Effect) {
+			return s.Received(ctx, "n1", message.LeaseGrant{
+				Number: number, Asker: request.Asker, Grantor: request.Grantor, Duration: leaseDuration,
+			})
+		})
+	}
+	grant(request.Number - 1)
+	isEjected(t, w)
+	grant(request.Number)
+	isEjected(t, w, 0)
+}
