test/scenario: scenarios for the tables

Cause: no scenario with real processes covered racing operators, an outage during a change, a lost answer or unusable files. Change: four scenarios, and commands for exit codes, two racing operators, a process that has just written, and a revision in force on all nodes. The 6 s count from the end of the named apply, which comes after the acceptance.

--- a/test/scenario/process_test.go
+++ b/test/scenario/process_test.go
@@ -26,11 +26,12 @@
 
 type processesKey struct{}
 
-// process is one started process. ended is closed once it is over, with its error.
+// process is one started process. ended is closed once it is over, with its error and the time.
 type process struct {
 	command *exec.Cmd
 	ended   chan struct{}
 	err     error
+	at      time.Time
 }
 
 // newProcesses returns a holder that ends everything after the scenario.
@@ -72,7 +73,7 @@
 	ts.Check(command.Start())
 	started := &process{command: command, ended: make(chan struct{})}
 	go func() {
-		started.err = command.Wait()
+		started.err, started.at = command.Wait(), time.Now()
 		close(started.ended)
 	}()
 	p.running[args[0]] = started
--- a/test/scenario/scenario_test.go
+++ b/test/scenario/scenario_test.go
@@ -13,6 +13,11 @@
 //	waitfor URL                   wait until a GET is answered with status 200
 //	get|post|put URL STATUS [TEXT]  repeat a request until its status and body match; a body is read from the file "body"
 //	link NAME LISTEN TARGET       forward a TCP address
+//	exits CODE COMMAND ARGS...    run a command, which must end with an exit code
+//	raced NAME NAME               wait for two processes, of which one ends with 0 and one with 3; set WINNER and LOSER
+//	untilwrite NAME COMMAND ARGS...  start a process and wait until the platform counts a write
+//	endedwith CODE NAME           wait for a process to end by itself with an exit code
+//	inforce REVISION [NAME]       wait until all nodes have a revision, at most 6 s after NAME ended, and watch that they keep it
 //	cut NAME forward|backward     stop one direction of a link; heal NAME restores it
 package scenario
 
@@ -63,20 +68,25 @@
 			return setUp(env)
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"fleet":   fleet,
-			"start":   start,
-			"ended":   ended,
-			"sigkill": signal(syscall.SIGKILL),
-			"sigstop": signal(syscall.SIGSTOP),
-			"sigcont": signal(syscall.SIGCONT),
-			"sigterm": signal(syscall.SIGTERM),
-			"waitfor": waitFor,
-			"get":     request("GET"),
-			"post":    request("POST"),
-			"put":     request("PUT"),
-			"link":    link,
-			"cut":     cut,
-			"heal":    heal,
+			"fleet":      fleet,
+			"start":      start,
+			"ended":      ended,
+			"sigkill":    signal(syscall.SIGKILL),
+			"sigstop":    signal(syscall.SIGSTOP),
+			"sigcont":    signal(syscall.SIGCONT),
+			"sigterm":    signal(syscall.SIGTERM),
+			"waitfor":    waitFor,
+			"get":        request("GET"),
+			"post":       request("POST"),
+			"put":        request("PUT"),
+			"link":       link,
+			"cut":        cut,
+			"heal":       heal,
+			"exits":      exits,
+			"endedwith":  endedWith,
+			"raced":      raced,
+			"untilwrite": untilWrite,
+			"inforce":    inForce,
 		},
 	})
 }
