test/scenario: scenarios for orders that are sent again

Cause: no scenario with real processes covered resends with an idempotency key. Change: two scenarios, and commands that send an order once, check its answer, count its runs in the ledgers and find the node of its home target. Red on scratch copies: no claim (the resend to the new home "status 200"), no replay ("first.body and again.body differ"), no comparison of fingerprints (409 expected, "status 200"), names without the caller ("first.body and foreign.body do not differ"), a running order admitted again (409 expected, "status 200"). Conclusion: both pass. A claimed order that is sent again in an outage, after its home's node died, runs twice in a trial; no scenario asserts it yet.

--- a/test/scenario/scenario_test.go
+++ b/test/scenario/scenario_test.go
@@ -13,6 +13,10 @@
 //	waitfor URL                   wait until a GET is answered with status 200
 //	get|post|put URL STATUS [TEXT]  repeat a request until its status and body match; a body is read from the file "body"
 //	link NAME LISTEN TARGET       forward a TCP address
+//	order NAME URL BODY [HEADER=VALUE...]  send a POST once, in the background
+//	answered NAME STATUS VERDICT  check the answer to an order and write it to NAME.body; noted NAME only shows it
+//	runs TOKEN NUMBER             wait until the ledgers show that many runs of a token; more fail at once
+//	home NAME                     set HOME_NODE to the node beside an order's target, OTHER to the URL of another one
 //	exits CODE COMMAND ARGS...    run a command, which must end with an exit code
 //	raced NAME NAME               wait for two processes, of which one ends with 0 and one with 3; set WINNER and LOSER
 //	untilwrite NAME COMMAND ARGS...  start a process and wait until the platform counts a write
@@ -82,6 +86,11 @@
 			"link":       link,
 			"cut":        cut,
 			"heal":       heal,
+			"order":      order,
+			"answered":   answered,
+			"noted":      noted,
+			"runs":       runs,
+			"home":       home,
 			"exits":      exits,
 			"endedwith":  endedWith,
 			"raced":      raced,
