core/node: make the faults of the request fuzz end by themselves

Change: a cut, a freeze, a crash and a pause end after up to 2 s, and requests and time are drawn more often than faults. No check of the oracle changed.

--- a/internal/core/node/fuzz_test.go
+++ b/internal/core/node/fuzz_test.go
@@ -140,6 +140,11 @@
 	return h, h.targets[rapid.IntRange(0, targetsPerHost-1).Draw(t, "target")]
 }
 
+// afterSome ends a fault after up to 2 s.
+func (w *world) afterSome(t *rapid.T, act func()) {
+	w.after(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms"))*time.Millisecond, act)
+}
+
 // actions are what callers, time and faults do.
 func (w *world) actions() map[string]func(*rapid.T) {
 	request := func(t *rapid.T) {
@@ -152,11 +157,9 @@
 		w.request(w.anyHost(t), class, key, timeout)
 	}
 	advance := func(t *rapid.T) {
-		w.advance(time.Duration(rapid.IntRange(1, 100).Draw(t, "ms")) * time.Millisecond)
+		w.advance(time.Duration(rapid.IntRange(1, 200).Draw(t, "ms")) * time.Millisecond)
 	}
-	return map[string]func(*rapid.T){
-		"request": request, "request2": request, "request3": request, "request4": request,
-		"advance": advance, "advance2": advance, "advance3": advance,
+	actions := map[string]func(*rapid.T){
 		"burst": func(t *rapid.T) {
 			for range 10 {
 				request(t)
@@ -171,31 +174,39 @@
 		"cut": func(t *rapid.T) {
 			link := [2]int{w.anyHost(t).index, w.anyHost(t).index}
 			w.cut[link] = link[0] != link[1]
+			w.afterSome(t, func() { delete(w.cut, link) })
 		},
 		"heal":  func(*rapid.T) { w.heal() },
 		"lossy": func(*rapid.T) { w.lossy = !w.lossy },
 		"crash": func(t *rapid.T) {
 			if h := w.anyHost(t); !h.down {
 				w.crash(h)
-				w.after(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms"))*time.Millisecond, func() { w.start(h) })
+				w.afterSome(t, func() { w.start(h) })
 			}
 		},
 		"pause": func(t *rapid.T) {
 			h := w.anyHost(t)
 			life := h.life
 			h.paused = !h.down
-			w.after(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms"))*time.Millisecond, func() { w.wake(h, life) })
+			w.afterSome(t, func() { w.wake(h, life) })
 		},
 		"target crashes": func(t *rapid.T) { w.crashTarget(w.anyTarget(t)) },
 		"target freezes": func(t *rapid.T) {
 			_, hit := w.anyTarget(t)
-			hit.frozen = !hit.frozen
+			hit.frozen = true
+			w.afterSome(t, func() { hit.frozen = false })
 		},
 		"target fails": func(t *rapid.T) {
 			_, hit := w.anyTarget(t)
 			hit.failing = !hit.failing
 		},
 	}
+	// Faults are rarer than requests, so that nodes and targets are mostly up.
+	for i := range 12 {
+		actions[fmt.Sprint("request ", i)] = request
+		actions[fmt.Sprint("advance ", i)] = advance
+	}
+	return actions
 }
 
 // wake ends a pause. The node's first tick after it ends what is overdue.
@@ -220,7 +231,7 @@
 
 // TestMain fixes the seed and the size of the stateful fuzz unless the command line gives others.
 func TestMain(m *testing.M) {
-	fixed := map[string]string{"rapid.seed": "20261204", "rapid.checks": "60", "rapid.steps": "1900"}
+	fixed := map[string]string{"rapid.seed": "20261204", "rapid.checks": "55", "rapid.steps": "1900"}
 	flag.Parse()
 	flag.Visit(func(f *flag.Flag) { delete(fixed, f.Name) })
 	for name, value := range fixed {
