lab: read the ledgers of the targets in experiments

Cause: sendLoad gave the load generator the URL of each ledger, and the generator appends /admin/ledger to the URL of a target. The request went to the service of the stand-in, no ledger was read, and the verdicts of the orders in the overload experiment were compared with nothing. Change: sendLoad gives the URL of each target, and returns an error when a ledger cannot be read. The settings say which URL is meant.

--- a/cmd/jayfold-lab/load.go
+++ b/cmd/jayfold-lab/load.go
@@ -20,7 +20,7 @@
 	Timeout    time.Duration `default:"30s" help:"Time that a caller waits for an answer."`
 	Size       int           `default:"0" help:"Bytes by which answers are padded."`
 	Keys       bool          `help:"Give each order an idempotency key."`
-	Ledger     []string      `help:"Ledgers of the targets: URLs or files."`
+	Ledger     []string      `help:"Ledgers of the targets: URLs of targets or files."`
 }
 
 // Run implements the command.
--- a/internal/lab/experiment/site.go
+++ b/internal/lab/experiment/site.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
@@ -59,7 +60,8 @@
 	}
 }
 
-// sendLoad sends requests to all nodes of a site.
+// sendLoad sends requests to all nodes of a site. It returns an error when a ledger cannot be read, since the orders are then
+// not checked.
 func sendLoad(ctx context.Context, bed *testbed.Testbed, rate, orders float64, duration time.Duration) (load.Report, error) {
 	settings := load.Settings{
 		Rate:       rate,
@@ -73,9 +75,13 @@
 		settings.URLs = append(settings.URLs, n.CallersURL())
 	}
 	for _, t := range bed.Targets {
-		settings.Ledgers = append(settings.Ledgers, "http://"+t.Standin.Address()+"/admin/ledger")
+		settings.Ledgers = append(settings.Ledgers, "http://"+t.Standin.Address())
 	}
-	return load.New(settings, load.NewSeams()).Run(ctx)
+	report, err := load.New(settings, load.NewSeams()).Run(ctx)
+	if err == nil && report.Orders.Missing > 0 {
+		err = fmt.Errorf("experiment: %d ledgers of targets could not be read", report.Orders.Missing)
+	}
+	return report, err
 }
 
 // later counts the whole answers to lookups that took longer than limit.
--- a/internal/lab/load/ledger.go
+++ b/internal/lab/load/ledger.go
@@ -93,6 +93,7 @@
 	Runs  int
 }
 
+// fetchLedger reads the ledger of the target at url.
 func fetchLedger(url string, seams Seams, starts map[string]int) error {
 	request, err := http.NewRequest(http.MethodGet, url+"/admin/ledger", nil)
 	if err != nil {
--- a/internal/lab/load/settings.go
+++ b/internal/lab/load/settings.go
@@ -23,7 +23,7 @@
 	Timeout time.Duration
 	// Size is the number of bytes by which answers are padded.
 	Size int
-	// Ledgers are the targets' ledgers: URLs, or files that targets write.
+	// Ledgers are the targets' ledgers: the URL of each target without a path, or the file that it writes.
 	Ledgers []string
 	// Keys gives each order an idempotency key.
 	Keys bool
