process/node: let the LogLevel setting take effect

Cause: the setting was read and checked, and then both loggers were made with the level info, so warn and error wrote info lines as well. Change: the log handler of a node drops lines below the setting. The usage section of configfile and the testbed give the level in the form that is accepted.

--- a/internal/edge/configfile/value.go
+++ b/internal/edge/configfile/value.go
@@ -9,7 +9,7 @@
 //	value, problems := configfile.Parse("settings.json", content)
 //	problems = append(problems, value.Object(
 //		configfile.Required("Node", configfile.Text(&s.Node)),
-//		configfile.Optional("LogLevel", configfile.OneOf(&s.LogLevel, "Debug", "Info")),
+//		configfile.Optional("LogLevel", configfile.OneOf(&s.LogLevel, "debug", "info")),
 //	)...)
 //	return s, problems.Err()
 //
--- a/internal/edge/operator/operator.go
+++ b/internal/edge/operator/operator.go
@@ -33,7 +33,7 @@
 // Seams are what an Operator needs from outside.
 type Seams struct {
 	Post func(event.Body)
-	// Log writes the lines of the log.
+	// Log writes the lines of the log, of every level.
 	Log log.Handler
 	// Exporter shows the metrics.
 	Exporter Exporter
@@ -66,7 +66,7 @@
 		seams:   seams,
 		queue:   make(chan effect.Effect, observationQueue),
 		metrics: newMetrics(seams.Exporter),
-		lines:   newLines(&log.Logger{Handler: seams.Log, Level: log.InfoLevel}),
+		lines:   newLines(&log.Logger{Handler: seams.Log, Level: log.DebugLevel}),
 		closing: make(chan struct{}),
 		closed:  make(chan struct{}),
 		waiting: make(map[uint64]chan effect.Status),
--- a/internal/lab/testbed/testbed.go
+++ b/internal/lab/testbed/testbed.go
@@ -156,7 +156,7 @@
 		AvailabilityZone: zone,
 		Host:             netip.MustParseAddr("127.0.0.1"),
 		Platform:         b.PlatformURL,
-		LogLevel:         "Info",
+		LogLevel:         "info",
 		Listen: settings.Listen{
 			Callers:   addresses[0],
 			Targets:   addresses[1],
--- a/internal/process/node/app.go
+++ b/internal/process/node/app.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/apex/log/handlers/level"
 	"go.uber.org/fx"
 
 	"jayfold.dev/jayfold/internal/core/event"
@@ -45,6 +46,7 @@
 
 // New returns the application of a node. It listens once it is started.
 func New(s settings.Settings, seams Seams) *fx.App {
+	seams.Log = filtered(seams.Log, s.LogLevel)
 	return fx.New(
 		fx.NopLogger,
 		fx.StartTimeout(startTimeout),
@@ -66,6 +68,15 @@
 	)
 }
 
+// filtered returns a handler that drops the lines below a level; empty means info.
+func filtered(handler log.Handler, lowest string) log.Handler {
+	parsed, err := log.ParseLevel(lowest)
+	if err != nil {
+		parsed = log.InfoLevel
+	}
+	return level.New(handler, parsed)
+}
+
 // newLoop starts the life of the node: its incarnation is the time of the start.
 func newLoop(s settings.Settings, d *dispatcher) *control.Loop {
 	incarnation := fleet.Incarnation(time.Now().UnixMilli())
@@ -121,7 +132,7 @@
 		Base: s.Platform,
 		HTTP: &http.Client{},
 		Post: loop.Post,
-		Log:  &log.Logger{Handler: seams.Log, Level: log.InfoLevel},
+		Log:  &log.Logger{Handler: seams.Log, Level: log.DebugLevel},
 	})
 }
 
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -43,7 +43,7 @@
 	Advertise Advertise
 	// Platform is the URL of the object API, without a path.
 	Platform string
-	// LogLevel is debug, info, warn or error.
+	// LogLevel is the lowest level of the lines that are written: debug, info, warn or error.
 	LogLevel string
 	Limits   Limits
 }
