core, edge: name log fields and metric labels in one way

Cause: field names of log lines were partly lower case (target, fingerprint, targets, error); the reason of a failure was Detail in one part and Error in another; the counters of the ejection part had the labels Pool and Reason while all other labels are lower case; the log gave a fingerprint in decimal and jayfold status in hexadecimal. Change: field names are Pascal case, a failure is in Error, labels are lower case, and a fingerprint has 16 hexadecimal digits as in the status and in the header between nodes. Conclusion: an operator can search the log by one set of names.

--- a/internal/core/admission/heartbeat.go
+++ b/internal/core/admission/heartbeat.go
@@ -193,5 +193,5 @@
 }
 
 func logged(level effect.Level, text string, id fleet.TargetID) effect.Effect {
-	return effect.Log{Level: level, Part: "admission", Text: text, Fields: []effect.Field{{Name: "target", Value: string(id)}}}
+	return effect.Log{Level: level, Part: "admission", Text: text, Fields: []effect.Field{{Name: "Target", Value: id}}}
 }
--- a/internal/core/ejection/decision.go
+++ b/internal/core/ejection/decision.go
@@ -151,6 +151,6 @@
 }
 
 func count(name string, l local, reason string) effect.Effect {
-	tags := []effect.Tag{{Name: "Pool", Value: string(l.pool)}, {Name: "Reason", Value: reason}}
+	tags := []effect.Tag{{Name: "pool", Value: string(l.pool)}, {Name: "reason", Value: reason}}
 	return effect.Count{Name: name, Tags: tags, Delta: 1}
 }
--- a/internal/core/quarantine/state.go
+++ b/internal/core/quarantine/state.go
@@ -19,6 +19,7 @@
 package quarantine
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -234,8 +235,8 @@
 		Part:  "quarantine",
 		Text:  "request quarantined",
 		Fields: []effect.Field{
-			{Name: "fingerprint", Value: uint64(f)},
-			{Name: "targets", Value: known.targets},
+			{Name: "Fingerprint", Value: fmt.Sprintf("%016x", uint64(f))},
+			{Name: "Targets", Value: known.targets},
 		},
 	}
 }
--- a/internal/core/tables/platform.go
+++ b/internal/core/tables/platform.go
@@ -111,7 +111,7 @@
 	switch call {
 	case event.CallWatchHead:
 		if s.watch.failures == 0 {
-			effects = append(effects, log(effect.Warn, "platform lost", effect.Field{Name: "Detail", Value: detail}))
+			effects = append(effects, log(effect.Warn, "platform lost", effect.Field{Name: "Error", Value: detail}))
 		}
 		s.platform = false
 		s.watch.running = false
@@ -123,7 +123,7 @@
 		s.fetch.failures++
 		s.fetch.due = now.Add(retryDelay(random, s.fetch.failures))
 		effects = append(effects, log(effect.Warn, "revision not read from the platform",
-			effect.Field{Name: "Revision", Value: s.fetch.head.Revision}, effect.Field{Name: "Detail", Value: detail}))
+			effect.Field{Name: "Revision", Value: s.fetch.head.Revision}, effect.Field{Name: "Error", Value: detail}))
 	}
 	return s, effects
 }
--- a/internal/core/tables/state.go
+++ b/internal/core/tables/state.go
@@ -85,7 +85,7 @@
 		s.fetch = s.fetch.ended(r).postponed(now.Add(rejectedDelay))
 	}
 	return s, []effect.Effect{log(effect.Failure, "revision rejected",
-		effect.Field{Name: "Revision", Value: r}, effect.Field{Name: "Detail", Value: detail})}
+		effect.Field{Name: "Revision", Value: r}, effect.Field{Name: "Error", Value: detail})}
 }
 
 func log(level effect.Level, text string, fields ...effect.Field) effect.Effect {
--- a/internal/edge/platform/claim.go
+++ b/internal/edge/platform/claim.go
@@ -46,7 +46,7 @@
 			return
 		}
 		if err := c.objects.remove(c.ctx, claimKey(e.Name), unchanged(found.version)); err != nil {
-			c.log.WithError(err).Warn("orders: claim not released")
+			c.log.WithField("Error", err.Error()).Warn("orders: claim not released")
 		}
 	})
 }
@@ -92,7 +92,7 @@
 	}
 	var claim wireClaim
 	if err := json.Unmarshal(found.value, &claim); err != nil {
-		c.log.WithError(err).Error("orders: claim does not decode")
+		c.log.WithField("Error", err.Error()).Error("orders: claim does not decode")
 		return found, wireClaim{}, nil
 	}
 	return found, claim, nil
--- a/internal/edge/platform/member.go
+++ b/internal/edge/platform/member.go
@@ -62,7 +62,7 @@
 	for _, o := range listed {
 		m, err := decodeMember(strings.TrimPrefix(o.key, memberPrefix), o.value)
 		if err != nil {
-			c.log.WithField("Key", o.key).WithError(err).Warn("platform: member record left out")
+			c.log.WithField("Key", o.key).WithField("Error", err.Error()).Warn("platform: member record left out")
 			continue
 		}
 		members = append(members, m)
