lab, cmd: remove code that nothing uses

Change: they are removed; the command group for tables is unexported like the others. Conclusion: no change of behaviour.

--- a/cmd/jayfold/main.go
+++ b/cmd/jayfold/main.go
@@ -18,7 +18,7 @@
 // commands are the commands of the program.
 type commands struct {
 	Node    nodeCommand    `cmd:"" help:"Run a node."`
-	Tables  TablesCommand  `cmd:"" help:"Check, show, compare and apply the routes and pools tables."`
+	Tables  tablesCommand  `cmd:"" help:"Check, show, compare and apply the routes and pools tables."`
 	Status  statusCommand  `cmd:"" help:"Show a node's view of the fleet."`
 	Version versionCommand `cmd:"" help:"Print the version."`
 }
--- a/cmd/jayfold/tables.go
+++ b/cmd/jayfold/tables.go
@@ -1,4 +1,3 @@
-// Package main is the jayfold command.
 package main
 
 import (
@@ -15,8 +14,8 @@
 	"jayfold.dev/jayfold/internal/process/tablesedit"
 )
 
-// TablesCommand groups the commands on the routes and pools tables.
-type TablesCommand struct {
+// tablesCommand groups the commands on the routes and pools tables.
+type tablesCommand struct {
 	Check checkCommand `cmd:"" help:"Report every problem of the two files."`
 	Show  showCommand  `cmd:"" help:"Print the tables that the platform has."`
 	Diff  diffCommand  `cmd:"" help:"Print what applying the two files would change."`
--- a/cmd/jayfold/tables_test.go
+++ b/cmd/jayfold/tables_test.go
@@ -27,7 +27,7 @@
 	t.Helper()
 	var out bytes.Buffer
 	var cli struct {
-		Tables TablesCommand `cmd:""`
+		Tables tablesCommand `cmd:""`
 	}
 	parser, err := kong.New(&cli, kong.Writers(&out, &out))
 	is.New(t).NoErr(err)
--- a/internal/lab/capacity/fit.go
+++ b/internal/lab/capacity/fit.go
@@ -55,19 +55,19 @@
 	}
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprintf(table, "\tunit\t%s\tintercept\tslope\tat %s\tresidual\n",
-		strings.Join(numbers("", measured[0].x), "\t"), number(measured[0].at))
+		strings.Join(numbers(measured[0].x), "\t"), number(measured[0].at))
 	for _, s := range measured {
 		l := s.fit()
-		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%s\t%s\n", s.name, s.unit, strings.Join(numbers("", s.y), "\t"),
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%s\t%s\n", s.name, s.unit, strings.Join(numbers(s.y), "\t"),
 			number(l.intercept), number(l.slope), number(l.at(s.at)), number(l.residual))
 	}
 	return table.Flush()
 }
 
-func numbers(prefix string, values []float64) []string {
+func numbers(values []float64) []string {
 	texts := make([]string, 0, len(values))
 	for _, v := range values {
-		texts = append(texts, prefix+number(v))
+		texts = append(texts, number(v))
 	}
 	return texts
 }
--- a/internal/lab/target/event.go
+++ b/internal/lab/target/event.go
@@ -25,8 +25,6 @@
 	requestLeft struct{ number uint64 }
 	// faultsSet replaces the faults.
 	faultsSet struct{ faults Faults }
-	// drainStarted says that the target was asked to stop.
-	drainStarted struct{}
 )
 
 // effect is something that the stand-in does.
--- a/internal/lab/target/state.go
+++ b/internal/lab/target/state.go
@@ -13,12 +13,11 @@
 	started  time.Time
 	faults   Faults
 	// running holds the requests that occupy a slot; held those whose service has ended while the target is frozen.
-	running  fleet.Set[uint64]
-	held     fleet.Map[uint64, int]
-	ledger   fleet.Map[string, Entry]
-	shown    Shown
-	shownAt  time.Time
-	draining bool
+	running fleet.Set[uint64]
+	held    fleet.Map[uint64, int]
+	ledger  fleet.Map[string, Entry]
+	shown   Shown
+	shownAt time.Time
 }
 
 // Entry says how often a request was started.
@@ -57,9 +56,6 @@
 		return s.left(body), nil
 	case faultsSet:
 		return s.faultsSet(body)
-	case drainStarted:
-		s.draining = true
-		return s, nil
 	default:
 		return s, nil
 	}
--- a/internal/lab/target/target.go
+++ b/internal/lab/target/target.go
@@ -37,7 +37,7 @@
 	ended chan struct{}
 }
 
-// post is an event with the channel for the first effect that names the request, and for later ones.
+// post is an event, with the channel for the effects that name its request, or a look at the state.
 type post struct {
 	body    any
 	effects chan effect
@@ -173,7 +173,6 @@
 
 // drain finishes what is in flight and withdraws. The sidecar refuses new attempts once it knows of the drain.
 func (t *Target) drain() error {
-	t.send(post{body: drainStarted{}})
 	t.announceDraining()
 	finished, stop := context.WithCancel(t.life)
 	defer stop()
--- a/internal/lab/testbed/testbed.go
+++ b/internal/lab/testbed/testbed.go
@@ -179,7 +179,7 @@
 	return nil
 }
 
-func (b *Testbed) startTarget(ctx context.Context, beside *Node, pool Pool, number int) error {
+func (b *Testbed) startTarget(ctx context.Context, n *Node, pool Pool, number int) error {
 	listener, err := listen()
 	if err != nil {
 		return err
@@ -188,23 +188,20 @@
 	standin := target.New(target.Settings{
 		Name:        name,
 		Pool:        string(pool.Name),
-		Node:        beside.Settings.Listen.Targets.String(),
+		Node:        n.Settings.Listen.Targets.String(),
 		Slots:       pool.Slots,
 		Connections: pool.Connections,
 		ServiceTime: pool.ServiceTime,
 	}, listener, target.NewInProcessSeams())
 	b.running.Go(func() { _ = standin.Run(ctx) })
 	b.Targets = append(b.Targets, &Target{
-		ID:      fleet.NewTargetID(beside.Settings.Node, name),
+		ID:      fleet.NewTargetID(n.Settings.Node, name),
 		Pool:    pool.Name,
 		Standin: standin,
 	})
 	return nil
 }
 
-// StopNode stops a node gracefully.
-func (b *Testbed) StopNode(ctx context.Context, n *Node) error { return n.app.Stop(ctx) }
-
 // Stop ends the targets, the nodes and the platform.
 func (b *Testbed) Stop() {
 	ctx, cancel := context.WithTimeout(context.Background(), readyTimeout)
