core, edge: remove events, fields and effects without a use

Cause: MemberRegistered was posted and handled nowhere, PlatformFailed carried Unknown that no part read, WatchHead and FetchTables had a delay that no part set, Gauge was emitted nowhere, Head.ChangeID and several parameters and results were never read. The caller server exported its handler for a test only. Change: they are removed. A registration that succeeds posts no event. The question whether a failed write must be read back has one function for claims and tables.

--- a/internal/core/admission/heartbeat.go
+++ b/internal/core/admission/heartbeat.go
@@ -181,7 +181,7 @@
 }
 
 // Drained refuses all new attempts from now on, and those that wait.
-func (s State) Drained(time.Time) (State, []effect.Effect) {
+func (s State) Drained() (State, []effect.Effect) {
 	s.draining = true
 	var effects []effect.Effect
 	for id := range s.targets.All() {
--- a/internal/core/effect/observe.go
+++ b/internal/core/effect/observe.go
@@ -39,13 +39,6 @@
 	Delta int64
 }
 
-// Gauge sets a gauge.
-type Gauge struct {
-	Name  string
-	Tags  []Tag
-	Value float64
-}
-
 // Duration records a duration in a histogram.
 type Duration struct {
 	Name  string
@@ -55,5 +48,4 @@
 
 func (Log) isEffect()      {}
 func (Count) isEffect()    {}
-func (Gauge) isEffect()    {}
 func (Duration) isEffect() {}
--- a/internal/core/effect/platform.go
+++ b/internal/core/effect/platform.go
@@ -11,14 +11,11 @@
 	Version uint64
 	// Wait is how long the platform holds the call when nothing changes.
 	Wait time.Duration
-	// After delays the call, so that many nodes do not call at once.
-	After time.Duration
 }
 
 // FetchTables reads the chunks of a revision from the platform. Event: event.TablesDecoded or event.TablesRejected.
 type FetchTables struct {
-	Head  fleet.Head
-	After time.Duration
+	Head fleet.Head
 }
 
 // DecodeTables decodes and checks a revision that a peer sent. Event: event.TablesDecoded or event.TablesRejected.
@@ -29,13 +26,15 @@
 
 // ListMembers reads the member records kept on the platform. Event: event.MembersListed.
 type ListMembers struct {
+	// After delays the call, so that many nodes do not call at once.
 	After time.Duration
 }
 
-// RegisterMember writes this node's member record to the platform. Event: event.MemberRegistered.
+// RegisterMember writes this node's member record to the platform. No event follows unless the call fails.
 type RegisterMember struct {
 	Member fleet.Member
-	After  time.Duration
+	// After delays the call, so that many nodes do not call at once.
+	After time.Duration
 }
 
 func (WatchHead) isEffect()      {}
--- a/internal/core/event/platform.go
+++ b/internal/core/event/platform.go
@@ -34,9 +34,6 @@
 	Members []fleet.Member
 }
 
-// MemberRegistered answers effect.RegisterMember.
-type MemberRegistered struct{}
-
 // PlatformCall names a kind of call on the platform.
 type PlatformCall string
 
@@ -50,15 +47,12 @@
 
 // PlatformFailed says that a call on the platform failed.
 type PlatformFailed struct {
-	Call PlatformCall
-	// Unknown means that the call was a write that may have taken effect.
-	Unknown bool
-	Detail  string
+	Call   PlatformCall
+	Detail string
 }
 
-func (HeadRead) isBody()         {}
-func (TablesDecoded) isBody()    {}
-func (TablesRejected) isBody()   {}
-func (MembersListed) isBody()    {}
-func (MemberRegistered) isBody() {}
-func (PlatformFailed) isBody()   {}
+func (HeadRead) isBody()       {}
+func (TablesDecoded) isBody()  {}
+func (TablesRejected) isBody() {}
+func (MembersListed) isBody()  {}
+func (PlatformFailed) isBody() {}
--- a/internal/core/fleet/tables.go
+++ b/internal/core/fleet/tables.go
@@ -50,6 +50,4 @@
 	Revision Revision
 	// Chunks are the SHA-256 sums of the chunks in hexadecimal, in order.
 	Chunks []string
-	// ChangeID tells the writes of different operators apart.
-	ChangeID string
 }
--- a/internal/core/fleet/target.go
+++ b/internal/core/fleet/target.go
@@ -40,6 +40,6 @@
 	State       TargetState
 	// Instance changes at each start of the target's process.
 	Instance string
-	// InFlight is the target's own count of its running requests. It only breaks ties.
+	// InFlight is the target's own count of its running requests, which may lag. No decision rests on it.
 	InFlight int
 }
--- a/internal/core/membership/own.go
+++ b/internal/core/membership/own.go
@@ -100,7 +100,7 @@
 }
 
 // Left announces that this node leaves.
-func (s State) Left(time.Time) (State, []effect.Effect) {
+func (s State) Left() (State, []effect.Effect) {
 	self := s.Self().WithStatus(fleet.Leaving)
 	self.Sequence++
 	s = s.rewritten(self)
--- a/internal/core/membership/probe.go
+++ b/internal/core/membership/probe.go
@@ -28,9 +28,9 @@
 	subject  fleet.NodeID
 	sequence uint64
 	started  time.Time
-	// indirect means that others were asked; hurried that they are to be asked at once.
+	// indirect means that others were asked; unsent that the ping could not be sent, so that they are asked at once.
 	indirect bool
-	hurried  bool
+	unsent   bool
 }
 
 // open reports whether the subject has still to answer.
@@ -49,7 +49,7 @@
 func (s State) probing(now time.Time, random uint64) (State, []effect.Effect) {
 	s = s.dropRelays(now)
 	waited := now.Sub(s.probe.started)
-	if s.probe.open() && !s.probe.indirect && (s.probe.hurried || waited >= directTimeout) {
+	if s.probe.open() && !s.probe.indirect && (s.probe.unsent || waited >= directTimeout) {
 		return s.askOthers()
 	}
 	if waited < probePeriod {
@@ -108,13 +108,13 @@
 	return s, effects
 }
 
-// SendFailed says that a message to a node could not be sent. Others are asked at once; only they can confirm that the
+// SendFailed records that a message to a node could not be sent. Others are asked at the next tick; only they can confirm that the
 // fault is not on this side.
-func (s State) SendFailed(_ time.Time, to fleet.NodeID) (State, []effect.Effect) {
+func (s State) SendFailed(to fleet.NodeID) State {
 	if s.probe.subject == to {
-		s.probe.hurried = true
+		s.probe.unsent = true
 	}
-	return s, nil
+	return s
 }
 
 func (s State) pinged(now time.Time, envelope message.Envelope, m message.Ping) (State, []effect.Effect) {
--- a/internal/core/membership/seed.go
+++ b/internal/core/membership/seed.go
@@ -37,9 +37,9 @@
 }
 
 // Listed takes in the records kept on the platform.
-func (s State) Listed(_ time.Time, members []fleet.Member) (State, []effect.Effect) {
+func (s State) Listed(members []fleet.Member) State {
 	s.seeds.listed = members
-	return s, nil
+	return s
 }
 
 // seek calls the platform when it is time, and contacts nodes that it listed.
--- a/internal/core/membership/state.go
+++ b/internal/core/membership/state.go
@@ -125,6 +125,9 @@
 	return members
 }
 
+// Len returns the number of records, this node's own among them.
+func (s State) Len() int { return s.members.Len() }
+
 // Directory returns the candidates of every pool.
 func (s State) Directory() fleet.Directory { return s.directory }
 
--- a/internal/core/node/fleet.go
+++ b/internal/core/node/fleet.go
@@ -31,10 +31,9 @@
 	return s, append(effects, more...)
 }
 
-func (s State) sendFailed(ev event.Event, body event.SendFailed) (State, []effect.Effect) {
-	next, effects := s.membership.SendFailed(ev.At, body.To)
-	s.membership = next
-	return s, effects
+func (s State) sendFailed(body event.SendFailed) (State, []effect.Effect) {
+	s.membership = s.membership.SendFailed(body.To)
+	return s, nil
 }
 
 func (s State) revisionSeen(ev event.Event, body event.RevisionSeen) (State, []effect.Effect) {
--- a/internal/core/node/ingress.go
+++ b/internal/core/node/ingress.go
@@ -51,10 +51,10 @@
 
 // attemptFinished takes in what the reply says of quarantined requests before it decides on another attempt.
 func (s State) attemptFinished(ev event.Event, body event.AttemptFinished) (State, []effect.Effect) {
-	var effects, more []effect.Effect
 	if report, ok := body.Report.Get(); ok && len(report.Quarantine) > 0 {
-		s.quarantine, effects = s.quarantine.Learned(ev.At, report.Quarantine)
+		s.quarantine = s.quarantine.Learned(ev.At, report.Quarantine)
 	}
-	s.attempts, more = s.attempts.Finished(s.attemptContext(ev), body.Attempt, body.Outcome, body.Report)
-	return s, append(effects, more...)
+	next, effects := s.attempts.Finished(s.attemptContext(ev), body.Attempt, body.Outcome, body.Report)
+	s.attempts = next
+	return s, effects
 }
--- a/internal/core/node/platform.go
+++ b/internal/core/node/platform.go
@@ -16,7 +16,7 @@
 	case event.TablesRejected:
 		s.tables, effects = s.tables.Rejected(ev.At, body.Revision, body.Detail)
 	case event.MembersListed:
-		s.membership, effects = s.membership.Listed(ev.At, body.Members)
+		s.membership = s.membership.Listed(body.Members)
 	case event.PlatformFailed:
 		s.tables, effects = s.tables.PlatformFailed(ev.At, ev.Random, body.Call, body.Detail)
 	}
--- a/internal/core/node/state.go
+++ b/internal/core/node/state.go
@@ -110,7 +110,7 @@
 	case event.MessageReceived:
 		return s.messageReceived(ev, body)
 	case event.SendFailed:
-		return s.sendFailed(ev, body)
+		return s.sendFailed(body)
 	case event.RevisionSeen:
 		return s.revisionSeen(ev, body)
 	case event.StatusAsked:
--- a/internal/core/quarantine/state.go
+++ b/internal/core/quarantine/state.go
@@ -167,7 +167,7 @@
 }
 
 // Learned takes in fingerprints that another node quarantined, as its replies say.
-func (s State) Learned(now time.Time, fingerprints []fleet.Fingerprint) (State, []effect.Effect) {
+func (s State) Learned(now time.Time, fingerprints []fleet.Fingerprint) State {
 	for _, f := range fingerprints {
 		known := s.get(now, f)
 		if known.convicted(now) {
@@ -177,7 +177,7 @@
 		known.until = now.Add(expiry)
 		s = s.put(f, known)
 	}
-	return s, nil
+	return s
 }
 
 // Has reports whether a fingerprint is quarantined.
--- a/internal/edge/caller/server.go
+++ b/internal/edge/caller/server.go
@@ -87,9 +87,6 @@
 
 func anything(*http.Request, *mux.RouteMatch) bool { return true }
 
-// Handler returns the server's handler.
-func (s *Server) Handler() http.Handler { return s.http.Handler }
-
 // Serve takes connections from listener until Shutdown. It returns http.ErrServerClosed then.
 func (s *Server) Serve(listener net.Listener) error { return s.http.Serve(listener) }
 
--- a/internal/edge/operator/metric.go
+++ b/internal/edge/operator/metric.go
@@ -66,8 +66,6 @@
 
 func (m *metrics) count(e effect.Count) { m.tagged(e.Tags).Counter(e.Name).Inc(e.Delta) }
 
-func (m *metrics) gauge(e effect.Gauge) { m.tagged(e.Tags).Gauge(e.Name).Update(e.Value) }
-
 // duration records a duration, and once more by caller when the tags name one.
 func (m *metrics) duration(e effect.Duration) {
 	others := make([]effect.Tag, 0, len(e.Tags))
--- a/internal/edge/operator/operator.go
+++ b/internal/edge/operator/operator.go
@@ -8,7 +8,7 @@
 //		Exporter: operator.NewPrometheus(),
 //	})
 //	defer op.Close()
-//	op.Observe(e)     // carries out effect.Log, effect.Count, effect.Gauge and effect.Duration; never blocks
+//	op.Observe(e)     // carries out effect.Log, effect.Count and effect.Duration; never blocks
 //	op.ShowStatus(e)  // carries out effect.ShowStatus; never blocks
 //	http.Serve(listener, op.Handler())
 //
@@ -131,8 +131,6 @@
 		o.lines.write(o.seams.Now(), e)
 	case effect.Count:
 		o.metrics.count(e)
-	case effect.Gauge:
-		o.metrics.gauge(e)
 	case effect.Duration:
 		o.metrics.duration(e)
 	}
--- a/internal/edge/platform/claim.go
+++ b/internal/edge/platform/claim.go
@@ -79,10 +79,7 @@
 }
 
 // readBack reports whether a failed write leaves open what the object holds.
-func readBack(err error) bool {
-	var failure Failure
-	return errors.Is(err, errConflict) || errors.As(err, &failure) && failure.Unknown
-}
+func readBack(err error) bool { return errors.Is(err, errConflict) || unknown(err) }
 
 // readClaim reads a claim object. One that does not decode belongs to nobody known, so that the order is refused.
 func (c *Client) readClaim(ctx context.Context, name string) (object, wireClaim, error) {
--- a/internal/edge/platform/client.go
+++ b/internal/edge/platform/client.go
@@ -83,7 +83,7 @@
 
 // WatchHead carries out the effect.
 func (c *Client) WatchHead(e effect.WatchHead) {
-	c.start(e.After, func(ctx context.Context) event.Body {
+	c.start(0, func(ctx context.Context) event.Body {
 		found, err := c.objects.watch(ctx, headKey, e.Version, e.Wait)
 		if err != nil {
 			return failed(event.CallWatchHead, err)
@@ -101,7 +101,7 @@
 
 // FetchTables carries out the effect.
 func (c *Client) FetchTables(e effect.FetchTables) {
-	c.start(e.After, func(ctx context.Context) event.Body {
+	c.start(0, func(ctx context.Context) event.Body {
 		content, err := c.content(ctx, wireHead{Revision: e.Head.Revision, Chunks: e.Head.Chunks})
 		var corrupt Corrupt
 		if errors.As(err, &corrupt) {
@@ -136,24 +136,24 @@
 		c.registering.Lock()
 		defer c.registering.Unlock()
 		if c.registered.Newer(e.Member) {
-			return event.MemberRegistered{}
+			return nil
 		}
 		c.registered = e.Member
 		key := memberPrefix + string(e.Member.Node)
 		if err := c.objects.put(ctx, key, encodeMember(e.Member), condition{}); err != nil {
 			return failed(event.CallRegisterMember, err)
 		}
-		return event.MemberRegistered{}
+		return nil
 	})
 }
 
-// start runs a call after a delay on a goroutine of its own and posts its event.
+// start runs a call after a delay on a goroutine of its own and posts its event, unless that is nil.
 func (c *Client) start(after time.Duration, call func(context.Context) event.Body) {
 	c.running.Go(func() {
 		if !sleep(c.ctx, after) {
 			return
 		}
-		if body := call(c.ctx); c.ctx.Err() == nil {
+		if body := call(c.ctx); body != nil && c.ctx.Err() == nil {
 			c.post(body)
 		}
 	})
@@ -172,7 +172,5 @@
 }
 
 func failed(call event.PlatformCall, err error) event.PlatformFailed {
-	var failure Failure
-	errors.As(err, &failure)
-	return event.PlatformFailed{Call: call, Unknown: failure.Unknown, Detail: err.Error()}
+	return event.PlatformFailed{Call: call, Detail: err.Error()}
 }
--- a/internal/edge/platform/head.go
+++ b/internal/edge/platform/head.go
@@ -58,7 +58,7 @@
 
 // head returns what the core needs of the value.
 func (h wireHead) head() fleet.Head {
-	return fleet.Head{Revision: h.Revision, Chunks: h.Chunks, ChangeID: h.ChangeID}
+	return fleet.Head{Revision: h.Revision, Chunks: h.Chunks}
 }
 
 // has returns the revision that a change became, if this head or an earlier one came of it.
--- a/internal/edge/platform/tables.go
+++ b/internal/edge/platform/tables.go
@@ -128,7 +128,7 @@
 		if err == nil {
 			return head.Revision, nil
 		}
-		if !unknown(err) && !errors.Is(err, errConflict) {
+		if !readBack(err) {
 			return 0, err
 		}
 		found, foundVersion, readErr := c.readHead(ctx)
--- a/internal/process/node/dispatch.go
+++ b/internal/process/node/dispatch.go
@@ -41,7 +41,7 @@
 		d.messenger.Send(e)
 	case effect.ShowStatus:
 		d.operator.ShowStatus(e)
-	case effect.Log, effect.Count, effect.Gauge, effect.Duration:
+	case effect.Log, effect.Count, effect.Duration:
 		d.operator.Observe(e)
 	default:
 		d.dispatchTraffic(e)
