core/membership, core/fleet: keep one test for usable members and needed records

Cause: fleet and membership each had the test whether requests may go to the targets of a member, and membership compared the candidates of two records before the directory compared them again. Two functions decided whether a node needs a record by the same rule. Change: Member.Usable serves both packages, the directory alone compares candidates, and one function says whether a record is needed. Conclusion: no change of behaviour.

--- a/internal/core/fleet/directory.go
+++ b/internal/core/fleet/directory.go
@@ -2,7 +2,7 @@
 
 import "slices"
 
-// Candidate is a target with the node beside it.
+// Candidate is a target with the node on its host.
 type Candidate struct {
 	Target           Target
 	Node             NodeID
@@ -31,7 +31,7 @@
 
 // WithMember returns the directory after a member's record changed from old to changed. Targets of a member that is
 // leaving or dead are left out. Only the pools in which the member's candidates changed are made anew, since a record has
-// some 14 pools and most changes concern one.
+// some 14 pools and most changes concern one; a change of sequence or of suspicion alone changes none.
 func (d Directory) WithMember(old, changed Member) Directory {
 	for _, pool := range changedPools(old, changed) {
 		d = d.WithPool(pool, d.replaced(pool, changed.Node, candidatesOf(changed, pool)))
@@ -41,7 +41,7 @@
 
 // changedPools returns the pools in which two records of a member may have different candidates.
 func changedPools(old, changed Member) []PoolName {
-	comparable := old.usable() == changed.usable() && old.AvailabilityZone == changed.AvailabilityZone &&
+	alike := old.Usable() == changed.Usable() && old.AvailabilityZone == changed.AvailabilityZone &&
 		old.ForwardAddress == changed.ForwardAddress && len(old.Targets) == len(changed.Targets)
 	var pools []PoolName
 	add := func(pool PoolName) {
@@ -50,12 +50,12 @@
 		}
 	}
 	for i, t := range old.Targets {
-		if !comparable || t != changed.Targets[i] {
+		if !alike || t != changed.Targets[i] {
 			add(t.Pool)
 		}
 	}
 	for i, t := range changed.Targets {
-		if !comparable || t != old.Targets[i] {
+		if !alike || t != old.Targets[i] {
 			add(t.Pool)
 		}
 	}
@@ -78,12 +78,9 @@
 	return append(merged, mine...)
 }
 
-// usable reports whether requests may go to the member's targets.
-func (m Member) usable() bool { return m.Status == Alive || m.Status == Suspect }
-
 // candidatesOf returns the candidates of a member for a pool.
 func candidatesOf(member Member, pool PoolName) []Candidate {
-	if !member.usable() {
+	if !member.Usable() {
 		return nil
 	}
 	var candidates []Candidate
--- a/internal/core/fleet/member.go
+++ b/internal/core/fleet/member.go
@@ -48,6 +48,9 @@
 	return m.Status > other.Status
 }
 
+// Usable reports whether requests may go to the member's targets.
+func (m Member) Usable() bool { return m.Status == Alive || m.Status == Suspect }
+
 // WithStatus returns the record with another status.
 func (m Member) WithStatus(s Status) Member {
 	m.Status = s
--- a/internal/core/membership/record.go
+++ b/internal/core/membership/record.go
@@ -41,7 +41,7 @@
 	if m.Node == s.self {
 		return s.accused(now, m)
 	}
-	if ok && !m.Newer(known) || !ok && !present(m) {
+	if ok && !m.Newer(known) || !ok && !m.Usable() {
 		return s, nil
 	}
 	s = s.judged(now, outgoing(m))
--- a/internal/core/membership/rumor.go
+++ b/internal/core/membership/rumor.go
@@ -108,7 +108,7 @@
 
 // outgoing returns a record as it is sent: nobody uses the targets of a member that is leaving or dead.
 func outgoing(m fleet.Member) fleet.Member {
-	if !present(m) {
+	if !m.Usable() {
 		m.Targets = nil
 	}
 	return m
--- a/internal/core/membership/seed.go
+++ b/internal/core/membership/seed.go
@@ -91,7 +91,7 @@
 	var unknown []fleet.Member
 	for _, m := range listed {
 		known, ok := s.Member(m.Node)
-		if m.Node != s.self && present(m) && (!ok || !present(known)) {
+		if m.Node != s.self && m.Usable() && (!ok || !known.Usable()) {
 			unknown = append(unknown, m)
 		}
 	}
--- a/internal/core/membership/state.go
+++ b/internal/core/membership/state.go
@@ -59,12 +59,10 @@
 func (s State) with(m fleet.Member) State {
 	old, known := s.Member(m.Node)
 	s.members = s.members.With(m.Node, &m)
-	if !sameCandidates(old, m) {
-		s.directory = s.directory.WithMember(old, m)
-	}
+	s.directory = s.directory.WithMember(old, m)
 	switch {
-	case m.Node == s.self || (known && present(old)) == present(m):
-	case present(m):
+	case m.Node == s.self || (known && old.Usable()) == m.Usable():
+	case m.Usable():
 		s.ring = append(slices.Clip(s.ring), m.Node)
 	case known:
 		s = s.unprobed(m.Node)
@@ -82,16 +80,6 @@
 	return s
 }
 
-// sameCandidates reports whether two records of a node give the same candidates. A change of sequence or of suspicion
-// alone is frequent and leaves the directory as it is.
-func sameCandidates(old, changed fleet.Member) bool {
-	return present(old) == present(changed) && old.AvailabilityZone == changed.AvailabilityZone &&
-		old.ForwardAddress == changed.ForwardAddress && slices.Equal(old.Targets, changed.Targets)
-}
-
-// present reports whether a member's targets may be used.
-func present(m fleet.Member) bool { return m.Status == fleet.Alive || m.Status == fleet.Suspect }
-
 // without returns the state without a member that is dead.
 func (s State) without(id fleet.NodeID) State {
 	s.members = s.members.Without(id)
--- a/internal/core/membership/state_test.go
+++ b/internal/core/membership/state_test.go
@@ -199,7 +199,7 @@
 		for _, other := range n.ids() {
 			seen, known := n.processes[id].state.Member(other)
 			truth := n.processes[other].state.Self()
-			if n.processes[other].dead && known && present(seen) {
+			if n.processes[other].dead && known && seen.Usable() {
 				return fmt.Sprintf("%s holds the dead %s for %s", id, other, seen.Status)
 			}
 			if !n.processes[other].dead && (!known || truth.Newer(seen) || seen.Newer(truth)) {
--- a/internal/core/membership/sync.go
+++ b/internal/core/membership/sync.go
@@ -112,11 +112,10 @@
 	}})
 }
 
-// behind reports whether this node needs the record of which it is told the version.
+// behind reports whether this node needs the record with the given version.
 func (s State) behind(version message.MemberVersion) bool {
-	record := fleet.Member{Incarnation: version.Incarnation, Sequence: version.Sequence, Status: version.Status}
 	known, ok := s.Member(version.Node)
-	return ok && record.Newer(known) || !ok && present(record)
+	return needed(recordOf(version), known, ok)
 }
 
 // answer returns the records of the range that are newer than the asker's. When they are too many it covers the first
@@ -134,7 +133,7 @@
 			break
 		}
 		version, known := versions[id]
-		if id == m.After || !lacks(version, known, *record) {
+		if id == m.After || !needed(*record, recordOf(version), known) {
 			last = id
 			continue
 		}
@@ -149,16 +148,18 @@
 	return answer
 }
 
-// lacks reports whether the asker needs a record. The dead are of interest only to those who know them.
-func lacks(version message.MemberVersion, known bool, record fleet.Member) bool {
+// needed reports whether a node whose own version of a record is old needs the record. A node without any version needs
+// only records of members whose targets may be used.
+func needed(record, old fleet.Member, known bool) bool {
 	if !known {
-		return present(record)
+		return record.Usable()
 	}
-	return record.Newer(fleet.Member{
-		Incarnation: version.Incarnation,
-		Sequence:    version.Sequence,
-		Status:      version.Status,
-	})
+	return record.Newer(old)
+}
+
+// recordOf returns a record with the given version, without its other fields.
+func recordOf(version message.MemberVersion) fleet.Member {
+	return fleet.Member{Incarnation: version.Incarnation, Sequence: version.Sequence, Status: version.Status}
 }
 
 // synced takes in an answer and asks for the next range. What a starting node learns is known everywhere else; later, a
