core, edge, lab: use the usual terms in names and comments

Change: the usual terms and the facts; the usage of Messenger stands at the type. Conclusion: no change of behaviour.

--- a/internal/core/admission/heartbeat.go
+++ b/internal/core/admission/heartbeat.go
@@ -10,8 +10,8 @@
 const (
 	// heartbeat is the time between two announcements of a target.
 	heartbeat = time.Second
-	// silence is how long a target may be silent: three heartbeats.
-	silence = 3 * heartbeat
+	// heartbeatTimeout is how long a target may send no heartbeat.
+	heartbeatTimeout = 3 * heartbeat
 )
 
 // Change is what an announcement says beside the target's own state.
@@ -23,7 +23,7 @@
 	Crash fleet.Option[Crash]
 }
 
-// departure is a target's word that it leaves.
+// departure records that a target announced that it leaves.
 type departure struct {
 	instance string
 	at       time.Time
@@ -61,7 +61,7 @@
 // bring it back.
 func (s State) leftLately(now time.Time, id fleet.TargetID, instance string) bool {
 	d, ok := s.departed.Get(id)
-	return ok && d.instance == instance && now.Sub(d.at) < silence
+	return ok && d.instance == instance && now.Sub(d.at) < heartbeatTimeout
 }
 
 // replaced reports the death of a target's last process, when another announces itself. A process that drained may still
@@ -127,7 +127,7 @@
 			s.targets = s.targets.With(id, warmed)
 		}
 		switch {
-		case ctx.Now.Sub(warmed.heard) >= silence:
+		case ctx.Now.Sub(warmed.heard) >= heartbeatTimeout:
 			s, more = s.removed(id, fleet.UnknownTarget, "target stopped its heartbeats")
 		case l.queue.len() == 0:
 			continue
@@ -141,7 +141,7 @@
 	return s.forgotten(ctx.Now), effects
 }
 
-// pause returns for how long this node itself stood still, so that it does not take its own silence for that of its targets.
+// pause returns for how long this node itself stood still, so that the time does not count as missed heartbeats.
 func (s State) pause(now time.Time) time.Duration {
 	gap := now.Sub(s.ticked)
 	if s.ticked.IsZero() || gap < heartbeat {
@@ -168,7 +168,7 @@
 // forgotten drops departures and crashes that no longer matter.
 func (s State) forgotten(now time.Time) State {
 	for id, d := range s.departed.All() {
-		if now.Sub(d.at) >= silence {
+		if now.Sub(d.at) >= heartbeatTimeout {
 			s.departed = s.departed.Without(id)
 		}
 	}
--- a/internal/core/admission/state.go
+++ b/internal/core/admission/state.go
@@ -123,7 +123,8 @@
 	return l.running.Len() < l.slots && (!ctx.Suspected(attempt.Fingerprint) || !s.runsSuspect(ctx, l))
 }
 
-// runsSuspect reports whether a suspected request runs on the target. Alone, each suspect is cleared or convicted by itself.
+// runsSuspect reports whether a suspected request runs on the target. When a suspect runs without another, a crash or a
+// success counts for it only.
 func (s State) runsSuspect(ctx Context, l local) bool {
 	for id := range l.running.All() {
 		run, _ := s.running.Get(id)
--- a/internal/core/effect/effect.go
+++ b/internal/core/effect/effect.go
@@ -18,7 +18,7 @@
 // Effect is one of the effect structs of this package.
 type Effect interface{ isEffect() }
 
-// Forward sends an attempt to the node beside its target.
+// Forward sends an attempt to the node on its target's host.
 type Forward struct {
 	Attempt fleet.Attempt
 	// Revision is this node's tables revision.
@@ -79,7 +79,7 @@
 	Revision    fleet.Revision
 }
 
-// UseTables shows the edges the revision in force.
+// UseTables gives the edges the revision in force.
 type UseTables struct {
 	Tables fleet.Tables
 }
--- a/internal/core/ejection/asker.go
+++ b/internal/core/ejection/asker.go
@@ -74,7 +74,7 @@
 		}
 		c := candidates[(i+int(ctx.Random%uint64(len(candidates))))%len(candidates)]
 		_, held := l.leases.Get(c.Target.ID)
-		// A first round also asks targets that are said to be ejected: they tell whether they were ejected lately.
+		// A first round also asks targets that records show as ejected: they answer whether they were ejected lately.
 		useless := c.Target.Ejected && l.phase == ejected
 		if held || useless || c.Target.ID == id {
 			continue
@@ -142,7 +142,7 @@
 	return s.withLease(m.Asker, m.Grantor, held).decide(ctx, m.Asker)
 }
 
-// recalled gives up a lease at its grantor's wish.
+// recalled gives up a lease that its grantor recalled.
 func (s State) recalled(ctx Context, m message.LeaseRecall) (State, []effect.Effect) {
 	s, effects := s.release(ctx, m.Asker, m.Grantor)
 	l, _ := s.targets.Get(m.Asker)
--- a/internal/core/ejection/decision.go
+++ b/internal/core/ejection/decision.go
@@ -76,7 +76,7 @@
 	l.phase = ejected
 	l.retry = false
 	l.held = fleet.Set[hold]{}
-	l.comeback = l.comeback.ejected(ctx.Now)
+	l.recovery = l.recovery.ejected(ctx.Now)
 	s.targets = s.targets.With(id, l)
 	kept := 0
 	var effects []effect.Effect
@@ -92,13 +92,12 @@
 	return s, append(effects,
 		decision(effect.Warn, "target set out of service", id, l,
 			effect.Field{Name: "Leases", Value: kept},
-			effect.Field{Name: "TrialsAfter", Value: l.comeback.wait}),
+			effect.Field{Name: "TrialsAfter", Value: l.recovery.wait}),
 		count("ejections", l, "failing"))
 }
 
-// hold keeps a failing target in service. Each reason is logged once until the target
-// is ejected or has been healthy for long. A target of a pool
-// that fails as a whole asks again only after another judgement.
+// hold keeps a failing target in service. Each reason is logged once until the target is ejected or has been healthy for
+// long. A target of a pool that fails as a whole asks again only after another judgement.
 func (s State) hold(ctx Context, id fleet.TargetID, reason hold) (State, []effect.Effect) {
 	s, effects := s.releaseAll(ctx, id)
 	l, _ := s.targets.Get(id)
@@ -129,7 +128,7 @@
 	s, effects := s.releaseAll(ctx, id)
 	l, _ := s.targets.Get(id)
 	l.phase = serving
-	l.comeback = l.comeback.back(ctx.Now)
+	l.recovery = l.recovery.inService(ctx.Now)
 	s.targets = s.targets.With(id, l)
 	return s, append(effects,
 		decision(effect.Info, "target returned to service", id, l, effect.Field{Name: "Reason", Value: reason}),
--- a/internal/core/ejection/lease.go
+++ b/internal/core/ejection/lease.go
@@ -27,7 +27,7 @@
 	ejected
 )
 
-// answer is what a grantor said to the last request.
+// answer is a grantor's answer to the last request.
 type answer uint8
 
 const (
@@ -68,7 +68,7 @@
 	leases  fleet.Map[fleet.TargetID, lease]
 	// held are the reasons logged for which the target was not ejected.
 	held     fleet.Set[hold]
-	comeback comeback
+	recovery recovery
 }
 
 // usable returns how long after sending its request an asker may rely on a promise of the given duration.
@@ -99,7 +99,7 @@
 
 // forgettable says that nothing about the target matters any more.
 func (l local) forgettable(now time.Time) bool {
-	return l.phase == serving && now.Sub(l.failedAt) >= healthyTime && now.Sub(l.comeback.returned) >= healthyTime
+	return l.phase == serving && now.Sub(l.failedAt) >= healthyTime && now.Sub(l.recovery.returned) >= healthyTime
 }
 
 // withoutExpired returns the state without promises that have ended.
--- a/internal/core/ejection/comeback.go
+++ b/internal/core/ejection/recovery.go
@@ -23,8 +23,8 @@
 // trialTimeout allows another trial when the end of one was never reported.
 const trialTimeout = 30 * time.Second
 
-// comeback is the way of an ejected target back to service.
-type comeback struct {
+// recovery holds the waits and trials by which an ejected target returns to service.
+type recovery struct {
 	wait time.Duration
 	// trialsFrom is when trials may start, nextTrial when the next one may.
 	trialsFrom time.Time
@@ -36,36 +36,36 @@
 	recovered bool
 }
 
-func (c comeback) ejected(now time.Time) comeback {
+func (r recovery) ejected(now time.Time) recovery {
 	switch {
-	case c.wait == 0 || now.Sub(c.returned) >= healthyTime:
-		c.wait = firstWait
-	case c.recovered:
-		c.wait = min(2*c.wait, maxWait)
+	case r.wait == 0 || now.Sub(r.returned) >= healthyTime:
+		r.wait = firstWait
+	case r.recovered:
+		r.wait = min(2*r.wait, maxWait)
 	}
-	c.trialsFrom = now.Add(c.wait)
-	c.nextTrial = c.trialsFrom
-	c.running = time.Time{}
-	c.recovered = false
-	return c
+	r.trialsFrom = now.Add(r.wait)
+	r.nextTrial = r.trialsFrom
+	r.running = time.Time{}
+	r.recovered = false
+	return r
 }
 
-func (c comeback) relapsed(now time.Time) comeback {
-	c.wait = min(2*c.wait, maxWait)
-	c.trialsFrom = now.Add(c.wait)
-	c.nextTrial = c.trialsFrom
-	return c
+func (r recovery) relapsed(now time.Time) recovery {
+	r.wait = min(2*r.wait, maxWait)
+	r.trialsFrom = now.Add(r.wait)
+	r.nextTrial = r.trialsFrom
+	return r
 }
 
-func (c comeback) back(now time.Time) comeback {
-	c.returned = now
-	return c
+func (r recovery) inService(now time.Time) recovery {
+	r.returned = now
+	return r
 }
 
 // due reports whether a trial may start.
-func (c comeback) due(now time.Time) bool {
-	running := !c.running.IsZero() && now.Sub(c.running) < trialTimeout
-	return !running && !now.Before(c.nextTrial)
+func (r recovery) due(now time.Time) bool {
+	running := !r.running.IsZero() && now.Sub(r.running) < trialTimeout
+	return !running && !now.Before(r.nextTrial)
 }
 
 // Tried records that a trial started on a target whose gate is Trial.
@@ -74,8 +74,8 @@
 	if !ok {
 		return s
 	}
-	l.comeback.running = now
-	l.comeback.nextTrial = now.Add(trialInterval)
+	l.recovery.running = now
+	l.recovery.nextTrial = now.Add(trialInterval)
 	s.targets = s.targets.With(id, l)
 	return s
 }
@@ -83,10 +83,10 @@
 // TrialFinished records that a request on a target ended, so that another trial may start.
 func (s State) TrialFinished(id fleet.TargetID) State {
 	l, ok := s.targets.Get(id)
-	if !ok || l.comeback.running.IsZero() {
+	if !ok || l.recovery.running.IsZero() {
 		return s
 	}
-	l.comeback.running = time.Time{}
+	l.recovery.running = time.Time{}
 	s.targets = s.targets.With(id, l)
 	return s
 }
@@ -98,7 +98,7 @@
 	if l.phase != ejected {
 		return s, effects
 	}
-	l.comeback.recovered = true
+	l.recovery.recovered = true
 	s.targets = s.targets.With(id, l)
 	s, more := s.returned(ctx, id, "trials succeeded")
 	return s, concat(effects, more)
@@ -109,12 +109,12 @@
 func (s State) Relapsed(ctx Context, id fleet.TargetID) (State, []effect.Effect) {
 	s, effects := s.current(ctx)
 	l, _ := s.targets.Get(id)
-	if l.phase != ejected || ctx.Now.Before(l.comeback.trialsFrom) {
+	if l.phase != ejected || ctx.Now.Before(l.recovery.trialsFrom) {
 		return s, effects
 	}
-	l.comeback = l.comeback.relapsed(ctx.Now)
+	l.recovery = l.recovery.relapsed(ctx.Now)
 	s.targets = s.targets.With(id, l)
 	return s, append(effects,
-		decision(effect.Info, "trials failed", id, l, effect.Field{Name: "TrialsAfter", Value: l.comeback.wait}),
+		decision(effect.Info, "trials failed", id, l, effect.Field{Name: "TrialsAfter", Value: l.recovery.wait}),
 		count("relapses", l, "trials failed"))
 }
--- a/internal/core/ejection/state.go
+++ b/internal/core/ejection/state.go
@@ -148,7 +148,7 @@
 	switch {
 	case !l.ejected(now):
 		return admission.Open
-	case l.comeback.due(now):
+	case l.recovery.due(now):
 		return admission.Trial
 	default:
 		return admission.Closed
--- a/internal/core/ejection/state_test.go
+++ b/internal/core/ejection/state_test.go
@@ -200,7 +200,7 @@
 
 func (w *world) wait(s *server) time.Duration {
 	l, _ := s.host.state.targets.Get(s.id)
-	return l.comeback.wait
+	return l.recovery.wait
 }
 
 // TestForgedMessages guards against a node that speaks for the targets of another one.
--- a/internal/core/fleet/id.go
+++ b/internal/core/fleet/id.go
@@ -11,12 +11,12 @@
 // TargetID names a target. It is the node's id, a slash and the target's name on that node.
 type TargetID string
 
-// NewTargetID returns the id of the target called name beside node.
+// NewTargetID returns the id of the target called name on the node's host.
 func NewTargetID(node NodeID, name string) TargetID {
 	return TargetID(string(node) + "/" + name)
 }
 
-// Node returns the id of the node beside the target.
+// Node returns the id of the node on the target's host.
 func (id TargetID) Node() NodeID {
 	node, _, _ := strings.Cut(string(id), "/")
 	return NodeID(node)
@@ -48,13 +48,13 @@
 	return RequestID(request)
 }
 
-// Incarnation orders the lives of one node. A process takes its start time in milliseconds since 1970.
+// Incarnation orders the processes of one node: a process takes its start time in milliseconds since 1970.
 type Incarnation uint64
 
 // Revision orders the versions of the tables. The first accepted revision is 1.
 type Revision uint64
 
-// Fingerprint identifies requests with the same method, path and body.
+// Fingerprint identifies requests with the same method, host, path with its query, and body.
 type Fingerprint uint64
 
 // IdempotencyKey names an order across the times its caller sends it. Empty means that the caller gave none.
--- a/internal/core/fleet/request.go
+++ b/internal/core/fleet/request.go
@@ -23,7 +23,7 @@
 	Target TargetID
 	Pool   PoolName
 	Node   NodeID
-	// Address is the forward address of the node beside the target.
+	// Address is the forward address of the node on the target's host.
 	Address    string
 	Class      Class
 	Idempotent bool
@@ -42,7 +42,7 @@
 	return a
 }
 
-// Outcome is how an attempt ended, as the one who waited for it knows it.
+// Outcome is how an attempt ended, as seen by the process that waited for it.
 type Outcome struct {
 	// Status is the HTTP status of the answer; 0 means that there is none.
 	Status int
--- a/internal/core/fleet/target.go
+++ b/internal/core/fleet/target.go
@@ -25,11 +25,11 @@
 	Pool  PoolName
 	State TargetState
 	Slots int
-	// Ejected is the sidecar's word at the time of the record; it is a hint to others.
+	// Ejected is the state at the sidecar when it wrote the record; it is only a hint to other nodes.
 	Ejected bool
 }
 
-// Announcement is what a target says to the node on its host.
+// Announcement is one heartbeat of a target to the node on its host.
 type Announcement struct {
 	Name string
 	Pool PoolName
--- a/internal/core/membership/own.go
+++ b/internal/core/membership/own.go
@@ -69,9 +69,9 @@
 	return s.pingAll(s.peers(urgentPeers, s.self))
 }
 
-// accused answers a record of this node that it did not write, such as a suspicion, with a newer one. Who sends an older
-// record has missed the newer one, which may have been sent often enough before.
-func (s State) accused(now time.Time, m fleet.Member) (State, []effect.Effect) {
+// refute answers a record of this node that it did not write, such as a suspicion, with a newer one. A peer that sends an
+// older record has missed the newer one, which may have been sent often enough before.
+func (s State) refute(now time.Time, m fleet.Member) (State, []effect.Effect) {
 	self := s.Self()
 	if self.Newer(m) && !s.rumors.has(s.self) {
 		return s.spread(s.self), nil
--- a/internal/core/membership/record.go
+++ b/internal/core/membership/record.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// suspicionPerRound times the rounds of gossip is the time a suspect has to refute: 20 s in a fleet of 540. The word
-	// reaches it within one round per second, and the answer takes as long. Ingresses avoid a node that they cannot reach
+	// suspicionPerRound times the rounds of gossip is the time a suspect has to refute: 20 s in a fleet of 540. The
+	// suspicion reaches it within one round per second, and the answer takes as long. Ingresses avoid a node that they cannot reach
 	// at once, so nothing waits for the end of a suspicion.
 	suspicionPerRound = 2 * time.Second
 	// leavingTime is how long a member is shown as leaving; it has left long before.
@@ -39,7 +39,7 @@
 func (s State) merge(now time.Time, m fleet.Member, spread bool) (State, []effect.Effect) {
 	known, ok := s.Member(m.Node)
 	if m.Node == s.self {
-		return s.accused(now, m)
+		return s.refute(now, m)
 	}
 	if ok && !m.Newer(known) || !ok && !m.Usable() {
 		return s, nil
--- a/internal/core/message/message.go
+++ b/internal/core/message/message.go
@@ -18,7 +18,7 @@
 // Message is one of the message structs of this package.
 type Message interface{ isMessage() }
 
-// Envelope is a message with what rides on every message.
+// Envelope is a message with the fields that every message carries.
 type Envelope struct {
 	From        fleet.NodeID
 	Incarnation fleet.Incarnation
--- a/internal/core/quarantine/spread.go
+++ b/internal/core/quarantine/spread.go
@@ -19,35 +19,35 @@
 	maxOutgoing = 128
 )
 
-// Received takes in what another node says of fingerprints and passes on what is new.
+// Received merges the suspicions of another node and passes on what is new.
 func (s State) Received(ctx Context, suspicions []fleet.Suspicion) (State, []effect.Effect) {
 	var news []fleet.Fingerprint
-	for _, said := range suspicions[:min(len(suspicions), maxPerMessage)] {
+	for _, received := range suspicions[:min(len(suspicions), maxPerMessage)] {
 		var isNew bool
-		if said.Cleared {
-			s, isNew = s.cleared(ctx, said.Fingerprint)
+		if received.Cleared {
+			s, isNew = s.cleared(ctx, received.Fingerprint)
 		} else {
-			s, isNew = s.accused(ctx, said)
+			s, isNew = s.merged(ctx, received)
 		}
 		if isNew {
-			news = append(news, said.Fingerprint)
+			news = append(news, received.Fingerprint)
 		}
 	}
 	return s.spread(ctx, news)
 }
 
-// accused joins the evidence of another node with this node's own.
-func (s State) accused(ctx Context, said fleet.Suspicion) (State, bool) {
-	before := s.get(ctx.Now, said.Fingerprint)
+// merged joins the evidence of another node with this node's own. It reports whether that is new and to be passed on.
+func (s State) merged(ctx Context, received fleet.Suspicion) (State, bool) {
+	before := s.get(ctx.Now, received.Fingerprint)
 	after := before
-	after.targets = union(before.targets, said.Targets)
-	if until := ctx.Now.Add(min(said.Remaining, expiry)); until.After(after.until) {
+	after.targets = union(before.targets, received.Targets)
+	if until := ctx.Now.Add(min(received.Remaining, expiry)); until.After(after.until) {
 		after.until = until
 	}
 	if len(after.targets) == len(before.targets) {
 		return s, false
 	}
-	return s.put(said.Fingerprint, after), after.suspected(ctx.Now)
+	return s.put(received.Fingerprint, after), after.suspected(ctx.Now)
 }
 
 // cleared drops the evidence against a fingerprint that was answered elsewhere since.
@@ -57,7 +57,7 @@
 		return s, false
 	}
 	known.credit = clearedCredit
-	known.targets, known.told = nil, false
+	known.targets, known.reported = nil, false
 	s.suspects = s.suspects.With(f, known)
 	return s, true
 }
@@ -108,36 +108,36 @@
 // send gives the news to as many members, from a random one on.
 func (s State) send(ctx Context, news []fleet.Fingerprint, members int) []effect.Effect {
 	peers := ctx.Peers()
-	said := s.said(ctx, news)
+	suspicions := s.suspicions(ctx, news)
 	var effects []effect.Effect
 	for i := range min(members, len(peers)) {
 		peer := peers[(ctx.Random%uint64(len(peers))+uint64(i))%uint64(len(peers))]
 		effects = append(effects, effect.Send{
 			To:      peer.Node,
 			Address: peer.PeerAddress,
-			Message: message.Suspicions{Suspicions: said},
+			Message: message.Suspicions{Suspicions: suspicions},
 		})
 	}
 	return effects
 }
 
-// said returns what is to be told of the fingerprints.
-func (s State) said(ctx Context, news []fleet.Fingerprint) []fleet.Suspicion {
-	var said []fleet.Suspicion
+// suspicions returns what is known of the fingerprints, as it is sent.
+func (s State) suspicions(ctx Context, news []fleet.Fingerprint) []fleet.Suspicion {
+	var suspicions []fleet.Suspicion
 	for _, f := range news[:min(len(news), maxPerMessage)] {
 		known, ok := s.suspects.Get(f)
 		switch {
 		case !ok:
 			continue
 		case !known.suspected(ctx.Now):
-			said = append(said, fleet.Suspicion{Fingerprint: f, Cleared: true})
+			suspicions = append(suspicions, fleet.Suspicion{Fingerprint: f, Cleared: true})
 		default:
-			said = append(said, fleet.Suspicion{
+			suspicions = append(suspicions, fleet.Suspicion{
 				Fingerprint: f,
 				Targets:     known.targets,
 				Remaining:   known.until.Sub(ctx.Now),
 			})
 		}
 	}
-	return said
+	return suspicions
 }
--- a/internal/core/quarantine/state.go
+++ b/internal/core/quarantine/state.go
@@ -5,9 +5,9 @@
 // second. Successes count from before the first crash; each further crash halves them, so that a request which turns bad is
 // found as well, and a popular lookup that merely was in flight is not.
 //
-// The second crash often happens beside another node than the first. Suspicions therefore spread from node to node: each
+// The second crash often happens on another host than the first. Suspicions therefore spread from node to node: each
 // node sends what is new to it to spreadAtOnce random members, and on each of the next spreadTicks ticks to one more. What a
-// node knows is the union of what it saw and was told, so the order of the messages does not matter.
+// node knows is the union of what it saw and received, so the order of the messages does not matter.
 //
 // # Usage
 //
@@ -70,15 +70,15 @@
 	// credit counts successes, halved by each crash.
 	credit float64
 	until  time.Time
-	// told means that another node has quarantined the fingerprint.
-	told bool
+	// reported means that another node has quarantined the fingerprint.
+	reported bool
 	// decided is when this node saw the crash that made the evidence sufficient.
 	decided time.Time
 }
 
-// convicted reports whether the evidence suffices for a quarantine.
-func (s suspect) convicted(now time.Time) bool {
-	return s.suspected(now) && (s.told || len(s.targets) >= crashesNeeded)
+// quarantined reports whether the evidence suffices for a quarantine.
+func (s suspect) quarantined(now time.Time) bool {
+	return s.suspected(now) && (s.reported || len(s.targets) >= crashesNeeded)
 }
 
 // suspected reports whether the fingerprint can be the cause of a crash.
@@ -89,7 +89,7 @@
 // New returns the state without any fingerprint.
 func New() State { return State{} }
 
-// Crashed says that a local target died while requests with these fingerprints were in flight.
+// Crashed records that a local target died while requests with these fingerprints were in flight.
 func (s State) Crashed(
 	ctx Context, target fleet.TargetID, inFlight []fleet.Fingerprint,
 ) (State, []effect.Effect) {
@@ -99,7 +99,7 @@
 	for _, f := range inFlight[:min(len(inFlight), maxPerCrash)] {
 		before := s.get(ctx.Now, f)
 		after := before.crashed(ctx.Now, target)
-		if after.convicted(ctx.Now) && !before.convicted(ctx.Now) {
+		if after.quarantined(ctx.Now) && !before.quarantined(ctx.Now) {
 			after.decided = ctx.Now
 			effects = append(effects, decided(f, after))
 		}
@@ -149,7 +149,7 @@
 	return soonest
 }
 
-// Succeeded says that a request with this fingerprint was answered by a target.
+// Succeeded records that a request with this fingerprint was answered by a target.
 func (s State) Succeeded(now time.Time, f fleet.Fingerprint) State {
 	s.successes = s.successes.with(now, f)
 	before, ok := s.suspects.Get(f)
@@ -159,21 +159,21 @@
 	after := before
 	after.credit++
 	if before.suspected(now) && !after.suspected(now) {
-		after.targets, after.told = nil, false
+		after.targets, after.reported = nil, false
 		s = s.queue(f)
 	}
 	s.suspects = s.suspects.With(f, after)
 	return s
 }
 
-// Learned takes in fingerprints that another node quarantined, as its replies say.
+// Learned records the fingerprints that another node quarantined, as its replies say.
 func (s State) Learned(now time.Time, fingerprints []fleet.Fingerprint) State {
 	for _, f := range fingerprints {
 		known := s.get(now, f)
-		if known.convicted(now) {
+		if known.quarantined(now) {
 			continue
 		}
-		known.told = true
+		known.reported = true
 		known.until = now.Add(expiry)
 		s = s.put(f, known)
 	}
@@ -183,7 +183,7 @@
 // Has reports whether a fingerprint is quarantined.
 func (s State) Has(now time.Time, f fleet.Fingerprint) bool {
 	known, ok := s.suspects.Get(f)
-	return ok && known.convicted(now)
+	return ok && known.quarantined(now)
 }
 
 // Suspected reports whether a request with this fingerprint may have crashed a target, quarantined or not.
@@ -192,12 +192,12 @@
 	return ok && known.suspected(now)
 }
 
-// Recent lists the fingerprints that this node quarantined lately, to pass on with replies. What it was told is left out,
-// so that no quarantine outlives its time by going round.
+// Recent lists the fingerprints that this node quarantined lately, to pass on with replies. Those that other nodes
+// reported are left out, so that no quarantine is extended from node to node.
 func (s State) Recent(now time.Time) []fleet.Fingerprint {
 	var recent []fleet.Fingerprint
 	for f, known := range s.suspects.All() {
-		if known.convicted(now) && now.Sub(known.decided) < recentlyDecided && len(recent) < maxRecent {
+		if known.quarantined(now) && now.Sub(known.decided) < recentlyDecided && len(recent) < maxRecent {
 			recent = append(recent, f)
 		}
 	}
@@ -208,7 +208,7 @@
 func (s State) Status(now time.Time) []effect.QuarantineStatus {
 	var status []effect.QuarantineStatus
 	for f, known := range s.suspects.All() {
-		if known.convicted(now) {
+		if known.quarantined(now) {
 			status = append(status, effect.QuarantineStatus{Fingerprint: f, Until: known.until})
 		}
 	}
--- a/internal/edge/operator/metric.go
+++ b/internal/edge/operator/metric.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// reportInterval is the time between two hand-overs from tally to its exporter.
+	// reportInterval is the time between two reports of tally to its exporter.
 	reportInterval = 2 * time.Second
 	// tagLimit bounds the value of a tag in bytes, since callers choose some of them.
 	tagLimit = 64
@@ -39,7 +39,7 @@
 	Handler http.Handler
 }
 
-// metrics measures through tally, which hands over to an exporter.
+// metrics measures through tally, which reports to an exporter.
 type metrics struct {
 	scope   tally.Scope
 	closer  io.Closer
--- a/internal/edge/peer/message.go
+++ b/internal/edge/peer/message.go
@@ -1,14 +1,3 @@
-// Package peer connects a node with the other nodes: Messenger carries the messages of the core over net/rpc.
-//
-// # Usage
-//
-//	messenger := peer.NewMessenger(self, peer.MessengerSeams{Post: loop.Post, Observe: operator.Observe})
-//	go messenger.Serve(listener)
-//	messenger.Send(send) // carries out effect.Send and never blocks
-//	defer messenger.Close()
-//
-// Messages are one-way. Each peer has one cached connection, one bounded queue and one goroutine, which end when nothing
-// was sent to the peer for a while. A message that cannot be handed over is lost; event.SendFailed says so.
 package peer
 
 import (
@@ -23,7 +12,7 @@
 )
 
 const (
-	// messageDialTimeout bounds the wait for a connection. A probe waits half a second for its Ack.
+	// messageDialTimeout bounds the wait for a connection. It is the period of the probes.
 	messageDialTimeout = time.Second
 	// callTimeout bounds one call; a connection that is silent for longer is closed.
 	callTimeout = 2 * time.Second
@@ -48,7 +37,15 @@
 	dial, call, idle time.Duration
 }
 
-// Messenger sends messages to the other nodes and receives theirs.
+// Messenger sends the messages of the core to the other nodes over net/rpc and receives theirs:
+//
+//	messenger := peer.NewMessenger(self, peer.MessengerSeams{Post: loop.Post, Observe: operator.Observe})
+//	go messenger.Serve(listener)
+//	messenger.Send(send) // carries out effect.Send and never blocks
+//	defer messenger.Close()
+//
+// Messages are one-way. Each peer has one cached connection, one bounded queue and one goroutine, which end when nothing
+// was sent to the peer for messageIdleTimeout. A message that cannot be delivered is lost; event.SendFailed reports it.
 type Messenger struct {
 	self     fleet.NodeID
 	own      string
--- a/internal/edge/peer/message_lease.go
+++ b/internal/edge/peer/message_lease.go
@@ -30,7 +30,7 @@
 
 var errLease = errors.New("a lease has a missing or oversized name, a negative duration or a share outside 0 to 1")
 
-// check returns an error unless both targets are named.
+// check returns errLease unless both targets are named and every value is in range.
 func (w wireLease) check() error {
 	share := w.BadShare >= 0 && w.BadShare <= 1 // false for NaN
 	if !named(w.Asker) || !named(w.Grantor) || !short(w.Pool) || w.Duration < 0 || !share {
--- a/internal/edge/peer/message_link.go
+++ b/internal/edge/peer/message_link.go
@@ -17,7 +17,7 @@
 // errSilent says that a peer did not answer a call in time.
 var errSilent = errors.New("peer: no answer within the call timeout")
 
-// link sends the messages for one peer, one at a time. Its goroutine owns the connection.
+// messageLink sends the messages for one peer, one at a time. Its goroutine owns the connection.
 type messageLink struct {
 	messenger *Messenger
 	address   string
--- a/internal/edge/target/client.go
+++ b/internal/edge/target/client.go
@@ -28,7 +28,7 @@
 	// idleTimeout closes connections that have been silent for longer: an order must not be lost to a connection that
 	// the target is about to close. A new one costs about 1 ms.
 	idleTimeout = 500 * time.Millisecond
-	// dialTimeout is ample for a connection within the host.
+	// dialTimeout bounds the dial of a connection, which stays within the host.
 	dialTimeout = time.Second
 	// probeTimeout bounds the dial that tells a dead process from a busy one.
 	probeTimeout = 250 * time.Millisecond
--- a/internal/lab/demo/demo.go
+++ b/internal/lab/demo/demo.go
@@ -94,8 +94,8 @@
 // explain prints what to try.
 func (d *Demo) explain(bed *testbed.Testbed) {
 	node := bed.Nodes[0]
-	sick := bed.Targets[0]
-	url := "http://" + sick.Standin.Address() + "/admin/faults"
+	failing := bed.Targets[0]
+	url := "http://" + failing.Standin.Address() + "/admin/faults"
 	fmt.Fprintf(d.out, `
 Three nodes and %d targets are running. Try:
 
@@ -110,7 +110,7 @@
 
 Make it slow instead: '{"Slowdown": 20}'. Stop with Ctrl-C.
 
-`, len(bed.Targets), node.CallersURL(), node.CallersURL(), node.OperatorsAddress(), sick.ID, url, url)
+`, len(bed.Targets), node.CallersURL(), node.CallersURL(), node.OperatorsAddress(), failing.ID, url, url)
 }
 
 // show sends the load and prints the counts until ctx ends.
--- a/internal/lab/experiment/detection.go
+++ b/internal/lab/experiment/detection.go
@@ -155,9 +155,9 @@
 			}
 		}
 		_, _ = fmt.Fprintf(w, "%s\t%d+%d\t%d+%d\t%d+%d\t%d+%d\t\n", s.name,
-			sums[sicily].guilty[0], sums[sicily].innocent[0], sums[croatia].guilty[0], sums[croatia].innocent[0],
-			sums[sicily].guilty[1], sums[sicily].innocent[1], sums[sicily].guilty[2], sums[sicily].innocent[2])
-		missed = append(missed, atMost("Sicily, false ejections, "+s.name, sums[sicily].innocent[0], 0))
+			sums[sicily].faulty[0], sums[sicily].others[0], sums[croatia].faulty[0], sums[croatia].others[0],
+			sums[sicily].faulty[1], sums[sicily].others[1], sums[sicily].faulty[2], sums[sicily].others[2])
+		missed = append(missed, atMost("Sicily, false ejections, "+s.name, sums[sicily].others[0], 0))
 	}
 	return missed
 }
--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -36,7 +36,7 @@
 	{Name: "detection", About: "time to detect a failing target, and false ejections", Run: Detection},
 	{Name: "overload", About: "goodput and retries beyond the capacity", Run: Overload},
 	{Name: "tables", About: "time until a change is in force everywhere", Run: Tables},
-	{Name: "traffic-after-fault", About: "requests that reach a target after it turned sick", Run: TrafficAfterFault},
+	{Name: "traffic-after-fault", About: "requests that reach a target after it started to fail", Run: TrafficAfterFault},
 }
 
 // Find returns the experiment with the given name.
--- a/internal/lab/experiment/overload.go
+++ b/internal/lab/experiment/overload.go
@@ -30,7 +30,7 @@
 	retries float64
 }
 
-// Overload measures the goodput on the process rig from half to four times the capacity.
+// Overload measures the goodput on the testbed from half to four times the capacity.
 func Overload(w io.Writer, o Options) error {
 	duration := 15 * time.Second
 	if o.Short {
--- a/internal/lab/experiment/scenario.go
+++ b/internal/lab/experiment/scenario.go
@@ -11,8 +11,8 @@
 	perSecond float64
 	duration  time.Duration
 	fault     fault
-	// guilty says that target 0 is at fault; otherwise every ejection is a false one.
-	guilty bool
+	// faulty says that target 0 is at fault; otherwise every ejection is a false one.
+	faulty bool
 }
 
 const (
@@ -67,9 +67,9 @@
 		}},
 	{name: "errors 100%, one target, 0.2 s at 50 req/s", perSecond: 50, duration: time.Minute,
 		fault: during(200*time.Millisecond, condition{failures: 1, slowdown: 1}, first)},
-	{name: "one target fails 50%", perSecond: goalRate, duration: 2 * time.Minute, guilty: true,
+	{name: "one target fails 50%", perSecond: goalRate, duration: 2 * time.Minute, faulty: true,
 		fault: during(time.Hour, condition{failures: 0.5, slowdown: 1}, first)},
-	{name: "one target flaps, 10 s of 20 s", perSecond: goalRate, duration: 10 * time.Minute, guilty: true,
+	{name: "one target flaps, 10 s of 20 s", perSecond: goalRate, duration: 10 * time.Minute, faulty: true,
 		fault: func(target int, at time.Duration) condition {
 			if target == 0 && at >= faultFrom && at%(20*time.Second) < 10*time.Second {
 				return condition{failures: 0.8, slowdown: 1}
@@ -80,7 +80,7 @@
 
 // outcome sums up one run of a scenario, or several: ejections by jayfold and then alarms of each baseline.
 type outcome struct {
-	guilty, innocent [3]int
+	faulty, others [3]int
 }
 
 func (s scenario) run(seed uint64, repetition int, interval time.Duration) outcome {
@@ -89,10 +89,10 @@
 	var o outcome
 	for i, n := range p.nodes {
 		for k, alarms := range n.alarms {
-			if s.guilty && i == 0 {
-				o.guilty[k] += alarms
+			if s.faulty && i == 0 {
+				o.faulty[k] += alarms
 			} else {
-				o.innocent[k] += alarms
+				o.others[k] += alarms
 			}
 		}
 	}
@@ -100,9 +100,9 @@
 }
 
 func (o outcome) plus(other outcome) outcome {
-	for k := range o.guilty {
-		o.guilty[k] += other.guilty[k]
-		o.innocent[k] += other.innocent[k]
+	for k := range o.faulty {
+		o.faulty[k] += other.faulty[k]
+		o.others[k] += other.others[k]
 	}
 	return o
 }
--- a/internal/lab/experiment/site.go
+++ b/internal/lab/experiment/site.go
@@ -26,7 +26,7 @@
 
 const sitePool fleet.PoolName = "catalogue"
 
-// newSite starts one service at Sicily's size on the process rig.
+// newSite starts one service at Sicily's size on the testbed.
 func newSite(interval, serviceTime time.Duration) (*testbed.Testbed, error) {
 	return testbed.New(testbed.Settings{
 		Nodes:             sicilyNodes,
--- a/internal/lab/experiment/target.go
+++ b/internal/lab/experiment/target.go
@@ -33,7 +33,7 @@
 	return took, r.Float64() < c.failures
 }
 
-// arrivals draws the time to the next request of a Poisson process.
+// arrival draws the time to the next request of a Poisson process.
 func arrival(r *rand.Rand, perSecond float64) time.Duration {
 	return time.Duration(r.ExpFloat64() / perSecond * float64(time.Second))
 }
--- a/internal/lab/experiment/traffic.go
+++ b/internal/lab/experiment/traffic.go
@@ -22,7 +22,7 @@
 	noticedGoal = 0.001
 )
 
-// grayFault is one way in which a target turns sick.
+// grayFault is one way in which a target starts to fail.
 type grayFault struct {
 	name   string
 	faults target.Faults
@@ -55,7 +55,7 @@
 	late    int
 }
 
-// TrafficAfterFault measures on the process rig how many requests still reach a target after it turned sick, and how many
+// TrafficAfterFault measures on the testbed how many requests still reach a target after it started to fail, and how many
 // callers notice.
 func TrafficAfterFault(w io.Writer, o Options) error {
 	duration := 20 * time.Second
@@ -115,9 +115,9 @@
 	if err != nil {
 		return faultResult{}, err
 	}
-	sick := bed.Targets[0]
-	before := len(sick.Standin.Ledger())
-	sick.Standin.SetFaults(fault.faults)
+	failing := bed.Targets[0]
+	before := len(failing.Standin.Ledger())
+	failing.Standin.SetFaults(fault.faults)
 	ejected := make(chan time.Duration, 1)
 	go func() { ejected <- waitEjected(ctx, bed, duration) }()
 	report, err := sendLoad(ctx, bed, faultRate, 0, duration)
@@ -125,7 +125,7 @@
 		return faultResult{}, err
 	}
 	return faultResult{
-		reached: len(sick.Standin.Ledger()) - before,
+		reached: len(failing.Standin.Ledger()) - before,
 		ejected: <-ejected,
 		lookups: report.Sent["lookup"],
 		failed:  failedLookups(report),
