--- a/internal/core/membership/record.go
+++ b/internal/core/membership/record.go
@@ -10,8 +10,8 @@
 
 const (
 	// suspicionPerRound times the rounds of gossip is the time a suspect has to refute: 20 s in a fleet of 540. The
-	// suspicion reaches it within one round per second, and the answer takes as long. Ingresses avoid a node that they cannot reach
-	// at once, so nothing waits for the end of a suspicion.
+	// suspicion reaches it within one round per second, and the answer takes as long. Ingresses avoid a node that they
+	// cannot reach at once, so nothing waits for the end of a suspicion.
 	suspicionPerRound = 2 * time.Second
 	// leavingTime is how long a member is shown as leaving; it has left long before.
 	leavingTime = time.Minute
