lab, core: list the experiments, drop Outcome.Streaming, plainer test comments

Cause: the description of the experiments was shown nowhere and their names stood in two places, Outcome.Streaming was set and never read, the capacity page counted four tables of five, and some test names and comments were figurative (station, word, innocent). Change: an unknown experiment lists all with what they measure, the field is removed, and names and comments are plain. The checks of the tests are the same. Conclusion: no change of behaviour but the error text.

--- a/cmd/jayfold-lab/experiment.go
+++ b/cmd/jayfold-lab/experiment.go
@@ -3,13 +3,14 @@
 import (
 	"fmt"
 	"os"
+	"strings"
 
 	"jayfold.dev/jayfold/internal/lab/experiment"
 )
 
 // experimentCommand runs one experiment.
 type experimentCommand struct {
-	Name  string `arg:"" help:"detection, overload, tables or traffic-after-fault."`
+	Name  string `arg:"" help:"Name of the experiment; an unknown name lists them."`
 	Seed  uint64 `default:"1" help:"Seed of the random numbers."`
 	Short bool   `help:"Run the short form."`
 }
@@ -18,7 +19,16 @@
 func (c *experimentCommand) Run() error {
 	e, ok := experiment.Find(c.Name)
 	if !ok {
-		return fmt.Errorf("no experiment is called %q", c.Name)
+		return fmt.Errorf("no experiment is called %q; want %s", c.Name, experimentNames())
 	}
 	return e.Run(os.Stdout, experiment.Options{Seed: c.Seed, Short: c.Short})
 }
+
+// experimentNames lists the experiments with what each measures.
+func experimentNames() string {
+	names := make([]string, 0, len(experiment.All))
+	for _, e := range experiment.All {
+		names = append(names, e.Name+" ("+e.About+")")
+	}
+	return strings.Join(names, ", ")
+}
--- a/internal/core/admission/attempt_test.go
+++ b/internal/core/admission/attempt_test.go
@@ -145,7 +145,7 @@
 	})
 }
 
-// Guards against an innocent request that is in flight at two crashes because it runs beside the cause twice.
+// Guards against a harmless request that is in flight at two crashes because it runs on a target with the cause twice.
 func TestSuspectsRunOneAtATime(t *testing.T) {
 	is, r := is.New(t), newWarmRig(3)
 	r.suspected = fleet.NewSet[fleet.Fingerprint]('p', 'q')
--- a/internal/core/ejection/world_test.go
+++ b/internal/core/ejection/world_test.go
@@ -267,7 +267,7 @@
 	return ok && w.clock(g.host).Sub(given) < leaseDuration
 }
 
-// standing reports whether target g is healthy and in service by its own sidecar's word, or was when it gave s a promise
+// standing reports whether target g is healthy and in service at its own sidecar, or was when it gave s a promise
 // that still lasts: s cannot know yet of a grantor that has crashed, drained or started to fail since.
 func (w *world) standing(g, s *server) bool {
 	inService := g != s && !w.ejected(g) && w.working(g) && !g.failing
--- a/internal/core/fleet/request.go
+++ b/internal/core/fleet/request.go
@@ -50,8 +50,6 @@
 	Problem Option[Problem]
 	// Took is the time from the start to the end.
 	Took time.Duration
-	// Streaming means that the answer is larger than the buffer and is passed on as it comes.
-	Streaming bool
 	// Crashed means that the target's process died while the attempt ran.
 	Crashed bool
 }
--- a/internal/core/membership/state_test.go
+++ b/internal/core/membership/state_test.go
@@ -312,7 +312,7 @@
 	converged(t, n, time.Minute)
 }
 
-// Guards against new work for a target that is leaving: the word must reach a small fleet within the 3 s of the page.
+// Guards against new work for a target that is leaving: the change must reach a small fleet within 3 s (design page, 1.1).
 func TestLeavingIsKnownAtOnce(t *testing.T) {
 	for name, leave := range map[string]func(State) (State, []effect.Effect){
 		"node leaves":    func(s State) (State, []effect.Effect) { return s.Left() },
--- a/internal/core/node/fuzz_test.go
+++ b/internal/core/node/fuzz_test.go
@@ -21,7 +21,7 @@
 	confirmBound = 300*time.Millisecond + worldTick
 )
 
-// ledger is the oracle: it counts the runs of each request and what its caller was told.
+// ledger is the oracle: it counts the runs of each request and keeps the verdict that its caller got.
 type ledger struct {
 	count   int
 	entries map[fleet.RequestID]*entry
--- a/internal/core/quarantine/state_test.go
+++ b/internal/core/quarantine/state_test.go
@@ -100,7 +100,7 @@
 
 // Guards against a request that crashes one target after the other because no node sees two of its crashes.
 func TestTwoTargetsQuarantineEverywhere(t *testing.T) {
-	t.Run("crashes beside two nodes", func(t *testing.T) {
+	t.Run("crashes on the hosts of two nodes", func(t *testing.T) {
 		is, c := is.New(t), newCluster(3)
 		c.crash("n000", "a", poison)
 		is.Equal(c.holding(poison), 0)
@@ -149,7 +149,7 @@
 		is.Equal(c.holding(poison), 3)
 		is.Equal(c.holding(popular), 0)
 	})
-	t.Run("successes between the crashes, beside another node", func(t *testing.T) {
+	t.Run("successes between the crashes, on another host", func(t *testing.T) {
 		is, c := is.New(t), newCluster(3)
 		c.crash("n000", "a", popular)
 		c.succeed("n001", popular, 3)
@@ -184,7 +184,7 @@
 		c.now = c.now.Add(time.Second)
 		is.Equal(c.holding(poison), 0)
 	})
-	t.Run("told by a reply", func(t *testing.T) {
+	t.Run("reported by a reply", func(t *testing.T) {
 		is, c := is.New(t), newCluster(1)
 		c.states["n000"] = c.states["n000"].Learned(c.now, []fleet.Fingerprint{poison})
 		is.Equal(c.holding(poison), 1)
--- a/internal/edge/caller/exchange.go
+++ b/internal/edge/caller/exchange.go
@@ -131,7 +131,7 @@
 		_ = response.Body.Close()
 	}
 	x.keep(id, answer{response: response, buffered: buffered, whole: whole})
-	outcome := fleet.Outcome{Status: response.StatusCode, Streaming: !whole}
+	outcome := fleet.Outcome{Status: response.StatusCode}
 	if response.StatusCode >= http.StatusInternalServerError {
 		outcome.Problem = fleet.Some(fleet.NewProblem(fleet.TargetFailed, fleet.Ran, response.Status))
 	}
--- a/internal/edge/peer/message_test.go
+++ b/internal/edge/peer/message_test.go
@@ -21,20 +21,20 @@
 // patience bounds the wait for something that is to happen.
 const patience = 10 * time.Second
 
-// station is a messenger with everything it posted and observed.
-type station struct {
+// observedMessenger is a messenger with everything it posted and observed.
+type observedMessenger struct {
 	*Messenger
 	posted   chan event.Body
 	observed chan effect.Effect
 }
 
-func newStation(t *testing.T, name string) station {
+func newObservedMessenger(t *testing.T, name string) observedMessenger {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := station{posted: make(chan event.Body, 1024), observed: make(chan effect.Effect, 1024)}
+	s := observedMessenger{posted: make(chan event.Body, 1024), observed: make(chan effect.Effect, 1024)}
 	self := fleet.Member{Node: fleet.NodeID(name), PeerAddress: listener.Addr().String()}
 	s.Messenger = NewMessenger(self, MessengerSeams{
 		Post:    func(b event.Body) { s.posted <- b },
@@ -48,7 +48,7 @@
 	return s
 }
 
-func (s station) ping(to, address string, sequence uint64) {
+func (s observedMessenger) ping(to, address string, sequence uint64) {
 	s.Send(effect.Send{
 		To:          fleet.NodeID(to),
 		Address:     address,
@@ -81,7 +81,7 @@
 }
 
 // counts fails the test unless the next observation counts the given cause.
-func counts(t *testing.T, s station, cause string) {
+func counts(t *testing.T, s observedMessenger, cause string) {
 	t.Helper()
 	count, ok := receive(t, s.observed).(effect.Count)
 	is.New(t).True(ok)
@@ -89,7 +89,7 @@
 }
 
 func TestMessagesArriveWithTheirEnvelope(t *testing.T) {
-	a, b := newStation(t, "a"), newStation(t, "b")
+	a, b := newObservedMessenger(t, "a"), newObservedMessenger(t, "b")
 	for sequence := range uint64(3) {
 		a.ping("b", b.own, sequence)
 		is.New(t).Equal(receive(t, b.posted), event.MessageReceived{Envelope: message.Envelope{
@@ -102,7 +102,7 @@
 
 // A probe's failure must be known before its timeout when the peer refuses connections.
 func TestUnreachablePeerIsReported(t *testing.T) {
-	a := newStation(t, "a")
+	a := newObservedMessenger(t, "a")
 	a.ping("b", "127.0.0.1:1", 1)
 	is.New(t).Equal(receive(t, a.posted), event.SendFailed{To: "b"})
 	counts(t, a, "Unreachable")
@@ -113,7 +113,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
 	defer func() { _ = listener.Close() }()
-	a := newStation(t, "a")
+	a := newObservedMessenger(t, "a")
 	a.timeouts.call = 50 * time.Millisecond
 	for sequence := range uint64(2 * peerQueueLength) {
 		a.ping("b", listener.Addr().String(), sequence)
@@ -129,7 +129,7 @@
 
 // A peer that restarts on the same address breaks the cached connection; its first message must not be lost for that.
 func TestBrokenCachedConnectionIsReplaced(t *testing.T) {
-	a, b := newStation(t, "a"), newStation(t, "b")
+	a, b := newObservedMessenger(t, "a"), newObservedMessenger(t, "b")
 	a.ping("b", b.own, 1)
 	receive(t, b.posted)
 	eventually(t, func() bool {
@@ -148,7 +148,7 @@
 
 // With 540 peers, connections that are no longer used must not stay open.
 func TestIdleConnectionsAreClosed(t *testing.T) {
-	a, b := newStation(t, "a"), newStation(t, "b")
+	a, b := newObservedMessenger(t, "a"), newObservedMessenger(t, "b")
 	a.timeouts.idle = time.Millisecond
 	a.ping("b", b.own, 1)
 	receive(t, b.posted)
@@ -161,7 +161,7 @@
 
 // An oversized message must end the connection before it takes memory: gob alone accepts 1 GB.
 func TestOversizedMessageEndsTheConnection(t *testing.T) {
-	b := newStation(t, "b")
+	b := newObservedMessenger(t, "b")
 	conn, err := net.Dial("tcp", b.own)
 	is.New(t).NoErr(err)
 	defer func() { _ = conn.Close() }()
@@ -201,7 +201,7 @@
 		"too large":      make([]byte, contentLimit+1),
 	} {
 		t.Run(name, func(t *testing.T) {
-			b := newStation(t, "b")
+			b := newObservedMessenger(t, "b")
 			var out []byte
 			is.New(t).True((&receiver{messenger: b.Messenger}).Deliver(encoded, &out) != nil)
 			counts(t, b, "Undecodable")
--- a/internal/lab/capacity/capacity.go
+++ b/internal/lab/capacity/capacity.go
@@ -4,7 +4,7 @@
 //
 //	err := capacity.Run(ctx, os.Stdout, capacity.DefaultOptions())
 //
-// It prints four text tables: CPU per event of the reducer, memory per member, target and route, encoded bytes per message,
+// It prints five text tables: CPU per event of the reducer, memory per member, target and route, encoded bytes per message,
 // and the control traffic and CPU of nodes that run in this process and talk over loopback. Each row has the measured
 // points, the intercept and the slope of the line, its value at the design size and the residual, so that a reader can
 // judge how far the line can be trusted beyond the measured sizes.
--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -26,7 +26,8 @@
 
 // Experiment is one experiment of the command line.
 type Experiment struct {
-	Name  string
+	Name string
+	// About is what the experiment measures, in a few words.
 	About string
 	Run   func(io.Writer, Options) error
 }
