edge/platform: refuse an order whose claim is there and cannot be read

Cause: when the write of a claim met an existing object and the object could not be read, the claim counted as failed. A failed claim lets the order run without one, so an order that another node had run could run a second time. Change: a claim that is there counts as existing unless it is read and found to be this process's own. A lost answer without a conflict still counts as failed. A test guards against it.

--- a/internal/edge/platform/claim.go
+++ b/internal/edge/platform/claim.go
@@ -64,9 +64,12 @@
 		if !readBack(err) {
 			return fleet.ClaimFailed
 		}
-		found, claim, err := c.readClaim(ctx, e.Name)
+		found, claim, readErr := c.readClaim(ctx, e.Name)
 		switch {
-		case err != nil:
+		case readErr != nil && errors.Is(err, errConflict):
+			// An object is there. Whose it is cannot be read, so the order must not run.
+			return fleet.ClaimExists
+		case readErr != nil:
 			return fleet.ClaimFailed
 		case found.version != 0 && claim.Attempt == string(e.Attempt):
 			return fleet.ClaimCreated
--- a/internal/edge/platform/client_test.go
+++ b/internal/edge/platform/client_test.go
@@ -313,6 +313,20 @@
 		is.New(t).Equal(claim(t, w, "a.1"), fleet.ClaimFailed)
 	})
 
+	t.Run("a claim that is there and cannot be read exists", func(t *testing.T) {
+		w := newWorld(t)
+		is.New(t).Equal(claim(t, w, "a.1"), fleet.ClaimCreated)
+		other := w
+		other.client = w.newClient(transport(func(r *http.Request) (*http.Response, error) {
+			if r.Method == http.MethodGet {
+				return nil, errors.New("the connection broke")
+			}
+			return http.DefaultTransport.RoundTrip(r)
+		}))
+		t.Cleanup(other.client.Close)
+		is.New(t).Equal(claim(t, other, "b.1"), fleet.ClaimExists)
+	})
+
 	t.Run("the release of another attempt leaves the claim", func(t *testing.T) {
 		w := newWorld(t)
 		is.New(t).Equal(claim(t, w, "a.1"), fleet.ClaimCreated)
