core/detection: judge requests that were given up late

Change: a canceled run counts as bad when it had taken longer than the slack allows, and says nothing otherwise. Figures: two new subtests; the first is red without the change.

--- a/internal/core/detection/state.go
+++ b/internal/core/detection/state.go
@@ -31,7 +31,10 @@
 	Class  fleet.Class
 	// Failed means that it failed on the target's side.
 	Failed bool
-	Took   time.Duration
+	// Canceled means that the caller or the ingress gave the request up. It counts only when it had taken too long by
+	// then: a hedge cancels just the requests that a slow target holds.
+	Canceled bool
+	Took     time.Duration
 	// Baseline is the pool's p95 for the class; 0 means not known yet.
 	Baseline time.Duration
 	// FalseEjectionInterval is the pool's setting.
@@ -97,6 +100,9 @@
 
 // Observed takes in a finished request.
 func (s State) Observed(now time.Time, sample Sample) (State, Judgement) {
+	if sample.Canceled && !sample.late() {
+		return s, Undecided
+	}
 	d, _ := s.detectors.Get(sample.Target)
 	d, judgement := d.observed(now, sample)
 	s.detectors = s.detectors.With(sample.Target, d)
@@ -105,7 +111,11 @@
 
 // bad returns the sample's bit. Without a baseline only failures count.
 func (s Sample) bad() bool {
-	return s.Failed || (s.Baseline > 0 && float64(s.Took) > baselineSlack*float64(s.Baseline))
+	return s.Failed || s.late()
+}
+
+func (s Sample) late() bool {
+	return s.Baseline > 0 && float64(s.Took) > baselineSlack*float64(s.Baseline)
 }
 
 // P95 returns the target's own p95 for the class; 0 means not known yet.
--- a/internal/core/detection/state_test.go
+++ b/internal/core/detection/state_test.go
@@ -71,6 +71,16 @@
 		sc.run(100, good)
 		isJudged(t, sc.run(8, slow), Failing, 1)
 	})
+	t.Run("requests that were hedged and given up late are detected within 8", func(t *testing.T) {
+		sc := newScript(apart)
+		sc.run(100, good)
+		isJudged(t, sc.run(8, func(s *Sample) { slow(s); s.Canceled = true }), Failing, 1)
+	})
+	t.Run("requests that were given up early say nothing", func(t *testing.T) {
+		sc := newScript(apart)
+		isJudged(t, sc.run(100, func(s *Sample) { good(s); s.Canceled = true }), Failing, 0)
+		is.New(t).Equal(sc.state.Evidence(target).Judged, 0)
+	})
 	t.Run("a rare class without a baseline is not judged by its time", func(t *testing.T) {
 		sc := newScript(apart)
 		isJudged(t, sc.run(100, func(s *Sample) { s.Class, s.Baseline, s.Took = fleet.Order, 0, time.Minute }), Failing, 0)
--- a/internal/core/node/sidecar.go
+++ b/internal/core/node/sidecar.go
@@ -119,10 +119,11 @@
 // firstServerError is the lowest HTTP status of an answer that counts as a failure of the target.
 const firstServerError = 500
 
-// judge feeds the detector. Cancelled runs and crashes by a quarantined request say nothing of the target.
+// judge feeds the detector. Crashes by a quarantined request say nothing of the target.
 func (s State) judge(ev event.Event, run admission.Run, outcome fleet.Outcome) (State, []effect.Effect) {
 	problem, failed := outcome.Problem.Get()
-	if problem.Cause == fleet.Canceled || s.quarantine.Has(ev.At, run.Attempt.Fingerprint) {
+	canceled := problem.Cause == fleet.Canceled
+	if s.quarantine.Has(ev.At, run.Attempt.Fingerprint) {
 		return s, nil
 	}
 	pool, _ := s.tables.Current().Pool(run.Attempt.Pool)
@@ -130,7 +131,8 @@
 	next, judgement := s.detection.Observed(ev.At, detection.Sample{
 		Target:                target,
 		Class:                 run.Attempt.Class,
-		Failed:                failed || outcome.Status >= firstServerError,
+		Failed:                !canceled && (failed || outcome.Status >= firstServerError),
+		Canceled:              canceled,
 		Took:                  outcome.Took,
 		Baseline:              run.Attempt.Baseline,
 		FalseEjectionInterval: pool.FalseEjectionInterval,
--- a/internal/edge/peer/forwardreplay.go
+++ b/internal/edge/peer/forwardreplay.go
@@ -83,10 +83,9 @@
 	return r.ResponseWriter.Write(p)
 }
 
-// whole returns the answer when all of it was passed on and is small enough to be kept.
-func (r *recorder) whole() (keptAnswer, bool) {
-	ended := r.Header().Get(http.TrailerPrefix+headerVerdict) == fleet.Ran.String()
-	if !ended || r.large {
+// answer returns what was passed on so far, unless it is too large to be kept.
+func (r *recorder) answer() (keptAnswer, bool) {
+	if r.large {
 		return keptAnswer{}, false
 	}
 	return keptAnswer{status: r.status, header: maps.Clone(r.Header()), body: r.body.Bytes()}, true
@@ -95,16 +94,17 @@
 // Replay carries out effect.Replay. It does not block.
 func (s *Sidecar) Replay(e effect.Replay) { s.deliver(e.Attempt, e) }
 
-// runKeyed runs an attempt, and keeps the answer when it has an idempotency key.
-func (s *Sidecar) runKeyed(w http.ResponseWriter, r *http.Request, run effect.Run, effects chan effect.Effect) {
-	if run.Attempt.Key == "" {
-		s.run(w, r, run, effects)
-		return
+// recordKeyed returns the writer for an attempt's answer and the function that keeps the whole answer of an order with an
+// idempotency key. It is called before the order counts as answered, so that a resend finds the answer.
+func (s *Sidecar) recordKeyed(w http.ResponseWriter, attempt fleet.Attempt) (http.ResponseWriter, func()) {
+	if attempt.Key == "" {
+		return w, func() {}
 	}
 	recording := &recorder{ResponseWriter: w}
-	s.run(recording, r, run, effects)
-	if answer, ok := recording.whole(); ok {
-		s.answers.keep(run.Attempt.ID, answer)
+	return recording, func() {
+		if answer, ok := recording.answer(); ok {
+			s.answers.keep(attempt.ID, answer)
+		}
 	}
 }
 
@@ -119,5 +119,7 @@
 	maps.Copy(w.Header(), answer.header)
 	w.Header().Set(headerAttempt, string(e.Attempt))
 	w.WriteHeader(answer.status)
-	_, _ = w.Write(answer.body)
+	if _, err := w.Write(answer.body); err == nil {
+		w.Header().Set(http.TrailerPrefix+headerVerdict, fleet.Ran.String())
+	}
 }
--- a/internal/edge/peer/forwardrun.go
+++ b/internal/edge/peer/forwardrun.go
@@ -25,6 +25,8 @@
 	ctx     context.Context
 	started time.Time
 	reports <-chan effect.ReportRun
+	// keep keeps the whole answer of an order with an idempotency key.
+	keep func()
 }
 
 // finish posts how the run ended and returns the report that goes with the answer.
@@ -100,6 +102,7 @@
 	if err != nil {
 		f.cut(outcome, err)
 	}
+	f.keep()
 	f.complete(header, http.TrailerPrefix, f.finish(outcome))
 }
 
--- a/internal/edge/peer/forwardsidecar.go
+++ b/internal/edge/peer/forwardsidecar.go
@@ -167,7 +167,7 @@
 		case e := <-effects:
 			switch e := e.(type) {
 			case effect.Run:
-				s.runKeyed(w, r, e, effects)
+				s.run(w, r, e, effects)
 				return
 			case effect.Replay:
 				s.replay(w, e)
@@ -203,7 +203,8 @@
 	done := make(chan struct{})
 	defer close(done)
 	go watch(effects, cancel, reports, done)
-	running := forwardRun{seams: s.seams, run: run, ctx: ctx, started: s.seams.Now(), reports: reports}
+	w, keep := s.recordKeyed(w, run.Attempt)
+	running := forwardRun{seams: s.seams, run: run, ctx: ctx, started: s.seams.Now(), reports: reports, keep: keep}
 	if ctx.Err() != nil {
 		running.failed(w, fleet.NewProblem(fleet.Canceled, fleet.NotRun, "the attempt was canceled before it started"))
 		return
