core/orders: refuse an order that another home may have run

Weighed: refusing every keyed order in an outage, which stops order taking for hours. Change: an order that cannot be claimed runs only on a target that has been there for Retention and outranks every target that was there since; any other is refused with MayHaveRun.

--- a/internal/core/attempt/choice.go
+++ b/internal/core/attempt/choice.go
@@ -1,11 +1,8 @@
 package attempt
 
 import (
-	"encoding/binary"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
-
 	"jayfold.dev/jayfold/internal/core/fleet"
 )
 
@@ -179,17 +176,10 @@
 	best := -1
 	var highest uint64
 	for i := range c.candidates {
-		score := homeScore(c.flight.template.Key, c.candidates[i].Target.ID)
+		score := fleet.HomeScore(c.flight.template.Key, c.candidates[i].Target.ID)
 		if (best < 0 || score > highest) && allowed(i) {
 			best, highest = i, score
 		}
 	}
 	return best
 }
-
-func homeScore(key fleet.IdempotencyKey, target fleet.TargetID) uint64 {
-	var sums [16]byte
-	binary.BigEndian.PutUint64(sums[:8], xxhash.Sum64String(string(key)))
-	binary.BigEndian.PutUint64(sums[8:], xxhash.Sum64String(string(target)))
-	return xxhash.Sum64(sums[:])
-}
--- a/internal/core/node/clock.go
+++ b/internal/core/node/clock.go
@@ -16,7 +16,7 @@
 	s, suspicions := s.tickQuarantine(ev)
 	s = s.publishTargets(ev)
 	s.membership, membership = s.membership.Tick(ev.At, ev.Random)
-	s.orders, orders = s.orders.Tick(ev.At)
+	s.orders, orders = s.orders.Tick(ev.At, s.membership.Directory(), s.membership.Self().Targets)
 	s.tables, tables = s.tables.Tick(ev.At, ev.Random)
 	s.shutdown, stop = s.shutdown.tick(ev.At, s.attempts.InFlight()+s.admission.InFlight())
 	effects := append(attempts, s.completeReports(ev.At, admission)...)
--- a/internal/core/orders/admission.go
+++ b/internal/core/orders/admission.go
@@ -41,7 +41,7 @@
 	left, allowed := s.budget.take(now)
 	s.budget = left
 	if !allowed {
-		return s.start(name, r, attempt)
+		return s.unclaimed(now, name, r)
 	}
 	r.phase = claiming
 	s.waiting = s.waiting.With(attempt.ID, name)
@@ -72,8 +72,19 @@
 		return s.withRecord(name, r), refuse(r.attempt, fleet.MayHaveRun, "the order was sent to another node before")
 	default:
 		s.budget = s.budget.failed(now)
+		return s.unclaimed(now, name, r)
+	}
+}
+
+// unclaimed starts an order without a claim when no other target can have run it, and refuses it otherwise. It is
+// forgotten then, since it did not run here.
+func (s State) unclaimed(now time.Time, name string, r record) (State, Step) {
+	v, _ := s.pools.Get(r.attempt.Pool)
+	if v.settled(now, r.attempt) {
 		return s.start(name, r, r.attempt)
 	}
+	s.records = s.records.Without(name)
+	return s, refuse(r.attempt, fleet.MayHaveRun, "the platform does not answer, and another target may have run the order")
 }
 
 // Canceled ends an attempt that still waits for its claim. It reports whether there was one.
--- a/internal/core/orders/expiry.go
+++ b/internal/core/orders/expiry.go
@@ -4,13 +4,16 @@
 	"time"
 
 	"jayfold.dev/jayfold/internal/core/effect"
+	"jayfold.dev/jayfold/internal/core/fleet"
 )
 
 // sweepInterval is the time between two searches for expired records.
 const sweepInterval = 10 * time.Second
 
-// Tick forgets orders that were not sent for Retention, and gives their claims back.
-func (s State) Tick(now time.Time) (State, []effect.Effect) {
+// Tick watches the pools of the targets on this host, forgets orders that were not sent for Retention, and gives their
+// claims back.
+func (s State) Tick(now time.Time, directory fleet.Directory, local []fleet.Target) (State, []effect.Effect) {
+	s = s.watched(now, directory, local)
 	if now.Sub(s.swept) < sweepInterval {
 		return s, nil
 	}
--- a/internal/core/orders/state.go
+++ b/internal/core/orders/state.go
@@ -13,10 +13,14 @@
 //
 // # What is promised
 //
-// While the home's sidecar lives, an order with a key runs at most once within Retention, and a resend gets the first
+// Within Retention an order with a key runs at most once, and while its home's process lives a resend gets the first
 // answer. When the home changes, the claim on the platform makes the new home refuse the resend with the verdict
-// MayHaveRun. Not covered: an order that is sent first during an outage of the platform, or beyond the claim budget, and sent
-// again after its home's node died; a resend after Retention; an order without a key.
+// MayHaveRun. An order that cannot be claimed, in an outage of the platform or beyond the claim budget, runs only on a
+// target that has been there for Retention and outranks every target that was there since; any other is refused with
+// MayHaveRun.
+//
+// Not covered: a resend after Retention; an order without a key; a home whose view of the fleet lacks, because of a
+// partition, a target that ran the order without a claim.
 package orders
 
 import (
@@ -40,7 +44,9 @@
 	waiting fleet.Map[fleet.AttemptID, string]
 	// started gives the order's name for each attempt that was handed to admission and has not ended.
 	started fleet.Map[fleet.AttemptID, string]
-	budget  budget
+	// pools is how the pools with targets on this host changed.
+	pools  fleet.Map[fleet.PoolName, view]
+	budget budget
 	// swept is when expired records were last dropped.
 	swept time.Time
 }
--- a/internal/core/orders/state_test.go
+++ b/internal/core/orders/state_test.go
@@ -1,6 +1,7 @@
 package orders
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -13,7 +14,7 @@
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 func order(id fleet.AttemptID, caller fleet.Caller) fleet.Attempt {
-	return fleet.Attempt{ID: id, Target: "n/t", Class: fleet.Order, Caller: caller, Key: "k", Fingerprint: 7}
+	return fleet.Attempt{ID: id, Target: "n/t", Pool: "p", Class: fleet.Order, Caller: caller, Key: "k", Fingerprint: 7}
 }
 
 func assertAdmitted(is *is.I, step Step, id fleet.AttemptID) {
@@ -101,14 +102,63 @@
 		_, step := started(is).Asked(start, order("b.1", "clinic"))
 		is.Equal(step.Effects, []effect.Effect{effect.ClaimOrder{Name: "clinic/k", Attempt: "b.1"}})
 	})
-	t.Run("platform outage", func(t *testing.T) {
-		is := is.New(t)
-		s, _ := New("n").Asked(start, order("a.1", "club"))
-		s, step := s.Claimed(start, "a.1", fleet.ClaimFailed)
-		assertAdmitted(is, step, "a.1")
-		_, step = s.Asked(start, order("b.1", "clinic"))
-		assertAdmitted(is, step, "b.1")
+}
+
+// TestUnclaimed guards against an order that runs on a second home while the platform does not answer, and against a
+// platform outage that stops all orders.
+func TestUnclaimed(t *testing.T) {
+	later := start.Add(Retention)
+	// failing returns the state after the claim on an order failed, for a pool that changed from before to after.
+	failing := func(now time.Time, before, after []fleet.TargetID) (State, Step) {
+		local := []fleet.Target{{ID: "n/t", Pool: "p"}}
+		s, _ := New("n").Tick(start, directory(before), local)
+		s, _ = s.Tick(now, directory(after), local)
+		s, _ = s.Asked(now, order("a.1", "club"))
+		return s.Claimed(now, "a.1", fleet.ClaimFailed)
+	}
+	alone := []fleet.TargetID{"n/t"}
+	higher := []fleet.TargetID{"n/t", outranking("n/t")}
+
+	t.Run("the settled home runs it", func(t *testing.T) {
+		_, step := failing(later, alone, alone)
+		assertAdmitted(is.New(t), step, "a.1")
+	})
+	t.Run("and the next one without asking the platform", func(t *testing.T) {
+		s, _ := failing(later, alone, alone)
+		_, step := s.Asked(later, order("b.1", "clinic"))
+		assertAdmitted(is.New(t), step, "b.1")
+	})
+	t.Run("a process that has just started refuses it", func(t *testing.T) {
+		_, step := failing(later.Add(-time.Second), alone, alone)
+		assertRefused(is.New(t), step, fleet.MayHaveRun)
 	})
+	t.Run("a target that is not the home refuses it", func(t *testing.T) {
+		_, step := failing(later, higher, higher)
+		assertRefused(is.New(t), step, fleet.MayHaveRun)
+	})
+	t.Run("the next home refuses it after the first one was lost", func(t *testing.T) {
+		s, step := failing(later, higher, alone)
+		assertRefused(is.New(t), step, fleet.MayHaveRun)
+		is.New(t).Equal(s.Len(), 0)
+	})
+}
+
+func directory(targets []fleet.TargetID) fleet.Directory {
+	candidates := make([]fleet.Candidate, 0, len(targets))
+	for _, id := range targets {
+		candidates = append(candidates, fleet.Candidate{Target: fleet.Target{ID: id, Pool: "p"}})
+	}
+	return fleet.Directory{}.WithPool("p", candidates)
+}
+
+// outranking returns a target that is the home of the order's key in preference to another one.
+func outranking(other fleet.TargetID) fleet.TargetID {
+	for i := 0; ; i++ {
+		id := fleet.NewTargetID("m", strconv.Itoa(i))
+		if fleet.HomeScore("k", id) > fleet.HomeScore("k", other) {
+			return id
+		}
+	}
 }
 
 // TestExpiry guards against keys that are kept for ever, and against the expiry of an order that still runs.
@@ -116,13 +166,13 @@
 	t.Run("an answered order", func(t *testing.T) {
 		is := is.New(t)
 		s, _ := started(is).Finished("a.1", fleet.Outcome{Status: 201})
-		s, effects := s.Tick(start.Add(Retention))
+		s, effects := s.Tick(start.Add(Retention), fleet.Directory{}, nil)
 		is.Equal(s.Len(), 0)
 		is.Equal(effects, []effect.Effect{effect.ReleaseOrder{Name: "club/k", Attempt: "a.1"}})
 	})
 	t.Run("a running order", func(t *testing.T) {
 		is := is.New(t)
-		s, _ := started(is).Tick(start.Add(Retention))
+		s, _ := started(is).Tick(start.Add(Retention), fleet.Directory{}, nil)
 		is.Equal(s.Len(), 1)
 	})
 }
