core/node: stop only after the last caller's connection is closed

Reading: the node counted the listener as closed when it asked for that, so that on a busy machine it could stop first and cut off a request that came in between. The overloaded run was not reproduced.

--- a/internal/core/effect/effect.go
+++ b/internal/core/effect/effect.go
@@ -84,7 +84,7 @@
 	Tables fleet.Tables
 }
 
-// CloseCallers takes no new request of callers; those in flight finish.
+// CloseCallers takes no new request of callers; those in flight finish. Event: event.CallersClosed.
 type CloseCallers struct{}
 
 // Stop ends the process: nothing is in flight any more.
--- a/internal/core/event/event.go
+++ b/internal/core/event/event.go
@@ -34,6 +34,10 @@
 // ShutdownStarted says that the process was asked to stop.
 type ShutdownStarted struct{}
 
+// CallersClosed answers effect.CloseCallers: the listener is closed and the last answer is written.
+type CallersClosed struct{}
+
+func (CallersClosed) isBody()   {}
 func (Tick) isBody()            {}
 func (RequestsDue) isBody()     {}
 func (ShutdownStarted) isBody() {}
--- a/internal/core/node/shutdown.go
+++ b/internal/core/node/shutdown.go
@@ -14,7 +14,9 @@
 // shutdown is a graceful stop in progress.
 type shutdown struct {
 	started time.Time
+	// closing means that the callers' listener was told to close, closed that all requests of callers have ended since.
 	closing bool
+	closed  bool
 	stopped bool
 }
 
@@ -35,6 +37,12 @@
 	return s, append(effects, left...)
 }
 
+// callersClosed takes in that no request of a caller can come any more.
+func (sd shutdown) callersClosed() shutdown {
+	sd.closed = true
+	return sd
+}
+
 // tick closes the callers' listener when the grace is over, and stops the process once nothing is in flight.
 func (sd shutdown) tick(now time.Time, inFlight int) (shutdown, []effect.Effect) {
 	switch {
@@ -43,7 +51,7 @@
 	case !sd.closing:
 		sd.closing = true
 		return sd, []effect.Effect{effect.CloseCallers{}}
-	case inFlight > 0:
+	case !sd.closed || inFlight > 0:
 		return sd, nil
 	default:
 		sd.stopped = true
--- /dev/null
+++ b/internal/core/node/shutdown_test.go
@@ -0,0 +1,47 @@
+package node
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jayfold.dev/jayfold/internal/core/effect"
+	"jayfold.dev/jayfold/internal/core/event"
+	"jayfold.dev/jayfold/internal/core/fleet"
+)
+
+// leaving reduces events of a node that is asked to stop, each a second after the one before.
+func leaving(bodies ...event.Body) []effect.Effect {
+	state := New(fleet.Member{Node: "n"})
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	var last []effect.Effect
+	for _, body := range append([]event.Body{event.ShutdownStarted{}}, bodies...) {
+		state, last = state.Reduce(event.Event{At: now, Body: body})
+		now = now.Add(time.Second)
+	}
+	return last
+}
+
+func has(is *is.I, effects []effect.Effect, want effect.Effect, present bool) {
+	is.Helper()
+	is.Equal(slices.Contains(effects, want), present)
+}
+
+// TestShutdown guards against a node that stops while a caller can still send a request, whose attempt is then cut off.
+func TestShutdown(t *testing.T) {
+	t.Run("the listener stays open during the grace", func(t *testing.T) {
+		has(is.New(t), leaving(event.Tick{}), effect.CloseCallers{}, false)
+	})
+	t.Run("and closes after it", func(t *testing.T) {
+		has(is.New(t), leaving(event.Tick{}, event.Tick{}), effect.CloseCallers{}, true)
+	})
+	t.Run("the node waits for the last caller", func(t *testing.T) {
+		has(is.New(t), leaving(event.Tick{}, event.Tick{}, event.Tick{}, event.Tick{}), effect.Stop{}, false)
+	})
+	t.Run("and stops then", func(t *testing.T) {
+		stopped := leaving(event.Tick{}, event.Tick{}, event.CallersClosed{}, event.Tick{})
+		has(is.New(t), stopped, effect.Stop{}, true)
+	})
+}
--- a/internal/core/node/state.go
+++ b/internal/core/node/state.go
@@ -89,6 +89,9 @@
 		return s.requestsDue(ev)
 	case event.ShutdownStarted:
 		return s.shutdownStarted(ev)
+	case event.CallersClosed:
+		s.shutdown = s.shutdown.callersClosed()
+		return s, nil
 	case event.RequestArrived:
 		return s.requestArrived(ev, body)
 	case event.RequestCanceled:
--- a/internal/process/node/dispatch.go
+++ b/internal/process/node/dispatch.go
@@ -97,6 +97,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
 	_ = d.callers.Shutdown(ctx)
+	d.post(event.CallersClosed{})
 }
 
 // knownPool reports whether the tables in force have a pool. A node without tables knows none and accepts any.
