--- a/internal/core/node/sidecar.go
+++ b/internal/core/node/sidecar.go
@@ -13,23 +13,25 @@
 )
 
 func (s State) ejectionContext(ev event.Event) ejection.Context {
+	members, detectors := s.membership, s.detection
 	return ejection.Context{
 		Now:         ev.At,
 		Random:      ev.Random,
 		Tables:      s.tables.Current(),
 		Directory:   s.membership.Directory(),
 		Local:       s.admission.Targets(),
-		PeerAddress: s.membership.PeerAddress,
-		Evidence:    s.detection.Evidence,
+		PeerAddress: members.PeerAddress,
+		Evidence:    detectors.Evidence,
 	}
 }
 
 func (s State) admissionContext(ev event.Event) admission.Context {
+	ejected, quarantined := s.ejection, s.quarantine
 	return admission.Context{
 		Now:         ev.At,
-		Gate:        func(id fleet.TargetID) admission.Gate { return s.ejection.Gate(ev.At, id) },
-		Quarantined: func(f fleet.Fingerprint) bool { return s.quarantine.Has(ev.At, f) },
-		Suspected:   func(f fleet.Fingerprint) bool { return s.quarantine.Suspected(ev.At, f) },
+		Gate:        func(id fleet.TargetID) admission.Gate { return ejected.Gate(ev.At, id) },
+		Quarantined: func(f fleet.Fingerprint) bool { return quarantined.Has(ev.At, f) },
+		Suspected:   func(f fleet.Fingerprint) bool { return quarantined.Suspected(ev.At, f) },
 	}
 }
 
@@ -119,10 +121,11 @@
 // firstServerError is the lowest HTTP status of an answer that counts as a failure of the target.
 const firstServerError = 500
 
-// judge feeds the detector. Cancelled runs and crashes by a quarantined request say nothing of the target.
+// judge feeds the detector. Crashes by a quarantined request say nothing of the target.
 func (s State) judge(ev event.Event, run admission.Run, outcome fleet.Outcome) (State, []effect.Effect) {
 	problem, failed := outcome.Problem.Get()
-	if problem.Cause == fleet.Canceled || s.quarantine.Has(ev.At, run.Attempt.Fingerprint) {
+	canceled := problem.Cause == fleet.Canceled
+	if s.quarantine.Has(ev.At, run.Attempt.Fingerprint) {
 		return s, nil
 	}
 	pool, _ := s.tables.Current().Pool(run.Attempt.Pool)
@@ -130,7 +133,8 @@
 	next, judgement := s.detection.Observed(ev.At, detection.Sample{
 		Target:                target,
 		Class:                 run.Attempt.Class,
-		Failed:                failed || outcome.Status >= firstServerError,
+		Failed:                !canceled && (failed || outcome.Status >= firstServerError),
+		Canceled:              canceled,
 		Took:                  outcome.Took,
 		Baseline:              run.Attempt.Baseline,
 		FalseEjectionInterval: pool.FalseEjectionInterval,
