test/scenario: say which node owns a target in plain words

Cause: comments and a variable used beside for the node of a target. Change: the usual words; the checks are the same. Conclusion: no change of behaviour.

--- a/test/scenario/order_test.go
+++ b/test/scenario/order_test.go
@@ -120,7 +120,7 @@
 	return count
 }
 
-// home sets HOME_NODE to the node beside the target that answered an order, and OTHER to the address for callers of another
+// home sets HOME_NODE to the node of the target that answered an order, and OTHER to the address for callers of another
 // node that runs.
 func home(ts *testscript.TestScript, _ bool, args []string) {
 	if len(args) != 1 {
@@ -130,10 +130,10 @@
 	ts.Check(json.Unmarshal([]byte(ts.ReadFile(args[0]+".body")), &answer))
 	number, err := strconv.Atoi(strings.TrimPrefix(answer.Target, "t"))
 	ts.Check(err)
-	beside := (number-1)%nodes + 1
-	ts.Setenv("HOME_NODE", fmt.Sprintf("n%d", beside))
+	owner := (number-1)%nodes + 1
+	ts.Setenv("HOME_NODE", fmt.Sprintf("n%d", owner))
 	for n := 1; n <= nodes; n++ {
-		if n != beside && runsNow(held(ts).running[fmt.Sprintf("n%d", n)]) {
+		if n != owner && runsNow(held(ts).running[fmt.Sprintf("n%d", n)]) {
 			ts.Setenv("OTHER", "http://"+ts.Getenv(fmt.Sprintf("CALLERS%d", n)))
 			return
 		}
--- a/test/scenario/scenario_test.go
+++ b/test/scenario/scenario_test.go
@@ -16,7 +16,7 @@
 //	order NAME URL BODY [HEADER=VALUE...]  send a POST once, in the background
 //	answered NAME STATUS VERDICT  check the answer to an order and write it to NAME.body; noted NAME only shows it
 //	runs TOKEN NUMBER             wait until the ledgers show that many runs of a token; more fail at once
-//	home NAME                     set HOME_NODE to the node beside an order's target, OTHER to the URL of another one
+//	home NAME                     set HOME_NODE to the node of an order's target, OTHER to the URL of another one
 //	exits CODE COMMAND ARGS...    run a command, which must end with an exit code
 //	raced NAME NAME               wait for two processes, of which one ends with 0 and one with 3; set WINNER and LOSER
 //	untilwrite NAME COMMAND ARGS...  start a process and wait until the platform counts a write
--- a/test/scenario/setup_test.go
+++ b/test/scenario/setup_test.go
@@ -139,7 +139,7 @@
 	}
 }
 
-// startTarget starts the nth target beside the node that it belongs to.
+// startTarget starts the nth target and announces it to its node.
 func startTarget(ts *testscript.TestScript, n int, serviceTime string) {
 	name := fmt.Sprintf("t%d", n)
 	start(ts, false, []string{
