edge/peer: count the headers of kept answers

Change: the bound counts headers and a fixed overhead per answer; the field is gone. Conclusion: at most 8 MB, about 16,000 answers, are kept.

--- a/internal/core/event/target.go
+++ b/internal/core/event/target.go
@@ -15,8 +15,6 @@
 // AdmissionAsked says that an ingress asks to run an attempt on a target of this host.
 type AdmissionAsked struct {
 	Attempt fleet.Attempt
-	// From is the ingress.
-	From fleet.NodeID
 }
 
 // AdmissionCanceled says that the ingress gave up an attempt, or that its connection broke.
--- a/internal/core/node/orders.go
+++ b/internal/core/node/orders.go
@@ -27,7 +27,7 @@
 	if !ok {
 		return s, s.completeReports(ev.At, step.Effects)
 	}
-	s, effects := s.admissionAsked(ev, event.AdmissionAsked{Attempt: attempt, From: attempt.Node})
+	s, effects := s.admissionAsked(ev, event.AdmissionAsked{Attempt: attempt})
 	return s, append(step.Effects, effects...)
 }
 
--- a/internal/core/node/reduce_bench_test.go
+++ b/internal/core/node/reduce_bench_test.go
@@ -107,7 +107,7 @@
 // attempt has one attempt of another ingress run on a target of this host.
 func (r *runner) attempt(i int) {
 	id := fleet.AttemptID(fmt.Sprintf("%016x%010d.1", uint64(i)*0x9e3779b97f4a7c15, i))
-	r.reduce(event.AdmissionAsked{From: "node-001", Attempt: fleet.Attempt{
+	r.reduce(event.AdmissionAsked{Attempt: fleet.Attempt{
 		ID: id, Target: "node-000/t00", Pool: designPool(0), Deadline: r.now.Add(time.Second),
 		Baseline: 5 * time.Millisecond, Fingerprint: fleet.Fingerprint(i),
 	}})
--- a/internal/core/node/traffic_test.go
+++ b/internal/core/node/traffic_test.go
@@ -104,7 +104,7 @@
 		return
 	}
 	s.to.handlers[s.attempt.ID] = &handler{stream: s, life: life}
-	w.post(s.to, life, event.AdmissionAsked{Attempt: s.attempt, From: s.from.id})
+	w.post(s.to, life, event.AdmissionAsked{Attempt: s.attempt})
 }
 
 // serve carries out the effects of the sidecar.
--- a/internal/edge/peer/forwardreplay.go
+++ b/internal/edge/peer/forwardreplay.go
@@ -13,8 +13,10 @@
 const (
 	// maxKeptAnswer is the size of the largest answer to a keyed order that is kept, in bytes.
 	maxKeptAnswer = 64 << 10
-	// maxKeptAnswers bounds the bodies of all kept answers of a node, in bytes. The oldest are dropped first.
+	// maxKeptAnswers bounds all kept answers of a node, in bytes. The oldest are dropped first.
 	maxKeptAnswers = 8 << 20
+	// keptOverhead is counted for an answer beside its headers and body, in bytes.
+	keptOverhead = 512
 )
 
 // keptAnswer is the whole answer of a target to a keyed order.
@@ -24,6 +26,18 @@
 	body   []byte
 }
 
+// size returns about how much memory the answer takes, in bytes.
+func (a keptAnswer) size() int {
+	size := keptOverhead + len(a.body)
+	for name, values := range a.header {
+		size += len(name)
+		for _, value := range values {
+			size += len(value)
+		}
+	}
+	return size
+}
+
 // keptAnswers holds the answers to keyed orders, so that an order sent again gets the first one.
 type keptAnswers struct {
 	mu      sync.Mutex
@@ -41,11 +55,11 @@
 	defer k.mu.Unlock()
 	k.answers[id] = answer
 	k.order = append(k.order, id)
-	k.size += len(answer.body)
+	k.size += answer.size()
 	for k.size > maxKeptAnswers {
 		oldest := k.order[0]
 		k.order = k.order[1:]
-		k.size -= len(k.answers[oldest].body)
+		k.size -= k.answers[oldest].size()
 		delete(k.answers, oldest)
 	}
 }
--- a/internal/edge/peer/forwardsidecar.go
+++ b/internal/edge/peer/forwardsidecar.go
@@ -153,7 +153,7 @@
 		return
 	}
 	defer s.unregister(wire.Attempt.ID, effects)
-	s.seams.Post(event.AdmissionAsked{Attempt: wire.Attempt, From: wire.From})
+	s.seams.Post(event.AdmissionAsked{Attempt: wire.Attempt})
 	s.serve(w, r, wire.Attempt, effects)
 }
 
--- a/internal/lab/capacity/reducer.go
+++ b/internal/lab/capacity/reducer.go
@@ -103,7 +103,7 @@
 		ID: fleet.NewAttemptID(fleet.RequestID(id), 1), Target: t.ID, Pool: t.Pool, Deadline: s.now.Add(time.Second),
 		Baseline: 5 * time.Millisecond, Fingerprint: fleet.Fingerprint(i),
 	}
-	s.reduce(event.AdmissionAsked{From: s.peers[0].Node, Attempt: attempt})
+	s.reduce(event.AdmissionAsked{Attempt: attempt})
 	s.reduce(event.RunFinished{Attempt: attempt.ID, Outcome: fleet.Outcome{Status: 200, Took: 4 * time.Millisecond}})
 	return 2
 }
