lab/experiment: show after which time an answer counts as late

Cause: the table of traffic-after-fault did not show the limit that its column late rests on. Change: the limit is a column.

--- a/internal/lab/experiment/traffic.go
+++ b/internal/lab/experiment/traffic.go
@@ -53,6 +53,8 @@
 	lookups int
 	failed  int
 	late    int
+	// limit is the time after which an answer is late.
+	limit time.Duration
 }
 
 // TrafficAfterFault measures on the testbed how many requests still reach a target after it started to fail, and how many
@@ -64,7 +66,7 @@
 	}
 	fmt.Fprintf(w, "traffic-after-fault, seed %d, %v lookups/s to 6 targets, %v per fault\n\n", o.Seed, faultRate, duration)
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "setting\tfault\tejected after\treached the target\tlookups\tfailed\tlate\tnoticed\t")
+	fmt.Fprintln(table, "setting\tfault\tejected after\treached the target\tlookups\tfailed\tlate\tlate after\tnoticed\t")
 	total, noticed := 0, 0
 	for _, setting := range deploymentSettings {
 		for _, fault := range grayFaults {
@@ -74,8 +76,8 @@
 			}
 			total += result.lookups
 			noticed += result.failed + result.late
-			fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%d\t%d\t%d\t%.2f%%\t\n", setting.name, fault.name, result.ejectedText(),
-				result.reached, result.lookups, result.failed, result.late,
+			fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%d\t%d\t%d\t%v\t%.2f%%\t\n", setting.name, fault.name, result.ejectedText(),
+				result.reached, result.lookups, result.failed, result.late, result.limit.Round(time.Millisecond),
 				100*float64(result.failed+result.late)/float64(result.lookups))
 		}
 	}
@@ -124,12 +126,14 @@
 	if err != nil {
 		return faultResult{}, err
 	}
+	limit := noticedFactor * lookupQuantile(healthy, 99)
 	return faultResult{
+		limit:   limit,
 		reached: len(failing.Standin.Ledger()) - before,
 		ejected: <-ejected,
 		lookups: report.Sent["lookup"],
 		failed:  failedLookups(report),
-		late:    later(report, noticedFactor*lookupQuantile(healthy, 99)),
+		late:    later(report, limit),
 	}, nil
 }
 
