lab/experiment: fail when a run breaks a guarantee

Cause: the experiments read the ledgers but checked nothing of them. Change: a broken guarantee is an error of the experiment.

--- a/internal/lab/experiment/site.go
+++ b/internal/lab/experiment/site.go
@@ -60,7 +60,7 @@
 	}
 }
 
-// sendLoad sends requests to all nodes of a site. It returns an error when a ledger cannot be read, since the orders are then
+// sendLoad sends requests to all nodes of a site. It returns an error when a guarantee was broken.
 // not checked.
 func sendLoad(ctx context.Context, bed *testbed.Testbed, rate, orders float64, duration time.Duration) (load.Report, error) {
 	settings := load.Settings{
@@ -78,10 +78,16 @@
 		settings.Ledgers = append(settings.Ledgers, "http://"+t.Standin.Address())
 	}
 	report, err := load.New(settings, load.NewSeams()).Run(ctx)
-	if err == nil && report.Orders.Missing > 0 {
-		err = fmt.Errorf("experiment: %d ledgers of targets could not be read", report.Orders.Missing)
+	if err != nil {
+		return report, err
+	}
+	if report.Orders.Missing > 0 {
+		return report, fmt.Errorf("experiment: %d ledgers of targets could not be read", report.Orders.Missing)
+	}
+	if breaches := report.Breaches(); len(breaches) > 0 {
+		return report, fmt.Errorf("experiment: guarantees broken: %s", strings.Join(breaches, "; "))
 	}
-	return report, err
+	return report, nil
 }
 
 // later counts the whole answers to lookups that took longer than limit.
