--- /dev/null
+++ b/internal/edge/target/announcement_test.go
@@ -0,0 +1,34 @@
+package target
+
+import (
+	"bytes"
+	"net/netip"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"jayfold.dev/jayfold/internal/core/fleet"
+)
+
+// FuzzAnnouncement guards against an announcement that panics the decoder or passes the checks with values that admission
+// cannot work with.
+func FuzzAnnouncement(f *testing.F) {
+	f.Add([]byte(`{"Pool": "p", "Address": "127.0.0.1:80", "Slots": 4, "Connections": 300, "State": "Ready", "Instance": "a"}`))
+	f.Add([]byte(`{"Pool": "p", "Address": "10.0.0.1:80", "Slots": -1, "State": "Draining"}`))
+	f.Add([]byte(`{"Slots": 1e9}`))
+	f.Add([]byte(`[`))
+	host := netip.MustParseAddr("127.0.0.1")
+	known := func(fleet.PoolName) bool { return true }
+	f.Fuzz(func(t *testing.T, body []byte) {
+		wire, err := decodeAnnouncement(bytes.NewReader(body))
+		if err != nil || len(wire.faults(host, known)) > 0 {
+			return
+		}
+		is := is.New(t)
+		a := wire.announcement("t")
+		is.True(a.Slots > 0)
+		is.True(a.Connections > 0)
+		_, err = netip.ParseAddrPort(a.Address)
+		is.NoErr(err)
+	})
+}
