--- a/cmd/jayfold/node.go
+++ b/cmd/jayfold/node.go
@@ -1,10 +1,7 @@
 package main
 
 import (
-	"context"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/apex/log/handlers/logfmt"
 
@@ -23,19 +20,5 @@
 	if err != nil {
 		return err
 	}
-	app := node.New(s, node.Seams{Log: logfmt.New(os.Stderr)})
-	if err := app.Err(); err != nil {
-		return err
-	}
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
-	start, cancel := context.WithTimeout(context.Background(), app.StartTimeout())
-	defer cancel()
-	if err := app.Start(start); err != nil {
-		return err
-	}
-	<-stop
-	end, cancelEnd := context.WithTimeout(context.Background(), app.StopTimeout())
-	defer cancelEnd()
-	return app.Stop(end)
+	return node.Run(node.New(s, node.NewSeams(s, logfmt.New(os.Stderr))))
 }
--- a/internal/core/fleet/id.go
+++ b/internal/core/fleet/id.go
@@ -22,6 +22,12 @@
 	return NodeID(node)
 }
 
+// Name returns the target's name on its node.
+func (id TargetID) Name() string {
+	_, name, _ := strings.Cut(string(id), "/")
+	return name
+}
+
 // AvailabilityZone names an availability zone.
 type AvailabilityZone string
 
--- a/internal/core/fleet/request.go
+++ b/internal/core/fleet/request.go
@@ -12,6 +12,8 @@
 	// Idempotent is what the caller's header says.
 	Idempotent Option[bool]
 	Key        IdempotencyKey
+	// Internal means that a target sent the request while it runs another one.
+	Internal bool
 	// Timeout is the caller's own limit; 0 means none.
 	Timeout     time.Duration
 	Fingerprint Fingerprint
--- a/internal/core/fleet/tables.go
+++ b/internal/core/fleet/tables.go
@@ -1,6 +1,9 @@
 package fleet
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Route says which requests go to which pool.
 type Route struct {
@@ -11,11 +14,38 @@
 	PathPrefix string
 	// Methods lists the HTTP methods; empty matches every method.
 	Methods []string
-	Pool    PoolName
-	Class   Class
+	// Pool takes the requests, unless Split divides them among several pools.
+	Pool  PoolName
+	Split []Share
+	Class Class
 	// Idempotent overrides what the method and the class say.
 	Idempotent Option[bool]
 	Deadline   time.Duration
+	// Goal is the response time within which an answer is of full use; 0 means the deadline.
+	Goal time.Duration
+	// Attempts is the most targets to which one request may be sent; 0 means no limit of its own.
+	Attempts int
+	// Priority orders requests of one class at a full target; 0 goes first.
+	Priority int
+}
+
+// Share is the part of a route's requests that one pool takes.
+type Share struct {
+	Pool PoolName
+	// Weight is relative to the weights of the route's other shares.
+	Weight int
+}
+
+// Pools lists the pools that a route may send requests to.
+func (r Route) Pools() []PoolName {
+	if len(r.Split) == 0 {
+		return []PoolName{r.Pool}
+	}
+	pools := make([]PoolName, 0, len(r.Split))
+	for _, share := range r.Split {
+		pools = append(pools, share.Pool)
+	}
+	return pools
 }
 
 // Pool says which targets serve a service and how carefully they are ejected. Targets join it by its name.
@@ -34,6 +64,29 @@
 	// Routes are in the order of the routes table.
 	Routes []Route
 	Pools  Map[PoolName, Pool]
+	// Limits bound what callers may send; a zero field leaves the node's own setting in force.
+	Limits Limits
+}
+
+// Limits bound what one caller may send and how long it may take.
+type Limits struct {
+	// HeaderBytes and BodyBytes are sizes in bytes.
+	HeaderBytes int
+	BodyBytes   int64
+	// HeaderTime bounds the time in which a request's headers must come.
+	HeaderTime time.Duration
+	// IdleTime is how long a connection may stay without a request.
+	IdleTime time.Duration
+}
+
+// Or returns the limits with the zero fields taken from other.
+func (l Limits) Or(other Limits) Limits {
+	return Limits{
+		HeaderBytes: cmp.Or(l.HeaderBytes, other.HeaderBytes),
+		BodyBytes:   cmp.Or(l.BodyBytes, other.BodyBytes),
+		HeaderTime:  cmp.Or(l.HeaderTime, other.HeaderTime),
+		IdleTime:    cmp.Or(l.IdleTime, other.IdleTime),
+	}
 }
 
 // Pool returns the pool with the given name.
@@ -45,9 +98,11 @@
 	return t
 }
 
-// Head names the chunks of the newest revision on the platform.
+// Head names the newest revision on the platform.
 type Head struct {
 	Revision Revision
 	// Chunks are the SHA-256 sums of the chunks in hexadecimal, in order.
 	Chunks []string
+	// Content is the encoded form, where the head holds it itself and there are no chunks.
+	Content []byte
 }
--- a/internal/core/fleet/target.go
+++ b/internal/core/fleet/target.go
@@ -1,5 +1,7 @@
 package fleet
 
+import "time"
+
 // TargetState is what a target announces of itself.
 type TargetState uint8
 
@@ -40,6 +42,12 @@
 	State       TargetState
 	// Instance changes at each start of the target's process.
 	Instance string
+	// Started is when the process started and Sequence counts its heartbeats, where the target tells; a heartbeat that was
+	// overtaken on its way is known by them.
+	Started  time.Time
+	Sequence uint64
+	// Warmup is how much longer the process is slow after its start.
+	Warmup time.Duration
 	// InFlight is the target's own count of its running requests, which may lag. No decision rests on it.
 	InFlight int
 }
--- a/internal/core/node/ingress.go
+++ b/internal/core/node/ingress.go
@@ -33,6 +33,7 @@
 	if s.quarantine.Has(ev.At, request.Fingerprint) {
 		return s, refuse(request, fleet.Quarantined, "requests like this one have crashed several targets")
 	}
+	s.splits, route.Pool = s.splits.Next(route, ev.Random)
 	idempotent := routing.Idempotent(route, request)
 	next, effects := s.attempts.Arrived(s.attemptContext(ev), request, route, idempotent)
 	s.attempts = next
--- a/internal/core/node/state.go
+++ b/internal/core/node/state.go
@@ -20,11 +20,13 @@
 	"jayfold.dev/jayfold/internal/core/membership"
 	"jayfold.dev/jayfold/internal/core/orders"
 	"jayfold.dev/jayfold/internal/core/quarantine"
+	"jayfold.dev/jayfold/internal/core/routing"
 	"jayfold.dev/jayfold/internal/core/tables"
 )
 
 // State is everything that one node knows. It is immutable.
 type State struct {
+	splits     routing.Splits
 	attempts   attempt.State
 	admission  admission.State
 	detection  detection.State
--- a/internal/core/tables/platform.go
+++ b/internal/core/tables/platform.go
@@ -60,7 +60,7 @@
 // longer than its timeout.
 func (s State) startFetch(now time.Time) (State, []effect.Effect) {
 	due := s.fetch.due
-	if s.ask.waiting(now) {
+	if s.ask.waiting(now) && len(s.fetch.head.Content) == 0 {
 		due = due.Add(askTimeout)
 	}
 	if s.fetch.head.Revision <= s.current.Revision || s.fetch.running != 0 || now.Before(due) {
@@ -92,6 +92,12 @@
 		s.fetch.due = now.Add(fetchDelay)
 		s.fetch.failures = 0
 	}
+	if len(head.Content) > 0 {
+		// Nothing is left to be read, so neither a wait nor a peer would spare the platform a call.
+		s.fetch.due = now
+		s, fetching := s.startFetch(now)
+		return s, append(effects, fetching...)
+	}
 	s, asking := s.askAny(now, random)
 	s, fetching := s.startFetch(now)
 	return s, append(append(effects, asking...), fetching...)
--- a/internal/edge/caller/exchange.go
+++ b/internal/edge/caller/exchange.go
@@ -40,19 +40,18 @@
 
 // serve handles one request of a caller.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
-	id := s.seams.RequestID()
 	body, err := s.readBody(w, r)
 	if err != nil {
-		refuse(w, id, problemOf(err))
+		s.protocol.Refuse(w, s.seams.RequestID(), problemOf(err))
 		return
 	}
-	request, err := decodeRequest(id, r, body)
+	request, err := s.protocol.Decode(r, body)
 	if err != nil {
-		refuse(w, id, problemOf(err))
+		s.protocol.Refuse(w, s.seams.RequestID(), problemOf(err))
 		return
 	}
-	effects := s.register(id)
-	defer s.unregister(id)
+	request, effects := s.register(request)
+	defer s.unregister(request.ID)
 	x := &exchange{
 		server:   s,
 		request:  request,
@@ -80,7 +79,7 @@
 			case effect.Abandon:
 				x.abandon(e.Attempt)
 			case effect.Refuse:
-				refuse(w, x.request.ID, e.Problem)
+				x.server.protocol.Refuse(w, x.request.ID, e.Problem)
 				return
 			case effect.Answer:
 				x.answer(w, e.Attempt)
@@ -155,14 +154,14 @@
 	a, ok := x.answers[id]
 	x.mu.Unlock()
 	if !ok {
-		refuse(w, x.request.ID, fleet.NewProblem(fleet.Broken, fleet.MayHaveRun, "the answer is gone"))
+		x.server.protocol.Refuse(w, x.request.ID, fleet.NewProblem(fleet.Broken, fleet.MayHaveRun, "the answer is gone"))
 		return
 	}
 	header := w.Header()
 	for name, values := range a.response.Header {
 		header[name] = values
 	}
-	mark(header, x.request.ID, fleet.Ran)
+	x.server.protocol.Mark(header, x.request.ID, fleet.Ran)
 	if x.server.leaving.Load() {
 		// A caller that sends its next request on a connection while it is being closed would get no answer.
 		header.Set("Connection", "close")
--- a/internal/edge/caller/request.go
+++ b/internal/edge/caller/request.go
@@ -31,12 +31,13 @@
 
 // readBody buffers the body of a request within the limits.
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	if headerBytes(r.Header) > s.limits.HeaderBytes {
+	limits := s.limitsInForce()
+	if headerBytes(r.Header) > limits.HeaderBytes {
 		return nil, errHeadersTooLarge
 	}
 	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(s.limits.BodyTime))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.limits.BodyBytes))
+	_ = control.SetReadDeadline(time.Now().Add(s.bodyTime))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limits.BodyBytes))
 	if err == nil {
 		_ = control.SetReadDeadline(time.Time{})
 		return body, nil
@@ -62,7 +63,7 @@
 }
 
 // decodeRequest translates a request. Errors name the header.
-func decodeRequest(id fleet.RequestID, r *http.Request, body []byte) (fleet.Request, error) {
+func decodeRequest(r *http.Request, body []byte) (fleet.Request, error) {
 	if r.Method == http.MethodConnect || !strings.HasPrefix(r.URL.Path, "/") {
 		return fleet.Request{}, badRequest("want a request for a path")
 	}
@@ -84,7 +85,6 @@
 	}
 	host := hostWithoutPort(r.Host)
 	return fleet.Request{
-		ID:          id,
 		Method:      r.Method,
 		Host:        host,
 		Path:        r.URL.Path,
@@ -92,7 +92,7 @@
 		Idempotent:  idempotent,
 		Key:         fleet.IdempotencyKey(key),
 		Timeout:     timeout,
-		Fingerprint: fingerprint(r.Method, host, r.URL.RequestURI(), body),
+		Fingerprint: Fingerprint(r, body),
 	}, nil
 }
 
@@ -148,10 +148,10 @@
 	return host
 }
 
-// fingerprint hashes what makes two requests the same. A zero byte between the parts keeps them apart.
-func fingerprint(method, host, uri string, body []byte) fleet.Fingerprint {
+// Fingerprint hashes what makes two requests the same. A zero byte between the parts keeps them apart.
+func Fingerprint(r *http.Request, body []byte) fleet.Fingerprint {
 	digest := xxhash.New()
-	for _, part := range []string{method, strings.ToLower(host), uri} {
+	for _, part := range []string{r.Method, strings.ToLower(hostWithoutPort(r.Host)), r.URL.RequestURI()} {
 		_, _ = digest.WriteString(part)
 		_, _ = digest.Write([]byte{0})
 	}
--- a/internal/edge/caller/server.go
+++ b/internal/edge/caller/server.go
@@ -2,7 +2,8 @@
 //
 // # Usage
 //
-//	server := caller.New(limits, caller.Seams{
+//	settings := caller.Settings{Protocol: caller.NewProtocol(), Limits: limits, BodyTime: 30 * time.Second}
+//	server := caller.New(settings, caller.Seams{
 //		Now: time.Now, RequestID: caller.RandomRequestID, Post: loop.Post, Forward: forwarder.Forward,
 //	})
 //	go server.Serve(listener)
@@ -37,12 +38,13 @@
 	readyPath = "/jayfold/v1/ready"
 )
 
-// Limits bound what a caller may send.
-type Limits struct {
-	HeaderBytes int
-	BodyBytes   int64
-	HeaderTime  time.Duration
-	BodyTime    time.Duration
+// Settings are what a Server is made with.
+type Settings struct {
+	Protocol Protocol
+	// Limits hold where the tables set none.
+	Limits fleet.Limits
+	// BodyTime bounds the time in which a request's body must come.
+	BodyTime time.Duration
 }
 
 // Seams are what a Server needs from outside.
@@ -58,26 +60,37 @@
 
 // Server takes the requests of callers.
 type Server struct {
-	limits  Limits
-	seams   Seams
-	http    *http.Server
-	leaving atomic.Bool
+	protocol Protocol
+	limits   fleet.Limits
+	bodyTime time.Duration
+	seams    Seams
+	http     *http.Server
+	leaving  atomic.Bool
+	// inForce holds the limits of the tables in force.
+	inForce atomic.Pointer[fleet.Limits]
 	mu      sync.Mutex
 	waiting map[fleet.RequestID]chan effect.Effect
 }
 
 // New returns a server that does not listen yet.
-func New(limits Limits, seams Seams) *Server {
-	s := &Server{limits: limits, seams: seams, waiting: make(map[fleet.RequestID]chan effect.Effect)}
+func New(settings Settings, seams Seams) *Server {
+	s := &Server{
+		protocol: settings.Protocol,
+		limits:   settings.Limits,
+		bodyTime: settings.BodyTime,
+		seams:    seams,
+		waiting:  make(map[fleet.RequestID]chan effect.Effect),
+	}
+	s.inForce.Store(&fleet.Limits{})
 	router := mux.NewRouter().SkipClean(true).UseEncodedPath()
-	router.HandleFunc(readyPath, s.ready).Methods(http.MethodGet, http.MethodHead)
+	router.HandleFunc(readyPath, s.Ready).Methods(http.MethodGet, http.MethodHead)
 	router.MatcherFunc(anything).HandlerFunc(s.serve)
 	s.http = &http.Server{
 		Handler:           router,
-		ReadHeaderTimeout: limits.HeaderTime,
+		ReadHeaderTimeout: settings.Limits.HeaderTime,
 		IdleTimeout:       idleTimeout,
 		// The handler refuses headers over the limit in the documented form; net/http cuts off far larger ones.
-		MaxHeaderBytes: 2 * limits.HeaderBytes,
+		MaxHeaderBytes: 2 * settings.Limits.HeaderBytes,
 		Protocols:      new(http.Protocols),
 	}
 	s.http.Protocols.SetHTTP1(true)
@@ -99,7 +112,8 @@
 	return s.http.Shutdown(ctx)
 }
 
-func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
+// Ready answers whether callers should use this node.
+func (s *Server) Ready(w http.ResponseWriter, _ *http.Request) {
 	if s.leaving.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
@@ -127,12 +141,22 @@
 	}
 }
 
-func (s *Server) register(id fleet.RequestID) <-chan effect.Effect {
+// UseLimits brings the limits of the tables in force into effect for the requests that follow.
+func (s *Server) UseLimits(limits fleet.Limits) { s.inForce.Store(&limits) }
+
+func (s *Server) limitsInForce() fleet.Limits { return s.inForce.Load().Or(s.limits) }
+
+// register makes a request known to the methods that carry out effects. A request without an id, or with that of a
+// request in flight, gets a new one, so that no two share their effects.
+func (s *Server) register(request fleet.Request) (fleet.Request, <-chan effect.Effect) {
 	effects := make(chan effect.Effect, effectsPerRequest)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.waiting[id] = effects
-	return effects
+	if _, taken := s.waiting[request.ID]; taken || request.ID == "" {
+		request.ID = s.seams.RequestID()
+	}
+	s.waiting[request.ID] = effects
+	return request, effects
 }
 
 func (s *Server) unregister(id fleet.RequestID) {
--- a/internal/edge/platform/claim.go
+++ b/internal/edge/platform/claim.go
@@ -42,10 +42,10 @@
 func (c *Client) ReleaseOrder(e effect.ReleaseOrder) {
 	c.running.Go(func() {
 		found, claim, err := c.readClaim(c.ctx, e.Name)
-		if err != nil || found.version == 0 || claim.Attempt != string(e.Attempt) {
+		if err != nil || found.Version == 0 || claim.Attempt != string(e.Attempt) {
 			return
 		}
-		if err := c.objects.remove(c.ctx, claimKey(e.Name), unchanged(found.version)); err != nil {
+		if err := c.store.Remove(c.ctx, claimKey(e.Name), unchanged(found.Version)); err != nil {
 			c.log.WithField("Error", err.Error()).Warn("orders: claim not released")
 		}
 	})
@@ -57,7 +57,7 @@
 	value, _ := json.Marshal(wireClaim{Order: e.Name, Process: c.process, Attempt: string(e.Attempt)})
 	version := uint64(0)
 	for range claimTries {
-		err := c.objects.put(ctx, claimKey(e.Name), value, unchanged(version))
+		err := c.store.Put(ctx, claimKey(e.Name), value, unchanged(version))
 		if err == nil {
 			return fleet.ClaimCreated
 		}
@@ -66,32 +66,32 @@
 		}
 		found, claim, readErr := c.readClaim(ctx, e.Name)
 		switch {
-		case readErr != nil && errors.Is(err, errConflict):
+		case readErr != nil && errors.Is(err, ErrConflict):
 			// An object is there. Whose it is cannot be read, so the order must not run.
 			return fleet.ClaimExists
 		case readErr != nil:
 			return fleet.ClaimFailed
-		case found.version != 0 && claim.Attempt == string(e.Attempt):
+		case found.Version != 0 && claim.Attempt == string(e.Attempt):
 			return fleet.ClaimCreated
-		case found.version != 0 && claim.Process != c.process:
+		case found.Version != 0 && claim.Process != c.process:
 			return fleet.ClaimExists
 		}
-		version = found.version
+		version = found.Version
 	}
 	return fleet.ClaimFailed
 }
 
 // readBack reports whether a failed write leaves open what the object holds.
-func readBack(err error) bool { return errors.Is(err, errConflict) || unknown(err) }
+func readBack(err error) bool { return errors.Is(err, ErrConflict) || unknown(err) }
 
 // readClaim reads a claim object. One that does not decode belongs to nobody known, so that the order is refused.
-func (c *Client) readClaim(ctx context.Context, name string) (object, wireClaim, error) {
-	found, err := c.objects.get(ctx, claimKey(name))
-	if err != nil || found.version == 0 {
-		return object{}, wireClaim{}, err
+func (c *Client) readClaim(ctx context.Context, name string) (Object, wireClaim, error) {
+	found, err := c.store.Get(ctx, claimKey(name))
+	if err != nil || found.Version == 0 {
+		return Object{}, wireClaim{}, err
 	}
 	var claim wireClaim
-	if err := json.Unmarshal(found.value, &claim); err != nil {
+	if err := json.Unmarshal(found.Value, &claim); err != nil {
 		c.log.WithField("Error", err.Error()).Error("orders: claim does not decode")
 		return found, wireClaim{}, nil
 	}
--- a/internal/edge/platform/client.go
+++ b/internal/edge/platform/client.go
@@ -4,8 +4,7 @@
 // # Usage
 //
 //	client := platform.New(platform.Settings{
-//		Base: "http://10.0.0.1:7000",
-//		HTTP: &http.Client{},
+//		Store: platform.NewStore("http://10.0.0.1:7000", &http.Client{}),
 //		Post: loop.Post,
 //		Log:  log.Log,
 //	})
@@ -19,8 +18,6 @@
 	"context"
 	"crypto/rand"
 	"errors"
-	"net/http"
-	"strings"
 	"sync"
 	"time"
 
@@ -35,9 +32,8 @@
 
 // Settings are what a client depends on.
 type Settings struct {
-	// Base is the URL of the platform, without a path.
-	Base string
-	HTTP *http.Client
+	// Store makes the calls.
+	Store Store
 	// Post takes the events. It is not used by the blocking functions.
 	Post func(event.Body)
 	// Log takes reports of values that do not decode.
@@ -46,7 +42,7 @@
 
 // Client calls the platform.
 type Client struct {
-	objects objects
+	store Store
 	// process tells the claims of this process from those of an earlier life of the node.
 	process string
 	post    func(event.Body)
@@ -63,7 +59,7 @@
 func New(s Settings) *Client {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Client{
-		objects: objects{base: strings.TrimSuffix(s.Base, "/"), http: s.HTTP},
+		store:   bounded(s.Store),
 		process: rand.Text(),
 		post:    s.Post,
 		log:     s.Log,
@@ -84,25 +80,25 @@
 // WatchHead carries out the effect.
 func (c *Client) WatchHead(e effect.WatchHead) {
 	c.start(0, func(ctx context.Context) event.Body {
-		found, err := c.objects.watch(ctx, headKey, e.Version, e.Wait)
+		found, err := c.store.Watch(ctx, HeadKey, e.Version, e.Wait)
 		if err != nil {
 			return failed(event.CallWatchHead, err)
 		}
-		if found.version == e.Version || found.version == 0 {
-			return event.HeadRead{Version: found.version}
+		if found.Version == e.Version || len(found.Value) == 0 {
+			return event.HeadRead{Version: found.Version}
 		}
-		head, err := decodeHead(found.value)
+		head, err := decodeHead(found.Value)
 		if err != nil {
 			return failed(event.CallWatchHead, err)
 		}
-		return event.HeadRead{Head: head.head(), Version: found.version}
+		return event.HeadRead{Head: head.head(), Version: found.Version}
 	})
 }
 
 // FetchTables carries out the effect.
 func (c *Client) FetchTables(e effect.FetchTables) {
 	c.start(0, func(ctx context.Context) event.Body {
-		content, err := c.content(ctx, wireHead{Revision: e.Head.Revision, Chunks: e.Head.Chunks})
+		content, err := c.content(ctx, wireHead{Revision: e.Head.Revision, Chunks: e.Head.Chunks, Content: e.Head.Content})
 		var corrupt Corrupt
 		if errors.As(err, &corrupt) {
 			return event.TablesRejected{Revision: e.Head.Revision, Detail: err.Error()}
@@ -121,7 +117,7 @@
 // ListMembers carries out the effect. Records that do not decode are logged and left out.
 func (c *Client) ListMembers(e effect.ListMembers) {
 	c.start(e.After, func(ctx context.Context) event.Body {
-		listed, err := c.objects.list(ctx, memberPrefix)
+		listed, err := c.store.List(ctx, memberPrefix)
 		if err != nil {
 			return failed(event.CallListMembers, err)
 		}
@@ -140,7 +136,7 @@
 		}
 		c.registered = e.Member
 		key := memberPrefix + string(e.Member.Node)
-		if err := c.objects.put(ctx, key, encodeMember(e.Member), condition{}); err != nil {
+		if err := c.store.Put(ctx, key, encodeMember(e.Member), Condition{}); err != nil {
 			return failed(event.CallRegisterMember, err)
 		}
 		return nil
--- a/internal/edge/platform/member.go
+++ b/internal/edge/platform/member.go
@@ -57,12 +57,12 @@
 }
 
 // decodeMembers returns the records that decode and logs the others.
-func (c *Client) decodeMembers(listed []object) []fleet.Member {
+func (c *Client) decodeMembers(listed []Object) []fleet.Member {
 	members := make([]fleet.Member, 0, len(listed))
 	for _, o := range listed {
-		m, err := decodeMember(strings.TrimPrefix(o.key, memberPrefix), o.value)
+		m, err := decodeMember(strings.TrimPrefix(o.Key, memberPrefix), o.Value)
 		if err != nil {
-			c.log.WithField("Key", o.key).WithField("Error", err.Error()).Warn("platform: member record left out")
+			c.log.WithField("Key", o.Key).WithField("Error", err.Error()).Warn("platform: member record left out")
 			continue
 		}
 		members = append(members, m)
@@ -131,7 +131,7 @@
 // CountTargets counts the targets of each pool in the member records on the platform. Nodes refresh them every few
 // minutes, so the counts are rough.
 func (c *Client) CountTargets(ctx context.Context) (map[fleet.PoolName]int, error) {
-	listed, err := c.objects.list(ctx, memberPrefix)
+	listed, err := c.store.List(ctx, memberPrefix)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/edge/platform/objects.go
+++ b/internal/edge/platform/objects.go
@@ -16,41 +16,34 @@
 )
 
 const (
-	// callTimeout bounds every call but a watch. The platform answers in milliseconds when it is well.
-	callTimeout = 5 * time.Second
-	// watchSlack is how long after the end of its wait a watch is given up, so that a silent connection is noticed.
-	watchSlack = 1500 * time.Millisecond
 	// maxObject is above the platform's limit of 1 MB for a value.
 	maxObject = 2 << 20
 	// maxList is above the size of 540 member records of 14 targets each.
 	maxList = 32 << 20
 )
 
+// NewStore returns the calls of jayfold's own object API, at the URL of the platform without a path.
+func NewStore(base string, client *http.Client) Store {
+	o := objects{base: strings.TrimSuffix(base, "/"), http: client}
+	return Store{Get: o.get, Watch: o.watch, List: o.list, Put: o.put, Remove: o.remove}
+}
+
 // objects makes the calls of the object API.
 type objects struct {
 	base string
 	http *http.Client
 }
 
-// object is one object of the platform. Version 0 means that there is none.
-type object struct {
-	key     string
-	version uint64
-	value   []byte
-}
-
-// condition is what must hold for a write to take effect.
-type condition struct {
-	name  string
-	value string
-}
-
-// unchanged asks that the object still has the given version; 0 means that it must not exist.
-func unchanged(version uint64) condition {
-	if version == 0 {
-		return condition{name: "If-None-Match", value: "*"}
+// header returns the request header of a condition, with an empty name for none.
+func (c Condition) header() (name, value string) {
+	switch {
+	case !c.Set:
+		return "", ""
+	case c.Version == 0:
+		return "If-None-Match", "*"
+	default:
+		return "If-Match", strconv.Quote(strconv.FormatUint(c.Version, 10))
 	}
-	return condition{name: "If-Match", value: strconv.Quote(strconv.FormatUint(version, 10))}
 }
 
 // wireList is the answer of a list.
@@ -64,55 +57,33 @@
 	Value   []byte
 }
 
-// errConflict says that the condition of a write did not hold.
-var errConflict = errors.New("the object has changed")
-
-// Failure is a call on the platform that did not succeed.
-type Failure struct {
-	// Call is the method and the key.
-	Call string
-	// Unknown means that the call was a write that may have taken effect.
-	Unknown bool
-	Err     error
-}
-
-// Error implements error.
-func (f Failure) Error() string { return "platform: " + f.Call + ": " + f.Err.Error() }
-
-// Unwrap returns the cause.
-func (f Failure) Unwrap() error { return f.Err }
-
 // get reads an object.
-func (o objects) get(ctx context.Context, key string) (object, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
+func (o objects) get(ctx context.Context, key string) (Object, error) {
 	return o.read(ctx, key, "")
 }
 
 // watch waits until the object has another version. It returns the object with that version and no value when nothing
 // changed.
-func (o objects) watch(ctx context.Context, key string, version uint64, wait time.Duration) (object, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
-	defer cancel()
+func (o objects) watch(ctx context.Context, key string, version uint64, wait time.Duration) (Object, error) {
 	return o.read(ctx, key, fmt.Sprintf("?after=%d&wait=%s", version, wait))
 }
 
-func (o objects) read(ctx context.Context, key, query string) (object, error) {
-	a, err := o.do(ctx, http.MethodGet, "/"+escape(key)+query, nil, condition{}, maxObject)
+func (o objects) read(ctx context.Context, key, query string) (Object, error) {
+	a, err := o.do(ctx, http.MethodGet, "/"+escape(key)+query, nil, Condition{}, maxObject)
 	if err != nil {
-		return object{}, err
+		return Object{}, err
 	}
 	switch a.status {
 	case http.StatusNotFound:
-		return object{key: key}, nil
+		return Object{Key: key}, nil
 	case http.StatusOK, http.StatusNotModified:
 		version, err := a.version()
 		if err != nil {
-			return object{}, Failure{Call: "GET " + key, Err: err}
+			return Object{}, Failure{Call: "GET " + key, Err: err}
 		}
-		return object{key: key, version: version, value: a.body}, nil
+		return Object{Key: key, Version: version, Value: a.body}, nil
 	default:
-		return object{}, Failure{Call: "GET " + key, Err: a.statusError()}
+		return Object{}, Failure{Call: "GET " + key, Err: a.statusError()}
 	}
 }
 
@@ -139,10 +110,8 @@
 func (a answer) statusError() error { return errors.New("the platform answered " + a.text) }
 
 // list reads all objects whose keys begin with prefix.
-func (o objects) list(ctx context.Context, prefix string) ([]object, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	a, err := o.do(ctx, http.MethodGet, "?prefix="+url.QueryEscape(prefix), nil, condition{}, maxList)
+func (o objects) list(ctx context.Context, prefix string) ([]Object, error) {
+	a, err := o.do(ctx, http.MethodGet, "?prefix="+url.QueryEscape(prefix), nil, Condition{}, maxList)
 	if err != nil {
 		return nil, err
 	}
@@ -153,26 +122,24 @@
 	if err := json.Unmarshal(a.body, &wire); err != nil {
 		return nil, Failure{Call: "GET " + prefix + "*", Err: fmt.Errorf("the list does not decode: %w", err)}
 	}
-	listed := make([]object, 0, len(wire.Objects))
+	listed := make([]Object, 0, len(wire.Objects))
 	for _, w := range wire.Objects {
-		listed = append(listed, object{key: w.Key, version: w.Version, value: w.Value})
+		listed = append(listed, Object{Key: w.Key, Version: w.Version, Value: w.Value})
 	}
 	return listed, nil
 }
 
-// put writes an object. A condition that does not hold is errConflict.
-func (o objects) put(ctx context.Context, key string, value []byte, c condition) error {
+// put writes an object. A condition that does not hold is ErrConflict.
+func (o objects) put(ctx context.Context, key string, value []byte, c Condition) error {
 	return o.write(ctx, http.MethodPut, key, value, c)
 }
 
 // remove deletes an object. One that is gone already is no error.
-func (o objects) remove(ctx context.Context, key string, c condition) error {
+func (o objects) remove(ctx context.Context, key string, c Condition) error {
 	return o.write(ctx, http.MethodDelete, key, nil, c)
 }
 
-func (o objects) write(ctx context.Context, method, key string, value []byte, c condition) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
+func (o objects) write(ctx context.Context, method, key string, value []byte, c Condition) error {
 	a, err := o.do(ctx, method, "/"+escape(key), value, c, maxObject)
 	if err != nil {
 		return err
@@ -181,7 +148,7 @@
 	case status < http.StatusMultipleChoices, status == http.StatusNotFound && method == http.MethodDelete:
 		return nil
 	case status == http.StatusPreconditionFailed:
-		return Failure{Call: method + " " + key, Err: errConflict}
+		return Failure{Call: method + " " + key, Err: ErrConflict}
 	default:
 		unknown := status >= http.StatusInternalServerError
 		return Failure{Call: method + " " + key, Unknown: unknown, Err: a.statusError()}
@@ -190,7 +157,7 @@
 
 // do makes one call and reads the whole answer.
 func (o objects) do(
-	ctx context.Context, method, path string, value []byte, c condition, most int64,
+	ctx context.Context, method, path string, value []byte, c Condition, most int64,
 ) (answer, error) {
 	call := method + " " + path
 	req, err := http.NewRequestWithContext(ctx, method, o.base+"/v1/objects"+path, bytes.NewReader(value))
@@ -199,8 +166,8 @@
 	}
 	// An open connection can have gone silent. A new one costs 1 ms, and a node makes few calls.
 	req.Close = true
-	if c.name != "" {
-		req.Header.Set(c.name, c.value)
+	if name, value := c.header(); name != "" {
+		req.Header.Set(name, value)
 	}
 	write := method != http.MethodGet
 	res, err := o.http.Do(req)
--- a/internal/edge/platform/stale.go
+++ b/internal/edge/platform/stale.go
@@ -10,10 +10,10 @@
 //
 // A writer that reads the head after next took effect writes all its chunks anew, which gives them newer versions than
 // the ones returned here. So deleting only these versions never takes a chunk from a later revision.
-func (c *Client) findStale(ctx context.Context, head, next wireHead) (wireHead, []object) {
+func (c *Client) findStale(ctx context.Context, head, next wireHead) (wireHead, []Object) {
 	needed := slices.Concat(next.Chunks, head.Chunks)
 	next.Earlier = slices.Clone(next.Earlier)
-	var stale []object
+	var stale []Object
 	for i, change := range next.Earlier {
 		if change.Revision == head.Revision {
 			continue
@@ -29,25 +29,25 @@
 
 // findChunks returns the chunks that are still there and not needed. One that cannot be read counts as there, with
 // version 0, so that the next change tries again.
-func (c *Client) findChunks(ctx context.Context, sums, needed []string) []object {
-	var found []object
+func (c *Client) findChunks(ctx context.Context, sums, needed []string) []Object {
+	var found []Object
 	for _, name := range sums {
 		if slices.Contains(needed, name) {
 			continue
 		}
-		chunk, err := c.objects.get(ctx, chunkPrefix+name)
-		if err != nil || chunk.version > 0 {
-			found = append(found, object{key: chunkPrefix + name, version: chunk.version})
+		chunk, err := c.store.Get(ctx, chunkPrefix+name)
+		if err != nil || chunk.Version > 0 {
+			found = append(found, Object{Key: chunkPrefix + name, Version: chunk.Version})
 		}
 	}
 	return found
 }
 
 // removeStale deletes chunks. A failure is not reported: the head still names the chunk, and the next change tries again.
-func (c *Client) removeStale(ctx context.Context, stale []object) {
+func (c *Client) removeStale(ctx context.Context, stale []Object) {
 	for _, chunk := range stale {
-		if chunk.version > 0 {
-			_ = c.objects.remove(ctx, chunk.key, unchanged(chunk.version))
+		if chunk.Version > 0 {
+			_ = c.store.Remove(ctx, chunk.Key, unchanged(chunk.Version))
 		}
 	}
 }
--- a/internal/edge/platform/tables.go
+++ b/internal/edge/platform/tables.go
@@ -105,15 +105,15 @@
 // readHead returns the head and its version. Version 0 means that there is none. The version is right also when the head
 // is Corrupt.
 func (c *Client) readHead(ctx context.Context) (wireHead, uint64, error) {
-	found, err := c.objects.get(ctx, headKey)
-	if err != nil || found.version == 0 {
+	found, err := c.store.Get(ctx, HeadKey)
+	if err != nil || found.Version == 0 {
 		return wireHead{}, 0, err
 	}
-	head, err := decodeHead(found.value)
+	head, err := decodeHead(found.Value)
 	if err != nil {
-		return wireHead{}, found.version, Corrupt{Err: err}
+		return wireHead{}, found.Version, Corrupt{Err: err}
 	}
-	return head, found.version, nil
+	return head, found.Version, nil
 }
 
 // writeHead writes the head in the place of the given version. When the outcome of the write is unknown it reads the head
@@ -124,7 +124,7 @@
 	value, _ := json.Marshal(head)
 	var err error
 	for range writeTries {
-		err = c.objects.put(ctx, headKey, value, unchanged(version))
+		err = c.store.Put(ctx, HeadKey, value, unchanged(version))
 		if err == nil {
 			return head.Revision, nil
 		}
@@ -162,29 +162,32 @@
 func (c *Client) writeChunk(ctx context.Context, name string, chunk []byte) error {
 	var err error
 	for range writeTries {
-		if err = c.objects.put(ctx, chunkPrefix+name, chunk, condition{}); !unknown(err) {
+		if err = c.store.Put(ctx, chunkPrefix+name, chunk, Condition{}); !unknown(err) {
 			return err
 		}
 	}
 	return err
 }
 
-// content reads the chunks that a head names.
+// content reads the chunks that a head names, unless the head holds the content itself.
 func (c *Client) content(ctx context.Context, head wireHead) ([]byte, error) {
+	if len(head.Content) > 0 {
+		return head.Content, nil
+	}
 	var content []byte
 	for _, name := range head.Chunks {
-		found, err := c.objects.get(ctx, chunkPrefix+name)
+		found, err := c.store.Get(ctx, chunkPrefix+name)
 		if err != nil {
 			return nil, err
 		}
-		if found.version == 0 {
+		if found.Version == 0 {
 			return nil, Failure{Call: "GET " + chunkPrefix + name, Err: errNoChunk}
 		}
-		if sum := sha256.Sum256(found.value); hex.EncodeToString(sum[:]) != name {
+		if sum := sha256.Sum256(found.Value); hex.EncodeToString(sum[:]) != name {
 			err := errors.New("the value of " + chunkPrefix + name + " has another SHA-256 sum")
 			return nil, Corrupt{Revision: head.Revision, Err: err}
 		}
-		content = append(content, found.value...)
+		content = append(content, found.Value...)
 	}
 	return content, nil
 }
--- a/internal/edge/tablesfile/check.go
+++ b/internal/edge/tablesfile/check.go
@@ -72,10 +72,34 @@
 func (d *draft) checkReferences(pools fleet.Set[fleet.PoolName]) configfile.Problems {
 	var problems configfile.Problems
 	for _, entry := range d.routes {
-		name := entry.route.Pool
-		if name != "" && !pools.Has(name) {
-			problems = append(problems, entry.pool.Problem("no pool is called %q", name)...)
+		for _, name := range entry.route.Pools() {
+			if name != "" && !pools.Has(name) {
+				problems = append(problems, entry.pool.Problem("no pool is called %q", name)...)
+			}
 		}
+		problems = append(problems, checkWeights(entry)...)
+	}
+	return problems
+}
+
+// checkWeights finds splits that name a pool twice or give every pool the weight 0.
+func checkWeights(entry routeEntry) configfile.Problems {
+	split := entry.route.Split
+	if len(split) == 0 {
+		return nil
+	}
+	var problems configfile.Problems
+	var seen fleet.Set[fleet.PoolName]
+	total := 0
+	for _, share := range split {
+		if seen.Has(share.Pool) {
+			problems = append(problems, entry.pool.Problem("pool %q is there twice", share.Pool)...)
+		}
+		seen = seen.With(share.Pool)
+		total += share.Weight
+	}
+	if total == 0 {
+		problems = append(problems, entry.pool.Problem("every weight is 0")...)
 	}
 	return problems
 }
--- a/internal/edge/tablesfile/diff.go
+++ b/internal/edge/tablesfile/diff.go
@@ -14,7 +14,7 @@
 type Change struct {
 	// Kind is Added, Removed or Changed.
 	Kind Kind
-	// Table is "route" or "pool", and Name is the entry's name.
+	// Table is "route", "pool" or "limits", and Name is the entry's name.
 	Table string
 	Name  string
 	// Detail lists the fields: all of an added entry, those that differ of a changed one.
@@ -39,9 +39,10 @@
 // Diff returns what differs between two tables, routes first, each table by name. The order of the routes has no meaning,
 // since no two routes match the same requests.
 func Diff(from, to fleet.Tables) []Change {
-	return append(
+	return slices.Concat(
 		diffTable("route", routeFields(from), routeFields(to)),
-		diffTable("pool", poolFields(from), poolFields(to))...,
+		diffTable("pool", poolFields(from), poolFields(to)),
+		diffTable("limits", limitFields(from), limitFields(to)),
 	)
 }
 
@@ -64,6 +65,14 @@
 	return all
 }
 
+func limitFields(t fleet.Tables) map[string]fields {
+	wire := wireLimitsOf(t.Limits)
+	if wire == nil {
+		return nil
+	}
+	return map[string]fields{"": newFields(wire)}
+}
+
 func newFields(wire any) fields {
 	var f fields
 	// The wire types have no value that JSON lacks.
--- a/internal/edge/tablesfile/encode.go
+++ b/internal/edge/tablesfile/encode.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"time"
 
 	"jayfold.dev/jayfold/internal/core/fleet"
 	"jayfold.dev/jayfold/internal/edge/configfile"
@@ -18,17 +19,34 @@
 	Revision fleet.Revision
 	Routes   []wireRoute
 	Pools    []wirePool
+	Limits   *wireLimits `json:",omitempty"`
+}
+
+type wireLimits struct {
+	HeaderBytes int    `json:",omitempty"`
+	BodyBytes   int64  `json:",omitempty"`
+	HeaderTime  string `json:",omitempty"`
+	IdleTime    string `json:",omitempty"`
+}
+
+type wireShare struct {
+	Pool   fleet.PoolName
+	Weight int
 }
 
 type wireRoute struct {
 	Name       string
 	Host       string `json:",omitempty"`
 	PathPrefix string
-	Methods    []string `json:",omitempty"`
-	Pool       fleet.PoolName
+	Methods    []string       `json:",omitempty"`
+	Pool       fleet.PoolName `json:",omitempty"`
+	Split      []wireShare    `json:",omitempty"`
 	Class      string
 	Idempotent *bool `json:",omitempty"`
 	Deadline   string
+	Goal       string `json:",omitempty"`
+	Attempts   int    `json:",omitempty"`
+	Priority   int    `json:",omitempty"`
 }
 
 type wirePool struct {
@@ -43,7 +61,7 @@
 func Encode(t fleet.Tables) []byte {
 	var out bytes.Buffer
 	w := gzip.NewWriter(&out)
-	wire := wireTables{Revision: t.Revision, Routes: wireRoutes(t), Pools: wirePools(t)}
+	wire := wireTables{Revision: t.Revision, Routes: wireRoutes(t), Pools: wirePools(t), Limits: wireLimitsOf(t.Limits)}
 	// Neither step can fail: the buffer takes every write and the wire types have no value that JSON lacks.
 	_ = json.NewEncoder(w).Encode(wire)
 	_ = w.Close()
@@ -61,6 +79,12 @@
 			Pool:       r.Pool,
 			Class:      r.Class.String(),
 			Deadline:   r.Deadline.String(),
+			Goal:       optional(r.Goal),
+			Attempts:   r.Attempts,
+			Priority:   r.Priority,
+		}
+		for _, share := range r.Split {
+			wire.Split = append(wire.Split, wireShare(share))
 		}
 		if idempotent, ok := r.Idempotent.Get(); ok {
 			wire.Idempotent = &idempotent
@@ -70,6 +94,27 @@
 	return routes
 }
 
+// optional returns a duration's text, and none for 0.
+func optional(d time.Duration) string {
+	if d == 0 {
+		return ""
+	}
+	return d.String()
+}
+
+// wireLimitsOf returns nil when no limit is set.
+func wireLimitsOf(l fleet.Limits) *wireLimits {
+	if l == (fleet.Limits{}) {
+		return nil
+	}
+	return &wireLimits{
+		HeaderBytes: l.HeaderBytes,
+		BodyBytes:   l.BodyBytes,
+		HeaderTime:  optional(l.HeaderTime),
+		IdleTime:    optional(l.IdleTime),
+	}
+}
+
 func wirePools(t fleet.Tables) []wirePool {
 	pools := make([]wirePool, 0, t.Pools.Len())
 	for _, p := range t.Pools.All() {
@@ -100,6 +145,10 @@
 	file := fmt.Sprintf("revision %d", revision)
 	problems := readEntries(file, "Routes", raw.Routes, d.readRoute)
 	problems = append(problems, readEntries(file, "Pools", raw.Pools, d.readPool)...)
+	if raw.Limits != nil {
+		value, parseProblems := configfile.ParseField(file, "Limits", raw.Limits)
+		problems = append(append(problems, parseProblems...), d.readLimits(value)...)
+	}
 	problems = append(problems, d.check()...)
 	if err := problems.Err(); err != nil {
 		return fleet.Tables{}, err
@@ -112,6 +161,7 @@
 	Revision fleet.Revision
 	Routes   []json.RawMessage
 	Pools    []json.RawMessage
+	Limits   json.RawMessage
 }
 
 // readEntries reads the entries of one table, one at a time: all of them parsed at once would take half of a node's memory.
@@ -142,7 +192,11 @@
 
 // Render returns the tables as the two files that operators edit.
 func Render(t fleet.Tables) (routes, pools []byte) {
-	return indented(struct{ Routes []wireRoute }{wireRoutes(t)}), indented(struct{ Pools []wirePool }{wirePools(t)})
+	routes = indented(struct {
+		Routes []wireRoute
+		Limits *wireLimits `json:",omitempty"`
+	}{wireRoutes(t), wireLimitsOf(t.Limits)})
+	return routes, indented(struct{ Pools []wirePool }{wirePools(t)})
 }
 
 func indented(v any) []byte {
--- a/internal/edge/tablesfile/entry.go
+++ b/internal/edge/tablesfile/entry.go
@@ -19,6 +19,18 @@
 	// Below a minute the detector ejects healthy targets all the time.
 	shortestFalseEjectionInterval = time.Minute
 	longestFalseEjectionInterval  = 10 * 365 * 24 * time.Hour
+	// A pool of the design size has 56 targets on average, and no request is worth more tries than that.
+	mostAttempts = 64
+	mostPriority = 100
+	// Weights are percentages or parts of a thousand in practice.
+	mostWeight = 1_000_000
+	// The limits are those of the settings file.
+	leastHeaderBytes = 1 << 10
+	mostHeaderBytes  = 1 << 20
+	leastBodyBytes   = 1 << 10
+	mostBodyBytes    = 64 << 20
+	shortestLimit    = 100 * time.Millisecond
+	longestLimit     = 10 * time.Minute
 )
 
 // readRoute reads one entry of the routes table.
@@ -32,11 +44,20 @@
 		configfile.Optional("Methods", configfile.Array(func(v configfile.Value) configfile.Problems {
 			return readMethod(v, r)
 		})),
-		configfile.Required("Pool", configfile.Position(&entry.pool, configfile.Text(&r.Pool, identifier))),
+		configfile.Optional("Pool", configfile.Position(&entry.pool, configfile.Text(&r.Pool, identifier))),
+		configfile.Optional("Split", configfile.Position(&entry.pool, configfile.Array(func(v configfile.Value) configfile.Problems {
+			return readShare(v, r)
+		}))),
 		configfile.Optional("Class", configfile.Parsed(&r.Class, fleet.ParseClass)),
 		configfile.Optional("Idempotent", configfile.Bool(func(b bool) { r.Idempotent = fleet.Some(b) })),
 		configfile.Required("Deadline", configfile.Duration(&r.Deadline, shortestDeadline, longestDeadline)),
+		configfile.Optional("Goal", configfile.Duration(&r.Goal, shortestDeadline, longestDeadline)),
+		configfile.Optional("Attempts", configfile.Int(&r.Attempts, 1, mostAttempts)),
+		configfile.Optional("Priority", configfile.Int(&r.Priority, 0, mostPriority)),
 	)
+	if problems == nil && (r.Pool == "") == (len(r.Split) == 0) {
+		problems = v.Problem("want either Pool or Split")
+	}
 	if r.Class == fleet.Order && r.Idempotent.Or(false) {
 		problems = append(problems, v.Problem("Idempotent is true and Class is Order; an order runs at most once")...)
 	}
@@ -44,6 +65,28 @@
 	return problems
 }
 
+// readShare reads one entry of a route's split.
+func readShare(v configfile.Value, r *fleet.Route) configfile.Problems {
+	var share fleet.Share
+	problems := v.Object(
+		configfile.Required("Pool", configfile.Text(&share.Pool, identifier)),
+		configfile.Required("Weight", configfile.Int(&share.Weight, 0, mostWeight)),
+	)
+	r.Split = append(r.Split, share)
+	return problems
+}
+
+// readLimits reads the limits on what callers may send.
+func (d *draft) readLimits(v configfile.Value) configfile.Problems {
+	l := &d.limits
+	return v.Object(
+		configfile.Optional("HeaderBytes", configfile.Int(&l.HeaderBytes, leastHeaderBytes, mostHeaderBytes)),
+		configfile.Optional("BodyBytes", configfile.Int(&l.BodyBytes, leastBodyBytes, mostBodyBytes)),
+		configfile.Optional("HeaderTime", configfile.Duration(&l.HeaderTime, shortestLimit, longestLimit)),
+		configfile.Optional("IdleTime", configfile.Duration(&l.IdleTime, shortestLimit, longestLimit)),
+	)
+}
+
 func readMethod(v configfile.Value, r *fleet.Route) configfile.Problems {
 	var m string
 	if problems := configfile.Text(&m, method)(v); problems != nil {
--- a/internal/edge/tablesfile/parse.go
+++ b/internal/edge/tablesfile/parse.go
@@ -28,7 +28,10 @@
 func Parse(routes, pools File) (fleet.Tables, error) {
 	var d draft
 	routesValue, problems := configfile.Parse(routes.Name, routes.Content)
-	problems = append(problems, routesValue.Object(configfile.Required("Routes", configfile.Array(d.readRoute)))...)
+	problems = append(problems, routesValue.Object(
+		configfile.Required("Routes", configfile.Array(d.readRoute)),
+		configfile.Optional("Limits", d.readLimits),
+	)...)
 	poolsValue, poolsProblems := configfile.Parse(pools.Name, pools.Content)
 	d.poolsUnknown = len(poolsProblems) > 0
 	problems = append(problems, poolsProblems...)
@@ -44,6 +47,7 @@
 type draft struct {
 	routes []routeEntry
 	pools  []poolEntry
+	limits fleet.Limits
 	// poolsUnknown means that the pools file could not be parsed, so that no route can be checked against it.
 	poolsUnknown bool
 }
@@ -63,7 +67,7 @@
 
 // tables returns the entries as tables. They must have been checked.
 func (d *draft) tables() fleet.Tables {
-	var t fleet.Tables
+	t := fleet.Tables{Limits: d.limits}
 	for _, entry := range d.routes {
 		t.Routes = append(t.Routes, entry.route)
 	}
--- a/internal/edge/tablesfile/tablesfile_test.go
+++ b/internal/edge/tablesfile/tablesfile_test.go
@@ -95,6 +95,33 @@
 			`r:5:43: Routes[3].Host: "h:80" is not allowed; want a host name without a port`)
 	})
 
+	t.Run("a split, limits and the terms of service of a route survive", func(t *testing.T) {
+		tables, err := parse(`{"Routes": [{"Name": "a", "PathPrefix": "/a/", "Split": [{"Pool": "p", "Weight": 90}, {"Pool": "q", "Weight": 10}],
+"Deadline": "2s", "Goal": "1s", "Attempts": 2, "Priority": 1}],
+"Limits": {"HeaderBytes": 16384, "BodyBytes": 67108864, "HeaderTime": "3s", "IdleTime": "15s"}}`,
+			`{"Pools": [{"Name": "p", "Service": "s", "Floor": 4, "FalseEjectionInterval": "24h"},
+{"Name": "q", "Service": "s", "Floor": 4, "FalseEjectionInterval": "24h"}]}`)
+		is.New(t).NoErr(err)
+		is.New(t).Equal(tables.Routes[0].Split, []fleet.Share{{Pool: "p", Weight: 90}, {Pool: "q", Weight: 10}})
+		is.New(t).Equal(tables.Routes[0].Goal, time.Second)
+		is.New(t).Equal(tables.Limits, fleet.Limits{
+			HeaderBytes: 16384, BodyBytes: 64 << 20, HeaderTime: 3 * time.Second, IdleTime: 15 * time.Second,
+		})
+		assertRoundTrip(t, tables)
+	})
+
+	t.Run("a split must name each pool once, with a weight", func(t *testing.T) {
+		assertProblems(t, `{"Routes": [
+{"Name": "a", "PathPrefix": "/a", "Deadline": "1s"},
+{"Name": "b", "PathPrefix": "/b", "Pool": "p", "Split": [{"Pool": "p", "Weight": 1}], "Deadline": "1s"},
+{"Name": "c", "PathPrefix": "/c", "Split": [{"Pool": "p", "Weight": 0}, {"Pool": "p", "Weight": 0}], "Deadline": "1s"}]}`,
+			goodPools,
+			`r:2:1: Routes[0]: want either Pool or Split`,
+			`r:3:1: Routes[1]: want either Pool or Split`,
+			`r:4:44: Routes[2].Split: pool "p" is there twice`,
+			`r:4:44: Routes[2].Split: every weight is 0`)
+	})
+
 	t.Run("a pools file that is not JSON does not make every route wrong", func(t *testing.T) {
 		assertProblems(t, goodRoutes, `{"Pools": [`, `p:1:12: not JSON with comments`)
 	})
--- a/internal/edge/target/announcement.go
+++ b/internal/edge/target/announcement.go
@@ -32,17 +32,38 @@
 	InFlight    int
 }
 
-func decodeAnnouncement(body io.Reader) (wireAnnouncement, error) {
+// decodeAnnouncement reads an announcement in jayfold's own form.
+func decodeAnnouncement(name string, body io.Reader) (fleet.Announcement, []string, error) {
 	var wire wireAnnouncement
 	decoder := json.NewDecoder(body)
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&wire); err != nil {
-		return wireAnnouncement{}, err
+		return fleet.Announcement{}, nil, err
 	}
 	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
-		return wireAnnouncement{}, errors.New("more than one JSON value")
+		return fleet.Announcement{}, nil, errors.New("more than one JSON value")
 	}
-	return wire, nil
+	var faults []string
+	state, known := states[wire.State]
+	if !known {
+		faults = append(faults, fmt.Sprintf("State: %q is neither Ready nor Draining", wire.State))
+	}
+	if wire.Instance == "" || len(wire.Instance) > maxInstance {
+		faults = append(faults, fmt.Sprintf("Instance: want 1 to %d bytes", maxInstance))
+	}
+	if wire.InFlight < 0 {
+		faults = append(faults, fmt.Sprintf("InFlight: %d is negative", wire.InFlight))
+	}
+	return fleet.Announcement{
+		Name:        name,
+		Pool:        fleet.PoolName(wire.Pool),
+		Address:     wire.Address,
+		Slots:       wire.Slots,
+		Connections: wire.Connections,
+		State:       state,
+		Instance:    wire.Instance,
+		InFlight:    wire.InFlight,
+	}, faults, nil
 }
 
 func checkName(name string) []string {
@@ -52,23 +73,19 @@
 	return []string{fmt.Sprintf("name %q: want at most 63 letters, digits, dots, underscores and hyphens", name)}
 }
 
-// faults returns everything that is wrong with the announcement.
-func (a wireAnnouncement) faults(host netip.Addr, knownPool func(fleet.PoolName) bool) []string {
-	var faults []string
+// faults returns everything that is wrong with an announcement, whatever form it came in.
+func (s *Server) faults(a fleet.Announcement) []string {
+	faults := checkName(a.Name)
 	add := func(ok bool, format string, values ...any) {
 		if !ok {
 			faults = append(faults, fmt.Sprintf(format, values...))
 		}
 	}
-	_, stateKnown := states[a.State]
-	add(knownPool(fleet.PoolName(a.Pool)), "Pool: no pool %q in the tables", a.Pool)
-	add(onHost(host, a.Address), "Address: %q is not an IP address and port on this host, %s", a.Address, host)
+	add(s.seams.KnownPool(a.Pool), "Pool: no pool %q in the tables", a.Pool)
+	add(onHost(s.host, a.Address), "Address: %q is not an IP address and port on this host, %s", a.Address, s.host)
 	add(a.Slots >= 1 && a.Slots <= maxSlots, "Slots: %d is not in 1..%d", a.Slots, maxSlots)
 	add(a.Connections >= 1 && a.Connections <= maxConnections,
 		"Connections: %d is not in 1..%d", a.Connections, maxConnections)
-	add(stateKnown, "State: %q is neither Ready nor Draining", a.State)
-	add(a.Instance != "" && len(a.Instance) <= maxInstance, "Instance: want 1 to %d bytes", maxInstance)
-	add(a.InFlight >= 0, "InFlight: %d is negative", a.InFlight)
 	return faults
 }
 
@@ -86,16 +103,3 @@
 	fleet.Ready.String():          fleet.Ready,
 	fleet.TargetDraining.String(): fleet.TargetDraining,
 }
-
-func (a wireAnnouncement) announcement(name string) fleet.Announcement {
-	return fleet.Announcement{
-		Name:        name,
-		Pool:        fleet.PoolName(a.Pool),
-		Address:     a.Address,
-		Slots:       a.Slots,
-		Connections: a.Connections,
-		State:       states[a.State],
-		Instance:    a.Instance,
-		InFlight:    a.InFlight,
-	}
-}
--- a/internal/edge/target/client.go
+++ b/internal/edge/target/client.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"os"
 	"strings"
 	"sync"
@@ -16,18 +15,7 @@
 	"jayfold.dev/jayfold/internal/core/fleet"
 )
 
-// The headers that the client sets on each request to a target.
 const (
-	headerRequest = "Jayfold-Request"
-	headerTimeout = "Jayfold-Timeout"
-	headerCaller  = "Jayfold-Caller"
-	headerPrefix  = "Jayfold-"
-)
-
-const (
-	// idleTimeout closes connections that have been silent for longer: an order must not be lost to a connection that
-	// the target is about to close. A new one costs about 1 ms.
-	idleTimeout = 500 * time.Millisecond
 	// dialTimeout bounds the dial of a connection, which stays within the host.
 	dialTimeout = time.Second
 	// probeTimeout bounds the dial that tells a dead process from a busy one.
@@ -36,41 +24,34 @@
 	dropWait = 50 * time.Millisecond
 	// redialWait is the time between two dials to a process that drops new connections.
 	redialWait = 10 * time.Millisecond
-	// maxResponseHeader bounds the headers of a response, in bytes.
-	maxResponseHeader = 256 << 10
-	// maxTransports bounds the endpoints that are kept. A host has about 15 targets, each with a new port per start.
-	maxTransports = 128
-	// maxFreshTries bounds how often a request of which nothing was written moves on from a connection that was closed.
-	maxFreshTries = 3
+	// maxEndpoints bounds the endpoints that are kept. A host has about 15 targets, each with a new port per start.
+	maxEndpoints = 128
 )
 
+// keepAlive finds connections that went silent: three probes without an answer, 5 s after the last byte.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3}
+
 // Dial opens a connection to a target.
 type Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
 // NewDial returns the dial function of the operating system.
 func NewDial() Dial {
-	dialer := net.Dialer{Timeout: dialTimeout}
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive}
 	return dialer.DialContext
 }
 
 // Client sends admitted attempts to the targets on this host. It keeps connections open per target.
 type Client struct {
-	dial Dial
-	now  func() time.Time
-
-	mu         sync.Mutex
-	transports map[endpoint]*http.Transport
-}
-
-// endpoint is a target's address with the connections that it allows.
-type endpoint struct {
-	address     string
-	connections int
+	protocol  Protocol
+	dial      Dial
+	now       func() time.Time
+	mu        sync.Mutex
+	endpoints map[endpointKey]*endpoint
 }
 
 // NewClient returns a client without connections.
-func NewClient(dial Dial, now func() time.Time) *Client {
-	return &Client{dial: dial, now: now, transports: map[endpoint]*http.Transport{}}
+func NewClient(protocol Protocol, dial Dial, now func() time.Time) *Client {
+	return &Client{protocol: protocol, dial: dial, now: now, endpoints: map[endpointKey]*endpoint{}}
 }
 
 // Run sends the request to the target and returns its response. The caller must close the body. ctx cancels the run.
@@ -80,55 +61,44 @@
 		return nil, fleet.NewProblem(fleet.DeadlinePassed, fleet.NotRun, "the deadline passed before the run started")
 	}
 	ctx, cancel := context.WithTimeout(ctx, remaining)
-	transport := c.transport(endpoint{address: run.Address, connections: run.Connections})
-	for tries := 1; ; tries++ {
-		response, sent, err := c.roundTrip(ctx, transport, run, request, remaining)
-		if err == nil {
-			response.Body = &responseBody{ReadCloser: response.Body, cancel: cancel}
-			return response, nil
-		}
-		if !sent.movesOn() || tries == maxFreshTries || ctx.Err() != nil {
-			cancel()
-			return nil, problemOf(err, sent)
-		}
+	conn, err := c.endpoint(run).connect(ctx, run.Attempt.Idempotent)
+	if err != nil {
+		cancel()
+		return nil, problemOf(err, fleet.NotRun)
 	}
-}
-
-// roundTrip tries the request on one connection.
-func (c *Client) roundTrip(
-	ctx context.Context, transport *http.Transport, run effect.Run, request *http.Request, remaining time.Duration,
-) (*http.Response, *sending, error) {
-	sent := &sending{body: request.Body}
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: sent.gotConn})
-	response, err := transport.RoundTrip(outgoing(ctx, run, request, sent, remaining))
+	s := newSending(ctx, cancel, conn)
+	response, err := s.roundTrip(c.outgoing(ctx, run, request), func(r *http.Response) bool { return c.protocol.Stray(run, r) })
 	if err != nil {
-		sent.stop()
+		return nil, problemOf(err, s.abort())
 	}
-	return response, sent, err
+	if problem, ok := c.protocol.Judge(run, response).Get(); ok {
+		s.discard(response)
+		return nil, problem
+	}
+	return response, nil
 }
 
-// outgoing returns the request as the target gets it. Its body is never nil and has no GetBody, so that the transport
-// never sends the request a second time by itself.
-func outgoing(
-	ctx context.Context, run effect.Run, request *http.Request, body *sending, remaining time.Duration,
-) *http.Request {
+// outgoing returns the request as the target gets it.
+func (c *Client) outgoing(ctx context.Context, run effect.Run, request *http.Request) *http.Request {
 	out := request.Clone(ctx)
 	out.RequestURI = ""
 	out.URL.Scheme = "http"
 	out.URL.Host = run.Address
 	out.Host = request.Host
-	out.Body = body
 	out.GetBody = nil
 	out.TransferEncoding = nil
 	out.Trailer = nil
 	out.Close = false
-	caller := request.Header.Get(headerCaller)
+	if out.ContentLength == 0 {
+		out.Body = http.NoBody
+	}
 	removeHopHeaders(out.Header)
-	if caller != "" {
-		out.Header.Set(headerCaller, caller)
+	if _, ok := out.Header["User-Agent"]; !ok {
+		// An empty value keeps net/http from adding its own.
+		out.Header.Set("User-Agent", "")
 	}
-	out.Header.Set(headerRequest, string(run.Attempt.ID.Request()))
-	out.Header.Set(headerTimeout, remaining.Round(time.Microsecond).String())
+	// The time left is read last, so that the target never gets more than the caller has.
+	c.protocol.Prepare(out.Header, run, max(run.Attempt.Deadline.Sub(c.now()), 0))
 	return out
 }
 
@@ -155,11 +125,7 @@
 }
 
 // problemOf returns the problem of a request without a response.
-func problemOf(err error, sent *sending) fleet.Problem {
-	verdict := fleet.MayHaveRun
-	if sent.nothingWritten() {
-		verdict = fleet.NotRun
-	}
+func problemOf(err error, verdict fleet.Verdict) fleet.Problem {
 	switch {
 	case errors.Is(err, context.DeadlineExceeded):
 		return fleet.NewProblem(fleet.DeadlinePassed, verdict, "the target gave no response before the deadline")
@@ -209,43 +175,22 @@
 	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
 }
 
-// transport returns the transport with the connections to a target.
-func (c *Client) transport(to endpoint) *http.Transport {
+// endpoint returns the connections to the target of a run.
+func (c *Client) endpoint(run effect.Run) *endpoint {
+	key := endpointKey{address: run.Address, connections: run.Connections}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if transport, ok := c.transports[to]; ok {
-		return transport
-	}
-	c.forget(to.address)
-	if len(c.transports) >= maxTransports {
-		c.forgetAll()
-	}
-	transport := &http.Transport{
-		DialContext:            c.dialTracked,
-		DisableCompression:     true,
-		MaxConnsPerHost:        to.connections,
-		MaxIdleConnsPerHost:    to.connections,
-		IdleConnTimeout:        idleTimeout,
-		MaxResponseHeaderBytes: maxResponseHeader,
-	}
-	c.transports[to] = transport
-	return transport
-}
-
-// forget drops the transports of an address whose bound has changed. Runs on their connections go on.
-func (c *Client) forget(address string) {
-	for old, transport := range c.transports {
-		if old.address == address {
-			transport.CloseIdleConnections()
-			delete(c.transports, old)
+	if e, ok := c.endpoints[key]; ok {
+		return e
+	}
+	for old, e := range c.endpoints {
+		// An address whose bound has changed has another process behind it. Too many endpoints are forgotten together.
+		if old.address == key.address || len(c.endpoints) >= maxEndpoints {
+			e.closeIdle()
+			delete(c.endpoints, old)
 		}
 	}
-}
-
-// forgetAll drops all transports. Runs on their connections go on.
-func (c *Client) forgetAll() {
-	for _, transport := range c.transports {
-		transport.CloseIdleConnections()
-	}
-	clear(c.transports)
+	e := newEndpoint(key, c.dial, c.now)
+	c.endpoints[key] = e
+	return e
 }
--- a/internal/edge/target/doc.go
+++ b/internal/edge/target/doc.go
@@ -3,10 +3,10 @@
 //
 // # Usage
 //
-//	server := target.NewServer(host, target.Seams{Post: loop.Post, KnownPool: knownPool})
+//	server := target.NewServer(target.NewAnnouncements(), host, target.Seams{Post: loop.Post, KnownPool: knownPool})
 //	go http.Serve(listener, server)
 //
-//	client := target.NewClient(target.NewDial(), time.Now)
+//	client := target.NewClient(target.NewProtocol(), target.NewDial(), time.Now)
 //	response, err := client.Run(ctx, run, request)
 //
 // Every error of Run and of reading the response's body, other than io.EOF, is a fleet.Problem. Its verdict is NotRun only
--- a/internal/edge/target/sending.go
+++ b/internal/edge/target/sending.go
@@ -4,136 +4,183 @@
 	"context"
 	"errors"
 	"io"
-	"net"
-	"net/http/httptrace"
-	"sync"
+	"net/http"
+	"strconv"
+	"strings"
 	"sync/atomic"
+	"time"
 
 	"jayfold.dev/jayfold/internal/core/fleet"
 )
 
-// errSealed is the error of a write after the request on the connection was given up.
-var errSealed = errors.New("the request on this connection was given up")
+const (
+	// maxStrays bounds the responses to other requests that are passed over on one connection.
+	maxStrays = 4
+	// maxDiscarded bounds what is read of a response that nobody wants, in bytes, so that its connection can be used again.
+	maxDiscarded = 64 << 10
+	// smallRequest is the size in bytes of a body that the buffers of a connection take whole, so that writing it never
+	// waits for the target.
+	smallRequest = 2 << 10
+)
 
-// trackedConn counts the writes to a connection, so that a failed request can tell whether any byte of it was written.
-type trackedConn struct {
-	net.Conn
+var (
+	errStrays    = errors.New("the connection carries the responses to other requests")
+	errSwitching = errors.New("the target switched protocols without being asked")
+)
 
-	mu     sync.Mutex
-	writes uint64
-	sealed bool
+// sending is one request on a connection to a target, up to the end of its response.
+type sending struct {
+	ctx    context.Context
+	cancel context.CancelFunc
+	conn   *conn
+	// stop ends the watch of ctx, which closes the connection.
+	stop func() bool
+	// wrote means that some of the request was handed to the connection.
+	wrote atomic.Bool
+	// written means that all of it was.
+	written atomic.Bool
+	ended   atomic.Bool
 }
 
-// dialTracked opens a connection that counts its writes.
-func (c *Client) dialTracked(ctx context.Context, network, address string) (net.Conn, error) {
-	conn, err := c.dial(ctx, network, address)
-	if err != nil {
-		return nil, err
+func newSending(ctx context.Context, cancel context.CancelFunc, c *conn) *sending {
+	s := &sending{ctx: ctx, cancel: cancel, conn: c}
+	s.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
+	return s
+}
+
+// roundTrip writes the request and reads the head of its response, which may come before the request is written. The
+// responses that are stray belong to other requests and are passed over.
+func (s *sending) roundTrip(request *http.Request, stray func(*http.Response) bool) (*http.Response, error) {
+	if request.ContentLength >= 0 && request.ContentLength <= smallRequest {
+		s.write(request)
+	} else {
+		go s.write(request)
+	}
+	for range maxStrays {
+		response, err := s.head(request)
+		if err != nil {
+			return nil, s.cause(err)
+		}
+		if !stray(response) {
+			s.conn.keep = keepAliveOf(response.Header)
+			response.Body = &responseBody{sending: s, response: response, body: response.Body}
+			return response, nil
+		}
+		if !drained(response.Body) || response.Close {
+			return nil, errStrays
+		}
 	}
-	return &trackedConn{Conn: conn}, nil
+	return nil, errStrays
 }
 
-// Write implements net.Conn. A write counts before it starts.
-func (c *trackedConn) Write(p []byte) (int, error) {
-	c.mu.Lock()
-	sealed := c.sealed
-	c.writes++
-	c.mu.Unlock()
-	if sealed {
-		return 0, errSealed
+// write sends the request. Write errors show as read errors, since a failed write closes the connection.
+func (s *sending) write(request *http.Request) {
+	err := request.Write(writer{s})
+	if err != nil {
+		_ = s.conn.Close()
+		return
 	}
-	return c.Conn.Write(p)
+	s.written.Store(true)
 }
 
-func (c *trackedConn) count() uint64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.writes
+// writer notes the first write before it starts.
+type writer struct{ *sending }
+
+// Write implements io.Writer.
+func (w writer) Write(p []byte) (int, error) {
+	w.wrote.Store(true)
+	return w.conn.Write(p)
 }
 
-// seal prevents further writes, closes the connection and returns the number of writes that may have reached the target.
-func (c *trackedConn) seal() uint64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.sealed {
-		c.sealed = true
-		_ = c.Close()
+// head reads the head of the next response that is not merely informational.
+func (s *sending) head(request *http.Request) (*http.Response, error) {
+	for {
+		response, err := http.ReadResponse(s.conn.reader, request)
+		switch {
+		case err != nil:
+			return nil, err
+		case response.StatusCode == http.StatusSwitchingProtocols:
+			return nil, errSwitching
+		case response.StatusCode >= http.StatusOK:
+			return response, nil
+		}
 	}
-	return c.writes
 }
 
-// sending is one request on its way to a target, and the reader of its body.
-type sending struct {
-	body io.ReadCloser
-	read atomic.Bool
-
-	mu     sync.Mutex
-	conn   *trackedConn
-	reused bool
-	before uint64
-	wrote  bool
-}
-
-// gotConn notes the connection that the transport chose.
-func (s *sending) gotConn(info httptrace.GotConnInfo) {
-	conn, ok := info.Conn.(*trackedConn)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !ok || s.conn != nil {
-		s.wrote = true
-		return
+// cause returns why reading failed: the end of ctx, which closes the connection, or the connection itself.
+func (s *sending) cause(err error) error {
+	if s.ctx.Err() != nil {
+		return s.ctx.Err()
 	}
-	s.conn, s.reused, s.before = conn, info.Reused, conn.count()
+	return err
 }
 
-// stop ends the sending. After it, nothing more of the request is written.
-func (s *sending) stop() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.conn != nil && s.conn.seal() != s.before {
-		s.wrote = true
+// abort ends a request without a response and says whether it may have run. Once the connection is closed nothing more
+// is written, so that a request of which nothing was written by then was not run.
+func (s *sending) abort() fleet.Verdict {
+	_ = s.conn.Close()
+	verdict := fleet.NotRun
+	if s.wrote.Load() {
+		verdict = fleet.MayHaveRun
 	}
+	s.end(false)
+	return verdict
 }
 
-// nothingWritten reports whether no byte of the stopped request was handed to a connection.
-func (s *sending) nothingWritten() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return !s.wrote
+// discard reads the rest of a response that nobody wants.
+func (s *sending) discard(response *http.Response) {
+	drained(response.Body)
+	_ = response.Body.Close()
 }
 
-// movesOn reports whether the stopped request may be tried on another connection: it met one that was already closed, and
-// its body is still whole.
-func (s *sending) movesOn() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.conn != nil && s.reused && !s.wrote && !s.read.Load()
+// drained reads a short body to its end, and reports whether that came.
+func drained(body io.Reader) bool {
+	_, err := io.CopyN(io.Discard, body, maxDiscarded)
+	return errors.Is(err, io.EOF)
 }
 
-// Read implements io.Reader.
-func (s *sending) Read(p []byte) (int, error) {
-	s.read.Store(true)
-	if s.body == nil {
-		return 0, io.EOF
+// end gives the connection back.
+func (s *sending) end(reusable bool) {
+	if s.ended.Swap(true) {
+		return
 	}
-	return s.body.Read(p)
+	stopped := s.stop()
+	s.cancel()
+	s.conn.endpoint.release(s.conn, reusable && stopped)
 }
 
-// Close implements io.Closer. The server that took the request closes its body.
-func (s *sending) Close() error { return nil }
+// keepAliveOf returns how long the target keeps an idle connection, and 0 when it does not say.
+func keepAliveOf(header http.Header) time.Duration {
+	for field := range strings.SplitSeq(header.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		if seconds, err := strconv.Atoi(value); err == nil && strings.EqualFold(name, "timeout") {
+			return time.Duration(seconds) * time.Second
+		}
+	}
+	return 0
+}
 
-// responseBody turns the errors of reading a response into problems.
+// responseBody is the body of a target's response. It turns the errors of reading into problems and gives the connection
+// back at the end.
 type responseBody struct {
-	io.ReadCloser
-	cancel context.CancelFunc
+	sending  *sending
+	response *http.Response
+	body     io.ReadCloser
 }
 
 // Read implements io.Reader.
 func (b *responseBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
+	n, err := b.body.Read(p)
+	switch {
+	case err == nil:
+		return n, nil
+	case errors.Is(err, io.EOF):
+		b.sending.end(b.reusable())
+		return n, io.EOF
+	}
+	err = b.sending.cause(err)
+	b.sending.end(false)
 	switch {
-	case err == nil || errors.Is(err, io.EOF):
-		return n, err
 	case errors.Is(err, context.DeadlineExceeded):
 		return n, fleet.NewProblem(fleet.DeadlinePassed, fleet.MayHaveRun, "the deadline passed during the response")
 	case errors.Is(err, context.Canceled):
@@ -143,8 +190,14 @@
 	}
 }
 
-// Close implements io.Closer and ends the run.
+// reusable reports whether the connection can carry another request after this response. A target that answered before it
+// had read the whole request would take the rest of it for the next one.
+func (b *responseBody) reusable() bool {
+	return !b.response.Close && b.sending.written.Load() && b.sending.conn.reader.Buffered() == 0
+}
+
+// Close implements io.Closer. It ends the run; a response that was not read to its end costs the connection.
 func (b *responseBody) Close() error {
-	defer b.cancel()
-	return b.ReadCloser.Close()
+	b.sending.end(false)
+	return nil
 }
--- a/internal/edge/target/server.go
+++ b/internal/edge/target/server.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"io"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -16,6 +17,21 @@
 // maxAnnouncement bounds the body of an announcement, in bytes.
 const maxAnnouncement = 16 << 10
 
+// Announcements is how targets announce themselves. What an announcement may say is checked by the server, whatever form
+// it came in.
+type Announcements struct {
+	// Path is where a target is announced with PUT and withdrawn with DELETE; its variable {name} is the target's name.
+	Path string
+	// Decode reads the body of an announcement. The faults are what is wrong with it; an error means that it cannot be
+	// read at all.
+	Decode func(name string, body io.Reader) (a fleet.Announcement, faults []string, err error)
+}
+
+// NewAnnouncements returns jayfold's own form of announcements.
+func NewAnnouncements() Announcements {
+	return Announcements{Path: "/v1/targets/{name}", Decode: decodeAnnouncement}
+}
+
 // Seams are what the server needs from outside.
 type Seams struct {
 	Post func(event.Body)
@@ -25,16 +41,17 @@
 
 // Server is the HTTP handler for the announcements of the targets on one host.
 type Server struct {
+	form   Announcements
 	host   netip.Addr
 	seams  Seams
 	router *mux.Router
 }
 
 // NewServer returns the handler for targets on the host with the given address.
-func NewServer(host netip.Addr, seams Seams) *Server {
-	s := &Server{host: host, seams: seams, router: mux.NewRouter()}
-	s.router.HandleFunc("/v1/targets/{name}", s.announce).Methods(http.MethodPut)
-	s.router.HandleFunc("/v1/targets/{name}", s.withdraw).Methods(http.MethodDelete)
+func NewServer(form Announcements, host netip.Addr, seams Seams) *Server {
+	s := &Server{form: form, host: host, seams: seams, router: mux.NewRouter()}
+	s.router.HandleFunc(form.Path, s.announce).Methods(http.MethodPut)
+	s.router.HandleFunc(form.Path, s.withdraw).Methods(http.MethodDelete)
 	return s
 }
 
@@ -42,17 +59,16 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.router.ServeHTTP(w, r) }
 
 func (s *Server) announce(w http.ResponseWriter, r *http.Request) {
-	wire, err := decodeAnnouncement(http.MaxBytesReader(w, r.Body, maxAnnouncement))
+	a, faults, err := s.form.Decode(mux.Vars(r)["name"], http.MaxBytesReader(w, r.Body, maxAnnouncement))
 	if err != nil {
 		refuse(w, statusOf(err), "body: "+err.Error())
 		return
 	}
-	name := mux.Vars(r)["name"]
-	if faults := append(checkName(name), wire.faults(s.host, s.seams.KnownPool)...); len(faults) > 0 {
+	if faults = append(faults, s.faults(a)...); len(faults) > 0 {
 		refuse(w, http.StatusUnprocessableEntity, strings.Join(faults, "; "))
 		return
 	}
-	s.seams.Post(event.TargetAnnounced{Announcement: wire.announcement(name)})
+	s.seams.Post(event.TargetAnnounced{Announcement: a})
 	w.WriteHeader(http.StatusNoContent)
 }
 
--- a/internal/lab/testbed/testbed.go
+++ b/internal/lab/testbed/testbed.go
@@ -136,7 +136,7 @@
 
 // Apply brings tables into force as the revision after expected.
 func (b *Testbed) Apply(ctx context.Context, tables fleet.Tables, expected fleet.Revision) error {
-	client := platform.New(platform.Settings{Base: b.PlatformURL, HTTP: &http.Client{}, Log: log.Log})
+	client := platform.New(platform.Settings{Store: platform.NewStore(b.PlatformURL, &http.Client{}), Log: log.Log})
 	defer client.Close()
 	_, err := client.ApplyTables(ctx, tables, expected, fmt.Sprintf("testbed-%d", expected+1))
 	return err
@@ -171,7 +171,7 @@
 			BodyTimeout:    30 * time.Second,
 		},
 	}}
-	n.app = node.New(n.Settings, node.Seams{Log: s.Log})
+	n.app = node.New(n.Settings, node.NewSeams(n.Settings, s.Log))
 	if err := n.app.Start(ctx); err != nil {
 		return err
 	}
--- a/internal/process/node/app.go
+++ b/internal/process/node/app.go
@@ -2,7 +2,7 @@
 //
 // # Usage
 //
-//	app := node.New(settings, node.Seams{Log: handler})
+//	app := node.New(settings, node.NewSeams(settings, handler))
 //	if err := app.Start(ctx); err != nil { ... }
 //	<-app.Done()
 //	err := app.Stop(ctx) // leaves the fleet and finishes what is in flight
@@ -38,10 +38,26 @@
 	stopTimeout = 75 * time.Second
 )
 
-// Seams are what a node needs from outside.
+// Seams are what a node needs from outside: where its log goes, and in which protocols it speaks to callers, to targets and
+// to the platform.
 type Seams struct {
 	// Log writes the lines of the log.
-	Log log.Handler
+	Log           log.Handler
+	Callers       caller.Protocol
+	Targets       target.Protocol
+	Announcements target.Announcements
+	Store         platform.Store
+}
+
+// NewSeams returns the seams of a node that speaks jayfold's own protocols.
+func NewSeams(s settings.Settings, handler log.Handler) Seams {
+	return Seams{
+		Log:           handler,
+		Callers:       caller.NewProtocol(),
+		Targets:       target.NewProtocol(),
+		Announcements: target.NewAnnouncements(),
+		Store:         platform.NewStore(s.Platform, &http.Client{}),
+	}
 }
 
 // New returns the application of a node. It listens once it is started.
@@ -87,14 +103,17 @@
 	})
 }
 
-func newCallers(s settings.Settings, loop *control.Loop, forwarder *peer.Forwarder) *caller.Server {
-	limits := caller.Limits{
-		HeaderBytes: s.Limits.MaxHeaderBytes,
-		BodyBytes:   s.Limits.MaxBodyBytes,
-		HeaderTime:  s.Limits.HeaderTimeout,
-		BodyTime:    s.Limits.BodyTimeout,
+func newCallers(s settings.Settings, seams Seams, loop *control.Loop, forwarder *peer.Forwarder) *caller.Server {
+	settings := caller.Settings{
+		Protocol: seams.Callers,
+		Limits: fleet.Limits{
+			HeaderBytes: s.Limits.MaxHeaderBytes,
+			BodyBytes:   s.Limits.MaxBodyBytes,
+			HeaderTime:  s.Limits.HeaderTimeout,
+		},
+		BodyTime: s.Limits.BodyTimeout,
 	}
-	return caller.New(limits, caller.Seams{
+	return caller.New(settings, caller.Seams{
 		Now:       time.Now,
 		RequestID: caller.RandomRequestID,
 		Post:      loop.Post,
@@ -119,20 +138,19 @@
 	return peer.NewMessenger(s.Member(0), peer.MessengerSeams{Post: loop.Post, Observe: op.Observe})
 }
 
-func newTargets(s settings.Settings, loop *control.Loop, d *dispatcher) *target.Server {
-	return target.NewServer(s.Host, target.Seams{Post: loop.Post, KnownPool: d.knownPool})
+func newTargets(s settings.Settings, seams Seams, loop *control.Loop, d *dispatcher) *target.Server {
+	return target.NewServer(seams.Announcements, s.Host, target.Seams{Post: loop.Post, KnownPool: d.knownPool})
 }
 
-func newTargetClient() *target.Client {
-	return target.NewClient(target.NewDial(), time.Now)
+func newTargetClient(seams Seams) *target.Client {
+	return target.NewClient(seams.Targets, target.NewDial(), time.Now)
 }
 
-func newPlatform(s settings.Settings, seams Seams, loop *control.Loop) *platform.Client {
+func newPlatform(seams Seams, loop *control.Loop) *platform.Client {
 	return platform.New(platform.Settings{
-		Base: s.Platform,
-		HTTP: &http.Client{},
-		Post: loop.Post,
-		Log:  &log.Logger{Handler: seams.Log, Level: log.DebugLevel},
+		Store: seams.Store,
+		Post:  loop.Post,
+		Log:   &log.Logger{Handler: seams.Log, Level: log.DebugLevel},
 	})
 }
 
--- a/internal/process/node/dispatch.go
+++ b/internal/process/node/dispatch.go
@@ -33,6 +33,7 @@
 	switch e := e.(type) {
 	case effect.UseTables:
 		d.tables.Store(&e.Tables)
+		d.callers.UseLimits(e.Tables.Limits)
 	case effect.CloseCallers:
 		go d.closeCallers()
 	case effect.Stop:
--- a/internal/process/node/serve.go
+++ b/internal/process/node/serve.go
@@ -56,6 +56,10 @@
 		{s.Settings.Listen.Forward, forward.Serve},
 		{s.Settings.Listen.Operators, operators.Serve},
 	}
+	ready := &http.Server{Handler: http.HandlerFunc(s.Callers.Ready), ReadHeaderTimeout: headerTimeout}
+	if s.Settings.Listen.Ready.IsValid() {
+		listeners = append(listeners, listener{s.Settings.Listen.Ready, ready.Serve})
+	}
 	lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			if err := open(listeners); err != nil {
@@ -71,6 +75,7 @@
 			_ = forward.Shutdown(stop)
 			_ = targets.Close()
 			_ = operators.Close()
+			_ = ready.Close()
 			s.Forwarder.Close()
 			s.Messenger.Close()
 			cancel()
--- a/internal/process/settings/draft.go
+++ b/internal/process/settings/draft.go
@@ -48,12 +48,14 @@
 			configfile.Required("Peers", d.address(&s.Listen.Peers, true)),
 			configfile.Required("Forward", d.address(&s.Listen.Forward, true)),
 			configfile.Required("Operators", d.address(&s.Listen.Operators, false)),
+			configfile.Optional("Ready", d.address(&s.Listen.Ready, false)),
 		)),
 		configfile.Optional("Advertise", configfile.Object(
 			configfile.Optional("Peers", configfile.Parsed(&s.Advertise.Peers, parseListen)),
 			configfile.Optional("Forward", configfile.Parsed(&s.Advertise.Forward, parseListen)),
 		)),
 		configfile.Required("Platform", configfile.Parsed(&s.Platform, parsePlatform)),
+		configfile.Optional("DefaultCaller", configfile.Text(&s.DefaultCaller, name)),
 		configfile.Optional("LogLevel", configfile.OneOf(&s.LogLevel, "debug", "info", "warn", "error")),
 		configfile.Optional("Limits", configfile.Object(limits(&s.Limits)...)),
 	}
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -43,6 +43,8 @@
 	Advertise Advertise
 	// Platform is the URL of the object API, without a path.
 	Platform string
+	// DefaultCaller is the client account of requests that name none.
+	DefaultCaller fleet.Caller
 	// LogLevel is the lowest level of the lines that are written: debug, info, warn or error.
 	LogLevel string
 	Limits   Limits
@@ -60,6 +62,9 @@
 	Forward netip.AddrPort
 	// Operators serves status and metrics.
 	Operators netip.AddrPort
+	// Ready answers whether callers should use this node, on an address of its own; it is not valid where that is not set,
+	// and the address of Callers answers as well.
+	Ready netip.AddrPort
 }
 
 // Advertise are addresses under which other nodes reach this one when ports are mapped on the way. An address that is not
