--- a/internal/core/admission/local.go
+++ b/internal/core/admission/local.go
@@ -9,8 +9,10 @@
 const (
 	// queuePerSlot bounds a queue's length: a longer one would only hold attempts that could run elsewhere by then.
 	queuePerSlot = 4
-	// slowStart is how long a new process takes to reach its announced slots.
+	// slowStart is how long a new process takes to reach its announced slots, where it does not tell how long it is slow.
 	slowStart = 10 * time.Second
+	// coldShare is the part of its slots that a target gets while it says that it is slow after its start.
+	coldShare = 2
 	// serviceWeight is the weight of a new service time in the smoothed one. About the last eight runs count.
 	serviceWeight = 1.0 / 8
 )
@@ -34,15 +36,24 @@
 func (l local) warmed(now time.Time) local {
 	limit := min(l.announcement.Slots, l.announcement.Connections)
 	l.slots = limit
+	if !l.announcement.Started.IsZero() {
+		if now.Before(l.heard.Add(l.announcement.Warmup)) {
+			l.slots = max(limit/coldShare, 1)
+		}
+		return l
+	}
 	if age := now.Sub(l.since); age < slowStart {
 		l.slots = 1 + int(int64(limit-1)*int64(age)/int64(slowStart))
 	}
 	return l
 }
 
-// expectedWait returns how long a new attempt of the class would wait for a slot.
-func (l local) expectedWait(class fleet.Class) time.Duration {
-	turns := l.queue.ahead(class) + 1
+// expectedWait returns how long a new attempt would wait for a slot.
+func (l local) expectedWait(a fleet.Attempt) time.Duration {
+	if l.queue.len() == 0 && l.running.Len() < l.slots {
+		return 0
+	}
+	turns := l.queue.ahead(a) + 1
 	return time.Duration(turns) * l.service.mean / time.Duration(max(l.slots, 1))
 }
 
--- a/internal/core/admission/queue.go
+++ b/internal/core/admission/queue.go
@@ -2,40 +2,58 @@
 
 import (
 	"iter"
+	"time"
 
 	"jayfold.dev/jayfold/internal/core/fleet"
 )
 
-// ticket orders waiting attempts: by class, orders first, then by arrival.
+// ticket orders waiting attempts: by priority, then by class, orders first, then by deadline, then by arrival. The work
+// that ends first is that of internal requests, for which another request already waits in a slot elsewhere.
 type ticket uint64
 
-// classShift leaves the lower bits of a ticket to the number of the arrival.
-const classShift = 56
+// The bits of a ticket below its priority: the class, the deadline in milliseconds since the queue's epoch, which suffice
+// for 8 years, and the number of the arrival.
+const (
+	priorityShift = 56
+	classShift    = 54
+	deadlineShift = 16
+	deadlineMask  = 1<<(classShift-deadlineShift) - 1
+	arrivalMask   = 1<<deadlineShift - 1
+)
 
-func newTicket(class fleet.Class, arrival uint64) ticket {
-	return ticket(uint64(fleet.Order-class)<<classShift | arrival)
-}
+// urgency is what makes one attempt give way to another: its priority and class.
+func (t ticket) urgency() ticket { return t >> classShift }
 
 // queue holds the attempts that wait for a target. Its zero value is empty.
 type queue struct {
 	attempts fleet.Map[ticket, fleet.Attempt]
-	// counts is the number of attempts of each class.
-	counts [len(fleet.Classes)]int
+	// epoch is the time from which the deadlines of tickets are counted.
+	epoch time.Time
 }
 
-func (q queue) with(t ticket, attempt fleet.Attempt) queue {
-	q.attempts = q.attempts.With(t, attempt)
-	q.counts[attempt.Class]++
-	return q
+// rank returns the first ticket of an attempt, without its arrival.
+func (q queue) rank(a fleet.Attempt) ticket {
+	due := max(a.Deadline.Sub(q.epoch).Milliseconds(), 0) & deadlineMask
+	return ticket(min(max(a.Priority, 0), 255))<<priorityShift |
+		ticket(fleet.Order-a.Class)<<classShift |
+		ticket(due)<<deadlineShift
 }
 
-func (q queue) without(t ticket) queue {
-	attempt, ok := q.attempts.Get(t)
-	if !ok {
-		return q
+// with returns the queue with an attempt, and its ticket.
+func (q queue) with(now time.Time, arrival uint64, a fleet.Attempt) (queue, ticket) {
+	if q.epoch.IsZero() {
+		q.epoch = now
 	}
+	t := q.rank(a) | ticket(arrival&arrivalMask)
+	for _, taken := q.attempts.Get(t); taken; _, taken = q.attempts.Get(t) {
+		t++
+	}
+	q.attempts = q.attempts.With(t, a)
+	return q, t
+}
+
+func (q queue) without(t ticket) queue {
 	q.attempts = q.attempts.Without(t)
-	q.counts[attempt.Class]--
 	return q
 }
 
@@ -52,33 +70,24 @@
 	}
 }
 
-// last returns the attempt that is to run last: the newest of the lowest class.
-func (q queue) last() fleet.Attempt {
-	for _, class := range fleet.Classes {
-		if q.counts[class] > 0 {
-			return q.newest(class)
-		}
-	}
-	return fleet.Attempt{}
-}
-
-func (q queue) newest(class fleet.Class) fleet.Attempt {
-	var newest fleet.Attempt
-	for _, attempt := range q.attempts.From(newTicket(class, 0)) {
-		if attempt.Class == class {
-			newest = attempt
-		}
+// last returns the attempt that is to run last.
+func (q queue) last() (ticket, fleet.Attempt) {
+	var last ticket
+	var attempt fleet.Attempt
+	for t, a := range q.attempts.All() {
+		last, attempt = t, a
 	}
-	return newest
+	return last, attempt
 }
 
-// ahead returns the number of attempts that run before a new one of the class.
-func (q queue) ahead(class fleet.Class) int {
+// ahead returns the number of attempts that run before a new one.
+func (q queue) ahead(a fleet.Attempt) int {
 	count := 0
-	for _, c := range fleet.Classes {
-		if c >= class {
-			count += q.counts[c]
+	for t := range q.attempts.All() {
+		if t > q.rank(a)|arrivalMask {
+			break
 		}
+		count++
 	}
 	return count
 }
--- a/internal/core/admission/run.go
+++ b/internal/core/admission/run.go
@@ -57,7 +57,7 @@
 		case refused:
 			more = s.refuse(attempt, cause, 0)
 		case ctx.Now.Add(l.service.of(attempt.Class)).After(attempt.Deadline):
-			more = s.refuse(attempt, fleet.Overloaded, l.expectedWait(attempt.Class))
+			more = s.refuse(attempt, fleet.Overloaded, l.expectedWait(attempt))
 		default:
 			s, more = s.run(ctx, l, attempt)
 			l, _ = s.targets.Get(id)
--- a/internal/core/admission/state.go
+++ b/internal/core/admission/state.go
@@ -58,6 +58,9 @@
 	Now time.Time
 	// Gate says which attempts a target takes.
 	Gate func(fleet.TargetID) Gate
+	// Suspect reports whether a target has just failed; MayTry whether it takes a trial now.
+	Suspect func(fleet.TargetID) bool
+	MayTry  func(fleet.TargetID) bool
 	// Quarantined reports whether requests with a fingerprint are refused; Suspected whether they may have crashed a
 	// target, so that no two of them run on one target at a time.
 	Quarantined func(fleet.Fingerprint) bool
@@ -113,6 +116,8 @@
 		return fleet.Ejected, true
 	case !attempt.Deadline.After(ctx.Now):
 		return fleet.DeadlinePassed, true
+	case !attempt.Forced && ctx.Suspect(attempt.Target) && !(attempt.Trial && ctx.MayTry(attempt.Target)):
+		return fleet.Failing, true
 	default:
 		return "", false
 	}
@@ -137,22 +142,25 @@
 
 // enqueue lets an attempt wait, in place of one of a lower class when the queue is full.
 func (s State) enqueue(ctx Context, l local, attempt fleet.Attempt) (State, []effect.Effect) {
-	wait := l.expectedWait(attempt.Class)
+	wait := l.expectedWait(attempt)
+	if attempt.Probe {
+		return s, s.refuse(attempt, fleet.Overloaded, wait)
+	}
 	if ctx.Now.Add(wait + l.service.of(attempt.Class)).After(attempt.Deadline) {
 		return s, s.refuse(attempt, fleet.Overloaded, wait)
 	}
 	var effects []effect.Effect
 	if l.queue.len() >= queuePerSlot*l.slots {
-		last := l.queue.last()
-		if last.Class >= attempt.Class {
+		behind, last := l.queue.last()
+		if behind.urgency() <= l.queue.rank(attempt).urgency() {
 			return s, s.refuse(attempt, fleet.Overloaded, wait)
 		}
 		s, l = s.dequeue(l, last)
-		effects = s.refuse(last, fleet.Overloaded, l.expectedWait(last.Class))
+		effects = s.refuse(last, fleet.Overloaded, l.expectedWait(last))
 	}
 	s.arrivals++
-	t := newTicket(attempt.Class, s.arrivals)
-	l.queue = l.queue.with(t, attempt)
+	var t ticket
+	l.queue, t = l.queue.with(ctx.Now, s.arrivals, attempt)
 	s.waiting = s.waiting.With(attempt.ID, place{target: attempt.Target, ticket: t})
 	s.targets = s.targets.With(attempt.Target, l)
 	return s, effects
@@ -198,7 +206,13 @@
 
 // Report returns the load of the attempt's target. The detector adds what it knows.
 func (s State) Report(attempt fleet.Attempt) fleet.Report {
-	return fleet.Report{Target: attempt.Target, Class: attempt.Class, Load: s.Load(attempt.Target)}
+	l, _ := s.targets.Get(attempt.Target)
+	return fleet.Report{
+		Target: attempt.Target,
+		Class:  attempt.Class,
+		Load:   s.Load(attempt.Target),
+		Wait:   l.expectedWait(attempt),
+	}
 }
 
 // Load returns a target's load.
--- a/internal/core/admission/state_test.go
+++ b/internal/core/admission/state_test.go
@@ -20,7 +20,9 @@
 	gate        admission.Gate
 	quarantined fleet.Set[fleet.Fingerprint]
 	suspected   fleet.Set[fleet.Fingerprint]
-	effects     []effect.Effect
+	// failing and mayTry are what the health part says of every target.
+	failing, mayTry bool
+	effects         []effect.Effect
 }
 
 func newRig() *rig {
@@ -42,6 +44,8 @@
 		Gate:        func(fleet.TargetID) admission.Gate { return r.gate },
 		Quarantined: r.quarantined.Has,
 		Suspected:   r.suspected.Has,
+		Suspect:     func(fleet.TargetID) bool { return r.failing },
+		MayTry:      func(fleet.TargetID) bool { return r.mayTry },
 	}
 }
 
@@ -158,6 +162,34 @@
 			r.assertRuns(is, next)
 		}
 	})
+	t.Run("by priority, then by deadline", func(t *testing.T) {
+		is, r := is.New(t), newWarmRig(1)
+		r.ask("0", fleet.Lookup)
+		for _, w := range []struct {
+			id       string
+			priority int
+			left     time.Duration
+		}{{"1", 2, time.Second}, {"2", 1, 9 * time.Second}, {"3", 1, 5 * time.Second}, {"4", 1, 5 * time.Second}} {
+			a := r.attempt(w.id, fleet.Lookup).WithDeadline(r.now.Add(w.left))
+			a.Priority = w.priority
+			r.askAs(a)
+		}
+		for i, next := range []fleet.AttemptID{"3", "4", "2", "1"} {
+			r.finish([]string{"0", "3", "4", "2"}[i], fleet.Outcome{})
+			r.assertRuns(is, next)
+		}
+	})
+	t.Run("a probe does not wait", func(t *testing.T) {
+		is, r := is.New(t), newWarmRig(1)
+		r.ask("0", fleet.Lookup)
+		r.finish("0", fleet.Outcome{Took: time.Second})
+		r.ask("1", fleet.Lookup)
+		probe := r.attempt("2", fleet.Order)
+		probe.Probe = true
+		r.askAs(probe)
+		refusal := r.assertRefused(is, "2", fleet.Overloaded, fleet.NotRun)
+		is.Equal(refusal.Report.Wait, time.Second)
+	})
 	t.Run("full queue refuses a lookup and gives way to an order", func(t *testing.T) {
 		is, r := is.New(t), newWarmRig(1)
 		for _, id := range []string{"0", "1", "2", "3", "4"} {
@@ -241,6 +273,27 @@
 			r.assertRefused(is, "x", c.cause, fleet.NotRun)
 		})
 	}
+	for name, c := range map[string]struct {
+		attempt func(fleet.Attempt) fleet.Attempt
+		mayTry  bool
+		runs    bool
+	}{
+		"an order on a suspect target":            {func(a fleet.Attempt) fleet.Attempt { return a }, true, false},
+		"a trial on a suspect target":             {func(a fleet.Attempt) fleet.Attempt { a.Trial = true; return a }, true, true},
+		"a trial too soon":                        {func(a fleet.Attempt) fleet.Attempt { a.Trial = true; return a }, false, false},
+		"an order when no healthy target is left": {func(a fleet.Attempt) fleet.Attempt { a.Forced = true; return a }, false, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is, r := is.New(t), newWarmRig(4)
+			r.failing, r.mayTry = true, c.mayTry
+			r.askAs(c.attempt(r.attempt("1", fleet.Order)))
+			if c.runs {
+				r.assertRuns(is, "1")
+				return
+			}
+			r.assertRefused(is, "1", fleet.Failing, fleet.NotRun)
+		})
+	}
 	t.Run("trial takes one idempotent attempt", func(t *testing.T) {
 		is, r := is.New(t), newWarmRig(4)
 		r.gate = admission.Trial
--- a/internal/core/attempt/choice.go
+++ b/internal/core/attempt/choice.go
@@ -1,15 +1,15 @@
 package attempt
 
 import (
-	"slices"
-
 	"jayfold.dev/jayfold/internal/core/fleet"
 )
 
 const (
-	// crossingCost is how many requests per slot fuller the own availability zone must be before a request goes to
+	// crossingCost is how many requests per slot fuller the own availability zone must be before a request is forced on
 	// another one. Half a request per slot is more wait than the round trip of 3 ms between zones costs.
 	crossingCost = 0.5
+	// full is the load, in requests per slot, of a target without a free slot.
+	full = 1
 	// maxDraws bounds the random draws for an eligible target; after that all are looked at.
 	maxDraws = 8
 	// usualPool is the size of a pool up to which listing its targets allocates nothing; the mean is 56.
@@ -37,8 +37,8 @@
 	random     draws
 }
 
-// choose returns the target for the next attempt of a request, and false when there is none that it has not tried.
-func (s State) choose(ctx Context, f flight) (fleet.Candidate, bool) {
+// choose returns where the next attempt of a request goes, and false when there is no target that it may go to.
+func (s State) choose(ctx Context, f flight) (placement, bool) {
 	c := choice{
 		state:      s,
 		pool:       s.pool(f.template.Pool),
@@ -47,40 +47,7 @@
 		candidates: ctx.Directory.Pool(f.template.Pool),
 		random:     draws(ctx.Random),
 	}
-	i := c.pick()
-	if i < 0 {
-		return fleet.Candidate{}, false
-	}
-	return c.candidates[i], true
-}
-
-// pick returns the index of the target, -1 when there is none.
-func (c *choice) pick() int {
-	if c.flight.template.Key != "" {
-		if i := c.home(func(i int) bool { return c.eligible(i, c.view(i)) }); i >= 0 {
-			return i
-		}
-		return c.home(c.untried)
-	}
-	if i := c.balanced(); i >= 0 {
-		return i
-	}
-	return c.lastResort()
-}
-
-// balanced returns the better of two random targets of the own availability zone, or of the others when that is fuller
-// by more than the cost of crossing; -1 when no target is eligible.
-func (c *choice) balanced() int {
-	var buffer [usualPool]int32
-	own, share := c.better(c.inZone(true, buffer[:0]))
-	if own >= 0 && share <= crossingCost {
-		return own
-	}
-	other, otherShare := c.better(c.inZone(false, buffer[:0]))
-	if own >= 0 && (other < 0 || share <= otherShare+crossingCost) {
-		return own
-	}
-	return other
+	return c.place()
 }
 
 // inZone lists the targets of the own availability zone, or those of the others.
@@ -132,7 +99,8 @@
 func (c *choice) view(i int) *view { return c.pool.view(c.candidates[i].Target.ID) }
 
 func (c *choice) untried(i int) bool {
-	return !slices.Contains(c.flight.tried, c.candidates[i].Target.ID)
+	id := c.candidates[i].Target.ID
+	return !c.flight.triedAt(id) && !c.flight.bouncedAt(id)
 }
 
 // eligible reports whether a target should get the request. The ejection mark in a member record is a hint that only
@@ -142,7 +110,7 @@
 	if !c.untried(i) || candidate.Target.Ejected && !c.flight.template.Idempotent {
 		return false
 	}
-	if c.ctx.Now.Before(v.refusedUntil) {
+	if c.ctx.Now.Before(v.refusedUntil) || c.ctx.Now.Before(v.suspectUntil) {
 		return false
 	}
 	return !c.state.reaches.avoids(c.ctx.Now, candidate.Node, c.flight.template.Idempotent)
@@ -154,25 +122,19 @@
 	return v.share(c.ctx.Now, c.state.own.count(target.ID), target.Slots)
 }
 
-// lastResort returns the least loaded target that the request has not tried, -1 when there is none. What the ingress
-// remembers of refusals may be out of date.
-func (c *choice) lastResort() int {
-	best := -1
-	var lowest float64
-	for i := range c.candidates {
-		if !c.untried(i) {
-			continue
-		}
-		if share := c.share(i, c.view(i)); best < 0 || share < lowest {
-			best, lowest = i, share
-		}
+// home returns the home target of a request with an idempotency key: the highest hash of key and target (rendezvous
+// hashing) among those that may take it.
+func (c *choice) home() (int, manner) {
+	if c.flight.template.Key == "" {
+		return -1, waiting
 	}
-	return best
+	if i := c.highest(func(i int) bool { return c.eligible(i, c.view(i)) }); i >= 0 {
+		return i, waiting
+	}
+	return c.highest(c.untried), forced
 }
 
-// home returns the home target of the request's idempotency key: the highest hash of key and target (rendezvous
-// hashing) among those allowed.
-func (c *choice) home(allowed func(int) bool) int {
+func (c *choice) highest(allowed func(int) bool) int {
 	best := -1
 	var highest uint64
 	for i := range c.candidates {
--- a/internal/core/attempt/finish.go
+++ b/internal/core/attempt/finish.go
@@ -34,7 +34,8 @@
 		problem.Verdict = fleet.MayHaveRun
 	}
 	s = s.blamed(ctx, f, t, problem, report)
-	return s.retry(ctx, f.failed(id, problem, outcome.Status))
+	r, _ := report.Get()
+	return s.retry(ctx, f.failed(t, problem, outcome.Status, r.Wait))
 }
 
 // reported takes in a sidecar's report on a target of the request's pool.
@@ -51,7 +52,7 @@
 
 // refusesAll holds the causes with which a sidecar refuses every attempt on a target.
 var refusesAll = map[fleet.Cause]bool{
-	fleet.Ejected: true, fleet.Draining: true, fleet.UnknownTarget: true,
+	fleet.Ejected: true, fleet.Draining: true, fleet.UnknownTarget: true, fleet.Misdirected: true,
 }
 
 // blamed remembers which targets refuse and which nodes cannot be reached.
@@ -88,15 +89,27 @@
 	if f.mayCrash() {
 		return s, nil, false
 	}
-	spent, ok := s.budget.spent(f.template.Idempotent)
-	if !ok || ctx.quarantined(f) {
+	if ctx.quarantined(f) {
 		return s, nil, false
 	}
-	candidate, ok := s.choose(ctx, f)
+	where, ok := s.choose(ctx, f)
 	if !ok {
 		return s, nil, false
 	}
-	s.budget = spent
-	s, f, forward := s.start(ctx, f, candidate)
+	if f.arrived() {
+		if s, ok = s.spent(ctx, f.template.Pool); !ok {
+			return s, nil, false
+		}
+	}
+	s, f, forward := s.start(ctx, f, where)
 	return s.store(f), []effect.Effect{forward}, true
 }
+
+// spent takes one repeated attempt out of a pool's budget.
+func (s State) spent(ctx Context, name fleet.PoolName) (State, bool) {
+	p := *s.pool(name)
+	next, ok := p.budget.spent(ctx.Now, s.retries, ctx.Nodes)
+	p.budget = next
+	s.pools = s.pools.With(name, &p)
+	return s, ok
+}
--- a/internal/core/attempt/flight.go
+++ b/internal/core/attempt/flight.go
@@ -9,7 +9,8 @@
 )
 
 const (
-	// maxAttempts bounds the attempts of one request. A fourth failure says more of the pool than of the targets.
+	// maxAttempts bounds the targets that may run one request, where its route sets no limit. A fourth failure says more
+	// of the pool than of the targets.
 	maxAttempts = 4
 	// maxCrashes is how many targets one request may crash: the first may be a coincidence, the second confirms it.
 	maxCrashes = 2
@@ -24,6 +25,8 @@
 	// closeWait is how long past the deadline a request that is not idempotent waits for the sidecar to confirm the
 	// cancel, which tells its caller whether it ran. The forwarder ends the attempt after 200 ms.
 	closeWait = 300 * time.Millisecond
+	// maxBounces bounds the refusals that one request takes: each target of a usual pool once as a probe, and some queues.
+	maxBounces = 12
 	// defaultRetryAfter goes with a refusal for which the sidecar named no time.
 	defaultRetryAfter = time.Second
 )
@@ -33,11 +36,19 @@
 	id fleet.RequestID
 	// template is what all attempts of the request have in common.
 	template fleet.Attempt
-	arrived  time.Time
+	received time.Time
+	// goal is when the answer is due for its full use.
+	goal time.Time
+	// limit is the most targets that may run the request.
+	limit int
 	// attempts counts the attempts started so far.
 	attempts int
 	live     []try
-	tried    []fleet.TargetID
+	// tried lists the targets that may have run the request, or may still; bounces the attempts that did not run.
+	tried   []fleet.TargetID
+	bounces []bounce
+	// reached means that a target got the request, if only to refuse it.
+	reached bool
 	// verdict joins the verdicts of the attempts that ended.
 	verdict fleet.Verdict
 	// problem is that of the last attempt that failed.
@@ -58,15 +69,17 @@
 	id     fleet.AttemptID
 	target fleet.TargetID
 	node   fleet.NodeID
+	manner manner
+	near   bool
 	// hedge and timeout are when the attempt counts as slow and as lost. Attempts that are not idempotent have neither.
 	hedge   time.Time
 	timeout time.Time
 }
 
 // started returns the flight with one more attempt.
-func (f flight) started(now time.Time, attempt fleet.Attempt) flight {
+func (f flight) started(now time.Time, attempt fleet.Attempt, t try) flight {
 	f.attempts++
-	t := try{id: attempt.ID, target: attempt.Target, node: attempt.Node}
+	t.id, t.target, t.node = attempt.ID, attempt.Target, attempt.Node
 	if attempt.Idempotent {
 		remaining := attempt.Deadline.Sub(now)
 		t.timeout = now.Add(patience(attempt.Baseline, timeoutFactor, minTimeout, remaining/2))
@@ -119,16 +132,23 @@
 	return f
 }
 
-// failed returns the flight after an attempt ended with a problem.
-func (f flight) failed(id fleet.AttemptID, problem fleet.Problem, status int) flight {
-	f = f.without(id)
+// failed returns the flight after an attempt ended with a problem. A target that refused may still be asked in another
+// manner; wait is what it said of its queue.
+func (f flight) failed(t try, problem fleet.Problem, status int, wait time.Duration) flight {
+	f = f.without(t.id)
 	f.verdict = f.verdict.Join(problem.Verdict)
 	f.problem = problem
+	f.reached = f.reached || problem.Verdict != fleet.NotRun || problem.Cause == fleet.Shed || problem.Cause == fleet.Misdirected
+	if problem.Verdict == fleet.NotRun {
+		f.tried = slices.DeleteFunc(slices.Clone(f.tried), func(id fleet.TargetID) bool { return id == t.target })
+		b := bounce{target: t.target, cause: problem.Cause, manner: t.manner, near: t.near, wait: wait}
+		f.bounces = append(slices.Clone(f.bounces), b)
+	}
 	if problem.Cause == fleet.TargetCrashed {
 		f.crashes++
 	}
 	if status != 0 {
-		f.fallback = id
+		f.fallback = t.id
 	}
 	return f
 }
@@ -157,9 +177,39 @@
 
 // mayStart reports whether the flight has room for one more attempt.
 func (f flight) mayStart(now time.Time) bool {
-	return f.attempts < maxAttempts && now.Before(f.template.Deadline)
+	return len(f.tried) < f.limit && len(f.bounces) < maxBounces && now.Before(f.template.Deadline)
+}
+
+// mayFail reports whether the next attempt can fail without harm, because another one may follow.
+func (f flight) mayFail(now time.Time) bool {
+	return f.template.Idempotent && len(f.tried)+1 < f.limit && now.Before(f.goal)
+}
+
+// arrived reports whether a target got the request, so that another attempt repeats it.
+func (f flight) arrived() bool { return f.reached || len(f.live) > 0 }
+
+func (f flight) triedAt(id fleet.TargetID) bool { return slices.Contains(f.tried, id) }
+
+// bouncedAt reports whether a target has refused the request.
+func (f flight) bouncedAt(id fleet.TargetID) bool {
+	return slices.ContainsFunc(f.bounces, func(b bounce) bool { return b.target == id })
+}
+
+// waitedAt reports whether a target has refused the request even a place in its queue.
+func (f flight) waitedAt(id fleet.TargetID) bool {
+	return slices.ContainsFunc(f.bounces, func(b bounce) bool { return b.target == id && b.manner != probing })
 }
 
+// bouncedHard reports whether asking a target in another manner cannot help.
+func (f flight) bouncedHard(id fleet.TargetID) bool {
+	return slices.ContainsFunc(f.bounces, func(b bounce) bool {
+		return b.target == id && (b.manner == forced || !softCauses[b.cause])
+	})
+}
+
+// softCauses are refusals that a target may drop when it is asked in another manner.
+var softCauses = map[fleet.Cause]bool{fleet.Failing: true, fleet.Overloaded: true}
+
 // mayCrash reports whether one more attempt could make the request crash more targets than maxCrashes.
 func (f flight) mayCrash() bool {
 	return f.crashes > 0 && f.crashes+len(f.live) >= maxCrashes
@@ -181,6 +231,9 @@
 
 func (f flight) refusal() effect.Effect {
 	problem := f.problem.WithVerdict(f.verdict)
+	if wait, full := f.shortestQueue(); full && f.verdict == fleet.NotRun && !f.closing {
+		problem = fleet.NewProblem(fleet.Overloaded, fleet.NotRun, "every target in service is full").WithRetryAfter(wait)
+	}
 	if len(f.live) > 0 {
 		problem.Verdict = f.verdict.Join(fleet.MayHaveRun)
 	}
@@ -189,3 +242,14 @@
 	}
 	return effect.Refuse{Request: f.id, Problem: problem}
 }
+
+// shortestQueue returns the shortest wait that a full target named, and whether one did.
+func (f flight) shortestQueue() (time.Duration, bool) {
+	shortest, found := time.Duration(0), false
+	for _, b := range f.bounces {
+		if b.cause == fleet.Overloaded && (!found || b.wait < shortest) {
+			shortest, found = b.wait, true
+		}
+	}
+	return shortest, found
+}
--- a/internal/core/attempt/observed.go
+++ b/internal/core/attempt/observed.go
@@ -21,5 +21,5 @@
 		return Observation{}, false
 	}
 	t := &f.template
-	return Observation{Pool: t.Pool, Class: t.Class, Caller: t.Caller, Arrived: f.arrived}, true
+	return Observation{Pool: t.Pool, Class: t.Class, Caller: t.Caller, Arrived: f.received}, true
 }
--- /dev/null
+++ b/internal/core/attempt/placement.go
@@ -0,0 +1,157 @@
+package attempt
+
+import (
+	"time"
+
+	"jayfold.dev/jayfold/internal/core/fleet"
+)
+
+// manner is how a target is asked to take an attempt.
+type manner uint8
+
+const (
+	// probing asks for a slot at once. A target that is full or has just failed refuses, and another one is asked; within an
+	// availability zone that costs a fraction of a millisecond, and no stale view of a target is relied on.
+	probing manner = iota
+	// waiting accepts a place in the target's queue.
+	waiting
+	// forced accepts a queue, and a target that has just failed, because no healthy one is left.
+	forced
+)
+
+// maxProbes bounds the targets that are asked for a free slot. A pool in which that many are full is full.
+const maxProbes = 8
+
+// placement is where an attempt goes.
+type placement struct {
+	candidate fleet.Candidate
+	manner    manner
+}
+
+// bounce is an attempt that provably did not run.
+type bounce struct {
+	target fleet.TargetID
+	cause  fleet.Cause
+	manner manner
+	// near means that the target is in the ingress's own availability zone.
+	near bool
+	// wait is how long the request would have waited in the target's queue.
+	wait time.Duration
+}
+
+// place decides where the next attempt of a request goes. It answers three loads:
+//
+//   - Light load, with targets that fail now and then: a free target of the own availability zone, and the next one as soon
+//     as it refuses. Another zone is asked only when none of the own takes the request.
+//   - A burst that fills the own zone: the request waits there as long as its answer still meets the response-time goal,
+//     because bytes between zones are dear; else it goes to a free target of another zone, and last to the shortest queue.
+//   - A pool that fails as a whole: when only suspect targets are left, one of them is forced to take the request.
+func (c *choice) place() (placement, bool) {
+	for _, step := range []func() (int, manner){c.home, c.free, c.shortQueue, c.farFree, c.anyQueue, c.suspect} {
+		if i, how := step(); i >= 0 {
+			return placement{candidate: c.candidates[i], manner: how}, true
+		}
+	}
+	return placement{}, false
+}
+
+// free returns a target of the own zone to be asked for a slot.
+func (c *choice) free() (int, manner) {
+	return c.probe(true), probing
+}
+
+// farFree returns a target of another zone to be asked for a slot.
+func (c *choice) farFree() (int, manner) {
+	return c.probe(false), probing
+}
+
+// probe returns a target that the request has not been to and that is not known to be full.
+func (c *choice) probe(near bool) int {
+	if len(c.flight.bounces) >= maxProbes {
+		return -1
+	}
+	var buffer [usualPool]int32
+	i, share := c.better(c.inZone(near, buffer[:0]))
+	if i < 0 || share >= full {
+		return -1
+	}
+	return i
+}
+
+// shortQueue returns the target of the own zone whose queue is short enough for the goal.
+func (c *choice) shortQueue() (int, manner) {
+	i, wait := c.queue(func(b bounce) bool { return b.near })
+	if i < 0 || c.ctx.Now.Add(wait+c.usual()).After(c.flight.goal) {
+		return -1, waiting
+	}
+	return i, waiting
+}
+
+// anyQueue returns the target with the shortest queue that still leaves time to run.
+func (c *choice) anyQueue() (int, manner) {
+	i, wait := c.queue(func(bounce) bool { return true })
+	if i >= 0 {
+		if c.ctx.Now.Add(wait).After(c.flight.template.Deadline) {
+			return -1, waiting
+		}
+		return i, waiting
+	}
+	return c.fullKnown(), waiting
+}
+
+// fullKnown returns a target that was not asked because it is known to be full.
+func (c *choice) fullKnown() int {
+	var buffer [usualPool]int32
+	if i, _ := c.better(c.inZone(true, buffer[:0])); i >= 0 {
+		return i
+	}
+	i, _ := c.better(c.inZone(false, buffer[:0]))
+	return i
+}
+
+// queue returns the target with the shortest queue among those that were full when they were asked for a slot.
+func (c *choice) queue(allowed func(bounce) bool) (int, time.Duration) {
+	best, shortest := -1, time.Duration(0)
+	for _, b := range c.flight.bounces {
+		if b.cause != fleet.Overloaded || b.manner != probing || !allowed(b) || c.flight.waitedAt(b.target) {
+			continue
+		}
+		if i := c.index(b.target); i >= 0 && (best < 0 || b.wait < shortest) {
+			best, shortest = i, b.wait
+		}
+	}
+	return best, shortest
+}
+
+// suspect returns a target that has just failed, or one of which the ingress remembers a refusal that may be out of date.
+func (c *choice) suspect() (int, manner) {
+	best := -1
+	var lowest float64
+	for i := range c.candidates {
+		if c.flight.triedAt(c.candidates[i].Target.ID) || c.flight.bouncedHard(c.candidates[i].Target.ID) {
+			continue
+		}
+		share := c.share(i, c.view(i))
+		if c.candidates[i].AvailabilityZone != c.state.zone {
+			share += crossingCost
+		}
+		if best < 0 || share < lowest {
+			best, lowest = i, share
+		}
+	}
+	return best, forced
+}
+
+// usual returns how long a request of the class usually runs; 0 while that is not known.
+func (c *choice) usual() time.Duration {
+	return c.pool.baselines[c.flight.template.Class].value
+}
+
+func (c *choice) index(id fleet.TargetID) int {
+	for i := range c.candidates {
+		if c.candidates[i].Target.ID == id {
+			return i
+		}
+	}
+	return -1
+}
--- a/internal/core/attempt/pool.go
+++ b/internal/core/attempt/pool.go
@@ -10,6 +10,7 @@
 type pool struct {
 	views     fleet.Map[fleet.TargetID, *view]
 	baselines [len(fleet.Classes)]baseline
+	budget    budget
 }
 
 // unknownPool is the view of a pool of which nothing was heard yet.
@@ -42,6 +43,9 @@
 	if r.Ejected {
 		v.refusedUntil = now.Add(refusalLifetime)
 	}
+	if r.Suspect {
+		v.suspectUntil = now.Add(suspicionLifetime)
+	}
 	next := p.with(r.Target, v)
 	if r.P95 > 0 && int(r.Class) < len(next.baselines) {
 		next.baselines[r.Class] = next.baselines[r.Class].with(now, r.Target, r.P95)
--- a/internal/core/attempt/state.go
+++ b/internal/core/attempt/state.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	state := attempt.New(zone)
+//	state := attempt.New(zone, retries)
 //	state, effects := state.Arrived(ctx, request, route, idempotent)
 //	state, effects = state.Finished(ctx, attemptID, outcome, report)
 //	state, effects = state.Tick(ctx)
@@ -14,6 +14,7 @@
 package attempt
 
 import (
+	"cmp"
 	"time"
 
 	"jayfold.dev/jayfold/internal/core/effect"
@@ -29,7 +30,7 @@
 	own     occupancy
 	reaches reaches
 	pools   fleet.Map[fleet.PoolName, *pool]
-	budget  budget
+	retries Retries
 	// cursor is the pool that is pruned next.
 	cursor fleet.PoolName
 }
@@ -39,6 +40,8 @@
 	Now       time.Time
 	Random    uint64
 	Directory fleet.Directory
+	// Nodes is the number of nodes that share the retry budget.
+	Nodes int
 	// Quarantined reports whether a fingerprint is refused by now; nil means that none is.
 	Quarantined func(fleet.Fingerprint) bool
 }
@@ -49,8 +52,8 @@
 }
 
 // New returns the state of an ingress in the given availability zone.
-func New(zone fleet.AvailabilityZone) State {
-	return State{zone: zone, budget: newBudget()}
+func New(zone fleet.AvailabilityZone, retries Retries) State {
+	return State{zone: zone, retries: retries}
 }
 
 // Arrived starts a request.
@@ -59,30 +62,41 @@
 	if request.Timeout > 0 && request.Timeout < limit {
 		limit = request.Timeout
 	}
-	s.budget = s.budget.credited(ctx.Now)
+	s = s.requested(ctx.Now, route.Pool)
 	f := flight{
-		id:      request.ID,
-		arrived: ctx.Now,
+		id:       request.ID,
+		received: ctx.Now,
 		template: fleet.Attempt{
 			Pool:        route.Pool,
 			Class:       route.Class,
 			Idempotent:  idempotent,
+			Priority:    route.Priority,
 			Caller:      request.Caller,
 			Deadline:    ctx.Now.Add(limit),
 			Fingerprint: request.Fingerprint,
 			Key:         request.Key,
 		},
+		goal:    ctx.Now.Add(cmp.Or(route.Goal, limit)),
+		limit:   cmp.Or(route.Attempts, maxAttempts),
 		verdict: fleet.NotRun,
 		problem: fleet.NewProblem(fleet.NoTarget, fleet.NotRun, "no target of the pool is left to try"),
 	}
-	candidate, ok := s.choose(ctx, f)
+	where, ok := s.choose(ctx, f)
 	if !ok {
 		return s, []effect.Effect{f.refusal()}
 	}
-	s, f, forward := s.start(ctx, f, candidate)
+	s, f, forward := s.start(ctx, f, where)
 	return s.store(f), []effect.Effect{forward}
 }
 
+// requested counts a request for the retry budget of its pool.
+func (s State) requested(now time.Time, name fleet.PoolName) State {
+	p := *s.pool(name)
+	p.budget = p.budget.requested(now, s.retries)
+	s.pools = s.pools.With(name, &p)
+	return s
+}
+
 // Canceled ends a request whose caller went away.
 func (s State) Canceled(id fleet.RequestID) (State, []effect.Effect) {
 	f, ok := s.flights.Get(id)
@@ -96,8 +110,12 @@
 func (s State) InFlight() int { return s.flights.Len() }
 
 // start begins an attempt of a request on a target.
-func (s State) start(ctx Context, f flight, c fleet.Candidate) (State, flight, effect.Effect) {
+func (s State) start(ctx Context, f flight, where placement) (State, flight, effect.Effect) {
+	c := where.candidate
 	attempt := f.template
+	attempt.Probe = where.manner == probing
+	attempt.Forced = where.manner == forced
+	attempt.Trial = f.mayFail(ctx.Now)
 	attempt.ID = fleet.NewAttemptID(f.id, f.attempts+1)
 	attempt.Target = c.Target.ID
 	attempt.Node = c.Node
@@ -105,7 +123,7 @@
 	attempt.Baseline = s.pool(attempt.Pool).baselines[attempt.Class].value
 	s.own = s.own.occupied(c.Target.ID)
 	s.reaches = s.reaches.tried(ctx, c.Node)
-	return s, f.started(ctx.Now, attempt), effect.Forward{Attempt: attempt}
+	return s, f.started(ctx.Now, attempt, try{manner: where.manner, near: c.AvailabilityZone == s.zone}), effect.Forward{Attempt: attempt}
 }
 
 // store keeps a request and the time at which it needs attention next.
--- a/internal/core/attempt/tick.go
+++ b/internal/core/attempt/tick.go
@@ -68,7 +68,7 @@
 func (s State) replace(ctx Context, f flight, t try) (State, []effect.Effect, bool) {
 	abandon := effect.Abandon{Attempt: t.id}
 	lost := fleet.NewProblem(fleet.DeadlinePassed, fleet.MayHaveRun, "the target did not answer in time")
-	f = f.failed(t.id, lost, 0)
+	f = f.failed(t, lost, 0, 0)
 	if len(f.live) > 0 {
 		s.own = s.own.released(t.target)
 		return s.store(f.rescheduled(ctx.Now)), []effect.Effect{abandon}, true
--- a/internal/core/attempt/view.go
+++ b/internal/core/attempt/view.go
@@ -7,8 +7,12 @@
 )
 
 const (
-	// loadLifetime is how long a reported load counts. An older one says nothing of the target's queue now.
-	loadLifetime = 5 * time.Second
+	// loadLifetime is how long a reported load counts. Requests take some hundred milliseconds, so that an older one says
+	// nothing of the target's slots now.
+	loadLifetime = 500 * time.Millisecond
+	// suspicionLifetime is how long an ingress passes over a target that was suspect when it last answered. It is about
+	// the pause between two trials.
+	suspicionLifetime = 300 * time.Millisecond
 	// viewLifetime is how long a target is remembered after its last report.
 	viewLifetime = 10 * time.Minute
 )
@@ -19,6 +23,8 @@
 	heard time.Time
 	// refusedUntil is set when the target refused as ejected, draining or unknown.
 	refusedUntil time.Time
+	// suspectUntil is set when the target was suspect.
+	suspectUntil time.Time
 }
 
 // unknownView is the view of a target of which nothing was heard yet.
--- a/internal/core/fleet/id.go
+++ b/internal/core/fleet/id.go
@@ -50,8 +50,8 @@
 
 // Request returns the request that the attempt belongs to.
 func (id AttemptID) Request() RequestID {
-	request, _, _ := strings.Cut(string(id), ".")
-	return RequestID(request)
+	dot := strings.LastIndexByte(string(id), '.')
+	return RequestID(id[:max(dot, 0)])
 }
 
 // Incarnation orders the processes of one node: a process takes its start time in milliseconds since 1970.
--- a/internal/core/fleet/load.go
+++ b/internal/core/fleet/load.go
@@ -26,6 +26,10 @@
 	P95     time.Duration
 	Class   Class
 	Ejected bool
+	// Suspect means that the target takes only trials.
+	Suspect bool
+	// Wait is how long a request of the same rank would wait for a slot.
+	Wait time.Duration
 	// Revision is the sidecar's tables revision.
 	Revision Revision
 	// Quarantine lists fingerprints that were quarantined lately.
--- a/internal/core/fleet/problem.go
+++ b/internal/core/fleet/problem.go
@@ -17,6 +17,9 @@
 	NoTarget       Cause = "NoTarget"       // the pool has no target in service
 	Overloaded     Cause = "Overloaded"     // every slot and queue place is taken
 	Ejected        Cause = "Ejected"        // the target is ejected
+	Failing        Cause = "Failing"        // the target has just failed and takes only trials
+	Shed           Cause = "Shed"           // the target itself refused the request without running it
+	Misdirected    Cause = "Misdirected"    // another process has the target's address
 	Draining       Cause = "Draining"       // the target or its node is leaving
 	UnknownTarget  Cause = "UnknownTarget"  // the sidecar has no such target
 	Duplicate      Cause = "Duplicate"      // the attempt was seen before
--- a/internal/core/fleet/request.go
+++ b/internal/core/fleet/request.go
@@ -12,8 +12,6 @@
 	// Idempotent is what the caller's header says.
 	Idempotent Option[bool]
 	Key        IdempotencyKey
-	// Internal means that a target sent the request while it runs another one.
-	Internal bool
 	// Timeout is the caller's own limit; 0 means none.
 	Timeout     time.Duration
 	Fingerprint Fingerprint
@@ -29,7 +27,15 @@
 	Address    string
 	Class      Class
 	Idempotent bool
-	Caller     Caller
+	// Priority orders attempts that wait for one target; 0 goes first.
+	Priority int
+	// Probe means that the attempt is to be refused where it cannot start at once, since other targets may be idle.
+	Probe bool
+	// Trial means that the request may go to a target that has just failed: it can run again elsewhere in time.
+	Trial bool
+	// Forced means that no healthy target is left, so that suspicion alone refuses nothing.
+	Forced bool
+	Caller Caller
 	// Deadline is in the time of the node that holds this value; it travels as the remaining budget.
 	Deadline time.Time
 	// Baseline is the pool's p95 for the class; 0 means not known yet.
--- /dev/null
+++ b/internal/core/health/state.go
@@ -0,0 +1,136 @@
+// Package health keeps work that cannot be repeated away from a target within one or two failures, long before the
+// evidence suffices for an ejection.
+//
+// A target counts as suspect from the first failure that a healthy one hardly ever has, until a few requests in a row have
+// succeeded. While it is suspect it takes only trials: requests that may run again elsewhere, one at a time and with a
+// growing pause between them. Nothing is promised to anyone and no other node is asked, so that a wrong suspicion costs one
+// more try of a request elsewhere and ends with the next successes; a target that fails for long is ejected under leases.
+//
+// # Usage
+//
+//	state = state.Started(now, target, trial)
+//	state = state.Finished(now, target, trial, health.Broke)
+//	if state.Suspect(target) && !state.MayTry(now, target) { ... }
+package health
+
+import (
+	"time"
+
+	"jayfold.dev/jayfold/internal/core/fleet"
+)
+
+// Evidence is what one finished request says of its target.
+type Evidence uint8
+
+// The evidence, from the best to the worst.
+const (
+	// None says nothing of the target, such as a request that its caller gave up.
+	None Evidence = iota
+	// Succeeded is an answer that is no server error.
+	Succeeded
+	// Erred is a server error, which may be the fault of another service that the target called.
+	Erred
+	// Broke is a connection that broke, silence, or bytes that are no answer: only the target itself can cause it.
+	Broke
+)
+
+// The score of a target is the log-likelihood ratio of its last requests, failing against healthy, within bounds. A failing
+// target is taken to fail 60% of its requests; a healthy one breaks 1.5% and answers 10% with a server error while a
+// service behind it fails.
+var weights = map[Evidence]float64{
+	Succeeded: -0.9, // ln(0.4 / 0.985)
+	Erred:     1.8,  // ln(0.6 / 0.1)
+	Broke:     3.7,  // ln(0.6 / 0.015)
+}
+
+// A target is suspect from suspectScore on, which one break or two errors reach, until the score is below clearScore. The
+// highest score leaves three successes to the clearing: a target that fails 85% of its requests passes them once in 300.
+const (
+	suspectScore = 2.5
+	clearScore   = 2
+	highestScore = 4.5
+	lowestScore  = -0.9
+)
+
+const (
+	// firstPause and longestPause bound the time between two trials, which doubles with each failed one. Most episodes of a
+	// few seconds then cost three or four repeated requests.
+	firstPause   = 100 * time.Millisecond
+	longestPause = 800 * time.Millisecond
+	// trialTimeout is when a trial without a result no longer keeps others back.
+	trialTimeout = 2 * time.Second
+)
+
+// State holds what is known of the targets on this host. Its zero value knows of none. It is immutable.
+type State struct {
+	records fleet.Map[fleet.TargetID, record]
+}
+
+// record is the recent history of one target.
+type record struct {
+	score   float64
+	suspect bool
+	// pause is the time between trials; next is when the next one may start.
+	pause time.Duration
+	next  time.Time
+}
+
+// Suspect reports whether a target takes only trials.
+func (s State) Suspect(id fleet.TargetID) bool {
+	r, _ := s.records.Get(id)
+	return r.suspect
+}
+
+// MayTry reports whether a suspect target takes a trial now.
+func (s State) MayTry(now time.Time, id fleet.TargetID) bool {
+	r, _ := s.records.Get(id)
+	return !now.Before(r.next)
+}
+
+// Started notes that a request started on a target. While the target is suspect no other trial follows until it ends.
+func (s State) Started(now time.Time, id fleet.TargetID) State {
+	r, _ := s.records.Get(id)
+	if !r.suspect {
+		return s
+	}
+	r.next = now.Add(trialTimeout)
+	s.records = s.records.With(id, r)
+	return s
+}
+
+// Finished takes in what a finished request says of its target.
+func (s State) Finished(now time.Time, id fleet.TargetID, e Evidence) State {
+	r, known := s.records.Get(id)
+	if e == None && !r.suspect || !known && e == Succeeded {
+		return s
+	}
+	s.records = s.records.With(id, r.with(now, e))
+	return s
+}
+
+// Forget drops what is known of a target, because it is gone or its process is new.
+func (s State) Forget(id fleet.TargetID) State {
+	s.records = s.records.Without(id)
+	return s
+}
+
+// with returns the record after one more request.
+func (r record) with(now time.Time, e Evidence) record {
+	r.score = min(max(r.score+weights[e], lowestScore), highestScore)
+	switch {
+	case e == Succeeded || e == None:
+		// The next trial may follow at once.
+		r.next = now
+	default:
+		r.pause = min(max(2*r.pause, firstPause), longestPause)
+		r.next = now.Add(r.pause)
+	}
+	switch {
+	case r.score >= suspectScore:
+		r.suspect = true
+	case r.score < clearScore:
+		r.suspect = false
+		r.pause = 0
+	}
+	return r
+}
--- /dev/null
+++ b/internal/core/health/state_test.go
@@ -0,0 +1,77 @@
+package health_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jayfold.dev/jayfold/internal/core/fleet"
+	"jayfold.dev/jayfold/internal/core/health"
+)
+
+const target = fleet.TargetID("n1/a")
+
+var start = time.Unix(1000, 0)
+
+// after returns the state after requests that ended one after the other.
+func after(evidence ...health.Evidence) health.State {
+	var s health.State
+	for _, e := range evidence {
+		s = s.Finished(start, target, e)
+	}
+	return s
+}
+
+// Guards against orders on a target that has just failed, and against targets that are avoided without reason or for long.
+func TestSuspicion(t *testing.T) {
+	const ok, erred, broke = health.Succeeded, health.Erred, health.Broke
+	for name, c := range map[string]struct {
+		history []health.Evidence
+		suspect bool
+	}{
+		"unknown":                           {nil, false},
+		"one break":                         {[]health.Evidence{broke}, true},
+		"one server error":                  {[]health.Evidence{erred}, false},
+		"two server errors":                 {[]health.Evidence{erred, erred}, true},
+		"server errors among successes":     {[]health.Evidence{erred, ok, ok, erred, ok, ok, erred}, false},
+		"a success after a break":           {[]health.Evidence{broke, ok}, true},
+		"two successes after a break":       {[]health.Evidence{broke, ok, ok}, false},
+		"two successes after many breaks":   {[]health.Evidence{broke, broke, broke, ok, ok}, true},
+		"three successes after many breaks": {[]health.Evidence{broke, broke, broke, ok, ok, ok}, false},
+		"a break after many successes":      {[]health.Evidence{ok, ok, ok, ok, ok, ok, broke}, true},
+		"requests that their callers leave": {[]health.Evidence{health.None, health.None}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is.New(t).Equal(after(c.history...).Suspect(target), c.suspect)
+		})
+	}
+}
+
+// Guards against trials that flood a failing target, and against one that is never tried again.
+func TestTrials(t *testing.T) {
+	t.Run("pauses grow to a bound", func(t *testing.T) {
+		is := is.New(t)
+		s, now := health.State{}, start
+		for _, pause := range []time.Duration{100, 200, 400, 800, 800} {
+			s = s.Finished(now, target, health.Broke)
+			is.True(!s.MayTry(now.Add(pause*time.Millisecond-1), target))
+			now = now.Add(pause * time.Millisecond)
+			is.True(s.MayTry(now, target))
+		}
+	})
+	t.Run("one at a time", func(t *testing.T) {
+		is := is.New(t)
+		s := after(health.Broke).Started(start.Add(time.Second), target)
+		is.True(!s.MayTry(start.Add(2*time.Second), target))
+		s = s.Finished(start.Add(2*time.Second), target, health.Succeeded)
+		is.True(s.MayTry(start.Add(2*time.Second), target)) // a success lets the next one follow
+	})
+	t.Run("one without a result keeps others back for a time", func(t *testing.T) {
+		s := after(health.Broke).Started(start, target)
+		is.New(t).True(s.MayTry(start.Add(2*time.Second), target))
+	})
+	t.Run("a new process has no history", func(t *testing.T) {
+		is.New(t).True(!after(health.Broke).Forget(target).Suspect(target))
+	})
+}
--- a/internal/core/node/sidecar.go
+++ b/internal/core/node/sidecar.go
@@ -10,6 +10,7 @@
 	"jayfold.dev/jayfold/internal/core/ejection"
 	"jayfold.dev/jayfold/internal/core/event"
 	"jayfold.dev/jayfold/internal/core/fleet"
+	"jayfold.dev/jayfold/internal/core/health"
 )
 
 func (s State) ejectionContext(ev event.Event) ejection.Context {
@@ -26,10 +27,12 @@
 }
 
 func (s State) admissionContext(ev event.Event) admission.Context {
-	ejected, quarantined := s.ejection, s.quarantine
+	ejected, quarantined, healths := s.ejection, s.quarantine, s.health
 	return admission.Context{
 		Now:         ev.At,
 		Gate:        func(id fleet.TargetID) admission.Gate { return ejected.Gate(ev.At, id) },
+		Suspect:     healths.Suspect,
+		MayTry:      func(id fleet.TargetID) bool { return healths.MayTry(ev.At, id) },
 		Quarantined: func(f fleet.Fingerprint) bool { return quarantined.Has(ev.At, f) },
 		Suspected:   func(f fleet.Fingerprint) bool { return quarantined.Suspected(ev.At, f) },
 	}
@@ -64,6 +67,7 @@
 func (s State) completeReport(now time.Time, report fleet.Report) fleet.Report {
 	report.P95 = s.detection.P95(report.Target, report.Class)
 	report.Ejected = s.ejection.Ejected(now, report.Target)
+	report.Suspect = s.health.Suspect(report.Target)
 	report.Quarantine = s.quarantine.Recent(now)
 	return report
 }
@@ -84,6 +88,7 @@
 	}
 	run := finished.Run
 	s.ejection = s.ejection.TrialFinished(run.Attempt.Target)
+	s.health = s.health.Finished(ev.At, run.Attempt.Target, evidenceOf(body.Outcome))
 	if body.Outcome.Verdict() == fleet.Ran {
 		s.quarantine = s.quarantine.Succeeded(ev.At, run.Attempt.Fingerprint)
 	} else {
@@ -102,6 +107,34 @@
 	return s, s.completeReports(ev.At, effects)
 }
 
+// evidence gives what the problems of runs say of a target. The others say nothing.
+var evidence = map[fleet.Cause]health.Evidence{
+	fleet.Broken:         health.Broke,
+	fleet.TargetCrashed:  health.Broke,
+	fleet.Unreachable:    health.Broke,
+	fleet.TargetFailed:   health.Erred,
+	fleet.DeadlinePassed: health.Erred,
+	// The sidecar never gives a target more than its slots, so that one that refuses is not well.
+	fleet.Shed: health.Erred,
+}
+
+func evidenceOf(outcome fleet.Outcome) health.Evidence {
+	if problem, failed := outcome.Problem.Get(); failed {
+		return evidence[problem.Cause]
+	}
+	return health.Succeeded
+}
+
+// noteStarts tells the health part which runs began in a step.
+func (s State) noteStarts(now time.Time, effects []effect.Effect) State {
+	for _, e := range effects {
+		if run, ok := e.(effect.Run); ok {
+			s.health = s.health.Started(now, run.Attempt.Target)
+		}
+	}
+	return s
+}
+
 // targetCrashed passes on what was in flight at a crash, once per crash.
 func (s State) targetCrashed(ev event.Event, crash fleet.Option[admission.Crash]) (State, []effect.Effect) {
 	c, crashed := crash.Get()
@@ -165,6 +198,7 @@
 	s.admission = next
 	if change.Fresh {
 		s.detection = s.detection.Forget(change.Target)
+		s.health = s.health.Forget(change.Target)
 	}
 	s, crash := s.targetCrashed(ev, change.Crash)
 	effects = append(effects, crash...)
@@ -190,6 +224,7 @@
 	for _, t := range published {
 		if !s.admission.Knows(t.ID) {
 			s.detection = s.detection.Forget(t.ID)
+			s.health = s.health.Forget(t.ID)
 		}
 	}
 	s.membership = s.membership.TargetsChanged(targets)
--- a/internal/core/node/state.go
+++ b/internal/core/node/state.go
@@ -2,7 +2,7 @@
 //
 // # Usage
 //
-//	state := node.New(record)
+//	state := node.New(record, node.DefaultSettings())
 //	state, effects := state.Reduce(event.Event{At: now, Random: random, Body: event.Tick{}})
 //
 // Reduce is a pure function: the same events give the same states and effects, so a recorded sequence of events replays
@@ -10,6 +10,8 @@
 package node
 
 import (
+	"time"
+
 	"jayfold.dev/jayfold/internal/core/admission"
 	"jayfold.dev/jayfold/internal/core/attempt"
 	"jayfold.dev/jayfold/internal/core/detection"
@@ -17,6 +19,7 @@
 	"jayfold.dev/jayfold/internal/core/ejection"
 	"jayfold.dev/jayfold/internal/core/event"
 	"jayfold.dev/jayfold/internal/core/fleet"
+	"jayfold.dev/jayfold/internal/core/health"
 	"jayfold.dev/jayfold/internal/core/membership"
 	"jayfold.dev/jayfold/internal/core/orders"
 	"jayfold.dev/jayfold/internal/core/quarantine"
@@ -30,6 +33,7 @@
 	attempts   attempt.State
 	admission  admission.State
 	detection  detection.State
+	health     health.State
 	ejection   ejection.State
 	membership membership.State
 	orders     orders.State
@@ -38,10 +42,21 @@
 	shutdown   shutdown
 }
 
+// Settings are what the decisions of a node depend on beside the tables.
+type Settings struct {
+	Retries attempt.Retries
+}
+
+// DefaultSettings returns the settings of a node whose operator sets none: repeated attempts are at most a tenth of the
+// requests and, in a fleet of the design size, two a node beyond that within ten seconds.
+func DefaultSettings() Settings {
+	return Settings{Retries: attempt.Retries{Ratio: 0.1, Window: 10 * time.Second, Slack: 1200}}
+}
+
 // New returns the state of a node that has just started with the given member record.
-func New(self fleet.Member) State {
+func New(self fleet.Member, settings Settings) State {
 	return State{
-		attempts:   attempt.New(self.AvailabilityZone),
+		attempts:   attempt.New(self.AvailabilityZone, settings.Retries),
 		admission:  admission.New(self.Node),
 		detection:  detection.New(),
 		ejection:   ejection.New(self.Node),
@@ -56,6 +71,7 @@
 func (s State) Reduce(ev event.Event) (State, []effect.Effect) {
 	next, effects := s.dispatch(ev)
 	next, effects = next.settleOrders(effects)
+	next = next.noteStarts(ev.At, effects)
 	effects = s.observe(ev, effects)
 	return next, next.stamp(effects)
 }
--- a/internal/core/node/world_test.go
+++ b/internal/core/node/world_test.go
@@ -152,7 +152,7 @@
 	h.state = New(fleet.Member{
 		Node: h.id, AvailabilityZone: fleet.AvailabilityZone(fmt.Sprintf("z%d", h.index)), PeerAddress: string(h.id),
 		ForwardAddress: string(h.id), Incarnation: fleet.Incarnation(h.life), Sequence: 1,
-	})
+	}, DefaultSettings())
 	tables := fleet.Tables{Revision: 1, Pools: fleet.Map[fleet.PoolName, fleet.Pool]{}.With("p", fleet.Pool{
 		Name: "p", Floor: 2, FalseEjectionInterval: time.Minute,
 	})}
--- a/internal/edge/configfile/scalar.go
+++ b/internal/edge/configfile/scalar.go
@@ -79,6 +79,22 @@
 	}
 }
 
+// Float returns a reader of a number from least to most.
+func Float(to *float64, least, most float64) Reader {
+	return func(v Value) Problems {
+		literal, ok := v.literal("0")
+		if !ok {
+			return v.Problem("is %s; want a number from %g to %g", v.kind(), least, most)
+		}
+		n, err := strconv.ParseFloat(string(literal), 64)
+		if err != nil || n < least || n > most {
+			return v.Problem("%s is not allowed; want a number from %g to %g", string(literal), least, most)
+		}
+		*to = n
+		return nil
+	}
+}
+
 // Duration returns a reader of a Go duration string from least to most.
 func Duration(to *time.Duration, least, most time.Duration) Reader {
 	return func(v Value) Problems {
--- a/internal/edge/peer/forwardheader.go
+++ b/internal/edge/peer/forwardheader.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -24,6 +25,8 @@
 	headerIdempotent  = "Jayfold-Idempotent"
 	headerCaller      = "Jayfold-Caller"
 	headerKey         = "Jayfold-Key"
+	headerPriority    = "Jayfold-Priority"
+	headerMode        = "Jayfold-Mode" // which of probe, trial and forced hold
 	headerRevision    = "Jayfold-Revision"
 	headerVerify      = "Jayfold-Verify"
 	headerCancel      = "Jayfold-Cancel"
@@ -35,6 +38,8 @@
 	maxBudget = time.Hour
 	// maxBaseline is beyond any p95 that a pool can have.
 	maxBaseline = time.Hour
+	// maxPriority is the largest that a queue tells apart.
+	maxPriority = 255
 )
 
 // wireAttempt is what the headers of a forwarded request say.
@@ -58,6 +63,10 @@
 	h.Set(headerFingerprint, fmt.Sprintf("%016x", uint64(a.Fingerprint)))
 	h.Set(headerIdempotent, strconv.FormatBool(a.Idempotent))
 	h.Set(headerRevision, strconv.FormatUint(uint64(wire.Revision), 10))
+	h.Set(headerPriority, strconv.Itoa(a.Priority))
+	if mode := modeOf(a); mode != "" {
+		h.Set(headerMode, mode)
+	}
 	if a.Caller != "" {
 		h.Set(headerCaller, string(a.Caller))
 	}
@@ -66,9 +75,28 @@
 	}
 }
 
+// The words of headerMode.
+const (
+	modeProbe  = "probe"
+	modeTrial  = "trial"
+	modeForced = "forced"
+)
+
+func modeOf(a fleet.Attempt) string {
+	var words []string
+	for word, holds := range map[string]bool{modeProbe: a.Probe, modeTrial: a.Trial, modeForced: a.Forced} {
+		if holds {
+			words = append(words, word)
+		}
+	}
+	slices.Sort(words)
+	return strings.Join(words, " ")
+}
+
 // decodeAttempt reads the headers of a forwarded request. Errors name the header.
 func decodeAttempt(h http.Header, now time.Time) (wireAttempt, error) {
 	d := headerDecoder{header: h}
+	mode := strings.Fields(d.optional(headerMode))
 	wire := wireAttempt{
 		Attempt: fleet.Attempt{
 			ID:          fleet.AttemptID(d.name(headerAttempt)),
@@ -76,6 +104,10 @@
 			Pool:        fleet.PoolName(d.name(headerPool)),
 			Class:       d.class(headerClass),
 			Idempotent:  d.boolean(headerIdempotent),
+			Priority:    int(min(d.number(headerPriority, 10), maxPriority)),
+			Probe:       slices.Contains(mode, modeProbe),
+			Trial:       slices.Contains(mode, modeTrial),
+			Forced:      slices.Contains(mode, modeForced),
 			Caller:      fleet.Caller(d.optional(headerCaller)),
 			Deadline:    now.Add(d.duration(headerBudget, time.Millisecond, maxBudget)),
 			Baseline:    d.duration(headerBaseline, time.Microsecond, maxBaseline),
--- a/internal/edge/peer/forwardreport.go
+++ b/internal/edge/peer/forwardreport.go
@@ -18,7 +18,9 @@
 	headerDetail     = "Jayfold-Detail"
 	headerRetryAfter = "Jayfold-Retry-After" // milliseconds
 	headerLoad       = "Jayfold-Load"        // in flight, queued and slots
-	headerP95        = "Jayfold-P95"         // microseconds
+	headerWait       = "Jayfold-Wait"        // milliseconds
+	headerSuspect    = "Jayfold-Suspect"
+	headerP95        = "Jayfold-P95" // microseconds
 	headerEjected    = "Jayfold-Ejected"
 	headerQuarantine = "Jayfold-Quarantine" // fingerprints
 )
@@ -38,6 +40,8 @@
 	h.Set(prefix+headerP95, strconv.FormatInt(report.P95.Microseconds(), 10))
 	h.Set(prefix+headerEjected, strconv.FormatBool(report.Ejected))
 	h.Set(prefix+headerRevision, strconv.FormatUint(uint64(report.Revision), 10))
+	h.Set(prefix+headerSuspect, strconv.FormatBool(report.Suspect))
+	h.Set(prefix+headerWait, strconv.FormatInt(report.Wait.Milliseconds(), 10))
 	if len(report.Quarantine) > 0 {
 		h.Set(prefix+headerQuarantine, joinFingerprints(report.Quarantine))
 	}
@@ -63,6 +67,8 @@
 		Load:       d.load(headerLoad),
 		P95:        d.duration(headerP95, time.Microsecond, maxBaseline),
 		Ejected:    d.boolean(headerEjected),
+		Suspect:    d.boolean(headerSuspect),
+		Wait:       d.duration(headerWait, time.Millisecond, maxRetryAfter),
 		Revision:   fleet.Revision(d.number(headerRevision, 10)),
 		Quarantine: d.fingerprints(headerQuarantine),
 	}
--- a/internal/lab/capacity/design.go
+++ b/internal/lab/capacity/design.go
@@ -91,7 +91,7 @@
 		PeerAddress:      s.self.PeerAddress,
 		ForwardAddress:   s.self.ForwardAddress,
 		Incarnation:      s.self.Incarnation,
-	})
+	}, node.DefaultSettings())
 	if len(s.peers) > 0 {
 		s.receive(message.Sync{Members: s.peers})
 	}
--- a/internal/lab/testbed/testbed.go
+++ b/internal/lab/testbed/testbed.go
@@ -22,6 +22,7 @@
 	"go.uber.org/fx"
 
 	"jayfold.dev/jayfold/internal/core/fleet"
+	corenode "jayfold.dev/jayfold/internal/core/node"
 	"jayfold.dev/jayfold/internal/edge/platform"
 	labplatform "jayfold.dev/jayfold/internal/lab/platform"
 	"jayfold.dev/jayfold/internal/lab/target"
@@ -157,6 +158,7 @@
 		Host:             netip.MustParseAddr("127.0.0.1"),
 		Platform:         b.PlatformURL,
 		LogLevel:         "info",
+		Retries:          corenode.DefaultSettings().Retries,
 		Listen: settings.Listen{
 			Callers:   addresses[0],
 			Targets:   addresses[1],
--- a/internal/process/control/loop.go
+++ b/internal/process/control/loop.go
@@ -2,7 +2,7 @@
 //
 // # Usage
 //
-//	loop := control.New(node.New(record), control.Seams{Now: time.Now, Random: rand.Uint64, Dispatch: dispatch})
+//	loop := control.New(node.New(record, node.DefaultSettings()), control.Seams{Now: time.Now, Random: rand.Uint64, Dispatch: dispatch})
 //	go loop.Run(ctx)
 //	loop.Post(event.RequestArrived{Request: request})
 //
--- a/internal/process/node/app.go
+++ b/internal/process/node/app.go
@@ -96,7 +96,7 @@
 // newLoop starts the life of the node: its incarnation is the time of the start.
 func newLoop(s settings.Settings, d *dispatcher) *control.Loop {
 	incarnation := fleet.Incarnation(time.Now().UnixMilli())
-	return control.New(node.New(s.Member(incarnation)), control.Seams{
+	return control.New(node.New(s.Member(incarnation), s.Decisions()), control.Seams{
 		Now:      time.Now,
 		Random:   rand.Uint64,
 		Dispatch: d.dispatch,
--- a/internal/process/settings/draft.go
+++ b/internal/process/settings/draft.go
@@ -7,6 +7,7 @@
 	"regexp"
 	"time"
 
+	"jayfold.dev/jayfold/internal/core/attempt"
 	"jayfold.dev/jayfold/internal/edge/configfile"
 )
 
@@ -18,6 +19,12 @@
 	mostHeaderBytes  = 1 << 20
 	shortestTimeout  = 100 * time.Millisecond
 	longestTimeout   = 10 * time.Minute
+	// With as many repeated attempts as requests an overload feeds itself.
+	mostRetryRatio = 1
+	// A shorter window sees too few requests of a node for their share to mean anything, a longer one forgets too late.
+	shortestRetryWindow = time.Second
+	longestRetryWindow  = time.Minute
+	mostRetrySlack      = 1_000_000
 )
 
 var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$`)
@@ -56,6 +63,7 @@
 		)),
 		configfile.Required("Platform", configfile.Parsed(&s.Platform, parsePlatform)),
 		configfile.Optional("DefaultCaller", configfile.Text(&s.DefaultCaller, name)),
+		configfile.Optional("Retries", configfile.Object(retries(&s.Retries)...)),
 		configfile.Optional("LogLevel", configfile.OneOf(&s.LogLevel, "debug", "info", "warn", "error")),
 		configfile.Optional("Limits", configfile.Object(limits(&s.Limits)...)),
 	}
@@ -70,6 +78,14 @@
 	}
 }
 
+func retries(r *attempt.Retries) []configfile.Field {
+	return []configfile.Field{
+		configfile.Optional("Ratio", configfile.Float(&r.Ratio, 0, mostRetryRatio)),
+		configfile.Optional("Window", configfile.Duration(&r.Window, shortestRetryWindow, longestRetryWindow)),
+		configfile.Optional("Slack", configfile.Float(&r.Slack, 0, mostRetrySlack)),
+	}
+}
+
 // address returns a reader of a listen address that notes its place.
 func (d *draft) address(to *netip.AddrPort, advertised bool) configfile.Reader {
 	return func(v configfile.Value) configfile.Problems {
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -28,7 +28,9 @@
 	"os"
 	"time"
 
+	"jayfold.dev/jayfold/internal/core/attempt"
 	"jayfold.dev/jayfold/internal/core/fleet"
+	"jayfold.dev/jayfold/internal/core/node"
 	"jayfold.dev/jayfold/internal/edge/configfile"
 )
 
@@ -45,6 +47,7 @@
 	Platform string
 	// DefaultCaller is the client account of requests that name none.
 	DefaultCaller fleet.Caller
+	Retries       attempt.Retries
 	// LogLevel is the lowest level of the lines that are written: debug, info, warn or error.
 	LogLevel string
 	Limits   Limits
@@ -88,6 +91,7 @@
 func defaults() Settings {
 	return Settings{
 		LogLevel: "info",
+		Retries:  node.DefaultSettings().Retries,
 		Limits: Limits{
 			MaxBodyBytes:   1 << 20,
 			MaxHeaderBytes: 64 << 10,
@@ -121,6 +125,11 @@
 	}
 }
 
+// Decisions returns what the decisions of the node depend on.
+func (s Settings) Decisions() node.Settings {
+	return node.Settings{Retries: s.Retries}
+}
+
 // Load reads and checks the settings file at path.
 func Load(path string) (Settings, error) {
 	content, err := os.ReadFile(path)
