core: log lines that explain each request and each decision of a sidecar

Cause: a request given up after SIGTERM could not be explained from the logs, which had no line per request.

Change: the ingress tells each request that ends in one line with its attempts, their manner, cause, verdict and the queue they met; the sidecar tells refusals and runs. The lines are effects of the reducer. Failures pass 300 times and successes 20 times in 10 s and text. A node tells its start and stop.

--- a/internal/core/admission/state.go
+++ b/internal/core/admission/state.go
@@ -244,5 +244,8 @@
 	return ok
 }
 
+// Running returns an attempt that runs on a target of this host.
+func (s State) Running(id fleet.AttemptID) (Run, bool) { return s.running.Get(id) }
+
 // InFlight returns the number of attempts that run on targets of this host.
 func (s State) InFlight() int { return s.running.Len() }
--- a/internal/core/attempt/finish.go
+++ b/internal/core/attempt/finish.go
@@ -27,7 +27,8 @@
 	s.own = s.own.released(t.target)
 	problem, failed := outcome.Problem.Get()
 	if !failed {
-		return s.end(f.without(id), effect.Answer{Request: f.id, Attempt: id})
+		f = f.without(id).noted(ctx.Now, t, problem, 0)
+		return s.end(ctx.Now, f, effect.Answer{Request: f.id, Attempt: id})
 	}
 	if problem.Cause == fleet.Duplicate {
 		// The attempt that was seen before may have run.
@@ -35,7 +36,7 @@
 	}
 	s = s.blamed(ctx, f, t, problem, report)
 	r, _ := report.Get()
-	return s.retry(ctx, f.failed(t, problem, outcome.Status, r.Wait))
+	return s.retry(ctx, f.failed(ctx.Now, t, problem, outcome.Status, r.Wait))
 }
 
 // reported takes in a sidecar's report on a target of the request's pool.
@@ -81,7 +82,7 @@
 	if f.closing {
 		f = f.expired()
 	}
-	return s.end(f, f.last())
+	return s.end(ctx.Now, f, f.last())
 }
 
 // again starts a further attempt on another target, if the budget allows and there is one.
--- a/internal/core/attempt/flight.go
+++ b/internal/core/attempt/flight.go
@@ -49,6 +49,9 @@
 	bounces []bounce
 	// reached means that a target got the request, if only to refuse it.
 	reached bool
+	// trail is what the log tells of the attempts that ended, under the tables of revision.
+	trail    []step
+	revision fleet.Revision
 	// verdict joins the verdicts of the attempts that ended.
 	verdict fleet.Verdict
 	// problem is that of the last attempt that failed.
@@ -66,11 +69,12 @@
 
 // try is an attempt in flight.
 type try struct {
-	id     fleet.AttemptID
-	target fleet.TargetID
-	node   fleet.NodeID
-	manner manner
-	near   bool
+	id      fleet.AttemptID
+	target  fleet.TargetID
+	node    fleet.NodeID
+	manner  manner
+	near    bool
+	started time.Time
 	// hedge and timeout are when the attempt counts as slow and as lost. Attempts that are not idempotent have neither.
 	hedge   time.Time
 	timeout time.Time
@@ -79,7 +83,7 @@
 // started returns the flight with one more attempt.
 func (f flight) started(now time.Time, attempt fleet.Attempt, t try) flight {
 	f.attempts++
-	t.id, t.target, t.node = attempt.ID, attempt.Target, attempt.Node
+	t.id, t.target, t.node, t.started = attempt.ID, attempt.Target, attempt.Node, now
 	if attempt.Idempotent {
 		remaining := attempt.Deadline.Sub(now)
 		t.timeout = now.Add(patience(attempt.Baseline, timeoutFactor, minTimeout, remaining/2))
@@ -134,8 +138,8 @@
 
 // failed returns the flight after an attempt ended with a problem. A target that refused may still be asked in another
 // manner; wait is what it said of its queue.
-func (f flight) failed(t try, problem fleet.Problem, status int, wait time.Duration) flight {
-	f = f.without(t.id)
+func (f flight) failed(now time.Time, t try, problem fleet.Problem, status int, wait time.Duration) flight {
+	f = f.without(t.id).noted(now, t, problem, wait)
 	f.verdict = f.verdict.Join(problem.Verdict)
 	f.problem = problem
 	f.reached = f.reached || problem.Verdict != fleet.NotRun || problem.Cause == fleet.Shed || problem.Cause == fleet.Misdirected
--- a/internal/core/attempt/state.go
+++ b/internal/core/attempt/state.go
@@ -40,6 +40,8 @@
 	Now       time.Time
 	Random    uint64
 	Directory fleet.Directory
+	// Revision is that of the tables in force.
+	Revision fleet.Revision
 	// Nodes is the number of nodes that share the retry budget.
 	Nodes int
 	// Quarantined reports whether a fingerprint is refused by now; nil means that none is.
@@ -76,14 +78,15 @@
 			Fingerprint: request.Fingerprint,
 			Key:         request.Key,
 		},
-		goal:    ctx.Now.Add(cmp.Or(route.Goal, limit)),
-		limit:   cmp.Or(route.Attempts, maxAttempts),
-		verdict: fleet.NotRun,
-		problem: fleet.NewProblem(fleet.NoTarget, fleet.NotRun, "no target of the pool is left to try"),
+		goal:     ctx.Now.Add(cmp.Or(route.Goal, limit)),
+		limit:    cmp.Or(route.Attempts, maxAttempts),
+		revision: ctx.Revision,
+		verdict:  fleet.NotRun,
+		problem:  fleet.NewProblem(fleet.NoTarget, fleet.NotRun, "no target of the pool is left to try"),
 	}
 	where, ok := s.choose(ctx, f)
 	if !ok {
-		return s, []effect.Effect{f.refusal()}
+		return s.end(ctx.Now, f, f.refusal())
 	}
 	s, f, forward := s.start(ctx, f, where)
 	return s.store(f), []effect.Effect{forward}
@@ -98,12 +101,12 @@
 }
 
 // Canceled ends a request whose caller went away.
-func (s State) Canceled(id fleet.RequestID) (State, []effect.Effect) {
+func (s State) Canceled(now time.Time, id fleet.RequestID) (State, []effect.Effect) {
 	f, ok := s.flights.Get(id)
 	if !ok {
 		return s, nil
 	}
-	return s.end(*f)
+	return s.end(now, *f)
 }
 
 // InFlight returns the number of requests that wait for their answer.
@@ -137,15 +140,16 @@
 }
 
 // end forgets a request. Its attempts in flight are abandoned before the effects that end it.
-func (s State) end(f flight, last ...effect.Effect) (State, []effect.Effect) {
+func (s State) end(now time.Time, f flight, last ...effect.Effect) (State, []effect.Effect) {
 	if old, ok := s.flights.Get(f.id); ok {
 		s.wakes = s.wakes.without(old.due)
 		s.flights = s.flights.Without(f.id)
 	}
-	effects := make([]effect.Effect, 0, len(f.live)+len(last))
+	effects := make([]effect.Effect, 0, len(f.live)+len(last)+1)
 	for _, t := range f.live {
 		s.own = s.own.released(t.target)
 		effects = append(effects, effect.Abandon{Attempt: t.id})
 	}
+	effects = append(effects, f.told(now, last))
 	return s, append(effects, last...)
 }
--- a/internal/core/attempt/tick.go
+++ b/internal/core/attempt/tick.go
@@ -68,7 +68,7 @@
 func (s State) replace(ctx Context, f flight, t try) (State, []effect.Effect, bool) {
 	abandon := effect.Abandon{Attempt: t.id}
 	lost := fleet.NewProblem(fleet.DeadlinePassed, fleet.MayHaveRun, "the target did not answer in time")
-	f = f.failed(t, lost, 0, 0)
+	f = f.failed(ctx.Now, t, lost, 0, 0)
 	if len(f.live) > 0 {
 		s.own = s.own.released(t.target)
 		return s.store(f.rescheduled(ctx.Now)), []effect.Effect{abandon}, true
@@ -89,7 +89,7 @@
 func (s State) expire(ctx Context, f flight) (State, []effect.Effect) {
 	if f.template.Idempotent || len(f.live) == 0 || !ctx.Now.Before(f.template.Deadline.Add(closeWait)) {
 		f = f.expired()
-		return s.end(f, f.last())
+		return s.end(ctx.Now, f, f.last())
 	}
 	if f.closing {
 		return s.store(f.rescheduled(ctx.Now)), nil
--- /dev/null
+++ b/internal/core/attempt/trail.go
@@ -0,0 +1,87 @@
+package attempt
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"jayfold.dev/jayfold/internal/core/effect"
+	"jayfold.dev/jayfold/internal/core/fleet"
+)
+
+// step is one attempt as the log tells it.
+type step struct {
+	target fleet.TargetID
+	manner manner
+	// after is the time from the request's arrival to the attempt's start, and took that from there to its end.
+	after, took time.Duration
+	// cause is empty while the attempt is in flight and when it was answered.
+	cause   fleet.Cause
+	verdict fleet.Verdict
+	// wait is the queue that the target named.
+	wait time.Duration
+}
+
+var mannerNames = [...]string{probing: "probing", waiting: "waiting", forced: "forced"}
+
+// String returns the step in one phrase: where and how, when, and how it ended.
+func (s step) String() string {
+	text := fmt.Sprintf("%s %s +%s", s.target, mannerNames[s.manner], rounded(s.after))
+	if s.cause == "" {
+		return text
+	}
+	text += fmt.Sprintf(" %s %s %s", s.cause, s.verdict, rounded(s.took))
+	if s.wait > 0 {
+		text += " queue " + rounded(s.wait).String()
+	}
+	return text
+}
+
+func rounded(d time.Duration) time.Duration { return d.Round(100 * time.Microsecond) }
+
+// noted returns the flight with the end of an attempt in its trail.
+func (f flight) noted(now time.Time, t try, problem fleet.Problem, wait time.Duration) flight {
+	after := t.started.Sub(f.received)
+	f.trail = append(f.trail[:len(f.trail):len(f.trail)], step{
+		target: t.target, manner: t.manner, after: after, took: now.Sub(t.started),
+		cause: problem.Cause, verdict: problem.Verdict, wait: wait,
+	})
+	return f
+}
+
+// told returns the log line that explains how a request ended. The steps are in the order in which they ended; attempts
+// that were still in flight come last.
+func (f flight) told(now time.Time, last []effect.Effect) effect.Effect {
+	steps := make([]string, 0, len(f.trail)+len(f.live))
+	for _, s := range f.trail {
+		steps = append(steps, s.String())
+	}
+	for _, t := range f.live {
+		steps = append(steps, step{target: t.target, manner: t.manner, after: t.started.Sub(f.received)}.String())
+	}
+	line := effect.Log{Level: effect.Info, Part: "request", Text: "request canceled by its caller", Fields: []effect.Field{
+		{Name: "Request", Value: string(f.id)},
+		{Name: "Pool", Value: string(f.template.Pool)},
+		{Name: "Class", Value: f.template.Class.String()},
+		{Name: "Revision", Value: uint64(f.revision)},
+		{Name: "Elapsed", Value: rounded(now.Sub(f.received)).String()},
+		{Name: "Left", Value: rounded(f.template.Deadline.Sub(now)).String()},
+		{Name: "Steps", Value: strings.Join(steps, "; ")},
+	}}
+	for _, e := range last {
+		switch e := e.(type) {
+		case effect.Answer:
+			line.Text = "request answered"
+			if e.Attempt == f.fallback {
+				line.Level, line.Text = effect.Warn, "request answered with the target's error"
+			}
+		case effect.Refuse:
+			line.Level, line.Text = effect.Warn, "request refused"
+			line.Fields = append(line.Fields,
+				effect.Field{Name: "Cause", Value: string(e.Problem.Cause)},
+				effect.Field{Name: "Verdict", Value: e.Problem.Verdict.String()},
+				effect.Field{Name: "Detail", Value: e.Problem.Detail})
+		}
+	}
+	return line
+}
--- a/internal/core/node/ingress.go
+++ b/internal/core/node/ingress.go
@@ -16,6 +16,7 @@
 		Now:         ev.At,
 		Random:      ev.Random,
 		Directory:   s.membership.Directory(),
+		Revision:    s.Revision(),
 		Nodes:       s.membership.Len(),
 		Quarantined: func(f fleet.Fingerprint) bool { return quarantined.Has(ev.At, f) },
 	}
@@ -48,8 +49,8 @@
 	}}
 }
 
-func (s State) requestCanceled(body event.RequestCanceled) (State, []effect.Effect) {
-	next, effects := s.attempts.Canceled(body.Request)
+func (s State) requestCanceled(ev event.Event, body event.RequestCanceled) (State, []effect.Effect) {
+	next, effects := s.attempts.Canceled(ev.At, body.Request)
 	s.attempts = next
 	return s, effects
 }
--- a/internal/core/node/state.go
+++ b/internal/core/node/state.go
@@ -73,6 +73,7 @@
 	next, effects = next.settleOrders(effects)
 	next = next.noteStarts(ev.At, effects)
 	effects = s.observe(ev, effects)
+	effects = s.explain(ev, next, effects)
 	return next, next.stamp(effects)
 }
 
@@ -113,7 +114,7 @@
 	case event.RequestArrived:
 		return s.requestArrived(ev, body)
 	case event.RequestCanceled:
-		return s.requestCanceled(body)
+		return s.requestCanceled(ev, body)
 	case event.AttemptFinished:
 		return s.attemptFinished(ev, body)
 	case event.AdmissionAsked:
--- a/internal/edge/operator/line.go
+++ b/internal/edge/operator/line.go
@@ -9,13 +9,16 @@
 )
 
 const (
-	// lineBurst lines with the same text pass per lineInterval. Traffic could otherwise repeat a line 60,000 times a second.
-	lineBurst    = 10
+	// lineInterval is the time over which lines with the same text are counted. Traffic could otherwise repeat a line
+	// 60,000 times a second.
 	lineInterval = 10 * time.Second
 	// textLimit bounds the texts whose lines are counted; the counts start over when there are more.
 	textLimit = 512
 )
 
+// bursts are the lines with the same text that pass in an interval, by level: what failed is kept before what went well.
+var bursts = map[effect.Level]int{effect.Info: 20, effect.Warn: 300, effect.Failure: 300}
+
 // lines writes the log and limits lines that repeat.
 type lines struct {
 	logger *log.Logger
@@ -48,7 +51,7 @@
 	for _, f := range e.Fields {
 		fields[f.Name] = f.Value
 	}
-	passes, suppressed := l.pass(now, text)
+	passes, suppressed := l.pass(now, text, bursts[e.Level])
 	if !passes {
 		return
 	}
@@ -59,7 +62,7 @@
 }
 
 // pass counts a line and reports whether it may be written and how many before it were not.
-func (l *lines) pass(now time.Time, text string) (passes bool, suppressed int) {
+func (l *lines) pass(now time.Time, text string, burst int) (passes bool, suppressed int) {
 	r := l.texts[text]
 	if now.Sub(r.since) >= lineInterval {
 		suppressed = r.suppressed
@@ -68,7 +71,7 @@
 	if len(l.texts) >= textLimit {
 		clear(l.texts)
 	}
-	passes = r.written < lineBurst
+	passes = r.written < burst
 	if passes {
 		r.written++
 	} else {
--- a/internal/process/node/serve.go
+++ b/internal/process/node/serve.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/fx"
 
+	"jayfold.dev/jayfold/internal/core/effect"
 	"jayfold.dev/jayfold/internal/edge/caller"
 	"jayfold.dev/jayfold/internal/edge/operator"
 	"jayfold.dev/jayfold/internal/edge/peer"
@@ -44,7 +45,7 @@
 }
 
 // serve opens all listeners before the loop starts, so that a port in use is reported and nothing runs half.
-func serve(lifecycle fx.Lifecycle, s servers) {
+func serve(hooks fx.Lifecycle, s servers) {
 	ctx, cancel := context.WithCancel(context.Background())
 	forward := peer.NewForwardServer(s.Sidecar)
 	targets := &http.Server{Handler: s.Targets, ReadHeaderTimeout: headerTimeout, ReadTimeout: headerTimeout}
@@ -60,18 +61,21 @@
 	if s.Settings.Listen.Ready.IsValid() {
 		listeners = append(listeners, listener{s.Settings.Listen.Ready, ready.Serve})
 	}
-	lifecycle.Append(fx.Hook{
+	hooks.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			if err := open(listeners); err != nil {
 				cancel()
 				return err
 			}
+			s.Operator.Observe(lifecycle(effect.Info, "started", s.Settings))
 			go s.Loop.Run(ctx)
 			return nil
 		},
 		OnStop: func(stop context.Context) error {
+			s.Operator.Observe(lifecycle(effect.Info, "stopping", s.Settings))
 			s.Callers.Leave()
 			err := leave(stop, s.Loop, s.Dispatch)
+			s.Operator.Observe(stopped(s.Settings, err))
 			_ = forward.Shutdown(stop)
 			_ = targets.Close()
 			_ = operators.Close()
@@ -86,6 +90,24 @@
 	})
 }
 
+// lifecycle returns the log line of a start or a stop.
+func lifecycle(level effect.Level, text string, s settings.Settings) effect.Log {
+	return effect.Log{Level: level, Part: "node", Text: text, Fields: []effect.Field{
+		{Name: "Node", Value: string(s.Node)},
+		{Name: "AvailabilityZone", Value: string(s.AvailabilityZone)},
+	}}
+}
+
+// stopped returns the log line of the end of a stop, which failed when requests were still in flight.
+func stopped(s settings.Settings, err error) effect.Log {
+	if err == nil {
+		return lifecycle(effect.Info, "stopped", s)
+	}
+	line := lifecycle(effect.Failure, "stopped before all requests had ended", s)
+	line.Fields = append(line.Fields, effect.Field{Name: "Error", Value: err.Error()})
+	return line
+}
+
 // open listens on every address, or on none when one fails.
 func open(listeners []listener) error {
 	opened := make([]net.Listener, 0, len(listeners))
