attempt: keep an attempt at work until another one is taken

Change: the second attempt starts beside the first; the first is given up only when both are in flight and its time is over. A refused second attempt is followed by the next target. The times count from the end of the queue that the target named. Three tests that failed before.

--- a/internal/core/attempt/finish.go
+++ b/internal/core/attempt/finish.go
@@ -72,7 +72,7 @@
 // retry starts another attempt after one failed, or ends the request when that is not allowed and none is in flight.
 func (s State) retry(ctx Context, f flight) (State, []effect.Effect) {
 	if len(f.live) > 0 {
-		return s.store(f.rescheduled(ctx.Now)), nil
+		return s.beside(ctx, f)
 	}
 	if f.mayRetry(ctx.Now) {
 		if next, effects, ok := s.again(ctx, f); ok {
@@ -85,6 +85,16 @@
 	return s.end(ctx.Now, f, f.last())
 }
 
+// beside goes on after one of two attempts ended. Where the other one is slow, a further target is asked.
+func (s State) beside(ctx Context, f flight) (State, []effect.Effect) {
+	if f.slow(ctx.Now) && f.mayStart(ctx.Now) {
+		if next, effects, ok := s.again(ctx, f); ok {
+			return next, effects
+		}
+	}
+	return s.store(f.rescheduled(ctx.Now)), nil
+}
+
 // again starts a further attempt on another target, if the budget allows and there is one.
 func (s State) again(ctx Context, f flight) (State, []effect.Effect, bool) {
 	if f.mayCrash() {
--- a/internal/core/attempt/flight.go
+++ b/internal/core/attempt/flight.go
@@ -75,6 +75,8 @@
 	manner  manner
 	near    bool
 	started time.Time
+	// wait is the queue that the target named when it was asked for a slot.
+	wait time.Duration
 	// hedge and timeout are when the attempt counts as slow and as lost. Attempts that are not idempotent have neither.
 	hedge   time.Time
 	timeout time.Time
@@ -86,9 +88,9 @@
 	t.id, t.target, t.node, t.started = attempt.ID, attempt.Target, attempt.Node, now
 	if attempt.Idempotent {
 		remaining := attempt.Deadline.Sub(now)
-		t.timeout = now.Add(patience(attempt.Baseline, timeoutFactor, minTimeout, remaining/2))
+		t.timeout = now.Add(t.wait + patience(attempt.Baseline, timeoutFactor, minTimeout, remaining/2))
 		if attempt.Class == fleet.Lookup {
-			t.hedge = now.Add(patience(attempt.Baseline, hedgeFactor, minHedge, remaining/4))
+			t.hedge = now.Add(t.wait + patience(attempt.Baseline, hedgeFactor, minHedge, remaining/4))
 		}
 	}
 	f.live = append(slices.Clone(f.live), t)
--- a/internal/core/attempt/state_test.go
+++ b/internal/core/attempt/state_test.go
@@ -73,6 +73,13 @@
 	return b.finish(a, failure(cause, verdict), fleet.Option[fleet.Report]{})
 }
 
+// full refuses an attempt because the target's slots are taken and its queue takes the given time.
+func (b *bench) full(a fleet.Attempt, wait time.Duration) []effect.Effect {
+	busy := report(a.Target, 20*time.Millisecond)
+	busy.Wait = wait
+	return b.finish(a, failure(fleet.Overloaded, fleet.NotRun), fleet.Some(busy))
+}
+
 func (b *bench) succeed(a fleet.Attempt) []effect.Effect {
 	return b.finish(a, fleet.Outcome{Status: 200}, fleet.Some(report(a.Target, 20*time.Millisecond)))
 }
@@ -226,6 +233,37 @@
 	is.Equal(b.tick(100*time.Millisecond), []effect.Effect{effect.Abandon{Attempt: first.ID}})
 }
 
+// Guards against an attempt at work that is given up for one that another target then refuses.
+func TestSlowAttemptsAreKept(t *testing.T) {
+	t.Run("while the others refuse", func(t *testing.T) {
+		b := newBench()
+		first := wantForward(t, b.arrive(true, ""))
+		effects := b.tick(500 * time.Millisecond) // No baseline is known, so half of the deadline has to pass.
+		for len(effects) > 0 {
+			effects = b.full(wantForward(t, effects), 2*time.Second)
+		}
+		wantAnswer(t, b.succeed(first), first.ID)
+	})
+	t.Run("and the next target is asked when one refuses", func(t *testing.T) {
+		b := newBench()
+		b.warm(t)
+		first := wantForward(t, b.arrive(true, ""))
+		second := wantForward(t, b.tick(40*time.Millisecond))
+		third := wantForward(t, b.full(second, 2*time.Second))
+		is.New(t).True(third.Target != first.Target && third.Target != second.Target)
+	})
+	t.Run("but not before the queue that it waits in", func(t *testing.T) {
+		is := is.New(t)
+		b := newBench()
+		b.warm(t)
+		effects := b.arrive(true, "")
+		for wantForward(t, effects).Probe {
+			effects = b.full(wantForward(t, effects), 100*time.Millisecond)
+		}
+		is.Equal(len(b.tick(100*time.Millisecond)), 0)
+	})
+}
+
 // Guards against requests without an end, and against verdicts at the deadline that claim too much or too little.
 func TestDeadline(t *testing.T) {
 	t.Run("idempotent", func(t *testing.T) {
--- a/internal/core/attempt/tick.go
+++ b/internal/core/attempt/tick.go
@@ -14,7 +14,7 @@
 	pruneStep = 16
 )
 
-// Tick ends requests whose deadline passed, hedges slow lookups and replaces lost attempts.
+// Tick ends requests whose deadline passed, starts second attempts beside slow ones and gives up lost ones.
 func (s State) Tick(ctx Context) (State, []effect.Effect) {
 	var effects []effect.Effect
 	random := draws(ctx.Random)
@@ -39,13 +39,8 @@
 	if !ctx.Now.Before(f.template.Deadline) {
 		return s.expire(ctx, f)
 	}
-	for _, t := range f.live {
-		if t.timeout.IsZero() || ctx.Now.Before(t.timeout) {
-			continue
-		}
-		if next, effects, ok := s.replace(ctx, f, t); ok {
-			return next, effects
-		}
+	if lost, ok := f.overtaken(ctx.Now); ok {
+		return s.giveUp(ctx, f, lost)
 	}
 	if f.slow(ctx.Now) && f.mayStart(ctx.Now) {
 		if next, effects, ok := s.again(ctx, f); ok {
@@ -59,29 +54,34 @@
 	return s.store(f), nil
 }
 
-// slow reports whether a lookup's only attempt in flight has waited long enough for a hedge.
+// slow reports whether the only attempt in flight has waited long enough for a second one beside it. The first one goes
+// on: its target may be at work, and the second one may be refused.
 func (f flight) slow(now time.Time) bool {
-	return len(f.live) == 1 && !f.live[0].hedge.IsZero() && !now.Before(f.live[0].hedge)
+	if len(f.live) != 1 {
+		return false
+	}
+	t := f.live[0]
+	return passed(now, t.hedge) || passed(now, t.timeout)
 }
 
-// replace gives up a lost attempt for one on another target, or for the other one in flight.
-func (s State) replace(ctx Context, f flight, t try) (State, []effect.Effect, bool) {
-	abandon := effect.Abandon{Attempt: t.id}
+func passed(now, at time.Time) bool { return !at.IsZero() && !now.Before(at) }
+
+// overtaken returns an attempt that counts as lost while another one is in flight.
+func (f flight) overtaken(now time.Time) (try, bool) {
+	for _, t := range f.live {
+		if len(f.live) > 1 && passed(now, t.timeout) {
+			return t, true
+		}
+	}
+	return try{}, false
+}
+
+// giveUp ends a lost attempt. The other one in flight goes on.
+func (s State) giveUp(ctx Context, f flight, t try) (State, []effect.Effect) {
 	lost := fleet.NewProblem(fleet.DeadlinePassed, fleet.MayHaveRun, "the target did not answer in time")
 	f = f.failed(ctx.Now, t, lost, 0, 0)
-	if len(f.live) > 0 {
-		s.own = s.own.released(t.target)
-		return s.store(f.rescheduled(ctx.Now)), []effect.Effect{abandon}, true
-	}
-	if !f.mayStart(ctx.Now) {
-		return s, nil, false
-	}
-	next, effects, ok := s.again(ctx, f)
-	if !ok {
-		return s, nil, false
-	}
-	next.own = next.own.released(t.target)
-	return next, append([]effect.Effect{abandon}, effects...), true
+	s.own = s.own.released(t.target)
+	return s.store(f.rescheduled(ctx.Now)), []effect.Effect{effect.Abandon{Attempt: t.id}}
 }
 
 // expire ends a request whose deadline passed. One that is not idempotent first waits for the sidecar to say whether the
