membership: probe mostly within the availability zone

Change: one probe in eight goes to another zone; messages to several peers go to near and far ones by halves.

--- a/internal/core/membership/probe.go
+++ b/internal/core/membership/probe.go
@@ -11,6 +11,9 @@
 const (
 	// probePeriod is the time between two probes.
 	probePeriod = time.Second
+	// farPeriods is the number of probes of which one goes to another zone. A zone of eight nodes then sends one message a
+	// second to each of two others.
+	farPeriods = 8
 	// directTimeout is the wait for an Ack before others are asked to probe. A new connection to another region takes two
 	// round trips, and the rest of the period must suffice for an indirect probe.
 	directTimeout = 400 * time.Millisecond
@@ -61,18 +64,20 @@
 	return s.startProbe(now, random)
 }
 
-// startProbe probes the next member of the ring, which is shuffled anew when it ends.
+// startProbe probes the next member of one of the rings.
 func (s State) startProbe(now time.Time, random uint64) (State, []effect.Effect) {
 	s.probe = probe{started: now}
-	if s.next >= len(s.ring) {
-		s.next = 0
-		s.ring = shuffled(s.ring, random)
-	}
-	if len(s.ring) == 0 {
+	s.periods++
+	var id fleet.NodeID
+	switch {
+	case len(s.far.ids) > 0 && (len(s.near.ids) == 0 || s.periods%farPeriods == 0):
+		s.far, id = s.far.advanced(random)
+	case len(s.near.ids) > 0:
+		s.near, id = s.near.advanced(random)
+	default:
 		return s, nil
 	}
-	m, _ := s.Member(s.ring[s.next])
-	s.next++
+	m, _ := s.Member(id)
 	s, ping := s.ping(m.Node, m.PeerAddress)
 	s.probe.subject = m.Node
 	s.probe.sequence = s.sequence
@@ -190,8 +195,8 @@
 		return s, nil
 	}
 	s.reconnect.next = now.Add(jitter(reconnectInterval, random))
-	if s.reconnect.last == "" && len(s.ring) > 0 {
-		s.reconnect.last = s.ring[random%uint64(len(s.ring))]
+	if peers := s.peers(1, s.self); s.reconnect.last == "" && len(peers) > 0 {
+		s.reconnect.last = peers[0].Node
 	}
 	id, ok := s.nextDead(s.reconnect.last)
 	if !ok {
--- a/internal/core/membership/state.go
+++ b/internal/core/membership/state.go
@@ -7,7 +7,9 @@
 //	state, effects = state.Received(now, envelope)
 //	candidates := state.Directory().Pool("catalogue")
 //
-// A node probes one peer a second, directly and then through others, and suspects a peer that does not answer. A suspect
+// A node probes one peer a second, directly and then through others, and suspects a peer that does not answer. Most of the
+// probes stay within the availability zone, because bytes between zones are dear; the other zones hear of what one zone
+// found out by the few that leave it, and requests find an unreachable node of another zone by themselves. A suspect
 // refutes with a higher sequence number, or is dead after a time that grows with the logarithm of the fleet. Changed
 // records ride on probes and their answers, each a bounded number of times, so the number and the size of messages do not
 // grow with the fleet. A pull of differing records from one random peer repairs what gossip missed.
@@ -30,9 +32,10 @@
 	// members holds pointers to immutable records, so that a change of the map copies little.
 	members   fleet.Map[fleet.NodeID, *fleet.Member]
 	directory fleet.Directory
-	// ring lists the present members but this node in random order; next is the index of the next peer to probe.
-	ring     []fleet.NodeID
-	next     int
+	// near holds the present members of this node's availability zone but itself, far those of the others.
+	near, far ring
+	// periods counts the probes, of which few go to another zone.
+	periods  uint64
 	sequence uint64
 	probe    probe
 	relays   fleet.Map[uint64, relay]
@@ -60,22 +63,18 @@
 	old, known := s.Member(m.Node)
 	s.members = s.members.With(m.Node, &m)
 	s.directory = s.directory.WithMember(old, m)
-	switch {
-	case m.Node == s.self || (known && old.Usable()) == m.Usable():
-	case m.Usable():
-		s.ring = append(slices.Clip(s.ring), m.Node)
-	case known:
-		s = s.unprobed(m.Node)
+	if m.Node == s.self || known && old.Usable() == m.Usable() && old.AvailabilityZone == m.AvailabilityZone {
+		return s
 	}
-	return s
-}
-
-// unprobed takes a member that is no longer present out of the ring.
-func (s State) unprobed(id fleet.NodeID) State {
-	i := slices.Index(s.ring, id)
-	s.ring = slices.Delete(slices.Clone(s.ring), i, i+1)
-	if i < s.next {
-		s.next--
+	if known && old.Usable() {
+		s.near, s.far = s.near.without(m.Node), s.far.without(m.Node)
+	}
+	switch {
+	case !m.Usable():
+	case m.AvailabilityZone == s.Self().AvailabilityZone:
+		s.near = s.near.with(m.Node)
+	default:
+		s.far = s.far.with(m.Node)
 	}
 	return s
 }
@@ -167,15 +166,18 @@
 	return s, nil
 }
 
-// peers returns up to count present members other than except, from a place in the ring that moves with each message.
+// peers returns up to count present members other than except, from a place in the rings that moves with each message.
+// Half of them are in other zones, so that one message reaches every zone soon.
 func (s State) peers(count int, except fleet.NodeID) []fleet.Member {
-	var found []fleet.Member
-	for i := range s.ring[:min(len(s.ring), count+1)] {
-		id := s.ring[(uint64(i)+s.sequence)%uint64(len(s.ring))]
-		if id != except && len(found) < count {
-			m, _ := s.Member(id)
-			found = append(found, m)
-		}
+	away := s.far.some(count/2, except, s.sequence)
+	ids := append(s.near.some(count-len(away), except, s.sequence), away...)
+	if missing := count - len(ids); missing > 0 {
+		ids = append(ids, s.far.some(len(away)+missing, except, s.sequence)[len(away):]...)
+	}
+	found := make([]fleet.Member, 0, len(ids))
+	for _, id := range ids {
+		m, _ := s.Member(id)
+		found = append(found, m)
 	}
 	return found
 }
--- a/internal/core/membership/sync.go
+++ b/internal/core/membership/sync.go
@@ -189,6 +189,6 @@
 		return s
 	}
 	s.sync.joined = true
-	s.next = len(s.ring)
+	s.near, s.far = s.near.restarted(), s.far.restarted()
 	return s.spread(s.self)
 }
