membership: tell other zones only of the own zone; shorter messages between nodes

Cause: each record went to other zones fifteen times from every node, also from zones that had only heard of it; envelopes named their fields; rounds for leases, which ask every target of a pool, followed each failure of a few seconds.

--- a/internal/core/membership/probe.go
+++ b/internal/core/membership/probe.go
@@ -14,6 +14,8 @@
 	// farPeriods is the number of probes of which one goes to another zone. A zone of eight nodes then sends one message a
 	// second to each of two others.
 	farPeriods = 8
+	// nearWait is how long a starting node waits for a member of its own zone before it pulls the records of one far away.
+	nearWait = 3 * time.Second
 	// directTimeout is the wait for an Ack before others are asked to probe. A new connection to another region takes two
 	// round trips, and the rest of the period must suffice for an indirect probe.
 	directTimeout = 400 * time.Millisecond
@@ -130,13 +132,21 @@
 		Address: envelope.Address,
 		Message: message.Ack{Sequence: m.Sequence, Subject: s.self, Members: records},
 	})
-	if s.sync.joined || s.sync.running() {
+	if s.sync.joined || s.sync.running() || s.waitsForNear(now, envelope.From) {
 		return s, effects
 	}
 	s, request := s.startSync(now, fleet.Member{Node: envelope.From, PeerAddress: envelope.Address})
 	return s, append(effects, request)
 }
 
+// waitsForNear reports whether a starting node should pull its records from a member of its own zone instead, which is
+// sure to show up when the nodes of a fleet start together.
+func (s State) waitsForNear(now time.Time, from fleet.NodeID) bool {
+	m, known := s.Member(from)
+	near := known && m.AvailabilityZone == s.Self().AvailabilityZone
+	return !near && now.Sub(s.started) < nearWait
+}
+
 // acked ends this node's probe or passes the answer on to the node that asked for it. The subject must be the one that
 // was probed: another node may have taken over its address.
 func (s State) acked(now time.Time, m message.Ack) (State, []effect.Effect) {
--- a/internal/core/membership/rumor.go
+++ b/internal/core/membership/rumor.go
@@ -12,6 +12,9 @@
 	// sendsPerRound times the rounds of gossip is how often a record is sent. SWIM reaches everyone with high probability
 	// from 3.
 	sendsPerRound = 3
+	// farSends is how often a node sends a record to other zones. The nodes of its zone do the same, so that a zone of eight
+	// tells the others two dozen times.
+	farSends = 3
 )
 
 // rumors are the members whose records are still to be sent, the least sent first.
@@ -64,9 +67,14 @@
 	return r.put(id, sends)
 }
 
-// spread queues a member's record for its peers.
+// spread queues a member's record for its peers. The other zones hear of a record from the member's own zone only, as long
+// as this node is not alone in its zone.
 func (s State) spread(id fleet.NodeID) State {
 	s.rumors = s.rumors.with(id)
+	m, _ := s.Member(id)
+	if m.AvailabilityZone == s.Self().AvailabilityZone || len(s.near.ids) == 0 {
+		s.away = s.away.with(id)
+	}
 	return s
 }
 
@@ -74,13 +82,20 @@
 // record comes first, so that the peer can refute it.
 func (s State) gossip(to fleet.NodeID) (State, []fleet.Member) {
 	var first []fleet.NodeID
-	if m, ok := s.Member(to); ok && m.Status != fleet.Alive {
+	peer, known := s.Member(to)
+	if known && peer.Status != fleet.Alive {
 		first = append(first, to)
 	}
+	queue, limit := &s.rumors, sendsPerRound*s.rounds()
+	if known && peer.AvailabilityZone != s.Self().AvailabilityZone {
+		queue = &s.away
+		if len(s.near.ids) > 0 {
+			limit = farSends
+		}
+	}
 	var records []fleet.Member
 	targets := 0
-	limit := sendsPerRound * s.rounds()
-	for _, id := range s.least(first) {
+	for _, id := range queue.least(first) {
 		m, _ := s.Member(id)
 		m = outgoing(m)
 		targets += len(m.Targets)
@@ -88,14 +103,14 @@
 			break
 		}
 		records = append(records, m)
-		s.rumors = s.rumors.sent(id, limit)
+		*queue = queue.sent(id, limit)
 	}
 	return s, records
 }
 
 // least returns the given ids and those of the least sent records, as many as fit into a message.
-func (s State) least(ids []fleet.NodeID) []fleet.NodeID {
-	for _, id := range s.rumors.order.All() {
+func (r rumors) least(ids []fleet.NodeID) []fleet.NodeID {
+	for _, id := range r.order.All() {
 		if len(ids) == recordsPerMessage {
 			break
 		}
--- a/internal/core/membership/seed.go
+++ b/internal/core/membership/seed.go
@@ -73,19 +73,33 @@
 }
 
 // contact pings some listed nodes that are not known to be present, and pulls the records of one of them when this node
-// has just started.
+// has just started. All but one of them are in this node's zone, where there are any: they know of the other zones.
 func (s State) contact(now time.Time, random uint64) (State, []effect.Effect) {
-	contacts := drawn(s.unknown(s.seeds.listed), random)
+	near, far := s.split(s.unknown(s.seeds.listed))
 	s.seeds.listed = nil
+	contacts := drawn(near, seedRanges, random)
+	contacts = append(contacts, drawn(far, seedRanges[min(len(contacts), len(seedRanges)-1):], random)...)
 	s, effects := s.pingAll(contacts)
 	if len(contacts) > 0 && !s.sync.joined && !s.sync.running() {
-		next, request := s.startSync(now, contacts[random%uint64(len(contacts))])
+		next, request := s.startSync(now, contacts[0])
 		s = next
 		effects = append(effects, request)
 	}
 	return s, effects
 }
 
+// split divides members into those of this node's zone and the others.
+func (s State) split(members []fleet.Member) (near, far []fleet.Member) {
+	for _, m := range members {
+		if m.AvailabilityZone == s.Self().AvailabilityZone {
+			near = append(near, m)
+		} else {
+			far = append(far, m)
+		}
+	}
+	return near, far
+}
+
 // unknown returns the listed nodes that are not known to be present, those that started last first.
 func (s State) unknown(listed []fleet.Member) []fleet.Member {
 	var unknown []fleet.Member
@@ -99,10 +113,10 @@
 	return unknown
 }
 
-// drawn returns one random node of the first of each of seedRanges.
-func drawn(nodes []fleet.Member, random uint64) []fleet.Member {
+// drawn returns one random node of the first of each of the ranges.
+func drawn(nodes []fleet.Member, ranges []int, random uint64) []fleet.Member {
 	var contacts []fleet.Member
-	for _, limit := range seedRanges {
+	for _, limit := range ranges {
 		if len(nodes) == 0 {
 			break
 		}
--- a/internal/core/membership/state.go
+++ b/internal/core/membership/state.go
@@ -39,7 +39,8 @@
 	sequence uint64
 	probe    probe
 	relays   fleet.Map[uint64, relay]
-	rumors   rumors
+	// rumors go to members of this node's zone, away to those of other zones.
+	rumors, away rumors
 	// deadlines says when a suspected or leaving member counts as dead.
 	deadlines fleet.Map[fleet.NodeID, time.Time]
 	// tombstones says when a dead member's record is dropped.
@@ -82,7 +83,7 @@
 // without returns the state without a member that is dead.
 func (s State) without(id fleet.NodeID) State {
 	s.members = s.members.Without(id)
-	s.rumors = s.rumors.without(id)
+	s.rumors, s.away = s.rumors.without(id), s.away.without(id)
 	s.deadlines = s.deadlines.Without(id)
 	s.tombstones = s.tombstones.Without(id)
 	return s
--- a/internal/edge/peer/message_codec.go
+++ b/internal/edge/peer/message_codec.go
@@ -26,8 +26,11 @@
 	errSender   = errors.New("peer: message without a sender or with a name over 256 bytes")
 )
 
-// wireEnvelope is the encoded form of message.Envelope.
+// wireEnvelope is the encoded form of message.Envelope, as an array: the names of the fields would take more bytes than most
+// of the values.
 type wireEnvelope struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack through reflection
+
 	From        string
 	Incarnation uint64
 	Address     string
--- a/internal/edge/peer/message_lease.go
+++ b/internal/edge/peer/message_lease.go
@@ -10,13 +10,15 @@
 
 // wireLease is the encoded form of every message about leases.
 type wireLease struct {
-	Number   uint64 `msgpack:",omitempty"`
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack through reflection
+
+	Number   uint64
 	Asker    string
 	Grantor  string
-	Pool     string        `msgpack:",omitempty"`
-	Duration time.Duration `msgpack:",omitempty"`
-	BadShare float64       `msgpack:",omitempty"`
-	Suspect  bool          `msgpack:",omitempty"`
+	Pool     string
+	Duration time.Duration
+	BadShare float64
+	Suspect  bool
 }
 
 type wireTablesRequest struct {
