admission: the sidecars keep the retry budget; count the calls of repeated requests

Cause: each of 24 ingresses had two or three repeated attempts at a pool within ten seconds, and every refused probe after the first arrival took one, so that lookups were refused with nine tenths of their time left.

Change: the sidecar of each target counts first and repeated attempts that start and refuses a repeated one beyond its part of the budget as NotRun (RetryBudget); another sidecar may have some left. Calls that repeated requests make count as repeated, by their share of what runs on the host, and are never refused for it.

--- /dev/null
+++ b/internal/core/admission/budget.go
@@ -0,0 +1,64 @@
+package admission
+
+import "time"
+
+// Retries bound the repeated attempts at one pool: within any Window there are at most Ratio times the pool's requests and
+// Slack more. The sidecar of each target keeps to the part for the requests that reach it and to an equal part of the
+// slack. All requests pass the sidecars, and there are far fewer of them before a pool than there are ingresses, so that
+// the budget holds without a word between nodes and little of it lies where it is not needed.
+type Retries struct {
+	Ratio  float64
+	Window time.Duration
+	Slack  float64
+}
+
+const (
+	// budgetSteps divide the window, so that old requests are forgotten a step at a time.
+	budgetSteps = 10
+	// kept is the part of the budget that is used. The rest is for the calls that repeated requests make at other pools:
+	// they count there as repeated too, and cannot be refused without failing the request that waits for them.
+	kept = 0.55
+)
+
+// budget counts the first and the repeated attempts on one target within the window. Its zero value has seen none.
+type budget struct {
+	steps [budgetSteps]arrivals
+	// current is the number of the step that is being counted, since the zero time of the clock.
+	current int64
+}
+
+// arrivals are the attempts of one step of the window.
+type arrivals struct{ first, repeated int }
+
+// at returns the budget at a time, without the steps that have left the window.
+func (b budget) at(now time.Time, window time.Duration) budget {
+	step := now.UnixNano() / int64(window/budgetSteps)
+	for i := max(b.current+1, step-budgetSteps+1); i <= step; i++ {
+		b.steps[i%budgetSteps] = arrivals{}
+	}
+	b.current = max(b.current, step)
+	return b
+}
+
+// counted returns the budget after an attempt that starts.
+func (b budget) counted(now time.Time, r Retries, repeated bool) budget {
+	b = b.at(now, r.Window)
+	step := &b.steps[b.current%budgetSteps]
+	if repeated {
+		step.repeated++
+	} else {
+		step.first++
+	}
+	return b
+}
+
+// allows reports whether one more repeated attempt may start on one of the given number of targets of the pool.
+func (b budget) allows(now time.Time, r Retries, targets int) bool {
+	var total arrivals
+	for _, s := range b.at(now, r.Window).steps {
+		total.first += s.first
+		total.repeated += s.repeated
+	}
+	limit := r.Ratio*float64(total.first) + r.Slack/float64(max(targets, 1))
+	return float64(total.repeated+1) <= kept*limit
+}
--- a/internal/core/admission/local.go
+++ b/internal/core/admission/local.go
@@ -28,6 +28,8 @@
 	running fleet.Set[fleet.AttemptID]
 	queue   queue
 	service service
+	// repeats is the target's part of its pool's retry budget.
+	repeats budget
 	// down means that the process took no connection or died, and has not announced itself since.
 	down bool
 }
--- a/internal/core/admission/refusal.go
+++ b/internal/core/admission/refusal.go
@@ -16,6 +16,7 @@
 	fleet.Overloaded:     "the target's slots and queue are taken",
 	fleet.Quarantined:    "requests like this one have crashed several targets",
 	fleet.Failing:        "the target has just failed and takes only trials",
+	fleet.RetryBudget:    "the pool has had as many repeated attempts as its budget allows",
 	fleet.UnknownTarget:  "the node has no such target of the pool",
 	fleet.Unreachable:    "the target's process does not take connections",
 }
--- a/internal/core/admission/state.go
+++ b/internal/core/admission/state.go
@@ -7,7 +7,7 @@
 //
 // # Usage
 //
-//	state := admission.New(self)
+//	state := admission.New(self, retries)
 //	state, effects, change := state.Announced(ctx, announcement)
 //	state, effects = state.Asked(ctx, attempt)
 //	state, effects, finished := state.RunFinished(ctx, attemptID, outcome)
@@ -26,6 +26,7 @@
 // State is what the sidecar knows of the targets on its host.
 type State struct {
 	self    fleet.NodeID
+	retries Retries
 	targets fleet.Map[fleet.TargetID, local]
 	running fleet.Map[fleet.AttemptID, Run]
 	// waiting gives the place of each queued attempt.
@@ -56,6 +57,8 @@
 // Context is what the sidecar's other parts say when an event comes.
 type Context struct {
 	Now time.Time
+	// PoolSize returns the number of targets of a pool, which share its retry budget.
+	PoolSize func(fleet.PoolName) int
 	// Gate says which attempts a target takes.
 	Gate func(fleet.TargetID) Gate
 	// Suspect reports whether a target has just failed; MayTry whether it takes a trial now.
@@ -74,8 +77,8 @@
 }
 
 // New returns the state of the sidecar of the given node.
-func New(self fleet.NodeID) State {
-	return State{self: self}
+func New(self fleet.NodeID, retries Retries) State {
+	return State{self: self, retries: retries}
 }
 
 // Asked decides on an attempt.
@@ -118,6 +121,8 @@
 		return fleet.DeadlinePassed, true
 	case !attempt.Forced && ctx.Suspect(attempt.Target) && !(attempt.Trial && ctx.MayTry(attempt.Target)):
 		return fleet.Failing, true
+	case attempt.Repeated && !l.repeats.allows(ctx.Now, s.retries, ctx.PoolSize(attempt.Pool)):
+		return fleet.RetryBudget, true
 	default:
 		return "", false
 	}
@@ -247,5 +252,16 @@
 // Running returns an attempt that runs on a target of this host.
 func (s State) Running(id fleet.AttemptID) (Run, bool) { return s.running.Get(id) }
 
+// RepeatedShare returns which part of the requests that run on targets of this host are repeated ones or their calls.
+func (s State) RepeatedShare() float64 {
+	repeated := 0
+	for _, run := range s.running.All() {
+		if run.Attempt.Repeated || run.Attempt.Derived {
+			repeated++
+		}
+	}
+	return float64(repeated) / float64(max(s.running.Len(), 1))
+}
+
 // InFlight returns the number of attempts that run on targets of this host.
 func (s State) InFlight() int { return s.running.Len() }
--- a/internal/core/admission/state_test.go
+++ b/internal/core/admission/state_test.go
@@ -1,6 +1,7 @@
 package admission_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -25,8 +26,12 @@
 	effects         []effect.Effect
 }
 
+// testRetries leave each of two targets eight repeated attempts and a tenth of its requests within the window, of which
+// half are used.
+var testRetries = admission.Retries{Ratio: 0.1, Window: 10 * time.Second, Slack: 16}
+
 func newRig() *rig {
-	return &rig{state: admission.New("n1"), now: time.Unix(1000, 0)}
+	return &rig{state: admission.New("n1", testRetries), now: time.Unix(1000, 0)}
 }
 
 // newWarmRig returns a sidecar whose target a has all of its slots.
@@ -44,6 +49,7 @@
 		Gate:        func(fleet.TargetID) admission.Gate { return r.gate },
 		Quarantined: r.quarantined.Has,
 		Suspected:   r.suspected.Has,
+		PoolSize:    func(fleet.PoolName) int { return 2 },
 		Suspect:     func(fleet.TargetID) bool { return r.failing },
 		MayTry:      func(fleet.TargetID) bool { return r.mayTry },
 	}
@@ -222,6 +228,59 @@
 	})
 }
 
+// Guards against repeated attempts that amplify an overload, and against a quiet target that may never get one.
+func TestRetryBudget(t *testing.T) {
+	// repeat asks for a run of a repeated attempt and reports whether it got one.
+	repeat := func(r *rig, id string) bool {
+		a := r.attempt(id, fleet.Lookup)
+		a.Repeated = true
+		r.askAs(a)
+		if _, refused := r.effects[0].(effect.RefuseAttempt); refused {
+			return false
+		}
+		r.finish(id, fleet.Outcome{})
+		return true
+	}
+	t.Run("quiet", func(t *testing.T) {
+		is, r := is.New(t), newWarmRig(4)
+		for i := range 4 {
+			is.True(repeat(r, fmt.Sprint("a", i)))
+		}
+		is.True(!repeat(r, "b"))
+		r.assertRefused(is, "b", fleet.RetryBudget, fleet.NotRun)
+		r.pass(10*time.Second, "i1", 4)
+		is.True(repeat(r, "c")) // the window has passed
+	})
+	t.Run("calls of repeated requests use it up and are not refused", func(t *testing.T) {
+		is, r := is.New(t), newWarmRig(4)
+		for i := range 20 {
+			call := r.attempt(fmt.Sprint("a", i), fleet.Internal)
+			call.Derived = true
+			r.askAs(call)
+			r.assertRuns(is, call.ID)
+			r.finish(string(call.ID), fleet.Outcome{})
+		}
+		is.True(!repeat(r, "b"))
+	})
+	t.Run("busy", func(t *testing.T) {
+		is, r := is.New(t), newWarmRig(4)
+		repeats := 0
+		for i := range 1000 {
+			if i%100 == 0 {
+				r.announce("i1", 4)
+			}
+			r.now = r.now.Add(10 * time.Millisecond)
+			r.ask(fmt.Sprint("f", i), fleet.Lookup)
+			r.finish(fmt.Sprint("f", i), fleet.Outcome{})
+			if repeat(r, fmt.Sprint("r", i)) {
+				repeats++
+			}
+		}
+		is.True(repeats <= 1000/10+8)
+		is.True(repeats >= 50) // the budget is there to be used
+	})
+}
+
 // Guards against work for targets that must not get any.
 func TestRefusals(t *testing.T) {
 	cases := []struct {
@@ -229,7 +288,7 @@
 		setUp func(*rig)
 		cause fleet.Cause
 	}{
-		{"unknown target", func(r *rig) { r.state = admission.New("n1") }, fleet.UnknownTarget},
+		{"unknown target", func(r *rig) { r.state = admission.New("n1", testRetries) }, fleet.UnknownTarget},
 		{"target of another pool", func(r *rig) {
 			a := announcement("i2", 4)
 			a.Pool = "q"
--- a/internal/core/attempt/finish.go
+++ b/internal/core/attempt/finish.go
@@ -95,7 +95,7 @@
 	return s.store(f.rescheduled(ctx.Now)), nil
 }
 
-// again starts a further attempt on another target, if the budget allows and there is one.
+// again starts a further attempt, if there is a target for it.
 func (s State) again(ctx Context, f flight) (State, []effect.Effect, bool) {
 	if f.mayCrash() {
 		return s, nil, false
@@ -107,20 +107,6 @@
 	if !ok {
 		return s, nil, false
 	}
-	if f.arrived() {
-		if s, ok = s.spent(ctx, f.template.Pool); !ok {
-			return s, nil, false
-		}
-	}
 	s, f, forward := s.start(ctx, f, where)
 	return s.store(f), []effect.Effect{forward}, true
 }
-
-// spent takes one repeated attempt out of a pool's budget.
-func (s State) spent(ctx Context, name fleet.PoolName) (State, bool) {
-	p := *s.pool(name)
-	next, ok := p.budget.spent(ctx.Now, s.retries, ctx.Nodes)
-	p.budget = next
-	s.pools = s.pools.With(name, &p)
-	return s, ok
-}
--- a/internal/core/attempt/placement.go
+++ b/internal/core/attempt/placement.go
@@ -47,7 +47,12 @@
 //     because bytes between zones are dear; else it goes to a free target of another zone, and last to the shortest queue.
 //   - A pool that fails as a whole: when only suspect targets are left, one of them is forced to take the request.
 func (c *choice) place() (placement, bool) {
-	for _, step := range []func() (int, manner){c.home, c.free, c.shortQueue, c.farFree, c.anyQueue, c.suspect} {
+	steps := []func() (int, manner){c.home, c.free, c.shortQueue, c.farFree, c.anyQueue, c.suspect}
+	if len(c.flight.live) > 0 {
+		// A second attempt beside a slow one helps only where it starts at once.
+		steps = []func() (int, manner){c.free, c.farFree}
+	}
+	for _, step := range steps {
 		if i, how := step(); i >= 0 {
 			return placement{candidate: c.candidates[i], manner: how}, true
 		}
@@ -113,7 +118,7 @@
 func (c *choice) queue(allowed func(bounce) bool) (int, time.Duration) {
 	best, shortest := -1, time.Duration(0)
 	for _, b := range c.flight.bounces {
-		if b.cause != fleet.Overloaded || b.manner != probing || !allowed(b) || c.flight.waitedAt(b.target) {
+		if b.cause != fleet.Overloaded || b.manner != probing || !allowed(b) || c.flight.waitedAt(b.target) || c.flight.triedAt(b.target) {
 			continue
 		}
 		if i := c.index(b.target); i >= 0 && (best < 0 || b.wait < shortest) {
--- a/internal/core/attempt/pool.go
+++ b/internal/core/attempt/pool.go
@@ -10,7 +10,6 @@
 type pool struct {
 	views     fleet.Map[fleet.TargetID, *view]
 	baselines [len(fleet.Classes)]baseline
-	budget    budget
 }
 
 // unknownPool is the view of a pool of which nothing was heard yet.
--- a/internal/core/attempt/state.go
+++ b/internal/core/attempt/state.go
@@ -3,13 +3,13 @@
 //
 // # Usage
 //
-//	state := attempt.New(zone, retries)
+//	state := attempt.New(zone)
 //	state, effects := state.Arrived(ctx, request, route, idempotent)
 //	state, effects = state.Finished(ctx, attemptID, outcome, report)
 //	state, effects = state.Tick(ctx)
 //
 // A request that is not idempotent has at most one attempt in flight and gets another only after NotRun. An idempotent
-// one is retried and hedged on other targets within the retry budget. Outcomes of attempts that were given up are
+// one is retried and hedged on other targets, within the retry budget that their sidecars keep. Outcomes of attempts that were given up are
 // dropped.
 package attempt
 
@@ -30,7 +30,6 @@
 	own     occupancy
 	reaches reaches
 	pools   fleet.Map[fleet.PoolName, *pool]
-	retries Retries
 	// cursor is the pool that is pruned next.
 	cursor fleet.PoolName
 }
@@ -42,8 +41,6 @@
 	Directory fleet.Directory
 	// Revision is that of the tables in force.
 	Revision fleet.Revision
-	// Nodes is the number of nodes that share the retry budget.
-	Nodes int
 	// Quarantined reports whether a fingerprint is refused by now; nil means that none is.
 	Quarantined func(fleet.Fingerprint) bool
 }
@@ -54,8 +51,8 @@
 }
 
 // New returns the state of an ingress in the given availability zone.
-func New(zone fleet.AvailabilityZone, retries Retries) State {
-	return State{zone: zone, retries: retries}
+func New(zone fleet.AvailabilityZone) State {
+	return State{zone: zone}
 }
 
 // Arrived starts a request.
@@ -64,7 +61,6 @@
 	if request.Timeout > 0 && request.Timeout < limit {
 		limit = request.Timeout
 	}
-	s = s.requested(ctx.Now, route.Pool)
 	f := flight{
 		id:       request.ID,
 		received: ctx.Now,
@@ -73,6 +69,7 @@
 			Class:       route.Class,
 			Idempotent:  idempotent,
 			Priority:    route.Priority,
+			Derived:     request.Derived,
 			Caller:      request.Caller,
 			Deadline:    ctx.Now.Add(limit),
 			Fingerprint: request.Fingerprint,
@@ -92,14 +89,6 @@
 	return s.store(f), []effect.Effect{forward}
 }
 
-// requested counts a request for the retry budget of its pool.
-func (s State) requested(now time.Time, name fleet.PoolName) State {
-	p := *s.pool(name)
-	p.budget = p.budget.requested(now, s.retries)
-	s.pools = s.pools.With(name, &p)
-	return s
-}
-
 // Canceled ends a request whose caller went away.
 func (s State) Canceled(now time.Time, id fleet.RequestID) (State, []effect.Effect) {
 	f, ok := s.flights.Get(id)
@@ -119,6 +108,7 @@
 	attempt.Probe = where.manner == probing
 	attempt.Forced = where.manner == forced
 	attempt.Trial = f.mayFail(ctx.Now)
+	attempt.Repeated = f.arrived()
 	attempt.ID = fleet.NewAttemptID(f.id, f.attempts+1)
 	attempt.Target = c.Target.ID
 	attempt.Node = c.Node
--- a/internal/core/attempt/state_test.go
+++ b/internal/core/attempt/state_test.go
@@ -19,9 +19,6 @@
 	count  int
 }
 
-// testRetries leave each of the six nodes two and a half repeated attempts within the window beside a tenth of its requests.
-var testRetries = Retries{Ratio: 0.1, Window: 10 * time.Second, Slack: 15}
-
 func newBench() *bench {
 	var directory fleet.Directory
 	candidates := make([]fleet.Candidate, 0, 6)
@@ -33,8 +30,8 @@
 			AvailabilityZone: fleet.AvailabilityZone(fmt.Sprintf("z%d", i/2+1)),
 		})
 	}
-	b := &bench{state: New("z1", testRetries)}
-	b.ctx = Context{Now: time.Unix(1000, 0), Directory: directory.WithPool("p", candidates), Nodes: 6}
+	b := &bench{state: New("z1")}
+	b.ctx = Context{Now: time.Unix(1000, 0), Directory: directory.WithPool("p", candidates)}
 	return b
 }
 
@@ -176,34 +173,17 @@
 	wantAnswer(t, b.fail(second, fleet.Quarantined, fleet.NotRun), first.ID)
 }
 
-// Guards against retries that amplify an overload, and against a quiet node that may never retry.
-func TestRetryBudget(t *testing.T) {
-	t.Run("busy", func(t *testing.T) {
-		b := newBench()
-		retries := 0
-		for range 2000 {
-			b.ctx.Now = b.ctx.Now.Add(10 * time.Millisecond)
-			effects := b.arrive(true, "")
-			for len(effects) > 0 {
-				forward, ok := effects[len(effects)-1].(effect.Forward)
-				if !ok {
-					break
-				}
-				retries++
-				effects = b.fail(forward.Attempt, fleet.Broken, fleet.MayHaveRun)
-			}
-		}
-		is.New(t).True(retries-2000 <= 2000/10+2*int(testRetries.Slack/6)) // two windows
-		is.New(t).True(retries-2000 >= 100)                                // the budget is there to be used
-	})
-	t.Run("quiet", func(t *testing.T) {
-		b := newBench()
-		for range 20 {
-			b.ctx.Now = b.ctx.Now.Add(10 * time.Second)
-			second := wantForward(t, b.fail(wantForward(t, b.arrive(true, "")), fleet.Broken, fleet.MayHaveRun))
-			wantAnswer(t, b.succeed(second), second.ID)
-		}
-	})
+// Guards against repeated attempts that no budget counts, and against refusals that use it up.
+func TestRepeatedAttempts(t *testing.T) {
+	is := is.New(t)
+	b := newBench()
+	first := wantForward(t, b.arrive(true, ""))
+	second := wantForward(t, b.full(first, time.Minute))
+	is.True(!first.Repeated && !second.Repeated) // no target has got the request yet
+	third := wantForward(t, b.fail(second, fleet.Broken, fleet.MayHaveRun))
+	is.True(third.Repeated)
+	fourth := wantForward(t, b.fail(third, fleet.RetryBudget, fleet.NotRun))
+	is.True(fourth.Repeated && fourth.Target != third.Target) // another target may have some budget left
 }
 
 // Guards against a slow target that holds a lookup, and against two answers to one request.
@@ -252,6 +232,21 @@
 		third := wantForward(t, b.full(second, 2*time.Second))
 		is.New(t).True(third.Target != first.Target && third.Target != second.Target)
 	})
+	t.Run("and nothing waits in a queue beside it", func(t *testing.T) {
+		is := is.New(t)
+		b := newBench()
+		b.warm(t)
+		effects := b.full(wantForward(t, b.arrive(true, "")), 100*time.Millisecond)
+		effects = b.full(wantForward(t, effects), 100*time.Millisecond)
+		queued := wantForward(t, effects)
+		is.True(!queued.Probe)
+		for effects = b.tick(200 * time.Millisecond); len(effects) > 0; {
+			beside := wantForward(t, effects)
+			is.True(beside.Probe && beside.Target != queued.Target)
+			effects = b.full(beside, 10*time.Millisecond)
+		}
+		wantAnswer(t, b.succeed(queued), queued.ID)
+	})
 	t.Run("but not before the queue that it waits in", func(t *testing.T) {
 		is := is.New(t)
 		b := newBench()
@@ -268,7 +263,6 @@
 func TestDeadline(t *testing.T) {
 	t.Run("idempotent", func(t *testing.T) {
 		b := newBench()
-		b.state.retries = Retries{Window: time.Second}
 		wantForward(t, b.arrive(true, ""))
 		wantRefusal(t, b.tick(time.Second), fleet.DeadlinePassed, fleet.MayHaveRun)
 	})
--- a/internal/core/fleet/problem.go
+++ b/internal/core/fleet/problem.go
@@ -18,6 +18,7 @@
 	Overloaded     Cause = "Overloaded"     // every slot and queue place is taken
 	Ejected        Cause = "Ejected"        // the target is ejected
 	Failing        Cause = "Failing"        // the target has just failed and takes only trials
+	RetryBudget    Cause = "RetryBudget"    // the pool's budget for repeated attempts is spent
 	Shed           Cause = "Shed"           // the target itself refused the request without running it
 	Misdirected    Cause = "Misdirected"    // another process has the target's address
 	Draining       Cause = "Draining"       // the target or its node is leaving
--- a/internal/core/fleet/request.go
+++ b/internal/core/fleet/request.go
@@ -12,6 +12,8 @@
 	// Idempotent is what the caller's header says.
 	Idempotent Option[bool]
 	Key        IdempotencyKey
+	// Derived means that the request is a call of another one that was repeated.
+	Derived bool
 	// Timeout is the caller's own limit; 0 means none.
 	Timeout     time.Duration
 	Fingerprint Fingerprint
@@ -33,6 +35,11 @@
 	Probe bool
 	// Trial means that the request may go to a target that has just failed: it can run again elsewhere in time.
 	Trial bool
+	// Repeated means that a target got the request before, so that the attempt counts towards the pool's retry budget.
+	Repeated bool
+	// Derived means that the request is a call made by another one that was repeated. It counts towards the budget like a
+	// repeated one, and is not refused for it.
+	Derived bool
 	// Forced means that no healthy target is left, so that suspicion alone refuses nothing.
 	Forced bool
 	Caller Caller
--- a/internal/core/node/sidecar.go
+++ b/internal/core/node/sidecar.go
@@ -27,10 +27,11 @@
 }
 
 func (s State) admissionContext(ev event.Event) admission.Context {
-	ejected, quarantined, healths := s.ejection, s.quarantine, s.health
+	ejected, quarantined, healths, directory := s.ejection, s.quarantine, s.health, s.membership.Directory()
 	return admission.Context{
 		Now:         ev.At,
 		Gate:        func(id fleet.TargetID) admission.Gate { return ejected.Gate(ev.At, id) },
+		PoolSize:    func(name fleet.PoolName) int { return len(directory.Pool(name)) },
 		Suspect:     healths.Suspect,
 		MayTry:      func(id fleet.TargetID) bool { return healths.MayTry(ev.At, id) },
 		Quarantined: func(f fleet.Fingerprint) bool { return quarantined.Has(ev.At, f) },
--- a/internal/core/node/state.go
+++ b/internal/core/node/state.go
@@ -44,20 +44,20 @@
 
 // Settings are what the decisions of a node depend on beside the tables.
 type Settings struct {
-	Retries attempt.Retries
+	Retries admission.Retries
 }
 
-// DefaultSettings returns the settings of a node whose operator sets none: repeated attempts are at most a tenth of the
-// requests and, in a fleet of the design size, two a node beyond that within ten seconds.
+// DefaultSettings returns the settings of a node whose operator sets none: repeated attempts at a pool are at most a tenth
+// of its requests and twenty more within ten seconds.
 func DefaultSettings() Settings {
-	return Settings{Retries: attempt.Retries{Ratio: 0.1, Window: 10 * time.Second, Slack: 1200}}
+	return Settings{Retries: admission.Retries{Ratio: 0.1, Window: 10 * time.Second, Slack: 20}}
 }
 
 // New returns the state of a node that has just started with the given member record.
 func New(self fleet.Member, settings Settings) State {
 	return State{
-		attempts:   attempt.New(self.AvailabilityZone, settings.Retries),
-		admission:  admission.New(self.Node),
+		attempts:   attempt.New(self.AvailabilityZone),
+		admission:  admission.New(self.Node, settings.Retries),
 		detection:  detection.New(),
 		ejection:   ejection.New(self.Node),
 		membership: membership.New(self),
--- a/internal/edge/peer/forwardheader.go
+++ b/internal/edge/peer/forwardheader.go
@@ -26,7 +26,7 @@
 	headerCaller      = "Jayfold-Caller"
 	headerKey         = "Jayfold-Key"
 	headerPriority    = "Jayfold-Priority"
-	headerMode        = "Jayfold-Mode" // which of probe, trial and forced hold
+	headerMode        = "Jayfold-Mode" // which of the words below hold
 	headerRevision    = "Jayfold-Revision"
 	headerVerify      = "Jayfold-Verify"
 	headerCancel      = "Jayfold-Cancel"
@@ -77,14 +77,16 @@
 
 // The words of headerMode.
 const (
-	modeProbe  = "probe"
-	modeTrial  = "trial"
-	modeForced = "forced"
+	modeProbe    = "probe"
+	modeTrial    = "trial"
+	modeRepeated = "repeated"
+	modeDerived  = "derived"
+	modeForced   = "forced"
 )
 
 func modeOf(a fleet.Attempt) string {
 	var words []string
-	for word, holds := range map[string]bool{modeProbe: a.Probe, modeTrial: a.Trial, modeForced: a.Forced} {
+	for word, holds := range map[string]bool{modeProbe: a.Probe, modeTrial: a.Trial, modeRepeated: a.Repeated, modeDerived: a.Derived, modeForced: a.Forced} {
 		if holds {
 			words = append(words, word)
 		}
@@ -107,6 +109,8 @@
 			Priority:    int(min(d.number(headerPriority, 10), maxPriority)),
 			Probe:       slices.Contains(mode, modeProbe),
 			Trial:       slices.Contains(mode, modeTrial),
+			Repeated:    slices.Contains(mode, modeRepeated),
+			Derived:     slices.Contains(mode, modeDerived),
 			Forced:      slices.Contains(mode, modeForced),
 			Caller:      fleet.Caller(d.optional(headerCaller)),
 			Deadline:    now.Add(d.duration(headerBudget, time.Millisecond, maxBudget)),
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -28,7 +28,7 @@
 	"os"
 	"time"
 
-	"jayfold.dev/jayfold/internal/core/attempt"
+	"jayfold.dev/jayfold/internal/core/admission"
 	"jayfold.dev/jayfold/internal/core/fleet"
 	"jayfold.dev/jayfold/internal/core/node"
 	"jayfold.dev/jayfold/internal/edge/configfile"
@@ -47,7 +47,7 @@
 	Platform string
 	// DefaultCaller is the client account of requests that name none.
 	DefaultCaller fleet.Caller
-	Retries       attempt.Retries
+	Retries       admission.Retries
 	// LogLevel is the lowest level of the lines that are written: debug, info, warn or error.
 	LogLevel string
 	Limits   Limits
