peer: keep bodies back from another zone until the target takes them

Change: a forward to another zone asks with Expect: 100-continue; the sidecar reads the body when the run starts.

--- a/internal/core/attempt/state.go
+++ b/internal/core/attempt/state.go
@@ -116,7 +116,7 @@
 	attempt.Baseline = s.pool(attempt.Pool).baselines[attempt.Class].value
 	s.own = s.own.occupied(c.Target.ID)
 	s.reaches = s.reaches.tried(ctx, c.Node)
-	return s, f.started(ctx.Now, attempt, try{manner: where.manner, near: c.AvailabilityZone == s.zone, wait: f.waitAt(c.Target.ID)}), effect.Forward{Attempt: attempt}
+	return s, f.started(ctx.Now, attempt, try{manner: where.manner, near: c.AvailabilityZone == s.zone, wait: f.waitAt(c.Target.ID)}), effect.Forward{Attempt: attempt, Far: c.AvailabilityZone != s.zone}
 }
 
 // waitAt returns the queue that a target named when it was asked for a slot; 0 when it was not.
--- a/internal/core/effect/effect.go
+++ b/internal/core/effect/effect.go
@@ -23,6 +23,8 @@
 	Attempt fleet.Attempt
 	// Revision is this node's tables revision.
 	Revision fleet.Revision
+	// Far means that the target is in another availability zone, where bytes that are sent in vain are dear.
+	Far bool
 }
 
 // Answer passes the answer of an attempt on to the caller.
--- a/internal/edge/peer/forward_test.go
+++ b/internal/edge/peer/forward_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -263,3 +264,72 @@
 	attempt.Address = "127.0.0.1:1"
 	wantProblem(t, b.send(t.Context(), attempt, http.MethodPost, "x").err, fleet.Unreachable, fleet.NotRun)
 }
+
+// sentCounter counts the bytes that a connection sends.
+type sentCounter struct {
+	net.Conn
+	sent *atomic.Int64
+}
+
+// Write implements io.Writer.
+func (c sentCounter) Write(p []byte) (int, error) {
+	c.sent.Add(int64(len(p)))
+	return c.Conn.Write(p)
+}
+
+// Guards against bodies that cross to another zone for a target that refuses the attempt, and against bodies that are lost
+// because they wait for a target.
+func TestForwardKeepsBodiesBack(t *testing.T) {
+	const body = 64 << 10
+	for name, c := range map[string]struct {
+		far, refused bool
+		whole        bool
+	}{
+		"far and refused": {true, true, false},
+		"far and taken":   {true, false, true},
+		"near":            {false, true, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(t)
+			var sent atomic.Int64
+			b.forwarder = NewForwarder("a", ForwarderSeams{Now: time.Now, Post: func(event.Body) {}, Dial: counting(&sent)})
+			t.Cleanup(b.forwarder.Close)
+			var got atomic.Int64
+			b.target = func(_ http.ResponseWriter, r *http.Request) {
+				n, _ := io.Copy(io.Discard, r.Body)
+				got.Store(n)
+			}
+			if c.refused {
+				b.decide = refuseAll
+			}
+			request := httptest.NewRequest(http.MethodPost, "/order", nil)
+			response, _, err := b.forwarder.Forward(t.Context(), effect.Forward{Attempt: b.attempt(), Far: c.far}, request,
+				make([]byte, body))
+			if c.refused {
+				wantProblem(t, err, fleet.Overloaded, fleet.NotRun)
+			} else {
+				is.NoErr(err)
+				is.NoErr(response.Body.Close())
+				is.Equal(got.Load(), int64(body))
+			}
+			is.Equal(sent.Load() > body/2, c.whole)
+		})
+	}
+}
+
+func counting(sent *atomic.Int64) func(context.Context, string, string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		var dialer net.Dialer
+		conn, err := dialer.DialContext(ctx, network, address)
+		return sentCounter{conn, sent}, err
+	}
+}
+
+func refuseAll(s *Sidecar, body event.Body) {
+	if asked, ok := body.(event.AdmissionAsked); ok {
+		problem := fleet.NewProblem(fleet.Overloaded, fleet.NotRun, "full")
+		time.Sleep(20 * time.Millisecond) // a body that is not kept back is on its way by then
+		s.RefuseAttempt(effect.RefuseAttempt{Attempt: asked.Attempt.ID, Problem: problem, Report: testReport})
+	}
+}
--- a/internal/edge/peer/forwarder.go
+++ b/internal/edge/peer/forwarder.go
@@ -22,6 +22,8 @@
 	cancelWait = 200 * time.Millisecond
 	// deadlineGrace lets the sidecar's own refusal at the deadline arrive.
 	deadlineGrace = 250 * time.Millisecond
+	// continueTimeout is the longest deadline of a route.
+	continueTimeout = time.Minute
 	// goAwayText is the error of a stream above the last stream id of a GOAWAY frame, which the peer never processed
 	// (RFC 9113, section 6.8). net/http exports no error value for it.
 	goAwayText = "received Server's graceful shutdown GOAWAY"
@@ -47,7 +49,9 @@
 	transport := &http.Transport{
 		DialContext:        seams.Dial,
 		DisableCompression: true,
-		Protocols:          new(http.Protocols),
+		// A request that waits in a queue keeps its body back for all that time.
+		ExpectContinueTimeout: continueTimeout,
+		Protocols:             new(http.Protocols),
 		HTTP2: &http.HTTP2Config{
 			SendPingTimeout:             sendPingTimeout,
 			PingTimeout:                 pingTimeout,
@@ -180,6 +184,10 @@
 		request.Body = http.NoBody
 	}
 	stripHeaders(request.Header)
+	if forward.Far && len(body) > 0 {
+		// The body goes out once the target is ready for it. Most probes of a busy fleet are refused.
+		request.Header.Set("Expect", "100-continue")
+	}
 	wire := wireAttempt{Attempt: attempt, From: f.self, Revision: forward.Revision}
 	encodeAttempt(request.Header, wire, f.seams.Now())
 	return request.WithContext(ctx)
--- a/internal/edge/peer/forwardsidecar.go
+++ b/internal/edge/peer/forwardsidecar.go
@@ -240,6 +240,7 @@
 func targetRequest(ctx context.Context, r *http.Request, attempt fleet.Attempt) *http.Request {
 	request := r.Clone(ctx)
 	stripHeaders(request.Header)
+	request.Header.Del("Expect")
 	if attempt.Caller != "" {
 		request.Header.Set(headerCaller, string(attempt.Caller))
 	}
