attempt: a queue in another zone only where it meets the goal

Change: the order is a free near target, a near queue in the goal, a free far one, a far queue in the goal, a near queue in time, a far one in time.

--- a/internal/core/attempt/placement.go
+++ b/internal/core/attempt/placement.go
@@ -39,15 +39,20 @@
 	wait time.Duration
 }
 
-// place decides where the next attempt of a request goes. It answers three loads:
+// place decides where the next attempt of a request goes. It answers four loads:
 //
 //   - Light load, with targets that fail now and then: a free target of the own availability zone, and the next one as soon
 //     as it refuses. Another zone is asked only when none of the own takes the request.
 //   - A burst that fills the own zone: the request waits there as long as its answer still meets the response-time goal,
-//     because bytes between zones are dear; else it goes to a free target of another zone, and last to the shortest queue.
+//     because bytes between zones are dear; else it goes to a free target of another zone, or to a queue there that meets
+//     the goal.
+//   - An overload of the whole pool: no queue meets the goal, so that nothing is gained in another zone, and the request
+//     waits in its own as long as it can be answered at all.
 //   - A pool that fails as a whole: when only suspect targets are left, one of them is forced to take the request.
 func (c *choice) place() (placement, bool) {
-	steps := []func() (int, manner){c.home, c.free, c.shortQueue, c.farFree, c.anyQueue, c.suspect}
+	steps := []func() (int, manner){
+		c.home, c.free, c.nearInGoal, c.farFree, c.farInGoal, c.nearInTime, c.farInTime, c.unasked, c.suspect,
+	}
 	if len(c.flight.live) > 0 {
 		// A second attempt beside a slow one helps only where it starts at once.
 		steps = []func() (int, manner){c.free, c.farFree}
@@ -83,49 +88,55 @@
 	return i
 }
 
-// shortQueue returns the target of the own zone whose queue is short enough for the goal.
-func (c *choice) shortQueue() (int, manner) {
-	i, wait := c.queue(func(b bounce) bool { return b.near })
-	if i < 0 || c.ctx.Now.Add(wait+c.usual()).After(c.flight.goal) {
-		return -1, waiting
-	}
-	return i, waiting
+// nearInGoal returns the target of the own zone with the shortest queue, if that is short enough for the goal.
+func (c *choice) nearInGoal() (int, manner) {
+	return c.queue(true, c.flight.goal.Add(-c.usual())), waiting
 }
 
-// anyQueue returns the target with the shortest queue that still leaves time to run.
-func (c *choice) anyQueue() (int, manner) {
-	i, wait := c.queue(func(bounce) bool { return true })
-	if i >= 0 {
-		if c.ctx.Now.Add(wait).After(c.flight.template.Deadline) {
-			return -1, waiting
-		}
-		return i, waiting
-	}
-	return c.fullKnown(), waiting
+// farInGoal is the same for the other zones.
+func (c *choice) farInGoal() (int, manner) {
+	return c.queue(false, c.flight.goal.Add(-c.usual())), waiting
+}
+
+// nearInTime returns the target of the own zone with the shortest queue, if that leaves time to run.
+func (c *choice) nearInTime() (int, manner) {
+	return c.queue(true, c.flight.template.Deadline), waiting
 }
 
-// fullKnown returns a target that was not asked because it is known to be full.
-func (c *choice) fullKnown() int {
+// farInTime is the same for the other zones.
+func (c *choice) farInTime() (int, manner) {
+	return c.queue(false, c.flight.template.Deadline), waiting
+}
+
+// unasked returns a target that was not asked for a slot because it is known to be full.
+func (c *choice) unasked() (int, manner) {
 	var buffer [usualPool]int32
 	if i, _ := c.better(c.inZone(true, buffer[:0])); i >= 0 {
-		return i
+		return i, waiting
 	}
 	i, _ := c.better(c.inZone(false, buffer[:0]))
-	return i
+	return i, waiting
 }
 
-// queue returns the target with the shortest queue among those that were full when they were asked for a slot.
-func (c *choice) queue(allowed func(bounce) bool) (int, time.Duration) {
+// queue returns the target with the shortest queue among those of the own zone, or of the others, that were full when they
+// were asked for a slot; -1 when its turn would come later than latest.
+func (c *choice) queue(near bool, latest time.Time) int {
 	best, shortest := -1, time.Duration(0)
 	for _, b := range c.flight.bounces {
-		if b.cause != fleet.Overloaded || b.manner != probing || !allowed(b) || c.flight.waitedAt(b.target) || c.flight.triedAt(b.target) {
+		if b.cause != fleet.Overloaded || b.manner != probing || b.near != near {
+			continue
+		}
+		if c.flight.waitedAt(b.target) || c.flight.triedAt(b.target) {
 			continue
 		}
 		if i := c.index(b.target); i >= 0 && (best < 0 || b.wait < shortest) {
 			best, shortest = i, b.wait
 		}
 	}
-	return best, shortest
+	if c.ctx.Now.Add(shortest).After(latest) {
+		return -1
+	}
+	return best
 }
 
 // suspect returns a target that has just failed, or one of which the ingress remembers a refusal that may be out of date.
--- a/internal/core/attempt/pool.go
+++ b/internal/core/attempt/pool.go
@@ -42,6 +42,9 @@
 	if r.Ejected {
 		v.refusedUntil = now.Add(refusalLifetime)
 	}
+	if r.Load.Share() >= full {
+		v.fullUntil = now.Add(min(r.Wait, longestFull))
+	}
 	if r.Suspect {
 		v.suspectUntil = now.Add(suspicionLifetime)
 	}
