admission: run what can still meet its goal first, refuse what cannot be answered

Change: within a priority and class the requests that can still meet their goal run first, earliest goal first, and late ones take what is left. What would reach its deadline in the queue is refused at every tick, not when its turn comes. The goal travels with the attempt.

--- a/internal/core/admission/crash.go
+++ b/internal/core/admission/crash.go
@@ -41,10 +41,10 @@
 	switch {
 	case outcome.Crashed && outcome.Verdict() != fleet.NotRun:
 		s, crash := s.died(ctx.Now, run.Attempt.Target, run.Instance)
-		s, effects := s.down(run.Attempt.Target, run.Instance)
+		s, effects := s.down(ctx.Now, run.Attempt.Target, run.Instance)
 		return s, effects, fleet.Some(crash)
 	case outcome.Crashed, failed && problem.Cause == fleet.Unreachable:
-		s, effects := s.down(run.Attempt.Target, run.Instance)
+		s, effects := s.down(ctx.Now, run.Attempt.Target, run.Instance)
 		return s, effects, fleet.Option[Crash]{}
 	case failed && problem.Cause == fleet.Broken:
 		return s.broke(ctx.Now, run)
@@ -96,13 +96,13 @@
 }
 
 // down takes a target out of use until its next heartbeat, and refuses what waits for it.
-func (s State) down(id fleet.TargetID, instance string) (State, []effect.Effect) {
+func (s State) down(now time.Time, id fleet.TargetID, instance string) (State, []effect.Effect) {
 	l, ok := s.targets.Get(id)
 	if !ok || l.down || l.announcement.Instance != instance {
 		return s, nil
 	}
 	l.down = true
 	s.targets = s.targets.With(id, l)
-	s, effects := s.flush(id, fleet.Unreachable)
+	s, effects := s.flush(now, id, fleet.Unreachable)
 	return s, append(effects, logged(effect.Warn, "target takes no connections", id))
 }
--- a/internal/core/admission/heartbeat.go
+++ b/internal/core/admission/heartbeat.go
@@ -50,7 +50,7 @@
 	var more []effect.Effect
 	if a.State == fleet.TargetDraining {
 		s.departed = s.departed.With(id, departure{instance: a.Instance, at: ctx.Now})
-		s, more = s.flush(id, fleet.Draining)
+		s, more = s.flush(ctx.Now, id, fleet.Draining)
 	} else {
 		s, more = s.startWaiting(ctx, id)
 	}
@@ -105,11 +105,11 @@
 		return s, nil
 	}
 	s.departed = s.departed.With(id, departure{instance: l.announcement.Instance, at: now})
-	return s.removed(id, fleet.Draining, "target withdrew")
+	return s.removed(now, id, fleet.Draining, "target withdrew")
 }
 
-func (s State) removed(id fleet.TargetID, cause fleet.Cause, text string) (State, []effect.Effect) {
-	s, effects := s.flush(id, cause)
+func (s State) removed(now time.Time, id fleet.TargetID, cause fleet.Cause, text string) (State, []effect.Effect) {
+	s, effects := s.flush(now, id, cause)
 	s.targets = s.targets.Without(id)
 	return s, append(effects, logged(effect.Info, text, id))
 }
@@ -128,11 +128,11 @@
 		}
 		switch {
 		case ctx.Now.Sub(warmed.heard) >= heartbeatTimeout:
-			s, more = s.removed(id, fleet.UnknownTarget, "target stopped its heartbeats")
+			s, more = s.removed(ctx.Now, id, fleet.UnknownTarget, "target stopped its heartbeats")
 		case l.queue.len() == 0:
 			continue
 		case ctx.Gate(id) != Open:
-			s, more = s.flush(id, fleet.Ejected)
+			s, more = s.flush(ctx.Now, id, fleet.Ejected)
 		default:
 			s, more = s.tickQueue(ctx, id)
 		}
@@ -150,16 +150,23 @@
 	return gap
 }
 
-// tickQueue refuses what has waited past its deadline and starts what fits.
+// tickQueue refuses what has waited past its deadline and, so that its caller does not wait in vain, what would; then it
+// starts what fits.
 func (s State) tickQueue(ctx Context, id fleet.TargetID) (State, []effect.Effect) {
 	l, _ := s.targets.Get(id)
 	var effects []effect.Effect
-	for attempt := range l.queue.all() {
-		if attempt.Deadline.After(ctx.Now) {
+	kept := 0
+	for _, w := range l.waiters(ctx.Now) {
+		cause := fleet.Overloaded
+		switch {
+		case !w.attempt.Deadline.After(ctx.Now):
+			cause = fleet.DeadlinePassed
+		case !l.hopeless(ctx.Now, w.attempt, l.waitOf(kept)):
+			kept++
 			continue
 		}
-		s, l = s.dequeue(l, attempt)
-		effects = append(effects, s.refuse(attempt, fleet.DeadlinePassed, 0)...)
+		s, l = s.dequeue(l, w.attempt)
+		effects = append(effects, s.refuse(ctx.Now, w.attempt, cause)...)
 	}
 	s, started := s.startWaiting(ctx, id)
 	return s, append(effects, started...)
@@ -181,12 +188,12 @@
 }
 
 // Drained refuses all new attempts from now on, and those that wait.
-func (s State) Drained() (State, []effect.Effect) {
+func (s State) Drained(now time.Time) (State, []effect.Effect) {
 	s.draining = true
 	var effects []effect.Effect
 	for id := range s.targets.All() {
 		var more []effect.Effect
-		s, more = s.flush(id, fleet.Draining)
+		s, more = s.flush(now, id, fleet.Draining)
 		effects = append(effects, more...)
 	}
 	return s, effects
--- a/internal/core/admission/local.go
+++ b/internal/core/admission/local.go
@@ -50,15 +50,6 @@
 	return l
 }
 
-// expectedWait returns how long a new attempt would wait for a slot.
-func (l local) expectedWait(a fleet.Attempt) time.Duration {
-	if l.queue.len() == 0 && l.running.Len() < l.slots {
-		return 0
-	}
-	turns := l.queue.ahead(a) + 1
-	return time.Duration(turns) * l.service.mean / time.Duration(max(l.slots, 1))
-}
-
 // service is the smoothed time that a run takes, over all runs and by class; 0 means not known yet.
 type service struct {
 	mean    time.Duration
--- a/internal/core/admission/queue.go
+++ b/internal/core/admission/queue.go
@@ -1,55 +1,24 @@
 package admission
 
 import (
-	"iter"
+	"cmp"
+	"slices"
 	"time"
 
 	"jayfold.dev/jayfold/internal/core/fleet"
 )
 
-// ticket orders waiting attempts: by priority, then by class, orders first, then by deadline, then by arrival. The work
-// that ends first is that of internal requests, for which another request already waits in a slot elsewhere.
+// ticket is the number under which an attempt waits, in the order of arrival.
 type ticket uint64
 
-// The bits of a ticket below its priority: the class, the deadline in milliseconds since the queue's epoch, which suffice
-// for 8 years, and the number of the arrival.
-const (
-	priorityShift = 56
-	classShift    = 54
-	deadlineShift = 16
-	deadlineMask  = 1<<(classShift-deadlineShift) - 1
-	arrivalMask   = 1<<deadlineShift - 1
-)
-
-// urgency is what makes one attempt give way to another: its priority and class.
-func (t ticket) urgency() ticket { return t >> classShift }
-
 // queue holds the attempts that wait for a target. Its zero value is empty.
 type queue struct {
 	attempts fleet.Map[ticket, fleet.Attempt]
-	// epoch is the time from which the deadlines of tickets are counted.
-	epoch time.Time
-}
-
-// rank returns the first ticket of an attempt, without its arrival.
-func (q queue) rank(a fleet.Attempt) ticket {
-	due := max(a.Deadline.Sub(q.epoch).Milliseconds(), 0) & deadlineMask
-	return ticket(min(max(a.Priority, 0), 255))<<priorityShift |
-		ticket(fleet.Order-a.Class)<<classShift |
-		ticket(due)<<deadlineShift
 }
 
-// with returns the queue with an attempt, and its ticket.
-func (q queue) with(now time.Time, arrival uint64, a fleet.Attempt) (queue, ticket) {
-	if q.epoch.IsZero() {
-		q.epoch = now
-	}
-	t := q.rank(a) | ticket(arrival&arrivalMask)
-	for _, taken := q.attempts.Get(t); taken; _, taken = q.attempts.Get(t) {
-		t++
-	}
+func (q queue) with(t ticket, a fleet.Attempt) queue {
 	q.attempts = q.attempts.With(t, a)
-	return q, t
+	return q
 }
 
 func (q queue) without(t ticket) queue {
@@ -59,37 +28,106 @@
 
 func (q queue) get(t ticket) (fleet.Attempt, bool) { return q.attempts.Get(t) }
 
-// all yields the attempts in the order in which they are to run.
-func (q queue) all() iter.Seq[fleet.Attempt] {
-	return func(yield func(fleet.Attempt) bool) {
-		for _, attempt := range q.attempts.All() {
-			if !yield(attempt) {
-				return
-			}
-		}
+func (q queue) len() int { return q.attempts.Len() }
+
+// turn is the place of a waiting attempt in the order in which a target runs them. It answers an overload that lasts: served
+// in the order of arrival every request would wait until it is of little use. Here the requests that can still meet their
+// response-time goal go first, the one whose goal ends first at the head, and those that cannot take what is left.
+type turn struct {
+	priority int
+	class    fleet.Class
+	// late means that the attempt would end after its goal if it started now.
+	late bool
+	// due is the end of the goal, or of the deadline for an attempt that is late.
+	due     time.Time
+	arrival ticket
+}
+
+// before returns a negative number when t goes before other.
+func (t turn) before(other turn) int {
+	return cmp.Or(
+		cmp.Compare(t.priority, other.priority),
+		cmp.Compare(other.class, t.class),
+		compareBool(t.late, other.late),
+		t.due.Compare(other.due),
+		cmp.Compare(t.arrival, other.arrival),
+	)
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
 	}
 }
 
-// last returns the attempt that is to run last.
-func (q queue) last() (ticket, fleet.Attempt) {
-	var last ticket
-	var attempt fleet.Attempt
-	for t, a := range q.attempts.All() {
-		last, attempt = t, a
+// yieldsTo reports whether an attempt gives up its place in a full queue to another one.
+func (t turn) yieldsTo(other turn) bool {
+	return cmp.Or(cmp.Compare(other.priority, t.priority), cmp.Compare(t.class, other.class), compareBool(other.late, t.late)) < 0
+}
+
+// turnOf returns the turn of an attempt at a time.
+func (l local) turnOf(now time.Time, t ticket, a fleet.Attempt) turn {
+	goal := a.Goal
+	if goal.IsZero() {
+		goal = a.Deadline
+	}
+	place := turn{priority: a.Priority, class: a.Class, due: goal, arrival: t}
+	if now.Add(l.service.of(a.Class)).After(goal) {
+		place.late, place.due = true, a.Deadline
+	}
+	return place
+}
+
+// waiter is an attempt in the queue with its turn.
+type waiter struct {
+	turn    turn
+	attempt fleet.Attempt
+}
+
+// waiters lists the attempts that wait in the order in which they are to run.
+func (l local) waiters(now time.Time) []waiter {
+	waiters := make([]waiter, 0, l.queue.len())
+	for t, a := range l.queue.attempts.All() {
+		waiters = append(waiters, waiter{turn: l.turnOf(now, t, a), attempt: a})
 	}
-	return last, attempt
+	slices.SortFunc(waiters, func(a, b waiter) int { return a.turn.before(b.turn) })
+	return waiters
 }
 
+// newcomer is the ticket of an attempt that has not been queued yet.
+const newcomer = ^ticket(0)
+
 // ahead returns the number of attempts that run before a new one.
-func (q queue) ahead(a fleet.Attempt) int {
+func (l local) ahead(now time.Time, a fleet.Attempt) int {
+	own := l.turnOf(now, newcomer, a)
 	count := 0
-	for t := range q.attempts.All() {
-		if t > q.rank(a)|arrivalMask {
-			break
+	for t, waiting := range l.queue.attempts.All() {
+		if l.turnOf(now, t, waiting).before(own) < 0 {
+			count++
 		}
-		count++
 	}
 	return count
 }
 
-func (q queue) len() int { return q.attempts.Len() }
+// waitOf returns how long an attempt with the given number of others before it waits for a slot.
+func (l local) waitOf(ahead int) time.Duration {
+	return time.Duration(ahead+1) * l.service.mean / time.Duration(max(l.slots, 1))
+}
+
+// expectedWait returns how long a new attempt would wait for a slot.
+func (l local) expectedWait(now time.Time, a fleet.Attempt) time.Duration {
+	if l.queue.len() == 0 && l.running.Len() < l.slots {
+		return 0
+	}
+	return l.waitOf(l.ahead(now, a))
+}
+
+// hopeless reports whether an attempt cannot be answered in time, though it would start after the given wait.
+func (l local) hopeless(now time.Time, a fleet.Attempt, wait time.Duration) bool {
+	return now.Add(wait + l.service.of(a.Class)).After(a.Deadline)
+}
--- a/internal/core/admission/refusal.go
+++ b/internal/core/admission/refusal.go
@@ -21,19 +21,23 @@
 	fleet.Unreachable:    "the target's process does not take connections",
 }
 
-// refuse answers an attempt that did not start. A wait of 0 is not passed on.
-func (s State) refuse(attempt fleet.Attempt, cause fleet.Cause, wait time.Duration) []effect.Effect {
-	problem := fleet.NewProblem(cause, fleet.NotRun, refusals[cause]).WithRetryAfter(wait)
-	return []effect.Effect{effect.RefuseAttempt{Attempt: attempt.ID, Problem: problem, Report: s.Report(attempt)}}
+// refuse answers an attempt that did not start. One that found the target full learns how long it would wait.
+func (s State) refuse(now time.Time, attempt fleet.Attempt, cause fleet.Cause) []effect.Effect {
+	report := s.Report(now, attempt)
+	problem := fleet.NewProblem(cause, fleet.NotRun, refusals[cause])
+	if cause == fleet.Overloaded {
+		problem = problem.WithRetryAfter(report.Wait)
+	}
+	return []effect.Effect{effect.RefuseAttempt{Attempt: attempt.ID, Problem: problem, Report: report}}
 }
 
 // refuseDuplicate answers an attempt whose id was seen before. The verdict is on the first of the two: an order that waits,
 // runs or has run must not be sent elsewhere because of its duplicate.
-func (s State) refuseDuplicate(attempt fleet.Attempt, started bool) []effect.Effect {
+func (s State) refuseDuplicate(now time.Time, attempt fleet.Attempt, started bool) []effect.Effect {
 	verdict := fleet.NotRun
 	if _, waits := s.waiting.Get(attempt.ID); waits || started {
 		verdict = fleet.MayHaveRun
 	}
 	problem := fleet.NewProblem(fleet.Duplicate, verdict, "the attempt was received before")
-	return []effect.Effect{effect.RefuseAttempt{Attempt: attempt.ID, Problem: problem, Report: s.Report(attempt)}}
+	return []effect.Effect{effect.RefuseAttempt{Attempt: attempt.ID, Problem: problem, Report: s.Report(now, attempt)}}
 }
--- a/internal/core/admission/run.go
+++ b/internal/core/admission/run.go
@@ -44,7 +44,8 @@
 func (s State) startWaiting(ctx Context, id fleet.TargetID) (State, []effect.Effect) {
 	l, _ := s.targets.Get(id)
 	var effects []effect.Effect
-	for attempt := range l.queue.all() {
+	for _, w := range l.waiters(ctx.Now) {
+		attempt := w.attempt
 		if l.running.Len() >= l.slots {
 			break
 		}
@@ -56,9 +57,9 @@
 		s, l = s.dequeue(l, attempt)
 		switch {
 		case refused:
-			more = s.refuse(attempt, cause, 0)
-		case ctx.Now.Add(l.service.of(attempt.Class)).After(attempt.Deadline):
-			more = s.refuse(attempt, fleet.Overloaded, l.expectedWait(attempt))
+			more = s.refuse(ctx.Now, attempt, cause)
+		case l.hopeless(ctx.Now, attempt, 0):
+			more = s.refuse(ctx.Now, attempt, fleet.Overloaded)
 		default:
 			s, more = s.run(ctx, l, attempt)
 			l, _ = s.targets.Get(id)
--- a/internal/core/admission/state.go
+++ b/internal/core/admission/state.go
@@ -84,7 +84,7 @@
 // Asked decides on an attempt.
 func (s State) Asked(ctx Context, attempt fleet.Attempt) (State, []effect.Effect) {
 	if started, ok := s.seen.get(attempt.ID); ok {
-		return s, s.refuseDuplicate(attempt, started)
+		return s, s.refuseDuplicate(ctx.Now, attempt, started)
 	}
 	if limit := ctx.Now.Add(longestDeadline); attempt.Deadline.After(limit) {
 		attempt = attempt.WithDeadline(limit)
@@ -97,7 +97,7 @@
 	}
 	s.seen = s.seen.with(ctx.Now, attempt.ID, false)
 	if refused {
-		return s, s.refuse(attempt, cause, 0)
+		return s, s.refuse(ctx.Now, attempt, cause)
 	}
 	return s.enqueue(ctx, l, attempt)
 }
@@ -147,25 +147,23 @@
 
 // enqueue lets an attempt wait, in place of one of a lower class when the queue is full.
 func (s State) enqueue(ctx Context, l local, attempt fleet.Attempt) (State, []effect.Effect) {
-	wait := l.expectedWait(attempt)
-	if attempt.Probe {
-		return s, s.refuse(attempt, fleet.Overloaded, wait)
-	}
-	if ctx.Now.Add(wait + l.service.of(attempt.Class)).After(attempt.Deadline) {
-		return s, s.refuse(attempt, fleet.Overloaded, wait)
+	wait := l.expectedWait(ctx.Now, attempt)
+	if attempt.Probe || l.hopeless(ctx.Now, attempt, wait) {
+		return s, s.refuse(ctx.Now, attempt, fleet.Overloaded)
 	}
 	var effects []effect.Effect
 	if l.queue.len() >= queuePerSlot*l.slots {
-		behind, last := l.queue.last()
-		if behind.urgency() <= l.queue.rank(attempt).urgency() {
-			return s, s.refuse(attempt, fleet.Overloaded, wait)
+		waiters := l.waiters(ctx.Now)
+		last := waiters[len(waiters)-1]
+		if !last.turn.yieldsTo(l.turnOf(ctx.Now, newcomer, attempt)) {
+			return s, s.refuse(ctx.Now, attempt, fleet.Overloaded)
 		}
-		s, l = s.dequeue(l, last)
-		effects = s.refuse(last, fleet.Overloaded, l.expectedWait(last))
+		s, l = s.dequeue(l, last.attempt)
+		effects = s.refuse(ctx.Now, last.attempt, fleet.Overloaded)
 	}
 	s.arrivals++
-	var t ticket
-	l.queue, t = l.queue.with(ctx.Now, s.arrivals, attempt)
+	t := ticket(s.arrivals)
+	l.queue = l.queue.with(t, attempt)
 	s.waiting = s.waiting.With(attempt.ID, place{target: attempt.Target, ticket: t})
 	s.targets = s.targets.With(attempt.Target, l)
 	return s, effects
@@ -181,12 +179,12 @@
 }
 
 // flush refuses everything that waits for a target.
-func (s State) flush(id fleet.TargetID, cause fleet.Cause) (State, []effect.Effect) {
+func (s State) flush(now time.Time, id fleet.TargetID, cause fleet.Cause) (State, []effect.Effect) {
 	l, _ := s.targets.Get(id)
 	var effects []effect.Effect
-	for attempt := range l.queue.all() {
-		s, l = s.dequeue(l, attempt)
-		effects = append(effects, s.refuse(attempt, cause, 0)...)
+	for _, w := range l.waiters(now) {
+		s, l = s.dequeue(l, w.attempt)
+		effects = append(effects, s.refuse(now, w.attempt, cause)...)
 	}
 	return s, effects
 }
@@ -201,7 +199,7 @@
 		l, _ := s.targets.Get(p.target)
 		attempt, _ := l.queue.get(p.ticket)
 		s, _ = s.dequeue(l, attempt)
-		return s, s.refuse(attempt, fleet.Canceled, 0)
+		return s, s.refuse(ctx.Now, attempt, fleet.Canceled)
 	}
 	if _, ok := s.seen.get(id); !ok {
 		s.seen = s.seen.with(ctx.Now, id, false)
@@ -210,13 +208,13 @@
 }
 
 // Report returns the load of the attempt's target. The detector adds what it knows.
-func (s State) Report(attempt fleet.Attempt) fleet.Report {
+func (s State) Report(now time.Time, attempt fleet.Attempt) fleet.Report {
 	l, _ := s.targets.Get(attempt.Target)
 	return fleet.Report{
 		Target: attempt.Target,
 		Class:  attempt.Class,
 		Load:   s.Load(attempt.Target),
-		Wait:   l.expectedWait(attempt),
+		Wait:   l.expectedWait(now, attempt),
 	}
 }
 
--- a/internal/core/admission/state_test.go
+++ b/internal/core/admission/state_test.go
@@ -185,6 +185,35 @@
 			r.assertRuns(is, next)
 		}
 	})
+	t.Run("what can meet its goal before what is late", func(t *testing.T) {
+		is, r := is.New(t), newWarmRig(1)
+		r.ask("0", fleet.Lookup)
+		r.finish("0", fleet.Outcome{Took: time.Second})
+		r.ask("0b", fleet.Lookup)
+		for _, w := range []struct {
+			id         string
+			goal, left time.Duration
+		}{{"1", 2 * time.Second, 20 * time.Second}, {"2", 3 * time.Second, 20 * time.Second}, {"3", 6 * time.Second, 30 * time.Second}} {
+			a := r.attempt(w.id, fleet.Lookup).WithDeadline(r.now.Add(w.left))
+			a.Goal = r.now.Add(w.goal)
+			r.askAs(a)
+		}
+		r.now = r.now.Add(2500 * time.Millisecond) // 1 and 2 cannot end within their goals any more
+		for i, next := range []fleet.AttemptID{"3", "1", "2"} {
+			r.finish([]string{"0b", "3", "1"}[i], fleet.Outcome{Took: time.Second})
+			r.assertRuns(is, next)
+		}
+	})
+	t.Run("refuses what can no longer be answered", func(t *testing.T) {
+		is, r := is.New(t), newWarmRig(1)
+		r.ask("0", fleet.Lookup)
+		r.finish("0", fleet.Outcome{Took: time.Second})
+		r.ask("0b", fleet.Lookup)
+		r.askAs(r.attempt("1", fleet.Lookup).WithDeadline(r.now.Add(2500 * time.Millisecond)))
+		r.now = r.now.Add(time.Second) // a second of waiting and a second of service are left before it, and half a second more
+		r.tick()
+		r.assertRefused(is, "1", fleet.Overloaded, fleet.NotRun)
+	})
 	t.Run("a probe does not wait", func(t *testing.T) {
 		is, r := is.New(t), newWarmRig(1)
 		r.ask("0", fleet.Lookup)
@@ -309,7 +338,7 @@
 			r.state, _ = r.state.Withdrawn(r.now, "a")
 			r.announce("i1", 4)
 		}, fleet.UnknownTarget},
-		{"node drains", func(r *rig) { r.state, _ = r.state.Drained() }, fleet.Draining},
+		{"node drains", func(r *rig) { r.state, _ = r.state.Drained(r.now) }, fleet.Draining},
 		{"target ejected", func(r *rig) { r.gate = admission.Closed }, fleet.Ejected},
 		{"request quarantined", func(r *rig) { r.quarantined = fleet.NewSet[fleet.Fingerprint]('x') }, fleet.Quarantined},
 		{"no connection", func(r *rig) {
@@ -376,7 +405,7 @@
 	}{
 		{"target drains", func(r *rig) { r.announceAs(draining) }, fleet.Draining},
 		{"target withdraws", func(r *rig) { r.state, r.effects = r.state.Withdrawn(r.now, "a") }, fleet.Draining},
-		{"node drains", func(r *rig) { r.state, r.effects = r.state.Drained() }, fleet.Draining},
+		{"node drains", func(r *rig) { r.state, r.effects = r.state.Drained(r.now) }, fleet.Draining},
 		{"target is ejected", func(r *rig) {
 			r.gate = admission.Closed
 			r.tick()
--- a/internal/core/attempt/flight.go
+++ b/internal/core/attempt/flight.go
@@ -37,8 +37,6 @@
 	// template is what all attempts of the request have in common.
 	template fleet.Attempt
 	received time.Time
-	// goal is when the answer is due for its full use.
-	goal time.Time
 	// limit is the most targets that may run the request.
 	limit int
 	// attempts counts the attempts started so far.
@@ -188,7 +186,7 @@
 
 // mayFail reports whether the next attempt can fail without harm, because another one may follow.
 func (f flight) mayFail(now time.Time) bool {
-	return f.template.Idempotent && len(f.tried)+1 < f.limit && now.Before(f.goal)
+	return f.template.Idempotent && len(f.tried)+1 < f.limit && now.Before(f.template.Goal)
 }
 
 // arrived reports whether a target got the request, so that another attempt repeats it.
--- a/internal/core/attempt/placement.go
+++ b/internal/core/attempt/placement.go
@@ -90,12 +90,12 @@
 
 // nearInGoal returns the target of the own zone with the shortest queue, if that is short enough for the goal.
 func (c *choice) nearInGoal() (int, manner) {
-	return c.queue(true, c.flight.goal.Add(-c.usual())), waiting
+	return c.queue(true, c.flight.template.Goal.Add(-c.usual())), waiting
 }
 
 // farInGoal is the same for the other zones.
 func (c *choice) farInGoal() (int, manner) {
-	return c.queue(false, c.flight.goal.Add(-c.usual())), waiting
+	return c.queue(false, c.flight.template.Goal.Add(-c.usual())), waiting
 }
 
 // nearInTime returns the target of the own zone with the shortest queue, if that leaves time to run.
--- a/internal/core/fleet/request.go
+++ b/internal/core/fleet/request.go
@@ -45,6 +45,8 @@
 	Caller Caller
 	// Deadline is in the time of the node that holds this value; it travels as the remaining budget.
 	Deadline time.Time
+	// Goal is when the answer is due for its full use, in the same time; zero means the deadline.
+	Goal time.Time
 	// Baseline is the pool's p95 for the class; 0 means not known yet.
 	Baseline    time.Duration
 	Fingerprint Fingerprint
--- a/internal/core/node/shutdown.go
+++ b/internal/core/node/shutdown.go
@@ -30,7 +30,7 @@
 	}
 	s.shutdown.started = ev.At
 	var refused, released, left []effect.Effect
-	s.admission, refused = s.admission.Drained()
+	s.admission, refused = s.admission.Drained(ev.At)
 	s.ejection, released = s.ejection.Drained(s.ejectionContext(ev))
 	s.membership, left = s.membership.Left()
 	effects := append(s.completeReports(ev.At, refused), released...)
--- a/internal/core/node/sidecar.go
+++ b/internal/core/node/sidecar.go
@@ -103,7 +103,7 @@
 		s, judged = s.judge(ev, run, body.Outcome)
 		effects = append(effects, judged...)
 	}
-	report := s.completeReport(ev.At, s.admission.Report(run.Attempt))
+	report := s.completeReport(ev.At, s.admission.Report(ev.At, run.Attempt))
 	effects = append(effects, effect.ReportRun{Attempt: body.Attempt, Report: report})
 	return s, s.completeReports(ev.At, effects)
 }
--- a/internal/edge/peer/forwardheader.go
+++ b/internal/edge/peer/forwardheader.go
@@ -20,6 +20,7 @@
 	headerFrom        = "Jayfold-From"
 	headerClass       = "Jayfold-Class"
 	headerBudget      = "Jayfold-Budget"      // milliseconds
+	headerGoal        = "Jayfold-Goal"        // milliseconds; negative when it has passed
 	headerBaseline    = "Jayfold-Baseline"    // microseconds
 	headerFingerprint = "Jayfold-Fingerprint" // 16 hexadecimal digits
 	headerIdempotent  = "Jayfold-Idempotent"
@@ -59,6 +60,9 @@
 	h.Set(headerFrom, string(wire.From))
 	h.Set(headerClass, a.Class.String())
 	h.Set(headerBudget, strconv.FormatInt(budget.Milliseconds(), 10))
+	if !a.Goal.IsZero() {
+		h.Set(headerGoal, strconv.FormatInt(a.Goal.Sub(now).Milliseconds(), 10))
+	}
 	h.Set(headerBaseline, strconv.FormatInt(a.Baseline.Microseconds(), 10))
 	h.Set(headerFingerprint, fmt.Sprintf("%016x", uint64(a.Fingerprint)))
 	h.Set(headerIdempotent, strconv.FormatBool(a.Idempotent))
@@ -114,6 +118,7 @@
 			Forced:      slices.Contains(mode, modeForced),
 			Caller:      fleet.Caller(d.optional(headerCaller)),
 			Deadline:    now.Add(d.duration(headerBudget, time.Millisecond, maxBudget)),
+			Goal:        d.moment(headerGoal, now),
 			Baseline:    d.duration(headerBaseline, time.Microsecond, maxBaseline),
 			Fingerprint: fleet.Fingerprint(d.number(headerFingerprint, 16)),
 			Key:         fleet.IdempotencyKey(d.optional(headerKey)),
@@ -193,6 +198,20 @@
 	return value
 }
 
+// moment reads a time, given in milliseconds from now, that may have passed. It is zero when the header is absent.
+func (d *headerDecoder) moment(name string, now time.Time) time.Time {
+	text := d.optional(name)
+	if text == "" {
+		return time.Time{}
+	}
+	value, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || value > maxBudget.Milliseconds() || value < -maxBudget.Milliseconds() {
+		d.fail(name, "want a number of milliseconds within an hour")
+		return time.Time{}
+	}
+	return now.Add(time.Duration(value) * time.Millisecond)
+}
+
 func (d *headerDecoder) duration(name string, unit, limit time.Duration) time.Duration {
 	value := d.number(name, 10)
 	if value > uint64(limit/unit) {
