peer: answer a broken run before the check for a crash

Change: the run ends at once with CrashPending, event.CrashChecked follows and only then the detector judges. An ingress counts every broken attempt as one that may have crashed a target.

--- a/internal/core/admission/crash.go
+++ b/internal/core/admission/crash.go
@@ -53,6 +53,30 @@
 	}
 }
 
+// broken is a run that broke off, of which it is not known yet whether the target's process died.
+type broken struct {
+	run     Run
+	outcome fleet.Outcome
+	at      time.Time
+}
+
+// Checked takes in whether the target's process died when a run broke off. The result is absent for any other run.
+func (s State) Checked(ctx Context, id fleet.AttemptID, died bool) (State, []effect.Effect, fleet.Option[Finished]) {
+	b, ok := s.unchecked.Get(id)
+	if !ok {
+		return s, nil, fleet.Option[Finished]{}
+	}
+	s.unchecked = s.unchecked.Without(id)
+	finished := Finished{Run: b.run, Outcome: b.outcome}
+	if !died {
+		return s, nil, fleet.Some(finished)
+	}
+	s, crash := s.died(ctx.Now, b.run.Attempt.Target, b.run.Instance)
+	s, effects := s.down(ctx.Now, b.run.Attempt.Target, b.run.Instance)
+	finished.Crash = fleet.Some(crash)
+	return s, effects, fleet.Some(finished)
+}
+
 // died notes the death of a process, with everything that ran on it or broke off on it shortly before.
 func (s State) died(now time.Time, id fleet.TargetID, instance string) (State, Crash) {
 	c, known := s.crashes.Get(id)
--- a/internal/core/admission/heartbeat.go
+++ b/internal/core/admission/heartbeat.go
@@ -179,6 +179,11 @@
 			s.departed = s.departed.Without(id)
 		}
 	}
+	for id, b := range s.unchecked.All() {
+		if now.Sub(b.at) >= crashMemory {
+			s.unchecked = s.unchecked.Without(id)
+		}
+	}
 	for id, c := range s.crashes.All() {
 		if now.Sub(c.at) >= crashMemory {
 			s.crashes = s.crashes.Without(id)
--- a/internal/core/admission/run.go
+++ b/internal/core/admission/run.go
@@ -17,7 +17,8 @@
 
 // Finished is a run that ended.
 type Finished struct {
-	Run Run
+	Run     Run
+	Outcome fleet.Outcome
 	// Crash is present when the target's process died while the attempt ran.
 	Crash fleet.Option[Crash]
 }
@@ -89,7 +90,10 @@
 		s.targets = s.targets.With(run.Attempt.Target, l)
 	}
 	s, started := s.startWaiting(ctx, run.Attempt.Target)
-	return s, append(effects, started...), fleet.Some(Finished{Run: run, Crash: crash})
+	if outcome.CrashPending {
+		s.unchecked = s.unchecked.With(id, broken{run: run, outcome: outcome, at: ctx.Now})
+	}
+	return s, append(effects, started...), fleet.Some(Finished{Run: run, Outcome: outcome, Crash: crash})
 }
 
 // serviceTime returns how long a run occupied its slot. Runs that were cut short say nothing of the time they need.
--- a/internal/core/admission/state.go
+++ b/internal/core/admission/state.go
@@ -35,6 +35,8 @@
 	// departed holds the targets that drained or withdrew lately, crashes those whose process died lately.
 	departed fleet.Map[fleet.TargetID, departure]
 	crashes  fleet.Map[fleet.TargetID, crashed]
+	// unchecked holds the runs that broke off until it is known whether the process died.
+	unchecked fleet.Map[fleet.AttemptID, broken]
 	// arrivals numbers the queued attempts in the order of their arrival.
 	arrivals uint64
 	ticked   time.Time
--- a/internal/core/attempt/flight.go
+++ b/internal/core/attempt/flight.go
@@ -54,7 +54,7 @@
 	verdict fleet.Verdict
 	// problem is that of the last attempt that failed.
 	problem fleet.Problem
-	// crashes counts the targets that died while they ran the request.
+	// crashes counts the targets that may have died while they ran the request.
 	crashes int
 	// fallback is an attempt with a server error as its answer, passed on when nothing better comes.
 	fallback fleet.AttemptID
@@ -148,7 +148,7 @@
 		b := bounce{target: t.target, cause: problem.Cause, manner: t.manner, near: t.near, wait: wait}
 		f.bounces = append(slices.Clone(f.bounces), b)
 	}
-	if problem.Cause == fleet.TargetCrashed {
+	if mayHaveCrashed[problem.Cause] {
 		f.crashes++
 	}
 	if status != 0 {
@@ -157,6 +157,9 @@
 	return f
 }
 
+// mayHaveCrashed are the problems after which the target's process may be dead. Its sidecar answers before it has found out.
+var mayHaveCrashed = map[fleet.Cause]bool{fleet.TargetCrashed: true, fleet.Broken: true}
+
 // finalCauses are problems that no other target would solve.
 var finalCauses = map[fleet.Cause]bool{
 	fleet.BadRequest:     true,
--- a/internal/core/event/target.go
+++ b/internal/core/event/target.go
@@ -28,6 +28,13 @@
 	Outcome fleet.Outcome
 }
 
+// CrashChecked says whether the process of a target died while an attempt ran that ended with CrashPending.
+type CrashChecked struct {
+	Attempt fleet.AttemptID
+	Crashed bool
+}
+
+func (CrashChecked) isBody()      {}
 func (TargetAnnounced) isBody()   {}
 func (TargetWithdrawn) isBody()   {}
 func (AdmissionAsked) isBody()    {}
--- a/internal/core/fleet/request.go
+++ b/internal/core/fleet/request.go
@@ -67,8 +67,10 @@
 	Problem Option[Problem]
 	// Took is the time from the start to the end.
 	Took time.Duration
-	// Crashed means that the target's process died while the attempt ran.
-	Crashed bool
+	// Crashed means that the target's process died while the attempt ran. CrashPending means that this is being found out
+	// and that event.CrashChecked follows.
+	Crashed      bool
+	CrashPending bool
 }
 
 // Verdict returns whether the attempt may have run.
--- a/internal/core/node/sidecar.go
+++ b/internal/core/node/sidecar.go
@@ -79,7 +79,7 @@
 	return s, s.completeReports(ev.At, effects)
 }
 
-// runFinished frees the slot, feeds the detector and carries out its judgement.
+// runFinished frees the slot, feeds the detector and carries out its judgement, unless the cause is still being found out.
 func (s State) runFinished(ev event.Event, body event.RunFinished) (State, []effect.Effect) {
 	next, effects, result := s.admission.RunFinished(s.admissionContext(ev), body.Attempt, body.Outcome)
 	s.admission = next
@@ -95,19 +95,40 @@
 	} else {
 		s = s.publishTargets(ev)
 	}
-	crash, crashed := finished.Crash.Get()
-	s, crashEffects := s.targetCrashed(ev, finished.Crash)
-	effects = append(effects, crashEffects...)
-	if !crashed || !s.suspects(ev.At, crash.InFlight) {
-		var judged []effect.Effect
-		s, judged = s.judge(ev, run, body.Outcome)
-		effects = append(effects, judged...)
+	if !body.Outcome.CrashPending {
+		var blamed []effect.Effect
+		s, blamed = s.blame(ev, finished)
+		effects = append(effects, blamed...)
 	}
 	report := s.completeReport(ev.At, s.admission.Report(ev.At, run.Attempt))
 	effects = append(effects, effect.ReportRun{Attempt: body.Attempt, Report: report})
 	return s, s.completeReports(ev.At, effects)
 }
 
+// crashChecked goes on with a run that broke off, once it is known whether the target's process died.
+func (s State) crashChecked(ev event.Event, body event.CrashChecked) (State, []effect.Effect) {
+	next, effects, result := s.admission.Checked(s.admissionContext(ev), body.Attempt, body.Crashed)
+	s.admission = next
+	finished, ok := result.Get()
+	if !ok {
+		return s, effects
+	}
+	s = s.publishTargets(ev)
+	s, blamed := s.blame(ev, finished)
+	return s, s.completeReports(ev.At, append(effects, blamed...))
+}
+
+// blame finds out whether a request made the target fail and, where none did, lets the detector judge the target.
+func (s State) blame(ev event.Event, finished admission.Finished) (State, []effect.Effect) {
+	crash, crashed := finished.Crash.Get()
+	s, effects := s.targetCrashed(ev, finished.Crash)
+	if crashed && s.suspects(ev.At, crash.InFlight) {
+		return s, effects
+	}
+	s, judged := s.judge(ev, finished.Run, finished.Outcome)
+	return s, append(effects, judged...)
+}
+
 // evidence gives what the problems of runs say of a target. The others say nothing.
 var evidence = map[fleet.Cause]health.Evidence{
 	fleet.Broken:         health.Broke,
--- a/internal/core/node/state.go
+++ b/internal/core/node/state.go
@@ -48,9 +48,9 @@
 }
 
 // DefaultSettings returns the settings of a node whose operator sets none: repeated attempts at a pool are at most a tenth
-// of its requests and twenty more within ten seconds.
+// of its requests and sixty more within ten seconds.
 func DefaultSettings() Settings {
-	return Settings{Retries: admission.Retries{Ratio: 0.1, Window: 10 * time.Second, Slack: 20}}
+	return Settings{Retries: admission.Retries{Ratio: 0.1, Window: 10 * time.Second, Slack: 60}}
 }
 
 // New returns the state of a node that has just started with the given member record.
@@ -123,6 +123,8 @@
 		return s.attemptCanceled(ev, body)
 	case event.RunFinished:
 		return s.runEnded(ev, body)
+	case event.CrashChecked:
+		return s.crashChecked(ev, body)
 	case event.OrderClaimed:
 		return s.orderClaimed(ev, body)
 	case event.TargetAnnounced:
--- a/internal/edge/peer/forward_test.go
+++ b/internal/edge/peer/forward_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -265,6 +266,38 @@
 	wantProblem(t, b.send(t.Context(), attempt, http.MethodPost, "x").err, fleet.Unreachable, fleet.NotRun)
 }
 
+// Guards against a caller that waits until it is known why a target broke off, which takes longer than another target needs.
+func TestForwardAnswersBeforeTheCrashCheck(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	checking := make(chan struct{})
+	b.sidecar.seams.Crashed = func(context.Context, string) bool {
+		<-checking
+		return true
+	}
+	b.target = func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+	got := b.send(t.Context(), b.attempt(), http.MethodGet, "")
+	wantProblem(t, got.err, fleet.Broken, fleet.MayHaveRun)
+	is.True(b.finished(t).CrashPending)
+	close(checking)
+	b.seen(t, event.CrashChecked{Attempt: "r.1", Crashed: true})
+}
+
+// seen waits for an event.
+func (b *bench) seen(t *testing.T, want event.Body) {
+	t.Helper()
+	for range 200 {
+		b.mu.Lock()
+		found := slices.Contains(b.events, want)
+		b.mu.Unlock()
+		if found {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("the event did not come")
+}
+
 // sentCounter counts the bytes that a connection sends.
 type sentCounter struct {
 	net.Conn
--- a/internal/edge/peer/forwardrun.go
+++ b/internal/edge/peer/forwardrun.go
@@ -53,24 +53,27 @@
 	return problem
 }
 
-// crashed reports whether the target's process died. A run that provably did not start says nothing of that.
-func (f forwardRun) crashed(problem fleet.Problem) bool {
-	if problem.Verdict == fleet.NotRun || f.ctx.Err() != nil {
-		return false
-	}
-	ctx, cancel := context.WithTimeout(f.ctx, crashWait)
+// mayHaveCrashed reports whether the target's process may have died. A run that provably did not start says nothing of that.
+func (f forwardRun) mayHaveCrashed(problem fleet.Problem) bool {
+	return problem.Cause == fleet.Broken && problem.Verdict != fleet.NotRun && f.ctx.Err() == nil
+}
+
+// check finds out whether the target's process died, and posts it. The attempt is answered long before: it takes up to
+// half a second to tell a process that is ending from one that is alive.
+func (f forwardRun) check() {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(f.ctx), crashWait)
 	defer cancel()
-	return f.seams.Crashed(ctx, f.run.Address)
+	f.seams.Post(event.CrashChecked{Attempt: f.run.Attempt.ID, Crashed: f.seams.Crashed(ctx, f.run.Address)})
 }
 
 // failed answers with a problem instead of an answer of the target.
 func (f forwardRun) failed(w http.ResponseWriter, problem fleet.Problem) {
 	took := f.seams.Now().Sub(f.started)
-	crashed := f.crashed(problem)
-	if crashed {
-		problem.Cause = fleet.TargetCrashed
+	pending := f.mayHaveCrashed(problem)
+	outcome := fleet.Outcome{Problem: fleet.Some(problem), Took: took, CrashPending: pending}
+	if pending {
+		defer func() { go f.check() }()
 	}
-	outcome := fleet.Outcome{Problem: fleet.Some(problem), Took: took, Crashed: crashed}
 	if report, ok := f.finish(outcome).Get(); ok {
 		encodeReport(w.Header(), "", report)
 	}
@@ -120,9 +123,12 @@
 	if errors.Is(err, errCut) {
 		problem.Cause = fleet.Canceled
 	}
-	outcome.Crashed = problem.Cause == fleet.Broken && f.crashed(problem)
+	outcome.CrashPending = f.mayHaveCrashed(problem)
 	outcome.Problem = fleet.Some(problem)
 	f.seams.Post(event.RunFinished{Attempt: f.run.Attempt.ID, Outcome: outcome})
+	if outcome.CrashPending {
+		go f.check()
+	}
 	panic(http.ErrAbortHandler)
 }
 
