attempt, peer: no forced order while healthy targets are full; silent nodes cost 0.2 s

Cause: an order that had waited in vain for full targets was forced on one that had just failed and ended as 502, may have run; a node that could not be reached cost a request 250 ms of verification and a second of dialing, twice for some orders.

Change: an order is forced on a suspect target only when no healthy one is left; verification takes 200 ms at most and a dial 300 ms, and a new connection needs no verification of its own, for requests of all kinds.

--- a/internal/core/attempt/placement.go
+++ b/internal/core/attempt/placement.go
@@ -141,6 +141,11 @@
 
 // suspect returns a target that has just failed, or one of which the ingress remembers a refusal that may be out of date.
 func (c *choice) suspect() (int, manner) {
+	if _, full := c.flight.shortestQueue(); full && !c.flight.template.Idempotent {
+		// Healthy targets are left, if only full ones. The caller of an order has more of a refusal, after which it may be
+		// sent again, than of a try after which nobody knows whether it ran.
+		return -1, forced
+	}
 	best := -1
 	var lowest float64
 	for i := range c.candidates {
--- a/internal/core/attempt/state_test.go
+++ b/internal/core/attempt/state_test.go
@@ -356,6 +356,32 @@
 	wantRefusal(t, b.fail(order, fleet.Overloaded, fleet.NotRun), fleet.Overloaded, fleet.NotRun)
 }
 
+// Guards against orders that are lost on a target that has just failed, while healthy ones are merely full, and against
+// requests that nobody tries to answer when the whole pool fails.
+func TestLastResort(t *testing.T) {
+	t.Run("not while a healthy target is full", func(t *testing.T) {
+		b := newBench()
+		effects := b.full(wantForward(t, b.arrive(false, "")), time.Minute)
+		for {
+			forward, ok := effects[len(effects)-1].(effect.Forward)
+			if !ok {
+				break
+			}
+			is.New(t).True(!forward.Attempt.Forced)
+			effects = b.fail(forward.Attempt, fleet.Failing, fleet.NotRun)
+		}
+		wantRefusal(t, effects, fleet.Overloaded, fleet.NotRun)
+	})
+	t.Run("when every target is suspect", func(t *testing.T) {
+		b := newBench()
+		effects := b.arrive(false, "")
+		for range 6 {
+			effects = b.fail(wantForward(t, effects), fleet.Failing, fleet.NotRun)
+		}
+		is.New(t).True(wantForward(t, effects).Forced)
+	})
+}
+
 // Guards against a baseline that one slow target moves, or that a slow pool does not move.
 func TestBaseline(t *testing.T) {
 	is := is.New(t)
--- a/internal/edge/peer/forwarder.go
+++ b/internal/edge/peer/forwarder.go
@@ -62,7 +62,7 @@
 	return &Forwarder{
 		self:  self,
 		seams: seams,
-		links: &links{transport: transport, open: make(map[string][]*link)},
+		links: &links{transport: transport, now: seams.Now, open: make(map[string][]*link)},
 	}
 }
 
@@ -113,22 +113,19 @@
 	return fleet.NewProblem(fleet.Broken, fleet.MayHaveRun, err.Error())
 }
 
-// connect returns a connection with a reserved request. A non-idempotent attempt gets a verified one.
+// connect returns a connection with a reserved request. One that has not answered lately is verified first, and replaced
+// where it has gone silent, so that no request is lost on it. Opening a connection takes a round trip, so that a new one is
+// verified by that.
 func (f *Forwarder) connect(ctx context.Context, attempt fleet.Attempt) (*link, error) {
 	l, err := f.links.reserve(ctx, attempt.Address)
 	if err != nil {
 		return nil, notSent(err)
 	}
-	if attempt.Idempotent || l.fresh(f.seams.Now()) || f.verify(ctx, l, attempt.Address) == nil {
+	if l.fresh(f.seams.Now()) || f.verify(ctx, l, attempt.Address) == nil {
 		return l, nil
 	}
 	f.links.drop(attempt.Address, l)
-	l, err = f.links.dial(ctx, attempt.Address)
-	if err != nil {
-		return nil, notSent(err)
-	}
-	if err := f.verify(ctx, l, attempt.Address); err != nil {
-		f.links.drop(attempt.Address, l)
+	if l, err = f.links.dial(ctx, attempt.Address); err != nil {
 		return nil, notSent(err)
 	}
 	return l, nil
--- a/internal/edge/peer/forwardlink.go
+++ b/internal/edge/peer/forwardlink.go
@@ -12,10 +12,11 @@
 const (
 	// freshWithin is how long after an answer a connection counts as verified. Non-idempotent requests need that.
 	freshWithin = 500 * time.Millisecond
-	// verifyTimeout bounds the verification of a connection; a round trip between availability zones takes 3 ms.
-	verifyTimeout = 250 * time.Millisecond
-	// dialTimeout bounds opening a connection.
-	dialTimeout = time.Second
+	// verifyTimeout bounds the verification of a connection. A round trip between availability zones takes 3 ms, between
+	// regions 110 ms. A request that cannot be sent goes to another node, which costs less than a longer wait.
+	verifyTimeout = 200 * time.Millisecond
+	// dialTimeout bounds opening a connection, which takes one round trip.
+	dialTimeout = 300 * time.Millisecond
 	// idleTimeout closes unused connections, so that their pings do not use up the node's share of the network.
 	idleTimeout = 15 * time.Second
 	// sendPingTimeout and pingTimeout find silent connections that idempotent requests wait on.
@@ -30,13 +31,14 @@
 // link is one connection to a peer. The library sends a request on a ClientConn at most once.
 type link struct {
 	conn *http.ClientConn
-	// answered is the time of the last answer in nanoseconds since 1970; 0 means that none came yet.
+	// answered is the time of the last answer, or of the opening, in nanoseconds since 1970.
 	answered atomic.Int64
 	idle     *time.Timer
 }
 
-func newLink(conn *http.ClientConn) *link {
+func newLink(conn *http.ClientConn, now time.Time) *link {
 	l := &link{conn: conn}
+	l.answered.Store(now.UnixNano())
 	l.idle = time.AfterFunc(idleTimeout, l.closeIdle)
 	return l
 }
@@ -66,6 +68,7 @@
 // links holds the open connections by address.
 type links struct {
 	transport *http.Transport
+	now       func() time.Time
 	mu        sync.Mutex
 	open      map[string][]*link
 	closed    bool
@@ -116,7 +119,7 @@
 		_ = conn.Close()
 		return nil, err
 	}
-	l := newLink(conn)
+	l := newLink(conn, ls.now())
 	ls.mu.Lock()
 	defer ls.mu.Unlock()
 	if ls.closed {
--- a/internal/edge/peer/forwardsidecar.go
+++ b/internal/edge/peer/forwardsidecar.go
@@ -18,6 +18,8 @@
 	decisionWait = 2 * time.Second
 	// reportWait bounds how long a whole answer waits for its report; without one it goes out with its verdict only.
 	reportWait = time.Second
+	// peerHeaderTimeout bounds the time in which a peer's headers must come.
+	peerHeaderTimeout = time.Second
 	// maxPeerHeaderBytes is above what a caller may send plus what the ingress adds.
 	maxPeerHeaderBytes = 256 << 10
 	// peerStreams bounds the attempts of one connection. Targets have about 400 connections.
@@ -55,7 +57,7 @@
 func NewForwardServer(sidecar *Sidecar) *http.Server {
 	server := &http.Server{
 		Handler:           sidecar,
-		ReadHeaderTimeout: dialTimeout,
+		ReadHeaderTimeout: peerHeaderTimeout,
 		MaxHeaderBytes:    maxPeerHeaderBytes,
 		Protocols:         new(http.Protocols),
 		HTTP2: &http.HTTP2Config{
