admission: waits count the work ahead and what more urgent work leaves over

Cause: the wait was the number of attempts ahead times the mean run over the slots; orders that were told 0.3 s waited 1.4 s behind internal calls of which none was queued at that moment, and were then refused as hopeless.

Change: the work ahead is added up by class, on the slots that more urgent priorities left over during the last second.

--- a/internal/core/admission/heartbeat.go
+++ b/internal/core/admission/heartbeat.go
@@ -123,9 +123,8 @@
 		var more []effect.Effect
 		warmed := l.warmed(ctx.Now)
 		warmed.heard = l.heard.Add(paused)
-		if paused > 0 || warmed.slots != l.slots {
-			s.targets = s.targets.With(id, warmed)
-		}
+		warmed.usage = l.usage.with(s.runningBy(l))
+		s.targets = s.targets.With(id, warmed)
 		switch {
 		case ctx.Now.Sub(warmed.heard) >= heartbeatTimeout:
 			s, more = s.removed(ctx.Now, id, fleet.UnknownTarget, "target stopped its heartbeats")
@@ -141,6 +140,16 @@
 	return s.forgotten(ctx.Now), effects
 }
 
+// runningBy returns the runs on a target by priority.
+func (s State) runningBy(l local) map[int]int {
+	counts := map[int]int{}
+	for id := range l.running.All() {
+		run, _ := s.running.Get(id)
+		counts[run.Attempt.Priority]++
+	}
+	return counts
+}
+
 // pause returns for how long this node itself stood still, so that the time does not count as missed heartbeats.
 func (s State) pause(now time.Time) time.Duration {
 	gap := now.Sub(s.ticked)
@@ -155,14 +164,14 @@
 func (s State) tickQueue(ctx Context, id fleet.TargetID) (State, []effect.Effect) {
 	l, _ := s.targets.Get(id)
 	var effects []effect.Effect
-	kept := 0
+	var work time.Duration
 	for _, w := range l.waiters(ctx.Now) {
 		cause := fleet.Overloaded
 		switch {
 		case !w.attempt.Deadline.After(ctx.Now):
 			cause = fleet.DeadlinePassed
-		case !l.hopeless(ctx.Now, w.attempt, l.waitOf(kept)):
-			kept++
+		case !l.hopeless(ctx.Now, w.attempt, l.waitBehind(w.attempt.Priority, work)):
+			work += l.service.expected(w.attempt.Class)
 			continue
 		}
 		s, l = s.dequeue(l, w.attempt)
--- a/internal/core/admission/local.go
+++ b/internal/core/admission/local.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"cmp"
 	"time"
 
 	"jayfold.dev/jayfold/internal/core/fleet"
@@ -28,6 +29,7 @@
 	running fleet.Set[fleet.AttemptID]
 	queue   queue
 	service service
+	usage   usage
 	// repeats is the target's part of its pool's retry budget.
 	repeats budget
 	// down means that the process took no connection or died, and has not announced itself since.
@@ -65,6 +67,9 @@
 
 func (s service) of(class fleet.Class) time.Duration { return s.byClass[class] }
 
+// expected returns how long a run of a class takes, and any run while none of the class was seen.
+func (s service) expected(class fleet.Class) time.Duration { return cmp.Or(s.byClass[class], s.mean) }
+
 func smoothed(old, sample time.Duration) time.Duration {
 	if old == 0 {
 		return sample
--- a/internal/core/admission/queue.go
+++ b/internal/core/admission/queue.go
@@ -102,21 +102,24 @@
 // newcomer is the ticket of an attempt that has not been queued yet.
 const newcomer = ^ticket(0)
 
-// ahead returns the number of attempts that run before a new one.
-func (l local) ahead(now time.Time, a fleet.Attempt) int {
+// workAhead returns how long the attempts that go before a new one take together.
+func (l local) workAhead(now time.Time, a fleet.Attempt) time.Duration {
 	own := l.turnOf(now, newcomer, a)
-	count := 0
+	var work time.Duration
 	for t, waiting := range l.queue.attempts.All() {
 		if l.turnOf(now, t, waiting).before(own) < 0 {
-			count++
+			work += l.service.expected(waiting.Class)
 		}
 	}
-	return count
+	return work
 }
 
-// waitOf returns how long an attempt with the given number of others before it waits for a slot.
-func (l local) waitOf(ahead int) time.Duration {
-	return time.Duration(ahead+1) * l.service.mean / time.Duration(max(l.slots, 1))
+// waitBehind returns how long an attempt of a priority waits behind the given work: until the next slot is free, and while
+// the work runs on the slots that more urgent attempts leave over.
+func (l local) waitBehind(priority int, work time.Duration) time.Duration {
+	slots := float64(max(l.slots, 1))
+	capacity := max(slots-l.usage.before(priority), leastCapacity*slots)
+	return time.Duration(float64(l.service.mean)/slots + float64(work)/capacity)
 }
 
 // expectedWait returns how long a new attempt would wait for a slot.
@@ -124,7 +127,7 @@
 	if l.queue.len() == 0 && l.running.Len() < l.slots {
 		return 0
 	}
-	return l.waitOf(l.ahead(now, a))
+	return l.waitBehind(a.Priority, l.workAhead(now, a))
 }
 
 // hopeless reports whether an attempt cannot be answered in time, though it would start after the given wait.
--- a/internal/core/admission/state_test.go
+++ b/internal/core/admission/state_test.go
@@ -246,6 +246,32 @@
 		refusal := r.assertRefused(is, "2", fleet.Overloaded, fleet.NotRun)
 		is.Equal(refusal.Problem.RetryAfter, 6*time.Second)
 	})
+	t.Run("counts on the slots that more urgent work leaves over", func(t *testing.T) {
+		is, r := is.New(t), newWarmRig(4)
+		urgent := func(id string) fleet.Attempt {
+			a := r.attempt(id, fleet.Internal)
+			return a
+		}
+		for i := range 4 {
+			r.askAs(urgent(fmt.Sprint("u", i)))
+		}
+		r.finish("u0", fleet.Outcome{Took: time.Second})
+		r.finish("u1", fleet.Outcome{Took: time.Second})
+		r.ask("u4", fleet.Internal)
+		r.ask("u5", fleet.Internal)
+		for range 40 { // urgent work takes all slots for four seconds
+			r.announce("i1", 4)
+			r.now = r.now.Add(100 * time.Millisecond)
+			r.tick()
+		}
+		a := r.attempt("x", fleet.Lookup)
+		a.Priority = 1
+		r.askAs(a)
+		a.ID, a.Probe = "y", true
+		r.askAs(a)
+		refusal := r.assertRefused(is, "y", fleet.Overloaded, fleet.NotRun)
+		is.True(refusal.Report.Wait >= 2*time.Second) // one second of work before it has less than half a slot
+	})
 	t.Run("refuses what has waited past its deadline", func(t *testing.T) {
 		is, r := is.New(t), newWarmRig(1)
 		r.ask("0", fleet.Lookup)
