health: count trials that outlive the failures; keep retry budget for orders

Cause: targets were suspect for a fifth to a third of the time, of which 4 to 7 points came after their last failure: trials ran one after the other to their ends, though the failures before them had come within milliseconds. Orders that a target had shed were refused when lookups had spent the budget.

Change: a trial that has run three times as long as the failures before it counts as a success while it runs; after a success trials may run beside one another. Orders may use 0.8 of the retry budget, lookups 0.55 as before.

--- a/internal/core/admission/budget.go
+++ b/internal/core/admission/budget.go
@@ -15,9 +15,12 @@
 const (
 	// budgetSteps divide the window, so that old requests are forgotten a step at a time.
 	budgetSteps = 10
-	// kept is the part of the budget that is used. The rest is for the calls that repeated requests make at other pools:
-	// they count there as repeated too, and cannot be refused without failing the request that waits for them.
-	kept = 0.55
+	// lookupPart is the part of the budget that requests use which may be repeated at will, and orderPart that of the others:
+	// an order is repeated only after a target refused it, and has no other chance. The rest is for the calls that repeated
+	// requests make at other pools: they count there as repeated too, and cannot be refused without failing the request
+	// that waits for them.
+	lookupPart = 0.55
+	orderPart  = 0.8
 )
 
 // budget counts the first and the repeated attempts on one target within the window. Its zero value has seen none.
@@ -53,12 +56,16 @@
 }
 
 // allows reports whether one more repeated attempt may start on one of the given number of targets of the pool.
-func (b budget) allows(now time.Time, r Retries, targets int) bool {
+func (b budget) allows(now time.Time, r Retries, targets int, idempotent bool) bool {
+	part := orderPart
+	if idempotent {
+		part = lookupPart
+	}
 	var total arrivals
 	for _, s := range b.at(now, r.Window).steps {
 		total.first += s.first
 		total.repeated += s.repeated
 	}
 	limit := r.Ratio*float64(total.first) + r.Slack/float64(max(targets, 1))
-	return float64(total.repeated+1) <= kept*limit
+	return float64(total.repeated+1) <= part*limit
 }
--- a/internal/core/admission/state.go
+++ b/internal/core/admission/state.go
@@ -123,7 +123,7 @@
 		return fleet.DeadlinePassed, true
 	case !attempt.Forced && ctx.Suspect(attempt.Target) && !(attempt.Trial && ctx.MayTry(attempt.Target)):
 		return fleet.Failing, true
-	case attempt.Repeated && !l.repeats.allows(ctx.Now, s.retries, ctx.PoolSize(attempt.Pool)):
+	case attempt.Repeated && !l.repeats.allows(ctx.Now, s.retries, ctx.PoolSize(attempt.Pool), attempt.Idempotent):
 		return fleet.RetryBudget, true
 	default:
 		return "", false
--- a/internal/core/health/state.go
+++ b/internal/core/health/state.go
@@ -8,8 +8,9 @@
 //
 // # Usage
 //
-//	state = state.Started(now, target, trial)
-//	state = state.Finished(now, target, trial, health.Broke)
+//	state = state.Started(now, target, attempt)
+//	state = state.Finished(now, target, attempt, health.Broke)
+//	state = state.Tick(now)
 //	if state.Suspect(target) && !state.MayTry(now, target) { ... }
 package health
 
@@ -53,12 +54,16 @@
 )
 
 const (
-	// firstPause and longestPause bound the time between two trials, which doubles with each failed one. Most episodes of a
-	// few seconds then cost three or four repeated requests.
+	// firstPause and longestPause bound the time between two trials, which doubles with each failed one. Failures of the
+	// platform's targets last for some seconds, and each trial costs a repeated request.
 	firstPause   = 100 * time.Millisecond
 	longestPause = 800 * time.Millisecond
 	// trialTimeout is when a trial without a result no longer keeps others back.
 	trialTimeout = 2 * time.Second
+	// survivalFactor is how many times as long as the failures before it a trial must run to count as a success while it
+	// goes on, and leastSurvival the shortest time for that: a target that resets its connections does so at once.
+	survivalFactor = 3
+	leastSurvival  = 50 * time.Millisecond
 )
 
 // State holds what is known of the targets on this host. Its zero value knows of none. It is immutable.
@@ -66,15 +71,6 @@
 	records fleet.Map[fleet.TargetID, record]
 }
 
-// record is the recent history of one target.
-type record struct {
-	score   float64
-	suspect bool
-	// pause is the time between trials; next is when the next one may start.
-	pause time.Duration
-	next  time.Time
-}
-
 // Suspect reports whether a target takes only trials.
 func (s State) Suspect(id fleet.TargetID) bool {
 	r, _ := s.records.Get(id)
@@ -87,24 +83,37 @@
 	return !now.Before(r.next)
 }
 
-// Started notes that a request started on a target. While the target is suspect no other trial follows until it ends.
-func (s State) Started(now time.Time, id fleet.TargetID) State {
+// Started notes that a request started on a target. While the target is suspect no other trial follows until one has
+// succeeded.
+func (s State) Started(now time.Time, id fleet.TargetID, attempt fleet.AttemptID) State {
 	r, _ := s.records.Get(id)
 	if !r.suspect {
 		return s
 	}
-	r.next = now.Add(trialTimeout)
-	s.records = s.records.With(id, r)
+	s.records = s.records.With(id, r.tried(now, attempt))
 	return s
 }
 
-// Finished takes in what a finished request says of its target.
-func (s State) Finished(now time.Time, id fleet.TargetID, e Evidence) State {
+// Finished takes in what a request that took some time says of its target.
+func (s State) Finished(
+	now time.Time, id fleet.TargetID, attempt fleet.AttemptID, e Evidence, took time.Duration,
+) State {
 	r, known := s.records.Get(id)
 	if e == None && !r.suspect || !known && e == Succeeded {
 		return s
 	}
-	s.records = s.records.With(id, r.with(now, e))
+	s.records = s.records.With(id, r.finished(now, attempt, e, took))
+	return s
+}
+
+// Tick counts the trials that have outlived the failures before them.
+func (s State) Tick(now time.Time) State {
+	for id, r := range s.records.All() {
+		if r.trials.Len() == 0 {
+			continue
+		}
+		s.records = s.records.With(id, r.outlived(now))
+	}
 	return s
 }
 
@@ -113,24 +122,3 @@
 	s.records = s.records.Without(id)
 	return s
 }
-
-// with returns the record after one more request.
-func (r record) with(now time.Time, e Evidence) record {
-	r.score = min(max(r.score+weights[e], lowestScore), highestScore)
-	switch {
-	case e == Succeeded || e == None:
-		// The next trial may follow at once.
-		r.next = now
-	default:
-		r.pause = min(max(2*r.pause, firstPause), longestPause)
-		r.next = now.Add(r.pause)
-	}
-	switch {
-	case r.score >= suspectScore:
-		r.suspect = true
-	case r.score < clearScore:
-		r.suspect = false
-		r.pause = 0
-	}
-	return r
-}
--- a/internal/core/health/state_test.go
+++ b/internal/core/health/state_test.go
@@ -18,7 +18,7 @@
 func after(evidence ...health.Evidence) health.State {
 	var s health.State
 	for _, e := range evidence {
-		s = s.Finished(start, target, e)
+		s = s.Finished(start, target, "r.1", e, time.Millisecond)
 	}
 	return s
 }
@@ -54,7 +54,7 @@
 		is := is.New(t)
 		s, now := health.State{}, start
 		for _, pause := range []time.Duration{100, 200, 400, 800, 800} {
-			s = s.Finished(now, target, health.Broke)
+			s = s.Finished(now, target, "r.1", health.Broke, time.Millisecond)
 			is.True(!s.MayTry(now.Add(pause*time.Millisecond-1), target))
 			now = now.Add(pause * time.Millisecond)
 			is.True(s.MayTry(now, target))
@@ -62,16 +62,40 @@
 	})
 	t.Run("one at a time", func(t *testing.T) {
 		is := is.New(t)
-		s := after(health.Broke).Started(start.Add(time.Second), target)
+		s := after(health.Broke).Started(start.Add(time.Second), target, "r.2")
 		is.True(!s.MayTry(start.Add(2*time.Second), target))
-		s = s.Finished(start.Add(2*time.Second), target, health.Succeeded)
-		is.True(s.MayTry(start.Add(2*time.Second), target)) // a success lets the next one follow
+		s = s.Finished(start.Add(2*time.Second), target, "r.2", health.Succeeded, time.Second)
+		s = s.Started(start.Add(2*time.Second), target, "r.3")
+		is.True(s.MayTry(start.Add(2*time.Second), target)) // after a success they may run beside one another
 	})
 	t.Run("one without a result keeps others back for a time", func(t *testing.T) {
-		s := after(health.Broke).Started(start, target)
+		s := after(health.Broke).Started(start, target, "r.2")
 		is.New(t).True(s.MayTry(start.Add(2*time.Second), target))
 	})
 	t.Run("a new process has no history", func(t *testing.T) {
 		is.New(t).True(!after(health.Broke).Forget(target).Suspect(target))
 	})
 }
+
+// Guards against a target that stays out of use for the length of several requests although it has recovered, and against
+// trials that count twice or too soon.
+func TestOutlivingTrials(t *testing.T) {
+	// suspect is a target whose requests failed after the given time, with two trials that have run for a while.
+	suspect := func(failedAfter, ran time.Duration) health.State {
+		s := health.State{}.Finished(start, target, "r.1", health.Broke, failedAfter)
+		s = s.Started(start, target, "r.2").Started(start, target, "r.3")
+		return s.Tick(start.Add(ran))
+	}
+	t.Run("two that outlive quick failures clear the target", func(t *testing.T) {
+		is.New(t).True(!suspect(2*time.Millisecond, 100*time.Millisecond).Suspect(target))
+	})
+	t.Run("not before they have run longer than the failures", func(t *testing.T) {
+		is.New(t).True(suspect(400*time.Millisecond, time.Second).Suspect(target))
+	})
+	t.Run("one does not count again when it ends", func(t *testing.T) {
+		s := health.State{}.Finished(start, target, "r.1", health.Broke, time.Millisecond)
+		s = s.Started(start, target, "r.2").Tick(start.Add(time.Second))
+		s = s.Finished(start.Add(time.Second), target, "r.2", health.Succeeded, time.Second)
+		is.New(t).True(s.Suspect(target))
+	})
+}
--- a/internal/core/node/sidecar.go
+++ b/internal/core/node/sidecar.go
@@ -89,7 +89,7 @@
 	}
 	run := finished.Run
 	s.ejection = s.ejection.TrialFinished(run.Attempt.Target)
-	s.health = s.health.Finished(ev.At, run.Attempt.Target, evidenceOf(body.Outcome))
+	s.health = s.health.Finished(ev.At, run.Attempt.Target, body.Attempt, evidenceOf(body.Outcome), ev.At.Sub(run.Started))
 	if body.Outcome.Verdict() == fleet.Ran {
 		s.quarantine = s.quarantine.Succeeded(ev.At, run.Attempt.Fingerprint)
 	} else {
@@ -151,7 +151,7 @@
 func (s State) noteStarts(now time.Time, effects []effect.Effect) State {
 	for _, e := range effects {
 		if run, ok := e.(effect.Run); ok {
-			s.health = s.health.Started(now, run.Attempt.Target)
+			s.health = s.health.Started(now, run.Attempt.Target, run.Attempt.ID)
 		}
 	}
 	return s
