--- a/internal/core/admission/local.go
+++ b/internal/core/admission/local.go
@@ -12,8 +12,6 @@
 	queuePerSlot = 4
 	// slowStart is how long a new process takes to reach its announced slots, where it does not tell how long it is slow.
 	slowStart = 10 * time.Second
-	// coldShare is the part of its slots that a target gets while it says that it is slow after its start.
-	coldShare = 2
 	// serviceWeight is the weight of a new service time in the smoothed one. About the last eight runs count.
 	serviceWeight = 1.0 / 8
 )
@@ -41,9 +39,8 @@
 	limit := min(l.announcement.Slots, l.announcement.Connections)
 	l.slots = limit
 	if !l.announcement.Started.IsZero() {
-		if now.Before(l.heard.Add(l.announcement.Warmup)) {
-			l.slots = max(limit/coldShare, 1)
-		}
+		// The target tells when it started and that it is slow for a time, with all of its slots. Fewer requests at once
+		// would not make it faster.
 		return l
 	}
 	if age := now.Sub(l.since); age < slowStart {
--- a/internal/core/admission/state_test.go
+++ b/internal/core/admission/state_test.go
@@ -466,6 +466,16 @@
 	is.Equal(r.state.Load(targetA).Slots, 1)
 }
 
+// Guards against a service that stays at a fraction of its slots after all of its targets restarted together, where the
+// targets tell by themselves that they are slow.
+func TestTargetsThatTellTheirStart(t *testing.T) {
+	r := newRig()
+	a := announcement("i1", 4)
+	a.Started = r.now.Add(-time.Second)
+	r.announceAs(a)
+	is.New(t).Equal(r.state.Load(targetA).Slots, 4)
+}
+
 // Guards against a node that was paused taking its own silence for that of its targets.
 func TestPauseOfTheNode(t *testing.T) {
 	is, r := is.New(t), newWarmRig(2)
--- a/internal/core/fleet/target.go
+++ b/internal/core/fleet/target.go
@@ -46,8 +46,6 @@
 	// overtaken on its way is known by them.
 	Started  time.Time
 	Sequence uint64
-	// Warmup is how much longer the process is slow after its start.
-	Warmup time.Duration
 	// InFlight is the target's own count of its running requests, which may lag. No decision rests on it.
 	InFlight int
 }
