attempt: keep requests while no healthy target is known

Cause: after a restart of all nodes 30 to 48 requests were refused for want of a target, within the second in which the targets announced themselves; an order that found every target suspect was forced on one of them and mostly lost.

Change: such requests are parked and placed anew every 100 ms, as long as the answer can meet the goal: all of them while the node settles, orders also when only suspect targets are left.

--- a/internal/core/attempt/finish.go
+++ b/internal/core/attempt/finish.go
@@ -103,10 +103,5 @@
 	if ctx.quarantined(f) {
 		return s, nil, false
 	}
-	where, ok := s.choose(ctx, f)
-	if !ok {
-		return s, nil, false
-	}
-	s, f, forward := s.start(ctx, f, where)
-	return s.store(f), []effect.Effect{forward}, true
+	return s.proceed(ctx, f)
 }
--- a/internal/core/attempt/flight.go
+++ b/internal/core/attempt/flight.go
@@ -58,6 +58,8 @@
 	crashes int
 	// fallback is an attempt with a server error as its answer, passed on when nothing better comes.
 	fallback fleet.AttemptID
+	// parked means that the request waits for a healthy target.
+	parked bool
 	// closing means that the deadline passed and that the last attempt was asked to stop.
 	closing bool
 	// wake is when the request needs attention next, and due its place in the timetable.
--- a/internal/core/attempt/state.go
+++ b/internal/core/attempt/state.go
@@ -39,6 +39,8 @@
 	Now       time.Time
 	Random    uint64
 	Directory fleet.Directory
+	// Settling means that this node has just started and may not have heard of every target.
+	Settling bool
 	// Revision is that of the tables in force.
 	Revision fleet.Revision
 	// Quarantined reports whether a fingerprint is refused by now; nil means that none is.
@@ -81,12 +83,11 @@
 		verdict:  fleet.NotRun,
 		problem:  fleet.NewProblem(fleet.NoTarget, fleet.NotRun, "no target of the pool is left to try"),
 	}
-	where, ok := s.choose(ctx, f)
+	next, effects, ok := s.proceed(ctx, f)
 	if !ok {
 		return s.end(ctx.Now, f, f.refusal())
 	}
-	s, f, forward := s.start(ctx, f, where)
-	return s.store(f), []effect.Effect{forward}
+	return next, effects
 }
 
 // Canceled ends a request whose caller went away.
--- a/internal/core/attempt/state_test.go
+++ b/internal/core/attempt/state_test.go
@@ -372,14 +372,65 @@
 		}
 		wantRefusal(t, effects, fleet.Overloaded, fleet.NotRun)
 	})
-	t.Run("when every target is suspect", func(t *testing.T) {
-		b := newBench()
-		effects := b.arrive(false, "")
+	// refuse lets every target refuse as suspect.
+	refuse := func(b *bench, effects []effect.Effect) []effect.Effect {
 		for range 6 {
 			effects = b.fail(wantForward(t, effects), fleet.Failing, fleet.NotRun)
 		}
+		return effects
+	}
+	t.Run("a lookup when every target is suspect", func(t *testing.T) {
+		b := newBench()
+		is.New(t).True(wantForward(t, refuse(b, b.arrive(true, ""))).Forced)
+	})
+	t.Run("an order when no target has recovered in time", func(t *testing.T) {
+		b := newBench()
+		effects := refuse(b, b.arrive(false, ""))
+		for range 9 {
+			is.New(t).Equal(len(effects), 0)
+			b.ctx.Now = b.ctx.Now.Add(suspicionLifetime) // it asks all of them anew
+			effects = refuse(b, b.tick(parkStep-suspicionLifetime))
+			if len(effects) > 0 {
+				break
+			}
+		}
 		is.New(t).True(wantForward(t, effects).Forced)
 	})
+	t.Run("an order goes to the first target that recovers", func(t *testing.T) {
+		b := newBench()
+		refuse(b, b.arrive(false, ""))
+		order := wantForward(t, b.tick(parkStep))
+		is.New(t).True(!order.Forced)
+		wantAnswer(t, b.succeed(order), order.ID)
+	})
+}
+
+// Guards against requests that are refused by a node that has just started, because it has not heard of the targets yet,
+// and against requests that wait for a pool without any.
+func TestSettling(t *testing.T) {
+	none, targets := fleet.Directory{}, newBench().ctx.Directory
+	t.Run("targets show up", func(t *testing.T) {
+		b := newBench()
+		b.ctx.Settling, b.ctx.Directory = true, none
+		is.New(t).Equal(len(b.arrive(true, "")), 0)
+		b.ctx.Directory = targets
+		first := wantForward(t, b.tick(parkStep))
+		wantAnswer(t, b.succeed(first), first.ID)
+	})
+	t.Run("none shows up", func(t *testing.T) {
+		b := newBench()
+		b.ctx.Settling, b.ctx.Directory = true, none
+		var effects []effect.Effect
+		for b.arrive(true, ""); len(effects) == 0; {
+			effects = b.tick(parkStep)
+		}
+		wantRefusal(t, effects, fleet.NoTarget, fleet.NotRun)
+	})
+	t.Run("a node that has run for a while refuses at once", func(t *testing.T) {
+		b := newBench()
+		b.ctx.Directory = none
+		wantRefusal(t, b.arrive(true, ""), fleet.NoTarget, fleet.NotRun)
+	})
 }
 
 // Guards against a baseline that one slow target moves, or that a slow pool does not move.
--- a/internal/core/attempt/tick.go
+++ b/internal/core/attempt/tick.go
@@ -39,6 +39,9 @@
 	if !ctx.Now.Before(f.template.Deadline) {
 		return s.expire(ctx, f)
 	}
+	if f.parked {
+		return s.unpark(ctx, f)
+	}
 	if lost, ok := f.overtaken(ctx.Now); ok {
 		return s.giveUp(ctx, f, lost)
 	}
--- a/internal/core/membership/state.go
+++ b/internal/core/membership/state.go
@@ -119,6 +119,13 @@
 // Directory returns the candidates of every pool.
 func (s State) Directory() fleet.Directory { return s.directory }
 
+// settleTime is how long after its start a node may not have heard of every target: targets announce themselves once a
+// second or less, and their records spread for another second or two.
+const settleTime = 4 * time.Second
+
+// Settling reports whether this node has just started.
+func (s State) Settling(now time.Time) bool { return now.Sub(s.started) < settleTime }
+
 // PeerAddress returns the address for messages to a node.
 func (s State) PeerAddress(id fleet.NodeID) (string, bool) {
 	m, ok := s.Member(id)
--- a/internal/core/node/ingress.go
+++ b/internal/core/node/ingress.go
@@ -16,6 +16,7 @@
 		Now:         ev.At,
 		Random:      ev.Random,
 		Directory:   s.membership.Directory(),
+		Settling:    s.membership.Settling(ev.At),
 		Revision:    s.Revision(),
 		Quarantined: func(f fleet.Fingerprint) bool { return quarantined.Has(ev.At, f) },
 	}
