node: answer everything within the grace of a stop

Change: StopGrace in the settings; a leaving node ends all requests within 0.88 of it, so that what cannot run by then is refused before it runs, and stops at 0.95 of it in any case.

--- a/internal/core/attempt/state.go
+++ b/internal/core/attempt/state.go
@@ -30,6 +30,8 @@
 	own     occupancy
 	reaches reaches
 	pools   fleet.Map[fleet.PoolName, *pool]
+	// until is when a leaving node gives up its requests; zero while it is not leaving.
+	until time.Time
 	// cursor is the pool that is pruned next.
 	cursor fleet.PoolName
 }
@@ -63,6 +65,9 @@
 	if request.Timeout > 0 && request.Timeout < limit {
 		limit = request.Timeout
 	}
+	if !s.until.IsZero() {
+		limit = min(limit, s.until.Sub(ctx.Now))
+	}
 	f := flight{
 		id:       request.ID,
 		received: ctx.Now,
@@ -90,6 +95,26 @@
 	return next, effects
 }
 
+// Leaving makes every request end by a time, those in flight and those to come.
+func (s State) Leaving(until time.Time) State {
+	s.until = until
+	for _, f := range s.flights.All() {
+		if clipped := *f; clipped.template.Deadline.After(until) {
+			clipped.template.Deadline = until
+			clipped.wake = minTime(clipped.wake, until)
+			s = s.store(clipped)
+		}
+	}
+	return s
+}
+
+func minTime(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // Canceled ends a request whose caller went away.
 func (s State) Canceled(now time.Time, id fleet.RequestID) (State, []effect.Effect) {
 	f, ok := s.flights.Get(id)
--- a/internal/core/attempt/state_test.go
+++ b/internal/core/attempt/state_test.go
@@ -405,6 +405,27 @@
 	})
 }
 
+// Guards against a leaving node that is ended by force with requests in flight that got no answer.
+func TestLeaving(t *testing.T) {
+	for name, arriving := range map[string]func(*bench) fleet.Attempt{
+		"in flight": func(b *bench) fleet.Attempt {
+			first := wantForward(t, b.arrive(true, ""))
+			b.state = b.state.Leaving(b.ctx.Now.Add(200 * time.Millisecond))
+			return first
+		},
+		"arriving": func(b *bench) fleet.Attempt {
+			b.state = b.state.Leaving(b.ctx.Now.Add(200 * time.Millisecond))
+			return wantForward(t, b.arrive(true, ""))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench()
+			arriving(b)
+			wantRefusal(t, b.tick(200*time.Millisecond), fleet.DeadlinePassed, fleet.MayHaveRun)
+		})
+	}
+}
+
 // Guards against requests that are refused by a node that has just started, because it has not heard of the targets yet,
 // and against requests that wait for a pool without any.
 func TestSettling(t *testing.T) {
--- a/internal/core/node/shutdown.go
+++ b/internal/core/node/shutdown.go
@@ -11,9 +11,17 @@
 // learn that it leaves. The users allow a few seconds.
 const leaveGrace = 2 * time.Second
 
+// The parts of the grace after which a leaving node gives up what is in flight, so that its callers get an answer before the
+// process is ended by force, and after which it stops in any case.
+const (
+	answerPart = 0.88
+	stopPart   = 0.95
+)
+
 // shutdown is a graceful stop in progress.
 type shutdown struct {
 	started time.Time
+	grace   time.Duration
 	// closing means that the callers' listener was told to close, closed that all requests of callers have ended since.
 	closing bool
 	closed  bool
@@ -23,12 +31,19 @@
 // begun reports whether the node is leaving.
 func (sd shutdown) begun() bool { return !sd.started.IsZero() }
 
-// shutdownStarted leaves the fleet: the targets of this host take no new attempt, and what is in flight finishes.
+// after returns the time when a part of the grace is over.
+func (sd shutdown) after(part float64) time.Time {
+	return sd.started.Add(time.Duration(part * float64(sd.grace)))
+}
+
+// shutdownStarted leaves the fleet: the targets of this host take no new attempt, and what is in flight finishes within the
+// grace. What could not be answered by then is refused before it runs.
 func (s State) shutdownStarted(ev event.Event) (State, []effect.Effect) {
 	if s.shutdown.begun() {
 		return s, nil
 	}
 	s.shutdown.started = ev.At
+	s.attempts = s.attempts.Leaving(s.shutdown.after(answerPart))
 	var refused, released, left []effect.Effect
 	s.admission, refused = s.admission.Drained(ev.At)
 	s.ejection, released = s.ejection.Drained(s.ejectionContext(ev))
@@ -43,7 +58,8 @@
 	return sd
 }
 
-// tick closes the callers' listener when the grace is over, and stops the process once nothing is in flight.
+// tick closes the callers' listener some time after the start, and stops the process once nothing is in flight or the grace
+// is nearly over.
 func (sd shutdown) tick(now time.Time, inFlight int) (shutdown, []effect.Effect) {
 	switch {
 	case !sd.begun() || sd.stopped || now.Sub(sd.started) < leaveGrace:
@@ -51,7 +67,7 @@
 	case !sd.closing:
 		sd.closing = true
 		return sd, []effect.Effect{effect.CloseCallers{}}
-	case !sd.closed || inFlight > 0:
+	case (!sd.closed || inFlight > 0) && now.Before(sd.after(stopPart)):
 		return sd, nil
 	default:
 		sd.stopped = true
--- a/internal/core/node/shutdown_test.go
+++ b/internal/core/node/shutdown_test.go
@@ -44,4 +44,12 @@
 		stopped := leaving(event.Tick{}, event.Tick{}, event.CallersClosed{}, event.Tick{})
 		has(is.New(t), stopped, effect.Stop{}, true)
 	})
+	t.Run("but not past the time at which it is ended by force", func(t *testing.T) {
+		var ticks []event.Body
+		for range 72 {
+			ticks = append(ticks, event.Tick{})
+		}
+		has(is.New(t), leaving(append(slices.Clone(ticks[:70]), event.Tick{})...), effect.Stop{}, false)
+		has(is.New(t), leaving(ticks...), effect.Stop{}, true) // 95% of 75 s
+	})
 }
--- a/internal/core/node/state.go
+++ b/internal/core/node/state.go
@@ -45,12 +45,17 @@
 // Settings are what the decisions of a node depend on beside the tables.
 type Settings struct {
 	Retries admission.Retries
+	// Grace is the time from the request to stop until the process is ended by force.
+	Grace time.Duration
 }
 
 // DefaultSettings returns the settings of a node whose operator sets none: repeated attempts at a pool are at most a tenth
-// of its requests and sixty more within ten seconds.
+// of its requests and sixty more within ten seconds, and a stop waits for the longest deadline of a route.
 func DefaultSettings() Settings {
-	return Settings{Retries: admission.Retries{Ratio: 0.1, Window: 10 * time.Second, Slack: 60}}
+	return Settings{
+		Retries: admission.Retries{Ratio: 0.1, Window: 10 * time.Second, Slack: 60},
+		Grace:   75 * time.Second,
+	}
 }
 
 // New returns the state of a node that has just started with the given member record.
@@ -64,6 +69,7 @@
 		orders:     orders.New(self.Node),
 		quarantine: quarantine.New(),
 		tables:     tables.New(),
+		shutdown:   shutdown{grace: settings.Grace},
 	}
 }
 
--- a/internal/process/node/app.go
+++ b/internal/process/node/app.go
@@ -34,8 +34,6 @@
 
 const (
 	startTimeout = 10 * time.Second
-	// stopTimeout is longer than the longest deadline of a route, 60 s, and the grace of a leaving node.
-	stopTimeout = 75 * time.Second
 )
 
 // Seams are what a node needs from outside: where its log goes, and in which protocols it speaks to callers, to targets and
@@ -66,7 +64,7 @@
 	return fx.New(
 		fx.NopLogger,
 		fx.StartTimeout(startTimeout),
-		fx.StopTimeout(stopTimeout),
+		fx.StopTimeout(s.StopGrace),
 		fx.Supply(s, seams),
 		fx.Provide(
 			newDispatcher,
--- a/internal/process/node/dispatch.go
+++ b/internal/process/node/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync/atomic"
+	"time"
 
 	"jayfold.dev/jayfold/internal/core/effect"
 	"jayfold.dev/jayfold/internal/core/event"
@@ -93,9 +94,12 @@
 	}
 }
 
+// closeTimeout is above the longest deadline of a route, 60 s, and the time that a leaving node takes requests.
+const closeTimeout = 75 * time.Second
+
 // closeCallers ends the callers' listener. The requests in flight are bounded by their deadlines.
 func (d *dispatcher) closeCallers() {
-	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
 	_ = d.callers.Shutdown(ctx)
 	d.post(event.CallersClosed{})
--- a/internal/process/settings/draft.go
+++ b/internal/process/settings/draft.go
@@ -64,6 +64,7 @@
 		configfile.Required("Platform", configfile.Parsed(&s.Platform, parsePlatform)),
 		configfile.Optional("DefaultCaller", configfile.Text(&s.DefaultCaller, name)),
 		configfile.Optional("Retries", configfile.Object(retries(&s.Retries)...)),
+		configfile.Optional("StopGrace", configfile.Duration(&s.StopGrace, shortestTimeout, longestTimeout)),
 		configfile.Optional("LogLevel", configfile.OneOf(&s.LogLevel, "debug", "info", "warn", "error")),
 		configfile.Optional("Limits", configfile.Object(limits(&s.Limits)...)),
 	}
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -48,6 +48,8 @@
 	// DefaultCaller is the client account of requests that name none.
 	DefaultCaller fleet.Caller
 	Retries       admission.Retries
+	// StopGrace is the time from SIGTERM until the process is ended by force.
+	StopGrace time.Duration
 	// LogLevel is the lowest level of the lines that are written: debug, info, warn or error.
 	LogLevel string
 	Limits   Limits
@@ -92,6 +94,8 @@
 	return Settings{
 		LogLevel: "info",
 		Retries:  node.DefaultSettings().Retries,
+		// The longest deadline of a route, and the time in which callers learn that the node leaves.
+		StopGrace: node.DefaultSettings().Grace,
 		Limits: Limits{
 			MaxBodyBytes:   1 << 20,
 			MaxHeaderBytes: 64 << 10,
@@ -127,7 +131,7 @@
 
 // Decisions returns what the decisions of the node depend on.
 func (s Settings) Decisions() node.Settings {
-	return node.Settings{Retries: s.Retries}
+	return node.Settings{Retries: s.Retries, Grace: s.StopGrace}
 }
 
 // Load reads and checks the settings file at path.
