peer: verify connections only while requests wait on them

Change: connections stay open for two minutes without pings; while a request has waited 2 s on a connection that answered nothing else, a request of the node itself verifies it, and closes it when that fails. A target asks for no lease when all others together would not suffice. One membership probe in 16 leaves the zone.

--- a/internal/core/ejection/asker.go
+++ b/internal/core/ejection/asker.go
@@ -51,6 +51,10 @@
 	if s.promised(ctx.Now, id) {
 		return s.hold(ctx, id, heldPromised)
 	}
+	if len(ctx.Directory.Pool(l.pool)) <= l.needed() {
+		// Not even all other targets together could grant enough leases.
+		return s.hold(ctx, id, heldFloor)
+	}
 	s, effects := s.request(ctx, id, max(l.needed()+spareLeases, minOpinions))
 	// The phase changes after the requests, since targets on this host answer at once and the first answer must not decide.
 	l, _ = s.targets.Get(id)
--- a/internal/core/membership/probe.go
+++ b/internal/core/membership/probe.go
@@ -11,9 +11,9 @@
 const (
 	// probePeriod is the time between two probes.
 	probePeriod = time.Second
-	// farPeriods is the number of probes of which one goes to another zone. A zone of eight nodes then sends one message a
-	// second to each of two others.
-	farPeriods = 8
+	// farPeriods is the number of probes of which one goes to another zone. A zone of eight nodes then probes the other zones
+	// every two seconds.
+	farPeriods = 16
 	// nearWait is how long a starting node waits for a member of its own zone before it pulls the records of one far away.
 	nearWait = 3 * time.Second
 	// directTimeout is the wait for an Ack before others are asked to probe. A new connection to another region takes two
--- a/internal/edge/peer/forward_fault_test.go
+++ b/internal/edge/peer/forward_fault_test.go
@@ -112,6 +112,40 @@
 	is.Equal(through.dials, 1)
 }
 
+// Guards against a request that waits for its deadline on a connection that has fallen silent, and against one that is cut
+// off because its target takes long.
+func TestConnectionIsVerifiedWhileARequestWaits(t *testing.T) {
+	for name, silent := range map[string]bool{"silent": true, "slow": false} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t)
+			b.forwarder.silent = 50 * time.Millisecond
+			through := newSilencer(t, b.address)
+			running := make(chan struct{})
+			b.target = func(w http.ResponseWriter, _ *http.Request) {
+				close(running)
+				time.Sleep(300 * time.Millisecond)
+				_, _ = io.WriteString(w, "hello")
+			}
+			if silent {
+				go func() {
+					<-running
+					through.silence()
+				}()
+			}
+			attempt := b.attempt()
+			attempt.Address, attempt.Deadline = through.address, time.Now().Add(10*time.Second)
+			started := time.Now()
+			got := b.send(t.Context(), attempt, http.MethodGet, "")
+			if !silent {
+				wantWhole(t, got, http.StatusOK, "hello")
+				return
+			}
+			wantProblem(t, got.err, fleet.Broken, fleet.MayHaveRun)
+			is.New(t).True(time.Since(started) < 5*time.Second)
+		})
+	}
+}
+
 // Guards against net/http sending a request again by itself when its connection breaks.
 func TestLibraryNeverSendsTwice(t *testing.T) {
 	for _, method := range []string{http.MethodGet, http.MethodPost} {
--- a/internal/edge/peer/forwarder.go
+++ b/internal/edge/peer/forwarder.go
@@ -9,6 +9,7 @@
 	"net/http/httptrace"
 	"net/url"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -42,6 +43,8 @@
 	self  fleet.NodeID
 	seams ForwarderSeams
 	links *links
+	// silent is how long a request waits before its connection is verified.
+	silent time.Duration
 }
 
 // NewForwarder returns the forwarder of the given node, without any connection.
@@ -52,16 +55,14 @@
 		// A request that waits in a queue keeps its body back for all that time.
 		ExpectContinueTimeout: continueTimeout,
 		Protocols:             new(http.Protocols),
-		HTTP2: &http.HTTP2Config{
-			SendPingTimeout:             sendPingTimeout,
-			PingTimeout:                 pingTimeout,
-			StrictMaxConcurrentRequests: true,
-		},
+		// Pings of the library would go out on idle connections as well, which is most of them.
+		HTTP2: &http.HTTP2Config{StrictMaxConcurrentRequests: true},
 	}
 	transport.Protocols.SetUnencryptedHTTP2(true)
 	return &Forwarder{
-		self:  self,
-		seams: seams,
+		self:   self,
+		seams:  seams,
+		silent: silentAfter,
 		links: &links{transport: transport, now: seams.Now, open: make(map[string][]*link)},
 	}
 }
@@ -82,8 +83,10 @@
 	}
 	stream, cancel := context.WithDeadline(context.WithoutCancel(ctx), attempt.Deadline.Add(deadlineGrace))
 	stop := context.AfterFunc(ctx, func() { f.cancel(l, attempt, cancel) })
+	unwatch := f.watch(stream, l, attempt.Address)
 	end := func() {
 		stop()
+		unwatch()
 		cancel()
 	}
 	var written atomic.Bool
@@ -135,6 +138,34 @@
 	return fleet.NewProblem(fleet.Unreachable, fleet.NotRun, err.Error())
 }
 
+// watch verifies a connection while a request waits on it for long, and closes it when it has gone silent, so that the
+// request does not wait for its deadline. It returns the function that ends the watch.
+func (f *Forwarder) watch(ctx context.Context, l *link, address string) func() {
+	var timer *time.Timer
+	var mu sync.Mutex
+	check := func() {
+		if f.seams.Now().Sub(l.lastAnswer()) >= f.silent {
+			asked, cancel := context.WithTimeout(ctx, f.silent)
+			defer cancel()
+			if f.control(asked, l, address, headerVerify, string(f.self)) != nil && ctx.Err() == nil {
+				f.links.drop(address, l)
+				return
+			}
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		timer.Reset(f.silent)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	timer = time.AfterFunc(f.silent, check)
+	return func() {
+		mu.Lock()
+		defer mu.Unlock()
+		timer.Stop()
+	}
+}
+
 // verify asks the peer for a sign of life on this very connection.
 func (f *Forwarder) verify(ctx context.Context, l *link, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, verifyTimeout)
--- a/internal/edge/peer/forwardlink.go
+++ b/internal/edge/peer/forwardlink.go
@@ -17,11 +17,12 @@
 	verifyTimeout = 200 * time.Millisecond
 	// dialTimeout bounds opening a connection, which takes one round trip.
 	dialTimeout = 300 * time.Millisecond
-	// idleTimeout closes unused connections, so that their pings do not use up the node's share of the network.
-	idleTimeout = 15 * time.Second
-	// sendPingTimeout and pingTimeout find silent connections that idempotent requests wait on.
-	sendPingTimeout = 3 * time.Second
-	pingTimeout     = 2 * time.Second
+	// idleTimeout closes unused connections. An idle one costs nothing but memory; a new one costs a round trip and some 500
+	// bytes.
+	idleTimeout = 2 * time.Minute
+	// silentAfter is how long a request waits before its connection is verified, and how long the verification may take. A
+	// lost packet is sent again within a second.
+	silentAfter = 2 * time.Second
 	// maxLinks bounds the connections to one peer; each carries as many requests as the peer allows at once.
 	maxLinks = 4
 )
@@ -51,9 +52,9 @@
 	l.idle.Reset(idleTimeout)
 }
 
-func (l *link) fresh(now time.Time) bool {
-	return now.UnixNano()-l.answered.Load() <= int64(freshWithin)
-}
+func (l *link) fresh(now time.Time) bool { return now.Sub(l.lastAnswer()) <= freshWithin }
+
+func (l *link) lastAnswer() time.Time { return time.Unix(0, l.answered.Load()) }
 
 func (l *link) touch(now time.Time) {
 	l.answered.Store(now.UnixNano())
--- a/internal/edge/peer/forwardsidecar.go
+++ b/internal/edge/peer/forwardsidecar.go
@@ -62,8 +62,6 @@
 		Protocols:         new(http.Protocols),
 		HTTP2: &http.HTTP2Config{
 			MaxConcurrentStreams: peerStreams,
-			SendPingTimeout:      sendPingTimeout + pingTimeout,
-			PingTimeout:          pingTimeout,
 		},
 	}
 	server.Protocols.SetUnencryptedHTTP2(true)
