peer: pack what differs in every attempt into one header

An attempt and its report carried 18 headers of their own, of which most repeat on a connection but some differ in every attempt and so are sent in full. Change: two headers for an attempt and two for a report: one with what differs each time, one with what a connection's header table remembers. The answer echoes a 31-bit hash of the attempt id. No date is added to answers between nodes. Ruled out: leaving the fields out; each is used by a decision at the other end.

--- a/internal/edge/peer/forward_fault_test.go
+++ b/internal/edge/peer/forward_fault_test.go
@@ -280,16 +280,35 @@
 
 // Guards against malformed attempts that reach the reducer.
 func TestMalformedAttempt(t *testing.T) {
-	for name, value := range map[string]string{
-		headerAttempt: "", headerClass: "Best", headerBudget: "-1", headerIdempotent: "maybe", headerFingerprint: "xyz",
-		headerBaseline: "99999999999999", headerRevision: "1.5", headerTarget: strings.Repeat("t", maxNameBytes+1),
+	const own, shared = "r.1 250 100 1000 00000000000000ff", "b/t p a Order false 3 7"
+	long := strings.Repeat("t", maxNameBytes+1)
+	for name, headers := range map[string]http.Header{
+		"no attempt":         {headerTarget: {shared}},
+		"no target":          {headerAttempt: {own}},
+		"two attempts":       {headerAttempt: {own, own}, headerTarget: {shared}},
+		"a field too few":    {headerAttempt: {own}, headerTarget: {"b/t p a Order false 3"}},
+		"a field too many":   {headerAttempt: {own + " 1"}, headerTarget: {shared}},
+		"id empty":           {headerAttempt: {" 250 100 1000 ff"}, headerTarget: {shared}},
+		"id without number":  {headerAttempt: {"r 250 100 1000 ff"}, headerTarget: {shared}},
+		"budget negative":    {headerAttempt: {"r.1 -1 100 1000 ff"}, headerTarget: {shared}},
+		"goal not a number":  {headerAttempt: {"r.1 250 soon 1000 ff"}, headerTarget: {shared}},
+		"baseline too long":  {headerAttempt: {"r.1 250 100 99999999999999 ff"}, headerTarget: {shared}},
+		"fingerprint no hex": {headerAttempt: {"r.1 250 100 1000 xyz"}, headerTarget: {shared}},
+		"target too long":    {headerAttempt: {own}, headerTarget: {long + " p a Order false 3 7"}},
+		"pool empty":         {headerAttempt: {own}, headerTarget: {"b/t  a Order false 3 7"}},
+		"pool not escaped":   {headerAttempt: {own}, headerTarget: {"b/t %zz a Order false 3 7"}},
+		"sender empty":       {headerAttempt: {own}, headerTarget: {"b/t p  Order false 3 7"}},
+		"class unknown":      {headerAttempt: {own}, headerTarget: {"b/t p a Best false 3 7"}},
+		"idempotent unknown": {headerAttempt: {own}, headerTarget: {"b/t p a Order maybe 3 7"}},
+		"priority negative":  {headerAttempt: {own}, headerTarget: {"b/t p a Order false -3 7"}},
+		"revision broken":    {headerAttempt: {own}, headerTarget: {"b/t p a Order false 3 1.5"}},
+		"caller too long":    {headerAttempt: {own}, headerTarget: {shared}, headerCaller: {long}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			b := newBench(t)
 			r := httptest.NewRequest(http.MethodPost, "/", nil)
-			encodeAttempt(r.Header, wireAttempt{Attempt: b.attempt(), From: "a", Revision: 1}, time.Now())
-			r.Header.Set(name, value)
+			r.Header = headers
 			recorder := httptest.NewRecorder()
 			b.sidecar.ServeHTTP(recorder, r)
 			is.Equal(recorder.Code, http.StatusBadRequest)
@@ -301,14 +320,13 @@
 
 // FuzzDecodeAttempt guards against headers that crash the decoder, and against attempts that change on their way.
 func FuzzDecodeAttempt(f *testing.F) {
-	f.Add("r.1", "b/t", "p", "a", "Order", "250", "1000", "00000000000000ff", "false", "acme", "key", "7")
-	f.Add("", "", "", "", "", "-1", "1e9", "g", "no", "\x00", "\xff", "18446744073709551616")
-	f.Fuzz(func(t *testing.T, id, target, pool, from, class, budget, baseline, fingerprint, idempotent, caller, key, revision string) {
+	f.Add("r.1 250 100 1000 00000000000000ff", "b/t p a Order false 3 7", "acme", "key", "forced probe")
+	f.Add("r.1 250 - 1000 ff", "b/a%20b %E2%82%AC a Lookup true 0 0", "", "", "")
+	f.Add("   - ", "-1 1e9 g no \x00 \xff 18446744073709551616", "", "", "")
+	f.Fuzz(func(t *testing.T, own, shared, caller, key, mode string) {
 		now := time.Unix(1_800_000_000, 0)
 		header := http.Header{
-			headerAttempt: {id}, headerTarget: {target}, headerPool: {pool}, headerFrom: {from}, headerClass: {class},
-			headerBudget: {budget}, headerBaseline: {baseline}, headerFingerprint: {fingerprint}, headerIdempotent: {idempotent},
-			headerCaller: {caller}, headerKey: {key}, headerRevision: {revision},
+			headerAttempt: {own}, headerTarget: {shared}, headerCaller: {caller}, headerKey: {key}, headerMode: {mode},
 		}
 		wire, err := decodeAttempt(header, now)
 		if err != nil {
@@ -322,3 +340,23 @@
 		}
 	})
 }
+
+// FuzzNames guards against names that a packed header cannot carry.
+func FuzzNames(f *testing.F) {
+	f.Add("node", "a target", "pool/one")
+	f.Add("%2F", "ü", "\n")
+	f.Fuzz(func(t *testing.T, node, target, pool string) {
+		if node == "" || target == "" || pool == "" || max(len(node)+len(target)+1, len(pool)) > maxNameBytes {
+			return
+		}
+		wire := wireAttempt{From: fleet.NodeID(node)}
+		wire.Attempt.ID, wire.Attempt.Pool = "r.1", fleet.PoolName(pool)
+		wire.Attempt.Target = fleet.NewTargetID(fleet.NodeID(node), target)
+		header := http.Header{}
+		encodeAttempt(header, wire, time.Unix(1_800_000_000, 0))
+		decoded, err := decodeAttempt(header, time.Unix(1_800_000_000, 0))
+		if err != nil || decoded.Attempt.Target != wire.Attempt.Target || decoded.Attempt.Pool != wire.Attempt.Pool || decoded.From != wire.From {
+			t.Fatalf("%+v became %+v (%v)", wire, decoded, err)
+		}
+	})
+}
--- a/internal/edge/peer/forward_test.go
+++ b/internal/edge/peer/forward_test.go
@@ -186,7 +186,7 @@
 			var seen *http.Request
 			b.target = func(w http.ResponseWriter, r *http.Request) {
 				seen = r
-				w.Header().Set("Jayfold-Cause", "Overloaded")
+				w.Header().Set("Jayfold-Problem", "Overloaded 0")
 				w.Header().Set("X-Answer", "1")
 				w.WriteHeader(c.status)
 				_, _ = io.WriteString(w, c.answer)
@@ -194,7 +194,7 @@
 			got := b.send(t.Context(), b.attempt(), c.method, "body")
 			wantWhole(t, got, c.status, c.answer)
 			is.Equal(got.response.Header.Get("X-Answer"), "1")
-			is.Equal(got.response.Header.Get("Jayfold-Cause"), "")
+			is.Equal(got.response.Header.Get("Jayfold-Problem"), "")
 			is.Equal(seen.Header.Get("X-Hop"), "")
 			is.Equal(seen.Header.Get("X-Kept"), "1")
 			is.Equal(seen.Header.Get("Jayfold-Caller"), "acme")
@@ -223,7 +223,8 @@
 	b := newBench(t)
 	server := &http.Server{Protocols: new(http.Protocols), Handler: http.HandlerFunc(
 		func(w http.ResponseWriter, r *http.Request) {
-			w.Header().Set(headerAttempt, r.Header.Get(headerAttempt))
+			wire, _ := decodeAttempt(r.Header, time.Now())
+			w.Header().Set(headerEcho, echoOf(wire.Attempt.ID))
 			_, _ = io.WriteString(w, "looks whole")
 		})}
 	server.Protocols.SetUnencryptedHTTP2(true)
--- a/internal/edge/peer/forwarder.go
+++ b/internal/edge/peer/forwarder.go
@@ -63,7 +63,7 @@
 		self:   self,
 		seams:  seams,
 		silent: silentAfter,
-		links: &links{transport: transport, now: seams.Now, open: make(map[string][]*link)},
+		links:  &links{transport: transport, now: seams.Now, open: make(map[string][]*link)},
 	}
 }
 
@@ -226,7 +226,7 @@
 	l *link, attempt fleet.Attempt, response *http.Response, end func(),
 ) (*http.Response, func() fleet.Option[fleet.Report], error) {
 	l.touch(f.seams.Now())
-	if response.Header.Get(headerAttempt) != string(attempt.ID) {
+	if response.Header.Get(headerEcho) != echoOf(attempt.ID) {
 		end()
 		_ = response.Body.Close()
 		return nil, noReport, fleet.NewProblem(fleet.Broken, fleet.MayHaveRun, "the answer names another attempt")
--- /dev/null
+++ b/internal/edge/peer/forwardfield.go
@@ -0,0 +1,142 @@
+package peer
+
+import (
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"jayfold.dev/jayfold/internal/core/fleet"
+)
+
+// joinFields packs values into one header. A space separates them; inside a value it is escaped.
+func joinFields(values ...string) string {
+	escaped := make([]string, len(values))
+	for i, value := range values {
+		escaped[i] = strings.ReplaceAll(url.PathEscape(value), "%2F", "/")
+	}
+	return strings.Join(escaped, " ")
+}
+
+// field is one value of a packed header, or the whole value of another one.
+type field struct{ name, value string }
+
+// headerDecoder reads headers and keeps the first error.
+type headerDecoder struct {
+	header http.Header
+	err    error
+}
+
+func (d *headerDecoder) fail(f field, want string) {
+	if d.err == nil {
+		d.err = fmt.Errorf("header %s is malformed: %s", f.name, want)
+	}
+}
+
+// optional returns the value of a header that may be absent.
+func (d *headerDecoder) optional(name string) string {
+	values := d.header.Values(name)
+	if len(values) == 0 {
+		return ""
+	}
+	if len(values) > 1 {
+		d.fail(field{name: name}, "want one value")
+		return ""
+	}
+	if len(values[0]) > maxNameBytes {
+		d.fail(field{name: name}, fmt.Sprintf("want at most %d bytes", maxNameBytes))
+		return ""
+	}
+	return values[0]
+}
+
+// fields unpacks a header with exactly these fields. It always returns as many; they are empty when the header is
+// malformed.
+func (d *headerDecoder) fields(name string, names ...string) []field {
+	found := make([]field, len(names))
+	for i, of := range names {
+		found[i].name = name + " " + of
+	}
+	values := d.header.Values(name)
+	if len(values) != 1 {
+		d.fail(field{name: name}, "want one value")
+		return found
+	}
+	escaped := strings.Split(values[0], " ")
+	if len(escaped) != len(names) {
+		d.fail(field{name: name}, fmt.Sprintf("want %d fields", len(names)))
+		return found
+	}
+	for i := range found {
+		value, err := url.PathUnescape(escaped[i])
+		if err != nil {
+			d.fail(found[i], err.Error())
+		}
+		found[i].value = value
+	}
+	return found
+}
+
+// name reads a name, which is not empty.
+func (d *headerDecoder) name(f field) string {
+	if f.value == "" {
+		d.fail(f, "want a value")
+	}
+	if len(f.value) > maxNameBytes {
+		d.fail(f, fmt.Sprintf("want at most %d bytes", maxNameBytes))
+		return ""
+	}
+	return f.value
+}
+
+func (d *headerDecoder) class(f field) fleet.Class {
+	class, err := fleet.ParseClass(f.value)
+	if err != nil {
+		d.fail(f, "want Lookup, Internal or Order")
+	}
+	return class
+}
+
+func (d *headerDecoder) boolean(f field) bool {
+	switch f.value {
+	case "true":
+		return true
+	case "false":
+		return false
+	default:
+		d.fail(f, "want true or false")
+		return false
+	}
+}
+
+func (d *headerDecoder) number(f field, base int) uint64 {
+	value, err := strconv.ParseUint(f.value, base, 64)
+	if err != nil {
+		d.fail(f, fmt.Sprintf("want a number in base %d", base))
+	}
+	return value
+}
+
+// moment reads a time, given in milliseconds from now, that may have passed.
+func (d *headerDecoder) moment(f field, now time.Time) time.Time {
+	if f.value == noGoal {
+		return time.Time{}
+	}
+	value, err := strconv.ParseInt(f.value, 10, 64)
+	if err != nil || value > maxBudget.Milliseconds() || value < -maxBudget.Milliseconds() {
+		d.fail(f, "want a number of milliseconds within an hour")
+		return time.Time{}
+	}
+	return now.Add(time.Duration(value) * time.Millisecond)
+}
+
+func (d *headerDecoder) duration(f field, unit, limit time.Duration) time.Duration {
+	value := d.number(f, 10)
+	if value > uint64(limit/unit) {
+		d.fail(f, fmt.Sprintf("want at most %d", limit/unit))
+		return 0
+	}
+	return time.Duration(value) * unit
+}
--- a/internal/edge/peer/forwardreplay.go
+++ b/internal/edge/peer/forwardreplay.go
@@ -131,7 +131,7 @@
 		return
 	}
 	maps.Copy(w.Header(), answer.header)
-	w.Header().Set(headerAttempt, string(e.Attempt))
+	w.Header().Set(headerEcho, echoOf(e.Attempt))
 	w.WriteHeader(answer.status)
 	if _, err := w.Write(answer.body); err == nil {
 		w.Header().Set(http.TrailerPrefix+headerVerdict, fleet.Ran.String())
--- a/internal/edge/peer/forwardreport.go
+++ b/internal/edge/peer/forwardreport.go
@@ -8,40 +8,49 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"jayfold.dev/jayfold/internal/core/fleet"
 )
 
-// The headers and trailers of an answer. Jayfold-Verdict comes last: an answer without it is truncated.
+// The headers and trailers of an answer. Jayfold-Verdict comes last: an answer without it is truncated. The report has
+// what differs in every answer in one header, and the rest in another.
 const (
 	headerVerdict    = "Jayfold-Verdict"
-	headerCause      = "Jayfold-Cause"
-	headerDetail     = "Jayfold-Detail"
-	headerRetryAfter = "Jayfold-Retry-After" // milliseconds
-	headerLoad       = "Jayfold-Load"        // in flight, queued and slots
-	headerWait       = "Jayfold-Wait"        // milliseconds
-	headerSuspect    = "Jayfold-Suspect"
-	headerP95        = "Jayfold-P95" // microseconds
-	headerEjected    = "Jayfold-Ejected"
+	headerProblem    = "Jayfold-Problem"    // cause and time after which to try again, in milliseconds
+	headerDetail     = "Jayfold-Detail"     // free text
+	headerLoad       = "Jayfold-Load"       // in flight, queued, slots, wait in milliseconds and p95 in microseconds
+	headerReport     = "Jayfold-Report"     // target, class, whether ejected and suspect, and revision
 	headerQuarantine = "Jayfold-Quarantine" // fingerprints
+	headerEcho       = "Jayfold-Echo"       // of the attempt's id
 )
 
 const (
 	maxLoadCount  = 1 << 20
 	maxQuarantine = 64
 	maxRetryAfter = time.Hour
+	// echoMask keeps 31 bits, which are at most 6 characters. An answer that belongs to another attempt is taken for the
+	// right one once in 2e9.
+	echoMask = 1<<31 - 1
 )
 
 // encodeReport sets the fields of a report under names that start with prefix.
 func encodeReport(h http.Header, prefix string, report fleet.Report) {
 	load := report.Load
-	h.Set(prefix+headerTarget, string(report.Target))
-	h.Set(prefix+headerClass, report.Class.String())
-	h.Set(prefix+headerLoad, fmt.Sprintf("%d %d %d", load.InFlight, load.Queued, load.Slots))
-	h.Set(prefix+headerP95, strconv.FormatInt(report.P95.Microseconds(), 10))
-	h.Set(prefix+headerEjected, strconv.FormatBool(report.Ejected))
-	h.Set(prefix+headerRevision, strconv.FormatUint(uint64(report.Revision), 10))
-	h.Set(prefix+headerSuspect, strconv.FormatBool(report.Suspect))
-	h.Set(prefix+headerWait, strconv.FormatInt(report.Wait.Milliseconds(), 10))
+	h.Set(prefix+headerLoad, joinFields(
+		strconv.Itoa(load.InFlight),
+		strconv.Itoa(load.Queued),
+		strconv.Itoa(load.Slots),
+		strconv.FormatInt(report.Wait.Milliseconds(), 10),
+		strconv.FormatInt(report.P95.Microseconds(), 10),
+	))
+	h.Set(prefix+headerReport, joinFields(
+		string(report.Target),
+		report.Class.String(),
+		strconv.FormatBool(report.Ejected),
+		strconv.FormatBool(report.Suspect),
+		strconv.FormatUint(uint64(report.Revision), 10),
+	))
 	if len(report.Quarantine) > 0 {
 		h.Set(prefix+headerQuarantine, joinFingerprints(report.Quarantine))
 	}
@@ -61,15 +70,17 @@
 		return fleet.Option[fleet.Report]{}
 	}
 	d := headerDecoder{header: h}
+	own := d.fields(headerLoad, "running", "queued", "slots", "wait", "p95")
+	shared := d.fields(headerReport, "target", "class", "ejected", "suspect", "revision")
 	report := fleet.Report{
-		Target:     fleet.TargetID(d.name(headerTarget)),
-		Class:      d.class(headerClass),
-		Load:       d.load(headerLoad),
-		P95:        d.duration(headerP95, time.Microsecond, maxBaseline),
-		Ejected:    d.boolean(headerEjected),
-		Suspect:    d.boolean(headerSuspect),
-		Wait:       d.duration(headerWait, time.Millisecond, maxRetryAfter),
-		Revision:   fleet.Revision(d.number(headerRevision, 10)),
+		Load:       fleet.Load{InFlight: d.count(own[0]), Queued: d.count(own[1]), Slots: d.count(own[2])},
+		Wait:       d.duration(own[3], time.Millisecond, maxRetryAfter),
+		P95:        d.duration(own[4], time.Microsecond, maxBaseline),
+		Target:     fleet.TargetID(d.name(shared[0])),
+		Class:      d.class(shared[1]),
+		Ejected:    d.boolean(shared[2]),
+		Suspect:    d.boolean(shared[3]),
+		Revision:   fleet.Revision(d.number(shared[4], 10)),
 		Quarantine: d.fingerprints(headerQuarantine),
 	}
 	if d.err != nil {
@@ -78,36 +89,26 @@
 	return fleet.Some(report)
 }
 
-func (d *headerDecoder) load(name string) fleet.Load {
-	fields := strings.Fields(d.name(name))
-	if len(fields) != 3 {
-		d.fail(name, "want three numbers")
-		return fleet.Load{}
-	}
-	var counts [3]int
-	for i, field := range fields {
-		count, err := strconv.Atoi(field)
-		if err != nil || count < 0 || count > maxLoadCount {
-			d.fail(name, "want numbers from 0")
-		}
-		counts[i] = count
+func (d *headerDecoder) count(f field) int {
+	count := d.number(f, 10)
+	if count > maxLoadCount {
+		d.fail(f, fmt.Sprintf("want at most %d", maxLoadCount))
+		return 0
 	}
-	return fleet.Load{InFlight: counts[0], Queued: counts[1], Slots: counts[2]}
+	return int(count)
 }
 
 func (d *headerDecoder) fingerprints(name string) []fleet.Fingerprint {
-	fields := strings.Fields(d.header.Get(name))
-	if len(fields) > maxQuarantine {
-		d.fail(name, "too many fingerprints")
+	header := field{name: name}
+	words := strings.Fields(d.header.Get(name))
+	if len(words) > maxQuarantine {
+		d.fail(header, "too many fingerprints")
 		return nil
 	}
 	var fingerprints []fleet.Fingerprint
-	for _, field := range fields {
-		value, err := strconv.ParseUint(field, 16, 64)
-		if err != nil {
-			d.fail(name, "want hexadecimal numbers")
-		}
-		fingerprints = append(fingerprints, fleet.Fingerprint(value))
+	for _, word := range words {
+		header.value = word
+		fingerprints = append(fingerprints, fleet.Fingerprint(d.number(header, 16)))
 	}
 	return fingerprints
 }
@@ -115,31 +116,38 @@
 // encodeProblem sets the headers of a refusal.
 func encodeProblem(h http.Header, problem fleet.Problem) {
 	h.Set(headerVerdict, problem.Verdict.String())
-	h.Set(headerCause, string(problem.Cause))
-	h.Set(headerDetail, headerText(problem.Detail))
-	if problem.RetryAfter > 0 {
-		h.Set(headerRetryAfter, strconv.FormatInt(problem.RetryAfter.Milliseconds(), 10))
+	h.Set(headerProblem, joinFields(string(problem.Cause), strconv.FormatInt(problem.RetryAfter.Milliseconds(), 10)))
+	if problem.Detail != "" {
+		h.Set(headerDetail, headerText(problem.Detail))
 	}
 }
 
 // decodeProblem reads the headers of a refusal. A duplicate never counts as not run, since the attempt that was seen
 // before may have run.
 func decodeProblem(h http.Header) (fleet.Problem, bool) {
-	cause := fleet.Cause(h.Get(headerCause))
-	if cause == "" {
+	if h.Get(headerProblem) == "" {
 		return fleet.Problem{}, false
 	}
+	d := headerDecoder{header: h}
+	fields := d.fields(headerProblem, "cause", "retry after")
+	cause := fleet.Cause(d.name(fields[0]))
 	problem := fleet.NewProblem(cause, fleet.ParseVerdict(h.Get(headerVerdict)), h.Get(headerDetail))
+	problem = problem.WithRetryAfter(d.duration(fields[1], time.Millisecond, maxRetryAfter))
+	if d.err != nil {
+		return fleet.NewProblem(fleet.Broken, fleet.MayHaveRun, d.err.Error()), true
+	}
 	if cause == fleet.Duplicate {
 		problem.Verdict = fleet.MayHaveRun
 	}
-	if h.Get(headerRetryAfter) != "" {
-		d := headerDecoder{header: h}
-		problem = problem.WithRetryAfter(d.duration(headerRetryAfter, time.Millisecond, maxRetryAfter))
-	}
 	return problem, true
 }
 
+// echoOf returns what an answer says of the attempt that it belongs to: enough to tell it from the others on the
+// connection, and shorter than the id.
+func echoOf(id fleet.AttemptID) string {
+	return strconv.FormatUint(xxhash.Sum64String(string(id))&echoMask, 36)
+}
+
 // headerText makes a detail fit for a header.
 func headerText(detail string) string {
 	clean := strings.Map(func(r rune) rune {
--- a/internal/edge/peer/forwardrun.go
+++ b/internal/edge/peer/forwardrun.go
@@ -92,7 +92,8 @@
 	for name, values := range response.Header {
 		header[name] = values
 	}
-	header.Set(headerAttempt, string(f.run.Attempt.ID))
+	header.Set(headerEcho, echoOf(f.run.Attempt.ID))
+	undated(header)
 	if r.Method == http.MethodHead {
 		// Answers to HEAD cannot have trailers.
 		f.complete(header, "", f.finish(outcome))
--- a/internal/edge/peer/forwardsidecar.go
+++ b/internal/edge/peer/forwardsidecar.go
@@ -142,7 +142,7 @@
 	wire, err := decodeAttempt(r.Header, s.seams.Now())
 	if err != nil {
 		problem := fleet.NewProblem(fleet.BadRequest, fleet.NotRun, err.Error())
-		refuse(w, http.StatusBadRequest, fleet.AttemptID(r.Header.Get(headerAttempt)), problem)
+		refuse(w, http.StatusBadRequest, wire.Attempt.ID, problem)
 		return
 	}
 	s.seams.Post(event.RevisionSeen{From: wire.From, Revision: wire.Revision})
@@ -188,9 +188,17 @@
 	}
 }
 
+// undated keeps the server from adding a date of its own, which no node reads.
+func undated(h http.Header) {
+	if len(h.Values("Date")) == 0 {
+		h["Date"] = nil
+	}
+}
+
 // refuse answers an attempt that has no answer of a target.
 func refuse(w http.ResponseWriter, status int, id fleet.AttemptID, problem fleet.Problem) {
-	w.Header().Set(headerAttempt, string(id))
+	w.Header().Set(headerEcho, echoOf(id))
+	undated(w.Header())
 	encodeProblem(w.Header(), problem)
 	w.WriteHeader(status)
 }
