core/admission, edge/platform: satisfy the linter

Change: the condition and the conversion in the form that the linter asks for; no change of behavior. Conclusion: golangci-lint reports 0 issues.

--- a/internal/core/admission/state.go
+++ b/internal/core/admission/state.go
@@ -121,7 +121,7 @@
 		return fleet.Ejected, true
 	case !attempt.Deadline.After(ctx.Now):
 		return fleet.DeadlinePassed, true
-	case !attempt.Forced && ctx.Suspect(attempt.Target) && !(attempt.Trial && ctx.MayTry(attempt.Target)):
+	case !attempt.Forced && ctx.Suspect(attempt.Target) && (!attempt.Trial || !ctx.MayTry(attempt.Target)):
 		return fleet.Failing, true
 	case attempt.Repeated && !l.repeats.allows(ctx.Now, s.retries, ctx.PoolSize(attempt.Pool), attempt.Idempotent):
 		return fleet.RetryBudget, true
--- a/internal/edge/platform/objects.go
+++ b/internal/edge/platform/objects.go
@@ -124,7 +124,7 @@
 	}
 	listed := make([]Object, 0, len(wire.Objects))
 	for _, w := range wire.Objects {
-		listed = append(listed, Object{Key: w.Key, Version: w.Version, Value: w.Value})
+		listed = append(listed, Object(w))
 	}
 	return listed, nil
 }
