edge/target: free a connection's place after it is idle

Cause: release gave back the place before the connection was in the idle list, so that a request which got the place in between opened one more connection than the target allows. Ruled out: the server counting connections that it had closed; it closes none in this test. Change: the place is given back last.

--- a/internal/edge/target/client_test.go
+++ b/internal/edge/target/client_test.go
@@ -173,7 +173,7 @@
 	is := is.New(t)
 	var opened atomic.Int64
 	server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
-		time.Sleep(10 * time.Millisecond)
+		time.Sleep(time.Millisecond)
 	}))
 	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
 		if state == http.StateNew {
@@ -183,14 +183,17 @@
 	server.Start()
 	defer server.Close()
 	client, run := newClient(), runOf(server.Listener.Addr().String(), 5*time.Second)
-	var wait sync.WaitGroup
-	for range 20 {
-		wait.Go(func() {
-			_, err := send(t.Context(), client, run, httptest.NewRequest(http.MethodGet, "/", nil))
-			is.NoErr(err)
-		})
+	// Many rounds, since a request must meet the moment at which another one gives its connection back.
+	for range 50 {
+		var wait sync.WaitGroup
+		for range 20 {
+			wait.Go(func() {
+				_, err := send(t.Context(), client, run, httptest.NewRequest(http.MethodGet, "/", nil))
+				is.NoErr(err)
+			})
+		}
+		wait.Wait()
 	}
-	wait.Wait()
 	is.True(opened.Load() <= int64(run.Connections)) // connections are kept alive and bounded
 }
 
--- a/internal/edge/target/endpoint.go
+++ b/internal/edge/target/endpoint.go
@@ -93,9 +93,10 @@
 	return c
 }
 
-// release gives a connection back after its response. One that is not to be used again is closed.
+// release gives a connection back after its response. One that is not to be used again is closed. Its place becomes free
+// last: a request that gets the place sooner finds no idle connection and opens one more than the target allows.
 func (e *endpoint) release(c *conn, reusable bool) {
-	<-e.places
+	defer func() { <-e.places }()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if !reusable || e.closed {
