edge/platform: one transport for both encodings of the object API

Cause: only the client of the users' platform found silent connections, after 4 s; the client of the stand-in used a default transport, on which a watch could stay silent for half a minute.

--- a/internal/process/node/app.go
+++ b/internal/process/node/app.go
@@ -54,7 +54,7 @@
 		Callers:       caller.NewProtocol(),
 		Targets:       target.NewProtocol(),
 		Announcements: target.NewAnnouncements(),
-		Store:         platform.NewStore(s.Platform, &http.Client{}),
+		Store:         platform.NewStore(s.Platform, &http.Client{Transport: platform.NewTransport()}),
 	}
 }
 
