node: take in changed settings on SIGHUP and without a signal; ready only with tables

A changed settings file had no effect. A node without tables counted as ready. Change: a watch reads the file on SIGHUP and every 2 s, and posts it as an event. The reducer brings the retry budget, the grace of a stop, the log level and the size limits into force and names in one log line what changed and what needs a new process; a bad file is rejected with every problem and changes nothing. Readiness is an effect of the reducer: with the first tables, and no longer once the node is asked to stop. `jayfold check-settings FILE ...` prints every problem.

--- /dev/null
+++ b/cmd/jayfold/checksettings.go
@@ -0,0 +1,27 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"jayfold.dev/jayfold/internal/process/settings"
+)
+
+// checkSettingsCommand checks settings files as a node does at its start.
+type checkSettingsCommand struct {
+	Files []string `arg:"" type:"path" help:"Settings files."`
+}
+
+// Run implements the command.
+func (c *checkSettingsCommand) Run() error {
+	var problems []error
+	for _, file := range c.Files {
+		if _, err := settings.Load(file); err != nil {
+			problems = append(problems, err)
+			continue
+		}
+		fmt.Fprintln(os.Stdout, file+": no problems")
+	}
+	return errors.Join(problems...)
+}
--- a/cmd/jayfold/main.go
+++ b/cmd/jayfold/main.go
@@ -4,6 +4,7 @@
 //
 //	jayfold node --settings settings.jsonc
 //	jayfold tables check|show|diff|apply ...
+//	jayfold check-settings settings.jsonc ...
 //	jayfold status --node 127.0.0.1:8084
 //	jayfold version
 package main
@@ -17,10 +18,11 @@
 
 // commands are the commands of the program.
 type commands struct {
-	Node    nodeCommand    `cmd:"" help:"Run a node."`
-	Tables  tablesCommand  `cmd:"" help:"Check, show, compare and apply the routes and pools tables."`
-	Status  statusCommand  `cmd:"" help:"Show a node's view of the fleet."`
-	Version versionCommand `cmd:"" help:"Print the version."`
+	Node    nodeCommand          `cmd:"" help:"Run a node."`
+	Tables  tablesCommand        `cmd:"" help:"Check, show, compare and apply the routes and pools tables."`
+	Check   checkSettingsCommand `cmd:"" name:"check-settings" help:"Check settings files and print every problem."`
+	Status  statusCommand        `cmd:"" help:"Show a node's view of the fleet."`
+	Version versionCommand       `cmd:"" help:"Print the version."`
 }
 
 func main() {
--- a/cmd/jayfold/node.go
+++ b/cmd/jayfold/node.go
@@ -16,9 +16,7 @@
 
 // Run implements the command.
 func (c *nodeCommand) Run() error {
-	s, err := settings.Load(c.Settings)
-	if err != nil {
-		return err
-	}
-	return node.Run(node.New(s, node.NewSeams(s, logfmt.New(os.Stderr))))
+	return node.Run(c.Settings, func(s settings.Settings) node.Seams {
+		return node.NewSeams(s, logfmt.New(os.Stderr))
+	})
 }
--- a/internal/core/admission/budget.go
+++ b/internal/core/admission/budget.go
@@ -1,16 +1,10 @@
 package admission
 
-import "time"
+import (
+	"time"
 
-// Retries bound the repeated attempts at one pool: within any Window there are at most Ratio times the pool's requests and
-// Slack more. The sidecar of each target keeps to the part for the requests that reach it and to an equal part of the
-// slack. All requests pass the sidecars, and there are far fewer of them before a pool than there are ingresses, so that
-// the budget holds without a word between nodes and little of it lies where it is not needed.
-type Retries struct {
-	Ratio  float64
-	Window time.Duration
-	Slack  float64
-}
+	"jayfold.dev/jayfold/internal/core/fleet"
+)
 
 const (
 	// budgetSteps divide the window, so that old requests are forgotten a step at a time.
@@ -44,7 +38,7 @@
 }
 
 // counted returns the budget after an attempt that starts.
-func (b budget) counted(now time.Time, r Retries, repeated bool) budget {
+func (b budget) counted(now time.Time, r fleet.Retries, repeated bool) budget {
 	b = b.at(now, r.Window)
 	step := &b.steps[b.current%budgetSteps]
 	if repeated {
@@ -56,7 +50,7 @@
 }
 
 // allows reports whether one more repeated attempt may start on one of the given number of targets of the pool.
-func (b budget) allows(now time.Time, r Retries, targets int, idempotent bool) bool {
+func (b budget) allows(now time.Time, r fleet.Retries, targets int, idempotent bool) bool {
 	part := orderPart
 	if idempotent {
 		part = lookupPart
--- a/internal/core/admission/state.go
+++ b/internal/core/admission/state.go
@@ -26,7 +26,7 @@
 // State is what the sidecar knows of the targets on its host.
 type State struct {
 	self    fleet.NodeID
-	retries Retries
+	retries fleet.Retries
 	targets fleet.Map[fleet.TargetID, local]
 	running fleet.Map[fleet.AttemptID, Run]
 	// waiting gives the place of each queued attempt.
@@ -79,10 +79,16 @@
 }
 
 // New returns the state of the sidecar of the given node.
-func New(self fleet.NodeID, retries Retries) State {
+func New(self fleet.NodeID, retries fleet.Retries) State {
 	return State{self: self, retries: retries}
 }
 
+// WithRetries returns the state under another retry budget.
+func (s State) WithRetries(r fleet.Retries) State {
+	s.retries = r
+	return s
+}
+
 // Asked decides on an attempt.
 func (s State) Asked(ctx Context, attempt fleet.Attempt) (State, []effect.Effect) {
 	if started, ok := s.seen.get(attempt.ID); ok {
--- a/internal/core/admission/state_test.go
+++ b/internal/core/admission/state_test.go
@@ -28,7 +28,7 @@
 
 // testRetries leave each of two targets eight repeated attempts and a tenth of its requests within the window, of which
 // half are used.
-var testRetries = admission.Retries{Ratio: 0.1, Window: 10 * time.Second, Slack: 16}
+var testRetries = fleet.Retries{Ratio: 0.1, Window: 10 * time.Second, Slack: 16}
 
 func newRig() *rig {
 	return &rig{state: admission.New("n1", testRetries), now: time.Unix(1000, 0)}
--- a/internal/core/effect/effect.go
+++ b/internal/core/effect/effect.go
@@ -86,6 +86,18 @@
 	Tables fleet.Tables
 }
 
+// UseSettings gives the edges the settings in force.
+type UseSettings struct {
+	Settings fleet.Settings
+}
+
+// UseReadiness says whether callers should use this node. One that has no tables yet could not serve them.
+type UseReadiness struct {
+	Ready bool
+	// Leaving means that the node is about to stop and that connections of callers should end with their next answer.
+	Leaving bool
+}
+
 // CloseCallers takes no new request of callers; those in flight finish. Event: event.CallersClosed.
 type CloseCallers struct{}
 
@@ -108,6 +120,8 @@
 func (ReportRun) isEffect()     {}
 func (Send) isEffect()          {}
 func (UseTables) isEffect()     {}
+func (UseSettings) isEffect()   {}
+func (UseReadiness) isEffect()  {}
 func (CloseCallers) isEffect()  {}
 func (Stop) isEffect()          {}
 func (ShowStatus) isEffect()    {}
--- a/internal/core/node/platform.go
+++ b/internal/core/node/platform.go
@@ -31,5 +31,8 @@
 	if s.Revision() != before {
 		effects = append(effects, effect.UseTables{Tables: s.tables.Current()})
 	}
+	if before == 0 && s.Revision() != 0 && !s.shutdown.begun() {
+		effects = append(effects, effect.UseReadiness{Ready: true})
+	}
 	return s, effects
 }
--- /dev/null
+++ b/internal/core/node/settings.go
@@ -0,0 +1,50 @@
+package node
+
+import (
+	"strings"
+	"time"
+
+	"jayfold.dev/jayfold/internal/core/effect"
+	"jayfold.dev/jayfold/internal/core/event"
+	"jayfold.dev/jayfold/internal/core/fleet"
+)
+
+// DefaultSettings returns the settings of a node whose operator sets none: repeated attempts at a pool are at most a tenth
+// of its requests and sixty more within ten seconds, and a stop waits for the longest deadline of a route.
+func DefaultSettings() fleet.Settings {
+	return fleet.Settings{
+		Retries:  fleet.Retries{Ratio: 0.1, Window: 10 * time.Second, Slack: 60},
+		Grace:    75 * time.Second,
+		LogLevel: "info",
+		Limits: fleet.Limits{
+			HeaderBytes: 64 << 10,
+			BodyBytes:   1 << 20,
+			HeaderTime:  5 * time.Second,
+		},
+	}
+}
+
+// settingsRead brings settings into force. Requests in flight keep those under which they came.
+func (s State) settingsRead(body event.SettingsRead) (State, []effect.Effect) {
+	s.admission = s.admission.WithRetries(body.Settings.Retries)
+	s.shutdown = s.shutdown.withGrace(body.Settings.Grace)
+	line := effect.Log{Level: effect.Info, Part: "settings", Text: "taken in", Fields: []effect.Field{
+		{Name: "Cause", Value: body.Cause},
+		{Name: "Changed", Value: strings.Join(body.Changed, " ")},
+	}}
+	if len(body.NextStart) > 0 {
+		line.Level = effect.Warn
+		line.Fields = append(line.Fields, effect.Field{Name: "NextStart", Value: strings.Join(body.NextStart, " ")})
+	}
+	return s, []effect.Effect{effect.UseSettings{Settings: body.Settings}, line}
+}
+
+// settingsRejected keeps the settings in force.
+func (s State) settingsRejected(body event.SettingsRejected) (State, []effect.Effect) {
+	return s, []effect.Effect{effect.Log{
+		Level: effect.Failure, Part: "settings", Text: "rejected, those in force stay", Fields: []effect.Field{
+			{Name: "Cause", Value: body.Cause},
+			{Name: "Error", Value: body.Detail},
+		},
+	}}
+}
--- /dev/null
+++ b/internal/core/node/settings_test.go
@@ -0,0 +1,63 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jayfold.dev/jayfold/internal/core/effect"
+	"jayfold.dev/jayfold/internal/core/event"
+	"jayfold.dev/jayfold/internal/core/fleet"
+	"jayfold.dev/jayfold/internal/core/routing"
+)
+
+// TestSettings guards against settings that are read again and have no effect, or that are in effect although they were
+// rejected.
+func TestSettings(t *testing.T) {
+	start := New(fleet.Member{Node: "n"}, DefaultSettings())
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	changed := DefaultSettings()
+	changed.Grace = 6 * time.Second
+
+	t.Run("valid settings take effect", func(t *testing.T) {
+		is := is.New(t)
+		next, effects := start.Reduce(event.Event{At: now, Body: event.SettingsRead{Settings: changed}})
+		is.Equal(next.shutdown.grace, 6*time.Second)
+		is.Equal(effects[0], effect.UseSettings{Settings: changed})
+	})
+	t.Run("a stop in progress keeps its grace", func(t *testing.T) {
+		leaving, _ := start.Reduce(event.Event{At: now, Body: event.ShutdownStarted{}})
+		next, _ := leaving.Reduce(event.Event{At: now, Body: event.SettingsRead{Settings: changed}})
+		is.New(t).Equal(next.shutdown.grace, DefaultSettings().Grace)
+	})
+	t.Run("rejected settings change nothing and are logged", func(t *testing.T) {
+		is := is.New(t)
+		next, effects := start.Reduce(event.Event{At: now, Body: event.SettingsRejected{Detail: "bad"}})
+		is.Equal(next.shutdown.grace, start.shutdown.grace)
+		is.Equal(len(effects), 1)
+		is.Equal(effects[0].(effect.Log).Level, effect.Failure)
+	})
+}
+
+// TestReadiness guards against callers that are sent to a node which has no tables yet or is about to stop.
+func TestReadiness(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	start := New(fleet.Member{Node: "n"}, DefaultSettings())
+	decoded := func(r fleet.Revision) event.Event {
+		return event.Event{At: now, Body: event.TablesDecoded{Tables: fleet.Tables{Revision: r}, Router: routing.Router{}}}
+	}
+
+	t.Run("with the first tables only", func(t *testing.T) {
+		state, effects := start.Reduce(decoded(1))
+		has(is.New(t), effects, effect.UseReadiness{Ready: true}, true)
+		_, effects = state.Reduce(decoded(2))
+		has(is.New(t), effects, effect.UseReadiness{Ready: true}, false)
+	})
+	t.Run("no longer once the node is asked to stop", func(t *testing.T) {
+		state, effects := start.Reduce(event.Event{At: now, Body: event.ShutdownStarted{}})
+		has(is.New(t), effects, effect.UseReadiness{Leaving: true}, true)
+		_, effects = state.Reduce(decoded(1))
+		has(is.New(t), effects, effect.UseReadiness{Ready: true}, false)
+	})
+}
--- a/internal/core/node/shutdown.go
+++ b/internal/core/node/shutdown.go
@@ -48,10 +48,19 @@
 	s.admission, refused = s.admission.Drained(ev.At)
 	s.ejection, released = s.ejection.Drained(s.ejectionContext(ev))
 	s.membership, left = s.membership.Left()
-	effects := append(s.completeReports(ev.At, refused), released...)
+	effects := append([]effect.Effect{effect.UseReadiness{Leaving: true}}, s.completeReports(ev.At, refused)...)
+	effects = append(effects, released...)
 	return s, append(effects, left...)
 }
 
+// withGrace returns the shutdown under another grace. A stop in progress keeps its own.
+func (sd shutdown) withGrace(grace time.Duration) shutdown {
+	if !sd.begun() {
+		sd.grace = grace
+	}
+	return sd
+}
+
 // callersClosed takes in that no request of a caller can come any more.
 func (sd shutdown) callersClosed() shutdown {
 	sd.closed = true
--- a/internal/core/node/state.go
+++ b/internal/core/node/state.go
@@ -10,8 +10,6 @@
 package node
 
 import (
-	"time"
-
 	"jayfold.dev/jayfold/internal/core/admission"
 	"jayfold.dev/jayfold/internal/core/attempt"
 	"jayfold.dev/jayfold/internal/core/detection"
@@ -42,24 +40,8 @@
 	shutdown   shutdown
 }
 
-// Settings are what the decisions of a node depend on beside the tables.
-type Settings struct {
-	Retries admission.Retries
-	// Grace is the time from the request to stop until the process is ended by force.
-	Grace time.Duration
-}
-
-// DefaultSettings returns the settings of a node whose operator sets none: repeated attempts at a pool are at most a tenth
-// of its requests and sixty more within ten seconds, and a stop waits for the longest deadline of a route.
-func DefaultSettings() Settings {
-	return Settings{
-		Retries: admission.Retries{Ratio: 0.1, Window: 10 * time.Second, Slack: 60},
-		Grace:   75 * time.Second,
-	}
-}
-
 // New returns the state of a node that has just started with the given member record.
-func New(self fleet.Member, settings Settings) State {
+func New(self fleet.Member, settings fleet.Settings) State {
 	return State{
 		attempts:   attempt.New(self.AvailabilityZone),
 		admission:  admission.New(self.Node, settings.Retries),
@@ -112,11 +94,6 @@
 		return s.tick(ev)
 	case event.RequestsDue:
 		return s.requestsDue(ev)
-	case event.ShutdownStarted:
-		return s.shutdownStarted(ev)
-	case event.CallersClosed:
-		s.shutdown = s.shutdown.callersClosed()
-		return s, nil
 	case event.RequestArrived:
 		return s.requestArrived(ev, body)
 	case event.RequestCanceled:
@@ -143,6 +120,23 @@
 		return s.sendFailed(body)
 	case event.RevisionSeen:
 		return s.revisionSeen(ev, body)
+	default:
+		return s.dispatchProcess(ev)
+	}
+}
+
+// dispatchProcess hands an event that concerns the process itself to its concern. All others come from the platform.
+func (s State) dispatchProcess(ev event.Event) (State, []effect.Effect) {
+	switch body := ev.Body.(type) {
+	case event.ShutdownStarted:
+		return s.shutdownStarted(ev)
+	case event.CallersClosed:
+		s.shutdown = s.shutdown.callersClosed()
+		return s, nil
+	case event.SettingsRead:
+		return s.settingsRead(body)
+	case event.SettingsRejected:
+		return s.settingsRejected(body)
 	case event.StatusAsked:
 		return s, []effect.Effect{effect.ShowStatus{Query: body.Query, Status: s.Status(ev.At)}}
 	default:
--- a/internal/edge/caller/server.go
+++ b/internal/edge/caller/server.go
@@ -34,14 +34,14 @@
 	effectsPerRequest = 64
 	// idleTimeout closes connections of callers that send nothing.
 	idleTimeout = 2 * time.Minute
-	// readyPath answers 200 while callers should use this node and 503 once it is leaving.
+	// readyPath answers 200 while callers should use this node and 503 while it has no tables and once it is leaving.
 	readyPath = "/jayfold/v1/ready"
 )
 
 // Settings are what a Server is made with.
 type Settings struct {
 	Protocol Protocol
-	// Limits hold where the tables set none.
+	// Limits hold where the tables set none, until UseDefaults.
 	Limits fleet.Limits
 	// BodyTime bounds the time in which a request's body must come.
 	BodyTime time.Duration
@@ -61,27 +61,29 @@
 // Server takes the requests of callers.
 type Server struct {
 	protocol Protocol
-	limits   fleet.Limits
 	bodyTime time.Duration
 	seams    Seams
 	http     *http.Server
-	leaving  atomic.Bool
-	// inForce holds the limits of the tables in force.
-	inForce atomic.Pointer[fleet.Limits]
-	mu      sync.Mutex
-	waiting map[fleet.RequestID]chan effect.Effect
+	// ready means that callers should use this node, leaving that it is about to stop.
+	ready   atomic.Bool
+	leaving atomic.Bool
+	// inForce holds the limits of the tables in force, defaults those that hold where the tables set none.
+	inForce  atomic.Pointer[fleet.Limits]
+	defaults atomic.Pointer[fleet.Limits]
+	mu       sync.Mutex
+	waiting  map[fleet.RequestID]chan effect.Effect
 }
 
 // New returns a server that does not listen yet.
 func New(settings Settings, seams Seams) *Server {
 	s := &Server{
 		protocol: settings.Protocol,
-		limits:   settings.Limits,
 		bodyTime: settings.BodyTime,
 		seams:    seams,
 		waiting:  make(map[fleet.RequestID]chan effect.Effect),
 	}
 	s.inForce.Store(&fleet.Limits{})
+	s.defaults.Store(&settings.Limits)
 	router := mux.NewRouter().SkipClean(true).UseEncodedPath()
 	router.HandleFunc(readyPath, s.Ready).Methods(http.MethodGet, http.MethodHead)
 	router.MatcherFunc(anything).HandlerFunc(s.serve)
@@ -103,18 +105,21 @@
 // Serve takes connections from listener until Shutdown. It returns http.ErrServerClosed then.
 func (s *Server) Serve(listener net.Listener) error { return s.http.Serve(listener) }
 
-// Leave makes the ready path answer that callers should use another node.
-func (s *Server) Leave() { s.leaving.Store(true) }
-
 // Shutdown takes no new connection and waits for the requests in flight until ctx ends.
 func (s *Server) Shutdown(ctx context.Context) error {
-	s.Leave()
+	s.leaving.Store(true)
 	return s.http.Shutdown(ctx)
 }
 
+// UseReadiness carries out effect.UseReadiness.
+func (s *Server) UseReadiness(e effect.UseReadiness) {
+	s.ready.Store(e.Ready)
+	s.leaving.Store(e.Leaving)
+}
+
 // Ready answers whether callers should use this node.
 func (s *Server) Ready(w http.ResponseWriter, _ *http.Request) {
-	if s.leaving.Load() {
+	if !s.ready.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
@@ -144,7 +149,10 @@
 // UseLimits brings the limits of the tables in force into effect for the requests that follow.
 func (s *Server) UseLimits(limits fleet.Limits) { s.inForce.Store(&limits) }
 
-func (s *Server) limitsInForce() fleet.Limits { return s.inForce.Load().Or(s.limits) }
+// UseDefaults brings limits into effect that hold where the tables set none.
+func (s *Server) UseDefaults(limits fleet.Limits) { s.defaults.Store(&limits) }
+
+func (s *Server) limitsInForce() fleet.Limits { return s.inForce.Load().Or(*s.defaults.Load()) }
 
 // register makes a request known to the methods that carry out effects. A request without an id, or with that of a
 // request in flight, gets a new one, so that no two share their effects.
--- a/internal/process/node/app.go
+++ b/internal/process/node/app.go
@@ -17,7 +17,6 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/apex/log/handlers/level"
 	"go.uber.org/fx"
 
 	"jayfold.dev/jayfold/internal/core/event"
@@ -60,12 +59,13 @@
 
 // New returns the application of a node. It listens once it is started.
 func New(s settings.Settings, seams Seams) *fx.App {
-	seams.Log = filtered(seams.Log, s.LogLevel)
+	lines := newLeveled(seams.Log, s.LogLevel)
+	seams.Log = lines
 	return fx.New(
 		fx.NopLogger,
 		fx.StartTimeout(startTimeout),
 		fx.StopTimeout(s.StopGrace),
-		fx.Supply(s, seams),
+		fx.Supply(s, seams, lines),
 		fx.Provide(
 			newDispatcher,
 			newLoop,
@@ -77,24 +77,16 @@
 			newTargetClient,
 			newPlatform,
 			newOperator,
+			newWatch,
 		),
 		fx.Invoke(connect, serve),
 	)
 }
 
-// filtered returns a handler that drops the lines below a level; empty means info.
-func filtered(handler log.Handler, lowest string) log.Handler {
-	parsed, err := log.ParseLevel(lowest)
-	if err != nil {
-		parsed = log.InfoLevel
-	}
-	return level.New(handler, parsed)
-}
-
 // newLoop starts the life of the node: its incarnation is the time of the start.
 func newLoop(s settings.Settings, d *dispatcher) *control.Loop {
 	incarnation := fleet.Incarnation(time.Now().UnixMilli())
-	return control.New(node.New(s.Member(incarnation), s.Decisions()), control.Seams{
+	return control.New(node.New(s.Member(incarnation), s.Live()), control.Seams{
 		Now:      time.Now,
 		Random:   rand.Uint64,
 		Dispatch: d.dispatch,
@@ -102,15 +94,7 @@
 }
 
 func newCallers(s settings.Settings, seams Seams, loop *control.Loop, forwarder *peer.Forwarder) *caller.Server {
-	settings := caller.Settings{
-		Protocol: seams.Callers,
-		Limits: fleet.Limits{
-			HeaderBytes: s.Limits.MaxHeaderBytes,
-			BodyBytes:   s.Limits.MaxBodyBytes,
-			HeaderTime:  s.Limits.HeaderTimeout,
-		},
-		BodyTime: s.Limits.BodyTimeout,
-	}
+	settings := caller.Settings{Protocol: seams.Callers, Limits: s.Live().Limits, BodyTime: s.Limits.BodyTimeout}
 	return caller.New(settings, caller.Seams{
 		Now:       time.Now,
 		RequestID: caller.RandomRequestID,
@@ -160,10 +144,14 @@
 	})
 }
 
+func newWatch(s settings.Settings, loop *control.Loop) *settings.Watch {
+	return settings.NewWatch(s, settings.WatchSeams{Post: loop.Post})
+}
+
 // connect gives the dispatcher the edges that carry out effects.
 func connect(
 	d *dispatcher, loop *control.Loop, callers *caller.Server, sidecar *peer.Sidecar, messenger *peer.Messenger,
-	client *platform.Client, op *operator.Operator,
+	client *platform.Client, op *operator.Operator, lines *leveled,
 ) {
 	d.post = loop.Post
 	d.callers = callers
@@ -171,6 +159,7 @@
 	d.messenger = messenger
 	d.platform = client
 	d.operator = op
+	d.log = lines
 }
 
 // leave tells the control loop to stop and waits until nothing is in flight.
--- a/internal/process/node/dispatch.go
+++ b/internal/process/node/dispatch.go
@@ -21,6 +21,7 @@
 	messenger *peer.Messenger
 	platform  *platform.Client
 	operator  *operator.Operator
+	log       *leveled
 	post      func(event.Body)
 	tables    atomic.Pointer[fleet.Tables]
 	stopped   chan struct{}
@@ -35,6 +36,11 @@
 	case effect.UseTables:
 		d.tables.Store(&e.Tables)
 		d.callers.UseLimits(e.Tables.Limits)
+	case effect.UseSettings:
+		d.callers.UseDefaults(e.Settings.Limits)
+		d.log.use(e.Settings.LogLevel)
+	case effect.UseReadiness:
+		d.callers.UseReadiness(e)
 	case effect.CloseCallers:
 		go d.closeCallers()
 	case effect.Stop:
--- a/internal/process/node/run.go
+++ b/internal/process/node/run.go
@@ -6,16 +6,23 @@
 	"os/signal"
 	"syscall"
 
-	"go.uber.org/fx"
+	"jayfold.dev/jayfold/internal/process/settings"
 )
 
-// Run runs a node until SIGTERM or SIGINT and stops it gracefully.
-func Run(app *fx.App) error {
+// Run runs a node with the settings of a file until SIGTERM or SIGINT and stops it gracefully.
+func Run(path string, seams func(settings.Settings) Seams) error {
+	// From here on a SIGHUP no longer ends the process; the watch of the settings takes the later ones.
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	s, err := settings.Load(path)
+	if err != nil {
+		return err
+	}
+	app := New(s, seams(s))
 	if err := app.Err(); err != nil {
 		return err
 	}
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	start, cancel := context.WithTimeout(context.Background(), app.StartTimeout())
 	defer cancel()
 	if err := app.Start(start); err != nil {
--- a/internal/process/node/serve.go
+++ b/internal/process/node/serve.go
@@ -36,6 +36,7 @@
 	Targets   *target.Server
 	Platform  *platform.Client
 	Operator  *operator.Operator
+	Watch     *settings.Watch
 }
 
 // listener is one address and what serves it.
@@ -69,11 +70,11 @@
 			}
 			s.Operator.Observe(lifecycle(effect.Info, "started", s.Settings))
 			go s.Loop.Run(ctx)
+			go s.Watch.Run(ctx)
 			return nil
 		},
 		OnStop: func(stop context.Context) error {
 			s.Operator.Observe(lifecycle(effect.Info, "stopping", s.Settings))
-			s.Callers.Leave()
 			err := leave(stop, s.Loop, s.Dispatch)
 			s.Operator.Observe(stopped(s.Settings, err))
 			_ = forward.Shutdown(stop)
--- a/internal/process/settings/draft.go
+++ b/internal/process/settings/draft.go
@@ -7,7 +7,7 @@
 	"regexp"
 	"time"
 
-	"jayfold.dev/jayfold/internal/core/admission"
+	"jayfold.dev/jayfold/internal/core/fleet"
 	"jayfold.dev/jayfold/internal/edge/configfile"
 )
 
@@ -79,7 +79,7 @@
 	}
 }
 
-func retries(r *admission.Retries) []configfile.Field {
+func retries(r *fleet.Retries) []configfile.Field {
 	return []configfile.Field{
 		configfile.Optional("Ratio", configfile.Float(&r.Ratio, 0, mostRetryRatio)),
 		configfile.Optional("Window", configfile.Duration(&r.Window, shortestRetryWindow, longestRetryWindow)),
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -28,14 +28,17 @@
 	"os"
 	"time"
 
-	"jayfold.dev/jayfold/internal/core/admission"
 	"jayfold.dev/jayfold/internal/core/fleet"
 	"jayfold.dev/jayfold/internal/core/node"
 	"jayfold.dev/jayfold/internal/edge/configfile"
 )
 
-// Settings are what a process learns at its start and keeps until its end.
+// Settings are what a process learns from its settings file.
 type Settings struct {
+	// Path is the file; empty for settings that came from none.
+	Path    string
+	content []byte
+
 	Node             fleet.NodeID
 	AvailabilityZone fleet.AvailabilityZone
 	// Host is the address under which other nodes reach this host.
@@ -47,7 +50,7 @@
 	Platform string
 	// DefaultCaller is the client account of requests that name none.
 	DefaultCaller fleet.Caller
-	Retries       admission.Retries
+	Retries       fleet.Retries
 	// StopGrace is the time from SIGTERM until the process is ended by force.
 	StopGrace time.Duration
 	// LogLevel is the lowest level of the lines that are written: debug, info, warn or error.
@@ -129,9 +132,18 @@
 	}
 }
 
-// Decisions returns what the decisions of the node depend on.
-func (s Settings) Decisions() node.Settings {
-	return node.Settings{Retries: s.Retries, Grace: s.StopGrace}
+// Live returns the settings that may change while the node runs.
+func (s Settings) Live() fleet.Settings {
+	return fleet.Settings{
+		Retries:  s.Retries,
+		Grace:    s.StopGrace,
+		LogLevel: s.LogLevel,
+		Limits: fleet.Limits{
+			HeaderBytes: s.Limits.MaxHeaderBytes,
+			BodyBytes:   s.Limits.MaxBodyBytes,
+			HeaderTime:  s.Limits.HeaderTimeout,
+		},
+	}
 }
 
 // Load reads and checks the settings file at path.
@@ -140,7 +152,12 @@
 	if err != nil {
 		return Settings{}, err
 	}
-	return Parse(path, content)
+	s, err := Parse(path, content)
+	if err != nil {
+		return Settings{}, err
+	}
+	s.Path, s.content = path, content
+	return s, nil
 }
 
 // Parse reads and checks the content of a settings file.
--- /dev/null
+++ b/internal/process/settings/watch_test.go
@@ -0,0 +1,81 @@
+package settings
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"jayfold.dev/jayfold/internal/core/event"
+)
+
+const watched = `{"Node": "n", "AvailabilityZone": "z", "Host": "10.0.0.1", "Platform": "http://10.0.0.9:1",
+	"Listen": {"Callers": "10.0.0.1:1", "Targets": "10.0.0.1:2", "Peers": "10.0.0.1:3", "Forward": "10.0.0.1:4",
+	"Operators": "10.0.0.1:5"}, "StopGrace": "6s"}`
+
+// assertLook checks what one look at a file posts: content is what the file holds by then.
+func assertLook(t *testing.T, w *Watch, cause, content string, want event.Body) {
+	t.Helper()
+	w.seams.Read = func(string) ([]byte, error) {
+		if content == "" {
+			return nil, errors.New("no such file")
+		}
+		return []byte(content), nil
+	}
+	var posted event.Body
+	w.seams.Post = func(body event.Body) { posted = body }
+	w.look(cause)
+	if rejected, ok := posted.(event.SettingsRejected); ok && rejected.Detail != "" {
+		rejected.Detail = ""
+		posted = rejected
+	}
+	is.New(t).Equal(posted, want)
+}
+
+// TestWatch guards against a changed settings file that has no effect, is told again and again, or ends the node.
+func TestWatch(t *testing.T) {
+	start := func(t *testing.T) *Watch {
+		t.Helper()
+		s, err := Parse("s", []byte(watched))
+		is.New(t).NoErr(err)
+		s.Path, s.content = "s", []byte(watched)
+		return NewWatch(s, WatchSeams{})
+	}
+	read := func(t *testing.T, cause, content string, live, nextStart []string) event.Body {
+		t.Helper()
+		s, err := Parse("s", []byte(content))
+		is.New(t).NoErr(err)
+		return event.SettingsRead{Cause: cause, Settings: s.Live(), Changed: live, NextStart: nextStart}
+	}
+	shorter := strings.Replace(watched, "6s", "5s", 1)
+	elsewhere := strings.Replace(shorter, `"z"`, `"y"`, 1)
+
+	t.Run("an unchanged file is told after a signal only", func(t *testing.T) {
+		w := start(t)
+		assertLook(t, w, causeFile, watched, nil)
+		assertLook(t, w, causeSignal, watched, read(t, causeSignal, watched, nil, nil))
+	})
+	t.Run("a change without a signal is told once", func(t *testing.T) {
+		w := start(t)
+		assertLook(t, w, causeFile, shorter, read(t, causeFile, shorter, []string{"StopGrace"}, nil))
+		assertLook(t, w, causeFile, shorter, nil)
+	})
+	t.Run("what needs a new process is named", func(t *testing.T) {
+		w := start(t)
+		assertLook(t, w, causeSignal, elsewhere,
+			read(t, causeSignal, elsewhere, []string{"StopGrace"}, []string{"AvailabilityZone"}))
+	})
+	t.Run("a bad file is rejected once and the next good one taken in", func(t *testing.T) {
+		w := start(t)
+		assertLook(t, w, causeFile, "{", event.SettingsRejected{Cause: causeFile})
+		assertLook(t, w, causeFile, "{", nil)
+		assertLook(t, w, causeFile, shorter, read(t, causeFile, shorter, []string{"StopGrace"}, nil))
+	})
+	t.Run("a file that is missing for a moment is looked for again", func(t *testing.T) {
+		w := start(t)
+		assertLook(t, w, causeFile, "", nil)
+		assertLook(t, w, causeSignal, "", event.SettingsRejected{Cause: causeSignal})
+		assertLook(t, w, causeFile, shorter, read(t, causeFile, shorter, []string{"StopGrace"}, nil))
+	})
+}
--- a/test/scenario/scenario_test.go
+++ b/test/scenario/scenario_test.go
@@ -79,6 +79,7 @@
 			"sigstop":    signal(syscall.SIGSTOP),
 			"sigcont":    signal(syscall.SIGCONT),
 			"sigterm":    signal(syscall.SIGTERM),
+			"sighup":     signal(syscall.SIGHUP),
 			"waitfor":    waitFor,
 			"get":        request("GET"),
 			"post":       request("POST"),
