admission: order heartbeats by the start of their process and their sequence

Cause: read from the code. Sequence and start of a heartbeat were decoded and used by no decision: a heartbeat that was held up brought back a target 3 s after it drained or left, an old process displaced its successor, and a heartbeat of a target whose address had gone to another one made a second target of the same process. Change: core/admission/order.go decides what was overtaken, and remembers departures for 30 s where heartbeats have an order. The owner of an address is the process that started last. A line of the log tells each heartbeat that is ignored.

--- a/internal/core/admission/heartbeat.go
+++ b/internal/core/admission/heartbeat.go
@@ -23,21 +23,15 @@
 	Crash fleet.Option[Crash]
 }
 
-// departure records that a target announced that it leaves.
-type departure struct {
-	instance string
-	at       time.Time
-}
-
 // Announced records a heartbeat of a target.
 func (s State) Announced(ctx Context, a fleet.Announcement) (State, []effect.Effect, Change) {
 	id := fleet.NewTargetID(s.self, a.Name)
-	if a.State == fleet.Ready && s.leftLately(ctx.Now, id, a.Instance) {
-		return s, nil, Change{Target: id}
+	if s.outdated(ctx.Now, id, a) {
+		return s, []effect.Effect{heartbeatIgnored(id, a)}, Change{Target: id}
 	}
 	l, known := s.targets.Get(id)
 	change := Change{Target: id, Fresh: !known || l.announcement.Instance != a.Instance}
-	var effects []effect.Effect
+	s, effects := s.displaced(ctx.Now, id, a)
 	if change.Fresh {
 		s, change.Crash = s.replaced(ctx.Now, id, l, a)
 		l = s.started(ctx.Now, id, l, a)
@@ -49,7 +43,7 @@
 	s.targets = s.targets.With(id, l.warmed(ctx.Now))
 	var more []effect.Effect
 	if a.State == fleet.TargetDraining {
-		s.departed = s.departed.With(id, departure{instance: a.Instance, at: ctx.Now})
+		s.departed = s.departed.With(id, departure{instance: a.Instance, started: a.Started, at: ctx.Now})
 		s, more = s.flush(ctx.Now, id, fleet.Draining)
 	} else {
 		s, more = s.startWaiting(ctx, id)
@@ -57,13 +51,6 @@
 	return s, append(effects, more...), change
 }
 
-// leftLately reports whether the process said a moment ago that it leaves: a heartbeat that was held up on its way does not
-// bring it back.
-func (s State) leftLately(now time.Time, id fleet.TargetID, instance string) bool {
-	d, ok := s.departed.Get(id)
-	return ok && d.instance == instance && now.Sub(d.at) < heartbeatTimeout
-}
-
 // replaced reports the death of a target's last process, when another announces itself. A process that drained may still
 // finish its runs; one that left the address to its successor is dead.
 func (s State) replaced(
@@ -104,7 +91,9 @@
 	if !ok {
 		return s, nil
 	}
-	s.departed = s.departed.With(id, departure{instance: l.announcement.Instance, at: now})
+	s.departed = s.departed.With(id, departure{
+		instance: l.announcement.Instance, started: l.announcement.Started, at: now,
+	})
 	return s.removed(now, id, fleet.Draining, "target withdrew")
 }
 
@@ -184,7 +173,7 @@
 // forgotten drops departures and crashes that no longer matter.
 func (s State) forgotten(now time.Time) State {
 	for id, d := range s.departed.All() {
-		if now.Sub(d.at) >= heartbeatTimeout {
+		if now.Sub(d.at) >= d.lifetime() {
 			s.departed = s.departed.Without(id)
 		}
 	}
--- /dev/null
+++ b/internal/core/admission/order.go
@@ -0,0 +1,81 @@
+package admission
+
+import (
+	"time"
+
+	"jayfold.dev/jayfold/internal/core/effect"
+	"jayfold.dev/jayfold/internal/core/fleet"
+)
+
+// longestDelay is how long a heartbeat may be held up on its way, by a partition or a busy host. A target whose clock was
+// set back before it started again is not known before this time has passed.
+const longestDelay = 30 * time.Second
+
+// departure records that a target announced that it leaves, or was replaced by another one at its address.
+type departure struct {
+	instance string
+	// started is when the process started; zero when the target did not tell.
+	started time.Time
+	at      time.Time
+}
+
+// lifetime returns how long a departure is remembered. Where heartbeats have no order, a process that cancels its drain must
+// be able to come back, and only the heartbeats that were under way at that moment are kept out.
+func (d departure) lifetime() time.Duration {
+	if d.started.IsZero() {
+		return heartbeatTimeout
+	}
+	return longestDelay
+}
+
+// outdated reports whether a heartbeat was overtaken on its way: by a later one, by the departure of its process, by the
+// heartbeat of the process that took its place, or by that of another target to which its address has gone.
+func (s State) outdated(now time.Time, id fleet.TargetID, a fleet.Announcement) bool {
+	if d, ok := s.departed.Get(id); ok && now.Sub(d.at) < d.lifetime() {
+		if a.Instance == d.instance && a.State == fleet.Ready || a.Started.Before(d.started) {
+			return true
+		}
+	}
+	if l, ok := s.targets.Get(id); ok && overtaken(a, l.announcement) {
+		return true
+	}
+	for other, l := range s.targets.All() {
+		if other != id && l.announcement.Address == a.Address && a.Started.Before(l.announcement.Started) {
+			return true
+		}
+	}
+	return false
+}
+
+// overtaken reports whether a heartbeat is older than the last one of its target.
+func overtaken(a, last fleet.Announcement) bool {
+	if !a.Started.Equal(last.Started) {
+		return a.Started.Before(last.Started)
+	}
+	return a.Instance == last.Instance && a.Sequence < last.Sequence
+}
+
+// displaced removes the targets whose address a process has that started after them: their own processes have ended.
+func (s State) displaced(now time.Time, id fleet.TargetID, a fleet.Announcement) (State, []effect.Effect) {
+	var effects []effect.Effect
+	for other, l := range s.targets.All() {
+		old := l.announcement
+		if other == id || old.Address != a.Address || !old.Started.Before(a.Started) {
+			continue
+		}
+		s.departed = s.departed.With(other, departure{instance: old.Instance, started: old.Started, at: now})
+		var removed []effect.Effect
+		s, removed = s.removed(now, other, fleet.UnknownTarget, "target's address went to another one")
+		effects = append(effects, removed...)
+	}
+	return s, effects
+}
+
+func heartbeatIgnored(id fleet.TargetID, a fleet.Announcement) effect.Effect {
+	return effect.Log{Level: effect.Info, Part: "admission", Text: "heartbeat out of order ignored", Fields: []effect.Field{
+		{Name: "Target", Value: id},
+		{Name: "Instance", Value: a.Instance},
+		{Name: "Sequence", Value: a.Sequence},
+		{Name: "State", Value: a.State.String()},
+	}}
+}
