node: end within the grace although runs of other nodes last longer

Once the decisions had ended, the server for attempts of other nodes waited for their runs, up to the time at which the process is killed. With a grace under 2 s the callers' listener closed only after the grace. Change: the last answers get 100 ms, then the server closes; a short grace leaves a third of it for taking requests. The line "stopped" is the last one of a node. Test, red before: scenario drain_node_late.

--- a/internal/core/node/shutdown.go
+++ b/internal/core/node/shutdown.go
@@ -11,9 +11,10 @@
 // learn that it leaves. The users allow a few seconds.
 const leaveGrace = 2 * time.Second
 
-// The parts of the grace after which a leaving node gives up what is in flight, so that its callers get an answer before the
-// process is ended by force, and after which it stops in any case.
+// The parts of the grace that are left for taking requests, where it is short; after which a leaving node gives up what is in
+// flight, so that its callers get an answer before the process is ended by force; and after which it stops in any case.
 const (
+	leavePart  = 1.0 / 3
 	answerPart = 0.88
 	stopPart   = 0.95
 )
@@ -71,7 +72,7 @@
 // is nearly over.
 func (sd shutdown) tick(now time.Time, inFlight int) (shutdown, []effect.Effect) {
 	switch {
-	case !sd.begun() || sd.stopped || now.Sub(sd.started) < leaveGrace:
+	case !sd.begun() || sd.stopped || now.Sub(sd.started) < leaveGrace && now.Before(sd.after(leavePart)):
 		return sd, nil
 	case !sd.closing:
 		sd.closing = true
--- a/internal/process/node/serve.go
+++ b/internal/process/node/serve.go
@@ -76,8 +76,7 @@
 		OnStop: func(stop context.Context) error {
 			s.Operator.Observe(lifecycle(effect.Info, "stopping", s.Settings))
 			err := leave(stop, s.Loop, s.Dispatch)
-			s.Operator.Observe(stopped(s.Settings, err))
-			_ = forward.Shutdown(stop)
+			closeForward(stop, forward)
 			_ = targets.Close()
 			_ = operators.Close()
 			_ = ready.Close()
@@ -85,12 +84,26 @@
 			s.Messenger.Close()
 			cancel()
 			s.Platform.Close()
+			s.Operator.Observe(stopped(s.Settings, err))
 			s.Operator.Close()
 			return err
 		},
 	})
 }
 
+// lastAnswers is how long the answers that are on their way to other nodes may take once the decisions of this node have
+// ended. Runs that have not ended by then are past the grace.
+const lastAnswers = 100 * time.Millisecond
+
+// closeForward lets the last answers go out, and ends what is still running.
+func closeForward(ctx context.Context, forward *http.Server) {
+	ctx, cancel := context.WithTimeout(ctx, lastAnswers)
+	defer cancel()
+	if err := forward.Shutdown(ctx); err != nil {
+		_ = forward.Close()
+	}
+}
+
 // lifecycle returns the log line of a start or a stop.
 func lifecycle(level effect.Level, text string, s settings.Settings) effect.Log {
 	return effect.Log{Level: level, Part: "node", Text: text, Fields: []effect.Field{
