settings: the time between heartbeats of a target

Cause: heartbeats were taken to come every second, while the platform's targets send one every 1.5 s, so that a target was gone after one lost and one late heartbeat. A target is gone after three missed ones as before, 4.5 s there.

--- a/internal/core/admission/heartbeat.go
+++ b/internal/core/admission/heartbeat.go
@@ -7,12 +7,12 @@
 	"jayfold.dev/jayfold/internal/core/fleet"
 )
 
-const (
-	// heartbeat is the time between two announcements of a target.
-	heartbeat = time.Second
-	// heartbeatTimeout is how long a target may send no heartbeat.
-	heartbeatTimeout = 3 * heartbeat
-)
+// missedHeartbeats is how many heartbeats in a row a target may miss before it counts as gone: one may be lost, and one be
+// late by as long as two of them take.
+const missedHeartbeats = 3
+
+// heartbeatTimeout is how long a target may send no heartbeat.
+func (s State) heartbeatTimeout() time.Duration { return missedHeartbeats * s.settings.Heartbeat }
 
 // Change is what an announcement says beside the target's own state.
 type Change struct {
@@ -115,7 +115,7 @@
 		warmed.usage = l.usage.with(s.runningBy(l))
 		s.targets = s.targets.With(id, warmed)
 		switch {
-		case ctx.Now.Sub(warmed.heard) >= heartbeatTimeout:
+		case ctx.Now.Sub(warmed.heard) >= s.heartbeatTimeout():
 			s, more = s.removed(ctx.Now, id, fleet.UnknownTarget, "target stopped its heartbeats")
 		case l.queue.len() == 0:
 			continue
@@ -142,7 +142,7 @@
 // pause returns for how long this node itself stood still, so that the time does not count as missed heartbeats.
 func (s State) pause(now time.Time) time.Duration {
 	gap := now.Sub(s.ticked)
-	if s.ticked.IsZero() || gap < heartbeat {
+	if s.ticked.IsZero() || gap < s.settings.Heartbeat {
 		return 0
 	}
 	return gap
@@ -173,7 +173,7 @@
 // forgotten drops departures and crashes that no longer matter.
 func (s State) forgotten(now time.Time) State {
 	for id, d := range s.departed.All() {
-		if now.Sub(d.at) >= d.lifetime() {
+		if now.Sub(d.at) >= s.lifetime(d) {
 			s.departed = s.departed.Without(id)
 		}
 	}
--- a/internal/core/admission/order.go
+++ b/internal/core/admission/order.go
@@ -21,9 +21,9 @@
 
 // lifetime returns how long a departure is remembered. Where heartbeats have no order, a process that cancels its drain must
 // be able to come back, and only the heartbeats that were under way at that moment are kept out.
-func (d departure) lifetime() time.Duration {
+func (s State) lifetime(d departure) time.Duration {
 	if d.started.IsZero() {
-		return heartbeatTimeout
+		return s.heartbeatTimeout()
 	}
 	return longestDelay
 }
@@ -31,7 +31,7 @@
 // outdated reports whether a heartbeat was overtaken on its way: by a later one, by the departure of its process, by the
 // heartbeat of the process that took its place, or by that of another target to which its address has gone.
 func (s State) outdated(now time.Time, id fleet.TargetID, a fleet.Announcement) bool {
-	if d, ok := s.departed.Get(id); ok && now.Sub(d.at) < d.lifetime() {
+	if d, ok := s.departed.Get(id); ok && now.Sub(d.at) < s.lifetime(d) {
 		if a.Instance == d.instance && a.State == fleet.Ready || a.Started.Before(d.started) {
 			return true
 		}
--- a/internal/core/admission/state.go
+++ b/internal/core/admission/state.go
@@ -7,7 +7,7 @@
 //
 // # Usage
 //
-//	state := admission.New(self, retries)
+//	state := admission.New(self, settings)
 //	state, effects, change := state.Announced(ctx, announcement)
 //	state, effects = state.Asked(ctx, attempt)
 //	state, effects, finished := state.RunFinished(ctx, attemptID, outcome)
@@ -25,10 +25,11 @@
 
 // State is what the sidecar knows of the targets on its host.
 type State struct {
-	self    fleet.NodeID
-	retries fleet.Retries
-	targets fleet.Map[fleet.TargetID, local]
-	running fleet.Map[fleet.AttemptID, Run]
+	self fleet.NodeID
+	// settings are those in force.
+	settings fleet.Settings
+	targets  fleet.Map[fleet.TargetID, local]
+	running  fleet.Map[fleet.AttemptID, Run]
 	// waiting gives the place of each queued attempt.
 	waiting fleet.Map[fleet.AttemptID, place]
 	seen    memory
@@ -79,13 +80,13 @@
 }
 
 // New returns the state of the sidecar of the given node.
-func New(self fleet.NodeID, retries fleet.Retries) State {
-	return State{self: self, retries: retries}
+func New(self fleet.NodeID, settings fleet.Settings) State {
+	return State{self: self, settings: settings}
 }
 
-// WithRetries returns the state under another retry budget.
-func (s State) WithRetries(r fleet.Retries) State {
-	s.retries = r
+// WithSettings returns the state under other settings.
+func (s State) WithSettings(settings fleet.Settings) State {
+	s.settings = settings
 	return s
 }
 
@@ -129,7 +130,7 @@
 		return fleet.DeadlinePassed, true
 	case !attempt.Forced && ctx.Suspect(attempt.Target) && (!attempt.Trial || !ctx.MayTry(attempt.Target)):
 		return fleet.Failing, true
-	case attempt.Repeated && !l.repeats.allows(ctx.Now, s.retries, ctx.PoolSize(attempt.Pool), attempt.Idempotent):
+	case attempt.Repeated && !l.repeats.allows(ctx.Now, s.settings.Retries, ctx.PoolSize(attempt.Pool), attempt.Idempotent):
 		return fleet.RetryBudget, true
 	default:
 		return "", false
--- a/internal/core/admission/state_test.go
+++ b/internal/core/admission/state_test.go
@@ -30,8 +30,10 @@
 // half are used.
 var testRetries = fleet.Retries{Ratio: 0.1, Window: 10 * time.Second, Slack: 16}
 
+var testSettings = fleet.Settings{Retries: testRetries, Heartbeat: time.Second}
+
 func newRig() *rig {
-	return &rig{state: admission.New("n1", testRetries), now: time.Unix(1000, 0)}
+	return &rig{state: admission.New("n1", testSettings), now: time.Unix(1000, 0)}
 }
 
 // newWarmRig returns a sidecar whose target a has all of its slots.
@@ -343,7 +345,7 @@
 		setUp func(*rig)
 		cause fleet.Cause
 	}{
-		{"unknown target", func(r *rig) { r.state = admission.New("n1", testRetries) }, fleet.UnknownTarget},
+		{"unknown target", func(r *rig) { r.state = admission.New("n1", testSettings) }, fleet.UnknownTarget},
 		{"target of another pool", func(r *rig) {
 			a := announcement("i2", 4)
 			a.Pool = "q"
--- a/internal/core/fleet/settings.go
+++ b/internal/core/fleet/settings.go
@@ -5,6 +5,8 @@
 // Settings are what an operator may change while a node runs.
 type Settings struct {
 	Retries Retries
+	// Heartbeat is the time between two heartbeats of a target.
+	Heartbeat time.Duration
 	// Grace is the time from the request to stop until the process is ended by force.
 	Grace time.Duration
 	// LogLevel is the lowest level of the log lines that are written: debug, info, warn or error.
--- a/internal/core/node/settings.go
+++ b/internal/core/node/settings.go
@@ -10,12 +10,14 @@
 )
 
 // DefaultSettings returns the settings of a node whose operator sets none: repeated attempts at a pool are at most a tenth
-// of its requests and sixty more within ten seconds, and a stop waits for the longest deadline of a route.
+// of its requests and sixty more within ten seconds, targets send a heartbeat every second, and a stop waits for the longest
+// deadline of a route.
 func DefaultSettings() fleet.Settings {
 	return fleet.Settings{
-		Retries:  fleet.Retries{Ratio: 0.1, Window: 10 * time.Second, Slack: 60},
-		Grace:    75 * time.Second,
-		LogLevel: "info",
+		Retries:   fleet.Retries{Ratio: 0.1, Window: 10 * time.Second, Slack: 60},
+		Heartbeat: time.Second,
+		Grace:     75 * time.Second,
+		LogLevel:  "info",
 		Limits: fleet.Limits{
 			HeaderBytes: 64 << 10,
 			BodyBytes:   1 << 20,
@@ -26,7 +28,7 @@
 
 // settingsRead brings settings into force. Requests in flight keep those under which they came.
 func (s State) settingsRead(body event.SettingsRead) (State, []effect.Effect) {
-	s.admission = s.admission.WithRetries(body.Settings.Retries)
+	s.admission = s.admission.WithSettings(body.Settings)
 	s.shutdown = s.shutdown.withGrace(body.Settings.Grace)
 	line := effect.Log{Level: effect.Info, Part: "settings", Text: "taken in", Fields: []effect.Field{
 		{Name: "Cause", Value: body.Cause},
--- a/internal/core/node/state.go
+++ b/internal/core/node/state.go
@@ -44,7 +44,7 @@
 func New(self fleet.Member, settings fleet.Settings) State {
 	return State{
 		attempts:   attempt.New(self.AvailabilityZone),
-		admission:  admission.New(self.Node, settings.Retries),
+		admission:  admission.New(self.Node, settings),
 		detection:  detection.New(),
 		ejection:   ejection.New(self.Node),
 		membership: membership.New(self),
--- a/internal/lab/testbed/testbed.go
+++ b/internal/lab/testbed/testbed.go
@@ -159,6 +159,7 @@
 		Platform:         b.PlatformURL,
 		LogLevel:         "info",
 		Retries:          corenode.DefaultSettings().Retries,
+		Heartbeat:        corenode.DefaultSettings().Heartbeat,
 		StopGrace:        corenode.DefaultSettings().Grace,
 		Listen: settings.Listen{
 			Callers:   addresses[0],
--- a/internal/process/settings/changes.go
+++ b/internal/process/settings/changes.go
@@ -10,6 +10,7 @@
 
 var fields = []field{
 	{"Retries", true, func(a, b Settings) bool { return a.Retries == b.Retries }},
+	{"Heartbeat", true, func(a, b Settings) bool { return a.Heartbeat == b.Heartbeat }},
 	{"StopGrace", true, func(a, b Settings) bool { return a.StopGrace == b.StopGrace }},
 	{"LogLevel", true, func(a, b Settings) bool { return a.LogLevel == b.LogLevel }},
 	{"Limits.MaxBodyBytes", true, func(a, b Settings) bool { return a.Limits.MaxBodyBytes == b.Limits.MaxBodyBytes }},
--- a/internal/process/settings/draft.go
+++ b/internal/process/settings/draft.go
@@ -19,6 +19,8 @@
 	mostHeaderBytes  = 1 << 20
 	shortestTimeout  = 100 * time.Millisecond
 	longestTimeout   = 10 * time.Minute
+	// A target that died without a word is found by its heartbeats, in three times as long.
+	longestHeartbeat = 30 * time.Second
 	// With as many repeated attempts as requests an overload feeds itself.
 	mostRetryRatio = 1
 	// A shorter window sees too few requests of a node for their share to mean anything, a longer one forgets too late.
@@ -64,6 +66,7 @@
 		configfile.Required("Platform", configfile.Parsed(&s.Platform, parsePlatform)),
 		configfile.Optional("DefaultCaller", configfile.Text(&s.DefaultCaller, name)),
 		configfile.Optional("Retries", configfile.Object(retries(&s.Retries)...)),
+		configfile.Optional("Heartbeat", configfile.Duration(&s.Heartbeat, shortestTimeout, longestHeartbeat)),
 		configfile.Optional("StopGrace", configfile.Duration(&s.StopGrace, shortestTimeout, longestTimeout)),
 		configfile.Optional("LogLevel", configfile.OneOf(&s.LogLevel, "debug", "info", "warn", "error")),
 		configfile.Optional("Limits", configfile.Object(limits(&s.Limits)...)),
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -51,6 +51,8 @@
 	// DefaultCaller is the client account of requests that name none.
 	DefaultCaller fleet.Caller
 	Retries       fleet.Retries
+	// Heartbeat is the time between two heartbeats of a target.
+	Heartbeat time.Duration
 	// StopGrace is the time from SIGTERM until the process is ended by force.
 	StopGrace time.Duration
 	// LogLevel is the lowest level of the lines that are written: debug, info, warn or error.
@@ -95,8 +97,9 @@
 // defaults returns the values of the fields that a file may leave out.
 func defaults() Settings {
 	return Settings{
-		LogLevel: "info",
-		Retries:  node.DefaultSettings().Retries,
+		LogLevel:  "info",
+		Retries:   node.DefaultSettings().Retries,
+		Heartbeat: node.DefaultSettings().Heartbeat,
 		// The longest deadline of a route, and the time in which callers learn that the node leaves.
 		StopGrace: node.DefaultSettings().Grace,
 		Limits: Limits{
@@ -135,9 +138,10 @@
 // Live returns the settings that may change while the node runs.
 func (s Settings) Live() fleet.Settings {
 	return fleet.Settings{
-		Retries:  s.Retries,
-		Grace:    s.StopGrace,
-		LogLevel: s.LogLevel,
+		Retries:   s.Retries,
+		Heartbeat: s.Heartbeat,
+		Grace:     s.StopGrace,
+		LogLevel:  s.LogLevel,
 		Limits: fleet.Limits{
 			HeaderBytes: s.Limits.MaxHeaderBytes,
 			BodyBytes:   s.Limits.MaxBodyBytes,
