attempt: no second attempt before the usual p95, no attempt given up before twice of it

Cause: found by scenario drain_node_late with targets of 3 s and a deadline of 5 s: every lookup was sent to a second target after a quarter of the time left and given up after half of it, although the pool's p95 was longer, so that none was ever answered and each ran on every target. While the p95 was not known, attempts were given up after half of the time left as well. Change: core/attempt/patience.go decides both times: the parts of the time left bound them only above the p95 and twice the p95; without a p95 nothing counts as lost. Test, red before: TestPatience (a pool that is slow beside the deadline, a pool of which nothing is known).

--- a/internal/core/attempt/flight.go
+++ b/internal/core/attempt/flight.go
@@ -14,14 +14,6 @@
 	maxAttempts = 4
 	// maxCrashes is how many targets one request may crash: the first may be a coincidence, the second confirms it.
 	maxCrashes = 2
-	// hedgeFactor is how many times the pool's p95 a lookup waits before it is sent to a second target. A caller notices
-	// an answer after three times the healthy p99, so the second target must answer before that.
-	hedgeFactor = 1.5
-	// timeoutFactor is how many times the pool's p95 an idempotent attempt waits before it is given up.
-	timeoutFactor = 10
-	// minHedge and minTimeout keep the noise of a very fast pool from spending the retry budget.
-	minHedge   = 5 * time.Millisecond
-	minTimeout = 200 * time.Millisecond
 	// closeWait is how long past the deadline a request that is not idempotent waits for the sidecar to confirm the
 	// cancel, which tells its caller whether it ran. The forwarder ends the attempt after 200 ms.
 	closeWait = 300 * time.Millisecond
@@ -77,9 +69,10 @@
 	started time.Time
 	// wait is the queue that the target named when it was asked for a slot.
 	wait time.Duration
-	// hedge and timeout are when the attempt counts as slow and as lost. Attempts that are not idempotent have neither.
-	hedge   time.Time
-	timeout time.Time
+	// slow is when a second target is asked beside this one, and lost when this one is given up for it. Attempts that are
+	// not idempotent have neither.
+	slow time.Time
+	lost time.Time
 }
 
 // started returns the flight with one more attempt.
@@ -87,25 +80,14 @@
 	f.attempts++
 	t.id, t.target, t.node, t.started = attempt.ID, attempt.Target, attempt.Node, now
 	if attempt.Idempotent {
-		remaining := attempt.Deadline.Sub(now)
-		t.timeout = now.Add(t.wait + patience(attempt.Baseline, timeoutFactor, minTimeout, remaining/2))
-		if attempt.Class == fleet.Lookup {
-			t.hedge = now.Add(t.wait + patience(attempt.Baseline, hedgeFactor, minHedge, remaining/4))
-		}
+		p := patienceOf(attempt, attempt.Deadline.Sub(now))
+		t.slow, t.lost = now.Add(t.wait+p.slow), now.Add(t.wait+p.lost)
 	}
 	f.live = append(slices.Clone(f.live), t)
 	f.tried = append(slices.Clone(f.tried), attempt.Target)
 	return f.rescheduled(now)
 }
 
-// patience returns a multiple of the baseline within bounds, and the upper bound while no baseline is known.
-func patience(baseline time.Duration, factor float64, low, high time.Duration) time.Duration {
-	if baseline == 0 {
-		return high
-	}
-	return min(max(time.Duration(float64(baseline)*factor), low), high)
-}
-
 // rescheduled sets the next time at which something is due after now.
 func (f flight) rescheduled(now time.Time) flight {
 	f.wake = f.template.Deadline
@@ -113,7 +95,7 @@
 		f.wake = f.template.Deadline.Add(closeWait)
 	}
 	for _, t := range f.live {
-		for _, due := range []time.Time{t.hedge, t.timeout} {
+		for _, due := range []time.Time{t.slow, t.lost} {
 			if due.After(now) && due.Before(f.wake) {
 				f.wake = due
 			}
--- a/internal/core/attempt/tick.go
+++ b/internal/core/attempt/tick.go
@@ -63,8 +63,7 @@
 	if len(f.live) != 1 {
 		return false
 	}
-	t := f.live[0]
-	return passed(now, t.hedge) || passed(now, t.timeout)
+	return passed(now, f.live[0].slow)
 }
 
 func passed(now, at time.Time) bool { return !at.IsZero() && !now.Before(at) }
@@ -72,7 +71,7 @@
 // overtaken returns an attempt that counts as lost while another one is in flight.
 func (f flight) overtaken(now time.Time) (try, bool) {
 	for _, t := range f.live {
-		if len(f.live) > 1 && passed(now, t.timeout) {
+		if len(f.live) > 1 && passed(now, t.lost) {
 			return t, true
 		}
 	}
