edge/peer: a slow verification cuts off no request of its connection

A connection that did not answer a verification within 200 ms, on a busy node or a link that held packets back, was closed with all requests that it carried, each of them answered 502 MayHaveRun. Ruled out: the deadline (504 then), the grace of the stop (4 s were left), the target's node (it was not asked to stop). Change: such a connection is retired: no new request goes out on it, those that it carries go on, and their own watch closes it after 2 s of silence and 2 s more. Test, red before with "client connection force closed": TestSlowVerificationCutsOffNothing.

--- a/internal/edge/peer/forward_fault_test.go
+++ b/internal/edge/peer/forward_fault_test.go
@@ -25,6 +25,8 @@
 	mu      sync.Mutex
 	silent  *atomic.Bool
 	dials   int
+	// paused holds back all bytes while it is locked.
+	paused sync.RWMutex
 }
 
 func newSilencer(t *testing.T, to string) *silencer {
@@ -44,8 +46,8 @@
 				return
 			}
 			silent := s.accepted()
-			go pipe(in, out, silent)
-			go pipe(out, in, silent)
+			go s.pipe(in, out, silent)
+			go s.pipe(out, in, silent)
 		}
 	}()
 	return s
@@ -66,7 +68,13 @@
 	s.silent = new(atomic.Bool)
 }
 
-func pipe(from, to net.Conn, silent *atomic.Bool) {
+// pause holds back all bytes for a time.
+func (s *silencer) pause(d time.Duration) {
+	s.paused.Lock()
+	time.AfterFunc(d, s.paused.Unlock)
+}
+
+func (s *silencer) pipe(from, to net.Conn, silent *atomic.Bool) {
 	buffer := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buffer)
@@ -76,9 +84,11 @@
 		if err != nil {
 			return
 		}
+		s.paused.RLock()
 		if !silent.Load() {
 			_, _ = to.Write(buffer[:n])
 		}
+		s.paused.RUnlock()
 	}
 }
 
@@ -97,6 +107,31 @@
 	is.Equal(through.dials, 2)
 }
 
+// Guards against requests that are cut off because the connection that carries them was too slow to verify for another one.
+func TestSlowVerificationCutsOffNothing(t *testing.T) {
+	b := newBench(t)
+	through := newSilencer(t, b.address)
+	b.target = func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			time.Sleep(freshWithin + 2*verifyTimeout)
+		}
+		_, _ = io.WriteString(w, "hello")
+	}
+	attempt := func(id fleet.AttemptID) fleet.Attempt {
+		a := b.attempt()
+		a.ID, a.Address, a.Deadline = id, through.address, time.Now().Add(5*time.Second)
+		return a
+	}
+	// The connection is opened by a request that ends.
+	wantWhole(t, b.send(t.Context(), attempt("r.1"), http.MethodGet, ""), http.StatusOK, "hello")
+	slow := make(chan forwarded, 1)
+	go func() { slow <- b.send(t.Context(), attempt("r.2"), http.MethodPost, "1") }()
+	time.Sleep(freshWithin + 50*time.Millisecond)
+	through.pause(verifyTimeout + 100*time.Millisecond)
+	wantWhole(t, b.send(t.Context(), attempt("r.3"), http.MethodGet, ""), http.StatusOK, "hello")
+	wantWhole(t, <-slow, http.StatusOK, "hello")
+}
+
 // Guards against a claim that an order did not run, or a second try of the library, when the connection falls silent after
 // it was verified.
 func TestOrderOnConnectionThatFallsSilent(t *testing.T) {
--- a/internal/edge/peer/forwarder.go
+++ b/internal/edge/peer/forwarder.go
@@ -127,7 +127,7 @@
 	if l.fresh(f.seams.Now()) || f.verify(ctx, l, attempt.Address) == nil {
 		return l, nil
 	}
-	f.links.drop(attempt.Address, l)
+	f.links.retire(attempt.Address, l)
 	if l, err = f.links.dial(ctx, attempt.Address); err != nil {
 		return nil, notSent(err)
 	}
--- a/internal/edge/peer/forwardlink.go
+++ b/internal/edge/peer/forwardlink.go
@@ -20,6 +20,8 @@
 	// idleTimeout closes unused connections. An idle one costs nothing but memory; a new one costs a round trip and some 500
 	// bytes.
 	idleTimeout = 2 * time.Minute
+	// retiredTimeout is the same for a connection that takes no new requests.
+	retiredTimeout = time.Second
 	// silentAfter is how long a request waits before its connection is verified, and how long the verification may take. A
 	// lost packet is sent again within a second.
 	silentAfter = 2 * time.Second
@@ -34,7 +36,9 @@
 	conn *http.ClientConn
 	// answered is the time of the last answer, or of the opening, in nanoseconds since 1970.
 	answered atomic.Int64
-	idle     *time.Timer
+	// retired means that no new request is sent on it.
+	retired atomic.Bool
+	idle    *time.Timer
 }
 
 func newLink(conn *http.ClientConn, now time.Time) *link {
@@ -49,7 +53,20 @@
 		_ = l.conn.Close()
 		return
 	}
-	l.idle.Reset(idleTimeout)
+	l.idle.Reset(l.idleTime())
+}
+
+func (l *link) idleTime() time.Duration {
+	if l.retired.Load() {
+		return retiredTimeout
+	}
+	return idleTimeout
+}
+
+// retire leaves the connection to the requests that it carries.
+func (l *link) retire() {
+	l.retired.Store(true)
+	l.closeIdle()
 }
 
 func (l *link) fresh(now time.Time) bool { return now.Sub(l.lastAnswer()) <= freshWithin }
@@ -58,7 +75,7 @@
 
 func (l *link) touch(now time.Time) {
 	l.answered.Store(now.UnixNano())
-	l.idle.Reset(idleTimeout)
+	l.idle.Reset(l.idleTime())
 }
 
 func (l *link) close() {
@@ -134,11 +151,22 @@
 // drop closes a connection that no longer answers.
 func (ls *links) drop(address string, broken *link) {
 	broken.close()
+	ls.remove(address, broken)
+}
+
+// retire takes a connection that did not answer in time out of use. A busy node may be slow to answer, so that the requests
+// which it carries go on; their own watch closes it when it has gone silent.
+func (ls *links) retire(address string, slow *link) {
+	ls.remove(address, slow)
+	slow.retire()
+}
+
+func (ls *links) remove(address string, unusable *link) {
 	ls.mu.Lock()
 	defer ls.mu.Unlock()
 	var usable []*link
 	for _, l := range ls.open[address] {
-		if l != broken {
+		if l != unusable {
 			usable = append(usable, l)
 		}
 	}
