--- a/internal/edge/logfile/logfile_test.go
+++ b/internal/edge/logfile/logfile_test.go
@@ -65,7 +65,7 @@
 func FuzzRead(f *testing.F) {
 	f.Add(ingress)
 	f.Add("{\"message\":\"x\",\"fields\":null}\n{\"fields\":[]}\n{{{\n")
-	f.Fuzz(func(t *testing.T, content string) {
+	f.Fuzz(func(_ *testing.T, content string) {
 		lines, _, err := logfile.Read("a", strings.NewReader(content))
 		if err == nil {
 			logfile.Tell(lines, "r1").Print(&bytes.Buffer{})
