edge/logfile: only the nodes and targets that a request met, numbers as written

Cause: the story of a request listed every member of the fleet, and incarnations in scientific notation; refusals of attempts showed revision 0, as their line was made before the report got its revision. Change: beliefs are those on the targets and nodes that the request's lines name; numbers keep their form; lines are made last.

--- a/internal/core/node/state.go
+++ b/internal/core/node/state.go
@@ -61,8 +61,8 @@
 	next, effects = next.settleOrders(effects)
 	next = next.noteStarts(ev.At, effects)
 	effects = s.observe(ev, effects)
-	effects = s.explain(ev, next, effects)
-	return next, next.stamp(effects)
+	effects = s.explain(ev, next, next.stamp(effects))
+	return next, effects
 }
 
 // stamp adds the node's incarnation and tables revision to everything that goes to another node.
--- a/internal/edge/logfile/logfile.go
+++ b/internal/edge/logfile/logfile.go
@@ -55,7 +55,7 @@
 	for scanner.Scan() {
 		before, object, found := strings.Cut(scanner.Text(), "{")
 		var wire wireLine
-		if !found || json.Unmarshal([]byte("{"+object), &wire) != nil || wire.Message == "" {
+		if !found || decode("{"+object, &wire) != nil || wire.Message == "" {
 			skipped++
 			continue
 		}
@@ -75,6 +75,13 @@
 	return lines, skipped, scanner.Err()
 }
 
+// decode keeps numbers as they are written.
+func decode(object string, to *wireLine) error {
+	decoder := json.NewDecoder(strings.NewReader(object))
+	decoder.UseNumber()
+	return decoder.Decode(to)
+}
+
 func (w wireLine) line() Line {
 	fields := make(map[string]string, len(w.Fields))
 	for name, value := range w.Fields {
--- a/internal/edge/logfile/story.go
+++ b/internal/edge/logfile/story.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -29,6 +30,7 @@
 func Tell(lines []Line, id string) Story {
 	story := Story{ID: id}
 	lines = ordered(lines)
+	subjects := subjectsOf(lines, id)
 	told := map[string]bool{}
 	for i, line := range lines {
 		if !line.concerns(id) {
@@ -37,7 +39,7 @@
 		story.Lines = append(story.Lines, line)
 		if !told[line.Node] {
 			told[line.Node] = true
-			story.Beliefs = append(story.Beliefs, believed(lines[:i], line, targetsOf(lines, id)))
+			story.Beliefs = append(story.Beliefs, believed(lines[:i], line, subjects))
 		}
 	}
 	return story
@@ -50,35 +52,38 @@
 	return request == id || strings.HasPrefix(request, id+".")
 }
 
-// targetsOf lists the targets that the lines of a request name.
-func targetsOf(lines []Line, id string) []string {
-	var targets []string
+// subjectsOf returns the targets that the lines of a request name, and their nodes.
+func subjectsOf(lines []Line, id string) map[string]bool {
+	subjects := map[string]bool{}
 	for _, line := range lines {
-		target := line.Fields["Target"]
-		if target != "" && line.concerns(id) && !slices.Contains(targets, target) {
-			targets = append(targets, target)
+		if !line.concerns(id) {
+			continue
+		}
+		names := []string{line.Fields["Target"]}
+		for step := range strings.SplitSeq(line.Fields["Steps"], "; ") {
+			name, _, _ := strings.Cut(step, " ")
+			names = append(names, name)
+		}
+		for _, name := range names {
+			node, _, _ := strings.Cut(name, "/")
+			subjects[name], subjects[node] = true, true
 		}
 	}
-	return targets
+	return subjects
 }
 
 // believed collects what the node of a line had told before it: the last word on the tables and on the platform, on the
 // targets that the request met, and on the nodes that it could not reach.
-func believed(before []Line, at Line, targets []string) Belief {
+func believed(before []Line, at Line, subjects map[string]bool) Belief {
 	b := Belief{Node: at.Node, At: at.At}
 	last := map[string]Line{}
 	for _, line := range before {
-		if subject := line.subject(targets); line.Node == at.Node && subject != "" {
-			last[subject] = line
+		if about := line.subject(subjects); line.Node == at.Node && about != "" {
+			last[about] = line
 		}
 	}
-	subjects := make([]string, 0, len(last))
-	for subject := range last {
-		subjects = append(subjects, subject)
-	}
-	slices.Sort(subjects)
-	for _, subject := range subjects {
-		line := last[subject]
+	for _, about := range slices.Sorted(maps.Keys(last)) {
+		line := last[about]
 		b.Facts = append(b.Facts, fmt.Sprintf("%s%s, %s ago", line.Text, line.details(), at.At.Sub(line.At).Round(time.Millisecond)))
 	}
 	return b
@@ -101,15 +106,15 @@
 	"membership: node is present":               "Peer",
 }
 
-// subject returns what a line is the last word on, and nothing for a line that is no belief or about another target.
-func (l Line) subject(targets []string) string {
+// subject returns what a line is the last word on, and nothing for a line that is no belief or about another target or node.
+func (l Line) subject(subjects map[string]bool) string {
 	field, known := beliefs[l.Text]
 	if !known {
 		return ""
 	}
 	part, _, _ := strings.Cut(l.Text, ":")
 	about := l.Fields[field]
-	if field == "Target" && !slices.Contains(targets, about) {
+	if field != "" && !subjects[about] {
 		return ""
 	}
 	if strings.Contains(l.Text, "platform") {
@@ -120,13 +125,8 @@
 
 // details returns the fields of a line, sorted by name.
 func (l Line) details() string {
-	names := make([]string, 0, len(l.Fields))
-	for name := range l.Fields {
-		names = append(names, name)
-	}
-	slices.Sort(names)
 	var text strings.Builder
-	for _, name := range names {
+	for _, name := range slices.Sorted(maps.Keys(l.Fields)) {
 		if value := l.Fields[name]; value != "" {
 			fmt.Fprintf(&text, " %s=%s", name, quoted(value))
 		}
