--- a/internal/edge/peer/forward_fault_test.go
+++ b/internal/edge/peer/forward_fault_test.go
@@ -113,7 +113,7 @@
 	through := newSilencer(t, b.address)
 	b.target = func(w http.ResponseWriter, r *http.Request) {
 		if r.Method == http.MethodPost {
-			time.Sleep(freshWithin + 2*verifyTimeout)
+			time.Sleep(freshWithin + 4*nearTimeout)
 		}
 		_, _ = io.WriteString(w, "hello")
 	}
@@ -127,7 +127,7 @@
 	slow := make(chan forwarded, 1)
 	go func() { slow <- b.send(t.Context(), attempt("r.2"), http.MethodPost, "1") }()
 	time.Sleep(freshWithin + 50*time.Millisecond)
-	through.pause(verifyTimeout + 100*time.Millisecond)
+	through.pause(nearTimeout + 50*time.Millisecond)
 	wantWhole(t, b.send(t.Context(), attempt("r.3"), http.MethodGet, ""), http.StatusOK, "hello")
 	wantWhole(t, <-slow, http.StatusOK, "hello")
 }
--- a/internal/edge/peer/forward_test.go
+++ b/internal/edge/peer/forward_test.go
@@ -367,3 +367,27 @@
 		s.RefuseAttempt(effect.RefuseAttempt{Attempt: asked.Attempt.ID, Problem: problem, Report: testReport})
 	}
 }
+
+// Guards against a request that waits long for nodes which cannot be reached: three of them took an order most of its goal.
+func TestDialIsBoundedByTheDistance(t *testing.T) {
+	for name, c := range map[string]struct {
+		far  bool
+		want time.Duration
+	}{"within the zone": {false, nearTimeout}, "to another zone": {true, farTimeout}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(t)
+			var allowed time.Duration
+			dial := func(ctx context.Context, _, _ string) (net.Conn, error) {
+				deadline, _ := ctx.Deadline()
+				allowed = time.Until(deadline)
+				return nil, context.DeadlineExceeded
+			}
+			forwarder := NewForwarder("a", ForwarderSeams{Now: time.Now, Post: b.post, Dial: dial})
+			r := httptest.NewRequest(http.MethodPost, "http://shop.example/x", nil)
+			_, _, err := forwarder.Forward(t.Context(), effect.Forward{Attempt: b.attempt(), Far: c.far}, r, nil)
+			wantProblem(t, err, fleet.Unreachable, fleet.NotRun)
+			is.True(allowed > 0 && allowed <= c.want)
+		})
+	}
+}
--- a/internal/edge/peer/forwarder.go
+++ b/internal/edge/peer/forwarder.go
@@ -77,7 +77,7 @@
 	ctx context.Context, forward effect.Forward, r *http.Request, body []byte,
 ) (*http.Response, func() fleet.Option[fleet.Report], error) {
 	attempt := forward.Attempt
-	l, err := f.connect(ctx, attempt)
+	l, err := f.connect(ctx, attempt.Address, timeoutOf(forward.Far))
 	if err != nil {
 		return nil, noReport, err
 	}
@@ -119,16 +119,16 @@
 // connect returns a connection with a reserved request. One that has not answered lately is verified first, and replaced
 // where it has gone silent, so that no request is lost on it. Opening a connection takes a round trip, so that a new one is
 // verified by that.
-func (f *Forwarder) connect(ctx context.Context, attempt fleet.Attempt) (*link, error) {
-	l, err := f.links.reserve(ctx, attempt.Address)
+func (f *Forwarder) connect(ctx context.Context, address string, timeout time.Duration) (*link, error) {
+	l, err := f.links.reserve(ctx, address, timeout)
 	if err != nil {
 		return nil, notSent(err)
 	}
-	if l.fresh(f.seams.Now()) || f.verify(ctx, l, attempt.Address) == nil {
+	if l.fresh(f.seams.Now()) || f.verify(ctx, l, address, timeout) == nil {
 		return l, nil
 	}
-	f.links.retire(attempt.Address, l)
-	if l, err = f.links.dial(ctx, attempt.Address); err != nil {
+	f.links.retire(address, l)
+	if l, err = f.links.dial(ctx, address, timeout); err != nil {
 		return nil, notSent(err)
 	}
 	return l, nil
@@ -167,8 +167,8 @@
 }
 
 // verify asks the peer for a sign of life on this very connection.
-func (f *Forwarder) verify(ctx context.Context, l *link, address string) error {
-	ctx, cancel := context.WithTimeout(ctx, verifyTimeout)
+func (f *Forwarder) verify(ctx context.Context, l *link, address string, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	return f.control(ctx, l, address, headerVerify, string(f.self))
 }
--- a/internal/edge/peer/forwardlink.go
+++ b/internal/edge/peer/forwardlink.go
@@ -12,11 +12,12 @@
 const (
 	// freshWithin is how long after an answer a connection counts as verified. Non-idempotent requests need that.
 	freshWithin = 500 * time.Millisecond
-	// verifyTimeout bounds the verification of a connection. A round trip between availability zones takes 3 ms, between
-	// regions 110 ms. A request that cannot be sent goes to another node, which costs less than a longer wait.
-	verifyTimeout = 200 * time.Millisecond
-	// dialTimeout bounds opening a connection, which takes one round trip.
-	dialTimeout = 300 * time.Millisecond
+	// nearTimeout and farTimeout bound the verification of a connection and the opening of one, each of which takes one
+	// round trip: within an availability zone 0.4 ms and whatever the peer waits for its processor, between zones 3 ms,
+	// between regions 110 ms. A request that cannot be sent goes to another node, which costs less than a longer wait, and a
+	// lost packet would be sent again only after a second.
+	nearTimeout = 100 * time.Millisecond
+	farTimeout  = 200 * time.Millisecond
 	// idleTimeout closes unused connections. An idle one costs nothing but memory; a new one costs a round trip and some 500
 	// bytes.
 	idleTimeout = 2 * time.Minute
@@ -92,8 +93,16 @@
 	closed    bool
 }
 
-// reserve returns a connection with room for one more request, opened now if need be.
-func (ls *links) reserve(ctx context.Context, address string) (*link, error) {
+// timeoutOf returns the time that one round trip to a node may take.
+func timeoutOf(far bool) time.Duration {
+	if far {
+		return farTimeout
+	}
+	return nearTimeout
+}
+
+// reserve returns a connection with room for one more request, opened within the timeout if need be.
+func (ls *links) reserve(ctx context.Context, address string, timeout time.Duration) (*link, error) {
 	if l, ok := ls.reserveOpen(address); ok {
 		return l, nil
 	}
@@ -103,7 +112,7 @@
 	if full {
 		return nil, errLinksFull
 	}
-	return ls.dial(ctx, address)
+	return ls.dial(ctx, address, timeout)
 }
 
 func (ls *links) reserveOpen(address string) (*link, bool) {
@@ -126,8 +135,8 @@
 }
 
 // dial opens a connection and reserves a request on it.
-func (ls *links) dial(ctx context.Context, address string) (*link, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+func (ls *links) dial(ctx context.Context, address string, timeout time.Duration) (*link, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	conn, err := ls.transport.NewClientConn(ctx, "http", address)
 	if err != nil {
