lab/soak: random faults on the real programs, with the promises checked while they run

The scenarios inject one fault each; series that overlap were tested in models only. Checked: answers, ledgers of orders, requests cut off by the node that is only stopped as planned, revisions in force in time and never going back, processes that end by themselves, service after the last fault. The TCP forwarder of the scenarios moves to internal/lab/link, one copy for both. The comparison with the ledgers names orders to look at, and those that were started and not answered.

--- a/cmd/jayfold-lab/main.go
+++ b/cmd/jayfold-lab/main.go
@@ -5,6 +5,7 @@
 //
 //	jayfold-lab demo
 //	jayfold-lab platform --listen 127.0.0.1:7000
+//	jayfold-lab soak --seed 1 --minutes 2
 //	jayfold-lab target --node 127.0.0.1:8081 --pool catalogue --name t1
 package main
 
@@ -32,6 +33,7 @@
 	Target     targetCommand     `cmd:"" help:"Run a stand-in target."`
 	Load       loadCommand       `cmd:"" help:"Send requests at a fixed rate and check the answers."`
 	Experiment experimentCommand `cmd:"" help:"Run an experiment and print its table."`
+	Soak       soakCommand       `cmd:"" help:"Run the real programs under random faults and check the promises."`
 	Capacity   capacityCommand   `cmd:"" help:"Measure what a node costs as the fleet grows."`
 }
 
--- /dev/null
+++ b/cmd/jayfold-lab/soak.go
@@ -0,0 +1,79 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"time"
+
+	"jayfold.dev/jayfold/internal/lab/soak"
+)
+
+// soakCommand runs the fault soak for one seed after another.
+type soakCommand struct {
+	Seed    uint64  `default:"1" help:"Seed of the first run."`
+	Seeds   int     `default:"1" help:"Number of seeds, each one run."`
+	Minutes float64 `default:"1" help:"Length of the faults of one run."`
+	Nodes   int     `default:"4" help:"Nodes of the fleet, each with two targets."`
+	Jayfold string  `help:"The program jayfold; left out, it is built."`
+	Quiet   bool    `help:"Print no line for each fault."`
+}
+
+// Run implements the command.
+func (c *soakCommand) Run() error {
+	lab, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	program, err := c.program()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := untilStopped()
+	defer cancel()
+	failed := 0
+	for i := range c.Seeds {
+		dir, err := os.MkdirTemp("", "jayfold-soak")
+		if err != nil {
+			return err
+		}
+		s := soak.Settings{
+			Seed: c.Seed + uint64(i), Length: time.Duration(c.Minutes * float64(time.Minute)),
+			Jayfold: program, Lab: lab, Dir: dir, Nodes: c.Nodes, Out: os.Stdout,
+		}
+		if c.Quiet {
+			s.Out = io.Discard
+		}
+		report, err := soak.Run(ctx, s)
+		if err != nil {
+			return err
+		}
+		report.Write(os.Stdout)
+		if len(report.Violations) > 0 {
+			failed++
+		}
+	}
+	if failed > 0 {
+		return fmt.Errorf("promises were broken with %d of %d seeds", failed, c.Seeds)
+	}
+	return nil
+}
+
+// program returns the path of jayfold, which is built where none is given.
+func (c *soakCommand) program() (string, error) {
+	if c.Jayfold != "" {
+		return exec.LookPath(c.Jayfold)
+	}
+	dir, err := os.MkdirTemp("", "jayfold-bin")
+	if err != nil {
+		return "", err
+	}
+	built := filepath.Join(dir, "jayfold")
+	out, err := exec.Command("go", "build", "-o", built, "./cmd/jayfold").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("go build: %w: %s", err, out)
+	}
+	return built, nil
+}
--- a/internal/edge/peer/forward_test.go
+++ b/internal/edge/peer/forward_test.go
@@ -385,7 +385,7 @@
 			}
 			forwarder := NewForwarder("a", ForwarderSeams{Now: time.Now, Post: b.post, Dial: dial})
 			r := httptest.NewRequest(http.MethodPost, "http://shop.example/x", nil)
-			_, _, err := forwarder.Forward(t.Context(), effect.Forward{Attempt: b.attempt(), Far: c.far}, r, nil)
+			_, _, err := forwarder.Forward(t.Context(), effect.Forward{Attempt: b.attempt(), Far: c.far}, r, nil) //nolint:bodyclose // there is no response
 			wantProblem(t, err, fleet.Unreachable, fleet.NotRun)
 			is.True(allowed > 0 && allowed <= c.want)
 		})
--- a/internal/lab/load/ledger.go
+++ b/internal/lab/load/ledger.go
@@ -24,12 +24,19 @@
 	// RanTwice counts orders that were started more than once, RanThoughNotRun those that were started although their callers
 	// were told that they did not run, and Lost those that were answered but never started.
 	RanTwice, RanThoughNotRun, Lost int
+	// Unanswered counts the orders that were started and whose callers got no answer.
+	Unanswered int
+	// Examples are tokens of the orders behind these counts, to look for them in the logs.
+	Examples []string
 }
 
+// maxExamples bounds the examples.
+const maxExamples = 8
+
 // String returns the comparison as a line of text.
 func (c Comparison) String() string {
-	return fmt.Sprintf("orders in %d ledgers (%d missing): started %d, twice %d, though told NotRun %d, lost %d",
-		c.Ledgers, c.Missing, c.Started, c.RanTwice, c.RanThoughNotRun, c.Lost)
+	return fmt.Sprintf("orders in %d ledgers (%d missing): started %d, twice %d, though told NotRun %d, lost %d, unanswered %d",
+		c.Ledgers, c.Missing, c.Started, c.RanTwice, c.RanThoughNotRun, c.Lost, c.Unanswered)
 }
 
 // compare reads the ledgers and compares them with the verdict on each order.
@@ -48,25 +55,32 @@
 		c.Ledgers++
 	}
 	for token, verdict := range verdicts {
-		c = c.with(verdict, starts[token])
+		c = c.with(token, verdict, starts[token])
 	}
 	return c
 }
 
 // with returns the comparison after one more order. Orders can be lost from view only while a ledger is missing.
-func (c Comparison) with(verdict string, starts int) Comparison {
+func (c Comparison) with(token, verdict string, starts int) Comparison {
+	before := c.RanTwice + c.RanThoughNotRun + c.Lost + c.Unanswered
 	if starts > 0 {
 		c.Started++
 	}
 	if starts > 1 {
 		c.RanTwice++
 	}
+	if starts > 0 && verdict == unanswered {
+		c.Unanswered++
+	}
 	if starts > 0 && verdict == "NotRun" {
 		c.RanThoughNotRun++
 	}
 	if starts == 0 && verdict == "Ran" && c.Missing == 0 {
 		c.Lost++
 	}
+	if c.RanTwice+c.RanThoughNotRun+c.Lost+c.Unanswered > before && len(c.Examples) < maxExamples {
+		c.Examples = append(c.Examples[:len(c.Examples):len(c.Examples)], token)
+	}
 	return c
 }
 
--- a/internal/lab/load/load_test.go
+++ b/internal/lab/load/load_test.go
@@ -144,6 +144,9 @@
 		Timeout: time.Second, Ledgers: []string{file, file + ".missing"},
 	}, load.NewSeams()).Run(t.Context())
 	is.NoErr(err)
-	is.Equal(report.Orders, load.Comparison{Ledgers: 1, Missing: 1, Started: 1, RanTwice: 1})
+	is.Equal(report.Orders, load.Comparison{
+		Ledgers: 1, Missing: 1, Started: 1, RanTwice: 1, Examples: report.Orders.Examples,
+	})
+	is.Equal(len(report.Orders.Examples), 1)
 	assertBreach(is, report, "more than once")
 }
--- a/internal/lab/load/report.go
+++ b/internal/lab/load/report.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -87,13 +88,22 @@
 	return "lookup"
 }
 
+// unanswered stands for the verdict of an order whose caller got no answer. It may have run.
+const unanswered = "Unanswered"
+
+// failed stands for the verdict of an order with the target's own failure as its answer. A target that is full answers 503
+// without a start, so that such an order need not be in a ledger.
+const failed = "Failed"
+
 // verdictOf returns what the caller of an order knows.
 func verdictOf(r result) string {
 	switch {
 	case r.fault == notSent:
 		return "NotRun"
 	case r.verdict == "":
-		return "MayHaveRun"
+		return unanswered
+	case r.verdict == "Ran" && !r.whole():
+		return failed
 	default:
 		return r.verdict
 	}
@@ -154,6 +164,9 @@
 	for _, breach := range r.Breaches() {
 		line("BREACH: %s", breach)
 	}
+	if len(r.Orders.Examples) > 0 {
+		line("orders to look at: %s", strings.Join(r.Orders.Examples, " "))
+	}
 }
 
 func dash(text string) string { return cmp.Or(text, "-") }
--- /dev/null
+++ b/internal/lab/soak/plan_test.go
@@ -0,0 +1,33 @@
+package soak
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestPlan guards against a seed that does not repeat its faults, and against faults that end the gentle node without notice
+// or outlast the run.
+func TestPlan(t *testing.T) {
+	const length = 5 * time.Minute
+	plan := NewPlan(7, length, 4)
+	t.Run("the same for the same seed", func(t *testing.T) {
+		is.New(t).Equal(plan, NewPlan(7, length, 4))
+	})
+	t.Run("every kind, in time, gentle to one node", func(t *testing.T) {
+		is := is.New(t)
+		drawn := map[Kind]bool{}
+		overlaps := 0
+		for i, step := range plan {
+			drawn[step.Kind] = true
+			is.True(step.At+step.For < length)
+			is.True(step.On != gentleNode || step.Kind == gently(step.Kind))
+			if i > 0 && plan[i-1].At+plan[i-1].For > step.At {
+				overlaps++
+			}
+		}
+		is.Equal(len(drawn), len(weights))
+		is.True(overlaps > len(plan)/2)
+	})
+}
--- a/test/scenario/process_test.go
+++ b/test/scenario/process_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"jayfold.dev/jayfold/internal/lab/link"
 )
 
 // endWait bounds how long a process may take to end: the longest deadline is 10 s.
@@ -21,7 +23,7 @@
 type processes struct {
 	dir     string
 	running map[string]*process
-	links   map[string]*forwarder
+	links   map[string]*link.Link
 }
 
 type processesKey struct{}
@@ -36,10 +38,10 @@
 
 // newProcesses returns a holder that ends everything after the scenario.
 func newProcesses(env *testscript.Env) *processes {
-	p := &processes{dir: env.WorkDir, running: map[string]*process{}, links: map[string]*forwarder{}}
+	p := &processes{dir: env.WorkDir, running: map[string]*process{}, links: map[string]*link.Link{}}
 	env.Defer(func() {
 		for _, l := range p.links {
-			l.close()
+			l.Close()
 		}
 		for name, started := range p.running {
 			_ = started.command.Process.Kill()
--- a/test/scenario/scenario_test.go
+++ b/test/scenario/scenario_test.go
@@ -84,7 +84,7 @@
 			"get":        request("GET"),
 			"post":       request("POST"),
 			"put":        request("PUT"),
-			"link":       link,
+			"link":       startLink,
 			"cut":        cut,
 			"heal":       heal,
 			"order":      order,
--- a/test/scenario/setup_test.go
+++ b/test/scenario/setup_test.go
@@ -135,7 +135,7 @@
 func linkNode(ts *testscript.TestScript, n int) {
 	for name, listener := range map[string]string{"peers": "PEERS", "forward": "FORWARD"} {
 		advertised := ts.Getenv(fmt.Sprintf("ADVERTISED_%s%d", listener, n))
-		link(ts, false, []string{fmt.Sprintf("%s%d", name, n), advertised, ts.Getenv(fmt.Sprintf("%s%d", listener, n))})
+		startLink(ts, false, []string{fmt.Sprintf("%s%d", name, n), advertised, ts.Getenv(fmt.Sprintf("%s%d", listener, n))})
 	}
 }
 
