--- a/internal/lab/soak/site.go
+++ b/internal/lab/soak/site.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -57,57 +56,34 @@
 // listeners are the addresses of a node; those that start with via are of the links.
 var listeners = []string{"Callers", "Targets", "Peers", "Forward", "Operators", "viaPeers", "viaForward", "viaPlatform"}
 
-func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String(), nil
-}
-
-func newSite(s Settings) (*site, error) {
-	store, err := freeAddress()
-	if err != nil {
-		return nil, err
-	}
+func newSite(s Settings) *site {
+	store := link.FreeAddress()
 	built := &site{settings: s, store: store, http: &http.Client{Timeout: time.Second}, changes: make(chan change, changesKept)}
 	built.platform = newProcess("platform", built.file("platform.log"), s.Lab, "platform", "--listen", store)
 	for number := 1; number <= s.Nodes; number++ {
-		n, err := built.newNode(number)
-		if err != nil {
-			return nil, err
-		}
-		built.nodes = append(built.nodes, n)
+		built.nodes = append(built.nodes, built.newNode(number))
 	}
-	return built, nil
+	return built
 }
 
 func (s *site) file(name string) string { return filepath.Join(s.settings.Dir, name) }
 
-func (s *site) newNode(number int) (*node, error) {
+func (s *site) newNode(number int) *node {
 	n := &node{number: number, addresses: map[string]string{}}
 	for _, name := range listeners {
-		address, err := freeAddress()
-		if err != nil {
-			return nil, err
-		}
-		n.addresses[name] = address
+		n.addresses[name] = link.FreeAddress()
 	}
 	name := fmt.Sprintf("n%d", number)
 	n.process = newProcess(name, s.file(name+".log"), s.settings.Jayfold, "node", "--settings", s.file(name+".json"))
 	for i := range targetsPerNode {
-		address, err := freeAddress()
-		if err != nil {
-			return nil, err
-		}
+		address := link.FreeAddress()
 		name := fmt.Sprintf("n%dt%d", number, i+1)
 		t := &target{address: address, ledger: s.file(name + ".ledger")}
 		t.process = newProcess(name, s.file(name+".log"), s.settings.Lab, "target", "--listen", address, "--name", name,
 			"--pool", "shop", "--node", n.addresses["Targets"], "--ledger", t.ledger, "--service-time", "40ms")
 		n.targets = append(n.targets, t)
 	}
-	return n, nil
+	return n
 }
 
 // settingsFile is the settings file of a node.
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -72,10 +72,7 @@
 // Run runs one soak.
 func Run(ctx context.Context, s Settings) (Report, error) {
 	report := Report{Settings: s}
-	site, err := newSite(s)
-	if err != nil {
-		return report, err
-	}
+	site := newSite(s)
 	defer site.stop()
 	if err := site.start(ctx); err != nil {
 		return report, err
--- a/test/scenario/setup_test.go
+++ b/test/scenario/setup_test.go
@@ -2,14 +2,13 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"os"
 	"path/filepath"
 	"strings"
-	"sync"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"jayfold.dev/jayfold/internal/lab/link"
 )
 
 const (
@@ -61,33 +60,10 @@
 	return writeFiles(env)
 }
 
-// Ports are taken below the range from which the system takes those of outgoing connections.
-const (
-	lowestPort = 12000
-	portRange  = 20000
-)
-
-// taken holds the ports handed out by this process.
-var taken sync.Map
-
 // setPorts sets each name to a free address.
 func setPorts(env *testscript.Env, names []string) {
 	for _, name := range names {
-		env.Setenv(name, freeAddress())
-	}
-}
-
-// freeAddress returns an address on which nothing listens and that was not handed out before.
-func freeAddress() string {
-	for {
-		address := fmt.Sprintf("127.0.0.1:%d", lowestPort+rand.IntN(portRange))
-		if _, before := taken.LoadOrStore(address, true); before {
-			continue
-		}
-		if listener, err := net.Listen("tcp", address); err == nil {
-			_ = listener.Close()
-			return address
-		}
+		env.Setenv(name, link.FreeAddress())
 	}
 }
 
