admission: orders take no more of a failing target than its trials

Ruled out: parking of orders is in place (they waited for their goal); more trials are not the cause, they ran. Change: an order that is forced on a suspect target runs only when a trial may run, else it is refused as NotRun, with Retry-After; lookups are forced as before, they lose nothing. Tests: "an order between two trials" (red before: it ran), "a lookup when no healthy target is left".

--- a/internal/core/admission/state.go
+++ b/internal/core/admission/state.go
@@ -128,7 +128,7 @@
 		return fleet.Ejected, true
 	case !attempt.Deadline.After(ctx.Now):
 		return fleet.DeadlinePassed, true
-	case !attempt.Forced && ctx.Suspect(attempt.Target) && (!attempt.Trial || !ctx.MayTry(attempt.Target)):
+	case ctx.Suspect(attempt.Target) && !mayRisk(ctx, attempt):
 		return fleet.Failing, true
 	case attempt.Repeated && !l.repeats.allows(ctx.Now, s.settings.Retries, ctx.PoolSize(attempt.Pool), attempt.Idempotent):
 		return fleet.RetryBudget, true
@@ -137,6 +137,16 @@
 	}
 }
 
+// mayRisk reports whether an attempt may run on a target that has just failed. It answers a pool of which only failing
+// targets are left: an order that is forced on one of them mostly fails, and nobody knows whether it ran. So orders take no
+// more of the target than its trials, and only when no other trial does; the rest is refused and may come again.
+func mayRisk(ctx Context, attempt fleet.Attempt) bool {
+	if attempt.Forced && attempt.Idempotent {
+		return true
+	}
+	return (attempt.Forced || attempt.Trial) && ctx.MayTry(attempt.Target)
+}
+
 // fits reports whether an attempt can start now.
 func (s State) fits(ctx Context, l local, attempt fleet.Attempt) bool {
 	return l.running.Len() < l.slots && (!ctx.Suspected(attempt.Fingerprint) || !s.runsSuspect(ctx, l))
--- a/internal/core/admission/state_test.go
+++ b/internal/core/admission/state_test.go
@@ -397,7 +397,9 @@
 		"an order on a suspect target":            {func(a fleet.Attempt) fleet.Attempt { return a }, true, false},
 		"a trial on a suspect target":             {func(a fleet.Attempt) fleet.Attempt { a.Trial = true; return a }, true, true},
 		"a trial too soon":                        {func(a fleet.Attempt) fleet.Attempt { a.Trial = true; return a }, false, false},
-		"an order when no healthy target is left": {func(a fleet.Attempt) fleet.Attempt { a.Forced = true; return a }, false, true},
+		"a lookup when no healthy target is left": {func(a fleet.Attempt) fleet.Attempt { a.Forced, a.Idempotent = true, true; return a }, false, true},
+		"an order when no healthy target is left": {func(a fleet.Attempt) fleet.Attempt { a.Forced = true; return a }, true, true},
+		"an order between two trials":             {func(a fleet.Attempt) fleet.Attempt { a.Forced = true; return a }, false, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is, r := is.New(t), newWarmRig(4)
