node: the targets of a leaving node take attempts for another second

Change: the targets take attempts for the first half of that time; then the sidecar drains and the node leaves the fleet. Test, red before: TestTargetsOfALeavingNode.

--- a/internal/core/node/clock.go
+++ b/internal/core/node/clock.go
@@ -9,7 +9,7 @@
 
 // tick lets every part act on the time that has passed.
 func (s State) tick(ev event.Event) (State, []effect.Effect) {
-	var attempts, admission, ejection, membership, orders, tables, stop []effect.Effect
+	var attempts, admission, ejection, membership, orders, tables, leaving, stop []effect.Effect
 	s.attempts, attempts = s.attempts.Tick(s.attemptContext(ev))
 	s.admission, admission = s.admission.Tick(s.admissionContext(ev))
 	s.health = s.health.Tick(ev.At)
@@ -19,9 +19,12 @@
 	s.membership, membership = s.membership.Tick(ev.At, ev.Random)
 	s.orders, orders = s.orders.Tick(ev.At, s.membership.Directory(), s.membership.Self().Targets)
 	s.tables, tables = s.tables.Tick(ev.At, ev.Random)
+	if s.shutdown.drains(ev.At) {
+		s, leaving = s.drain(ev)
+	}
 	s.shutdown, stop = s.shutdown.tick(ev.At, s.attempts.InFlight()+s.admission.InFlight())
 	effects := append(attempts, s.completeReports(ev.At, admission)...)
-	for _, more := range [][]effect.Effect{ejection, suspicions, membership, orders, tables, stop} {
+	for _, more := range [][]effect.Effect{ejection, suspicions, membership, orders, tables, leaving, stop} {
 		effects = append(effects, more...)
 	}
 	return s, effects
--- a/internal/core/node/shutdown.go
+++ b/internal/core/node/shutdown.go
@@ -11,6 +11,10 @@
 // learn that it leaves. The users allow a few seconds.
 const leaveGrace = 2 * time.Second
 
+// drainPart is the part of that time after which the targets of the host take no new attempt. Until then they are as good as
+// before, and what starts by then mostly ends before the listener closes.
+const drainPart = 0.5
+
 // The parts of the grace that are left for taking requests, where it is short; after which a leaving node gives up what is in
 // flight, so that its callers get an answer before the process is ended by force; and after which it stops in any case.
 const (
@@ -23,6 +27,8 @@
 type shutdown struct {
 	started time.Time
 	grace   time.Duration
+	// drained means that the targets of the host take no new attempt.
+	drained bool
 	// closing means that the callers' listener was told to close, closed that all requests of callers have ended since.
 	closing bool
 	closed  bool
@@ -37,20 +43,35 @@
 	return sd.started.Add(time.Duration(part * float64(sd.grace)))
 }
 
-// shutdownStarted leaves the fleet: the targets of this host take no new attempt, and what is in flight finishes within the
-// grace. What could not be answered by then is refused before it runs.
+// leaveTime is how long the node takes requests of callers.
+func (sd shutdown) leaveTime() time.Duration {
+	return min(leaveGrace, time.Duration(leavePart*float64(sd.grace)))
+}
+
+// drains reports whether the targets of the host are to take no new attempt from now on.
+func (sd shutdown) drains(now time.Time) bool {
+	return sd.begun() && !sd.drained && now.Sub(sd.started) >= time.Duration(drainPart*float64(sd.leaveTime()))
+}
+
+// shutdownStarted tells callers to use other nodes, and lets what is in flight finish within the grace. What could not be
+// answered by then is refused before it runs.
 func (s State) shutdownStarted(ev event.Event) (State, []effect.Effect) {
 	if s.shutdown.begun() {
 		return s, nil
 	}
 	s.shutdown.started = ev.At
 	s.attempts = s.attempts.Leaving(s.shutdown.after(answerPart))
+	return s, []effect.Effect{effect.UseReadiness{Leaving: true}}
+}
+
+// drain leaves the fleet: the targets of this host take no new attempt.
+func (s State) drain(ev event.Event) (State, []effect.Effect) {
+	s.shutdown.drained = true
 	var refused, released, left []effect.Effect
 	s.admission, refused = s.admission.Drained(ev.At)
 	s.ejection, released = s.ejection.Drained(s.ejectionContext(ev))
 	s.membership, left = s.membership.Left()
-	effects := append([]effect.Effect{effect.UseReadiness{Leaving: true}}, s.completeReports(ev.At, refused)...)
-	effects = append(effects, released...)
+	effects := append(s.completeReports(ev.At, refused), released...)
 	return s, append(effects, left...)
 }
 
@@ -72,7 +93,7 @@
 // is nearly over.
 func (sd shutdown) tick(now time.Time, inFlight int) (shutdown, []effect.Effect) {
 	switch {
-	case !sd.begun() || sd.stopped || now.Sub(sd.started) < leaveGrace && now.Before(sd.after(leavePart)):
+	case !sd.begun() || sd.stopped || now.Sub(sd.started) < sd.leaveTime():
 		return sd, nil
 	case !sd.closing:
 		sd.closing = true
--- a/internal/core/node/shutdown_test.go
+++ b/internal/core/node/shutdown_test.go
@@ -53,3 +53,24 @@
 		has(is.New(t), leaving(ticks...), effect.Stop{}, true) // 95% of 75 s
 	})
 }
+
+// TestTargetsOfALeavingNode guards against capacity that is lost while a node that is restarted still takes requests, and
+// against attempts that start shortly before its end.
+func TestTargetsOfALeavingNode(t *testing.T) {
+	for name, c := range map[string]struct {
+		after time.Duration
+		runs  bool
+	}{"at first": {500 * time.Millisecond, true}, "later": {1100 * time.Millisecond, false}} {
+		t.Run(name, func(t *testing.T) {
+			r := designFleet()
+			target := r.state.admission.Targets()[0]
+			r.reduce(event.ShutdownStarted{})
+			r.now = r.now.Add(c.after)
+			r.reduce(event.Tick{})
+			effects := r.reduce(event.AdmissionAsked{Attempt: fleet.Attempt{
+				ID: "r1.1", Target: target.ID, Pool: target.Pool, Class: fleet.Lookup, Deadline: r.now.Add(time.Minute),
+			}})
+			is.New(t).Equal(slices.ContainsFunc(effects, startsRun), c.runs)
+		})
+	}
+}
