edge/operator: a log that nobody reads holds up neither metrics nor the end of a node; one way into the log

Cause: read from the code. One goroutine wrote lines and measured, so that a full pipe stopped the metrics; Close waited for it without a bound, so that such a node was ended by force; and the client of the platform wrote its lines from its own goroutines. Test, red before (the count waits for the log): TestUnreadLog.

--- a/cmd/jayfold/tables.go
+++ b/cmd/jayfold/tables.go
@@ -7,7 +7,6 @@
 	"syscall"
 
 	"github.com/alecthomas/kong"
-	"github.com/apex/log"
 
 	"jayfold.dev/jayfold/internal/core/fleet"
 	"jayfold.dev/jayfold/internal/edge/platform"
@@ -39,7 +38,7 @@
 func (f platformFlags) edit(k *kong.Context, command func(context.Context, tablesedit.Editor) error) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	client := platform.New(platform.Settings{Store: platform.NewStore(f.Platform, &http.Client{}), Log: log.Log})
+	client := platform.New(platform.Settings{Store: platform.NewStore(f.Platform, &http.Client{})})
 	defer client.Close()
 	return command(ctx, tablesedit.New(client, k.Stdout))
 }
--- a/internal/edge/operator/operator.go
+++ b/internal/edge/operator/operator.go
@@ -18,7 +18,6 @@
 
 import (
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -27,9 +26,6 @@
 	"jayfold.dev/jayfold/internal/core/event"
 )
 
-// observationQueue bounds the observations that wait to be logged or measured. More are dropped and counted.
-const observationQueue = 8192
-
 // Seams are what an Operator needs from outside.
 type Seams struct {
 	Post func(event.Body)
@@ -44,44 +40,38 @@
 // Operator carries out the observations of the core and answers operators.
 type Operator struct {
 	seams   Seams
-	queue   chan effect.Effect
-	dropped atomic.Int64
 	metrics *metrics
 	lines   *lines
-	closing chan struct{}
-	closed  chan struct{}
-	once    sync.Once
+	// logged and measured wait apart, so that a log that nobody reads does not hold up the metrics.
+	logged, measured *queue
 
 	mutex   sync.Mutex
 	query   uint64
 	waiting map[uint64]chan effect.Status
 }
 
-// New returns an operator edge and starts the goroutine that logs and measures.
+// New returns an operator edge and starts the goroutines that log and measure.
 func New(seams Seams) *Operator {
 	if seams.Now == nil {
 		seams.Now = time.Now
 	}
 	o := &Operator{
 		seams:   seams,
-		queue:   make(chan effect.Effect, observationQueue),
 		metrics: newMetrics(seams.Exporter),
 		lines:   newLines(&log.Logger{Handler: seams.Log, Level: log.DebugLevel}),
-		closing: make(chan struct{}),
-		closed:  make(chan struct{}),
 		waiting: make(map[uint64]chan effect.Status),
 	}
-	go o.run()
+	o.logged, o.measured = newQueue(o.write), newQueue(o.measure)
 	return o
 }
 
-// Observe takes an observation from any goroutine. It never blocks: when the queue is full the observation is dropped.
+// Observe takes an observation from any goroutine. It never blocks: when its queue is full the observation is dropped.
 func (o *Operator) Observe(e effect.Effect) {
-	select {
-	case o.queue <- e:
-	default:
-		o.dropped.Add(1)
+	if _, line := e.(effect.Log); line {
+		o.logged.put(e)
+		return
 	}
+	o.measured.put(e)
 }
 
 // ShowStatus hands a status to the request that asked for it.
@@ -95,40 +85,26 @@
 	}
 }
 
-// Close writes what is queued and ends the goroutine.
+// Close writes what is queued and ends the goroutines.
 func (o *Operator) Close() {
-	o.once.Do(func() { close(o.closing) })
-	<-o.closed
-}
-
-// run carries out observations until Close. Only this goroutine touches the limits on lines and the busiest callers.
-func (o *Operator) run() {
-	defer close(o.closed)
-	defer o.metrics.close()
-	for {
-		select {
-		case e := <-o.queue:
-			o.carryOut(e)
-		case <-o.closing:
-			o.drain()
-			return
-		}
-	}
+	o.logged.close()
+	o.measured.close()
+	o.metrics.close()
 }
 
-func (o *Operator) drain() {
-	for range len(o.queue) {
-		o.carryOut(<-o.queue)
+// write carries out effect.Log. Only the goroutine of its queue touches the limits on lines.
+func (o *Operator) write(e effect.Effect) {
+	if line, ok := e.(effect.Log); ok {
+		o.lines.write(o.seams.Now(), line)
 	}
 }
 
-func (o *Operator) carryOut(e effect.Effect) {
-	if dropped := o.dropped.Swap(0); dropped > 0 {
+// measure carries out the other observations. Only the goroutine of its queue touches the busiest callers.
+func (o *Operator) measure(e effect.Effect) {
+	if dropped := o.logged.dropped.Swap(0) + o.measured.dropped.Swap(0); dropped > 0 {
 		o.metrics.count(effect.Count{Name: "observations_dropped", Delta: dropped})
 	}
 	switch e := e.(type) {
-	case effect.Log:
-		o.lines.write(o.seams.Now(), e)
 	case effect.Count:
 		o.metrics.count(e)
 	case effect.Duration:
--- a/internal/edge/operator/operator_test.go
+++ b/internal/edge/operator/operator_test.go
@@ -133,11 +133,56 @@
 	for range 2 * observationQueue {
 		o.Observe(effect.Log{Part: "peer", Text: "message refused"})
 	}
-	is.New(t).Equal(o.dropped.Load(), int64(observationQueue))
+	is.New(t).Equal(o.logged.dropped.Load(), int64(observationQueue))
 	close(release)
 	o.Close()
 }
 
+// A log that nobody reads must neither hold up the metrics nor the end of the process.
+func TestUnreadLog(t *testing.T) {
+	is := is.New(t)
+	entered, release := make(chan struct{}, 1), make(chan struct{})
+	defer close(release)
+	o := New(Seams{Log: blocked(entered, release)})
+	o.Observe(effect.Log{Part: "tables", Text: "revision in force"})
+	<-entered
+	for range 2 * observationQueue {
+		o.Observe(effect.Log{Part: "peer", Text: "message refused"})
+	}
+	measured := make(chan struct{})
+	o.measured.carryOut = func(effect.Effect) { close(measured) }
+	o.Observe(effect.Count{Name: "requests", Delta: 1})
+	<-measured
+	ended := make(chan struct{})
+	go func() {
+		o.Close()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-time.After(10 * closeWait):
+		t.Fatal("the log holds the end of the process")
+	}
+	is.Equal(len(o.logged.waiting), observationQueue) // the memory is bounded
+}
+
+// Measures what a line costs the goroutine that observes it, with a log that is read and one that is not.
+func BenchmarkObserve(b *testing.B) {
+	line := effect.Log{Part: "request", Text: "request answered", Fields: []effect.Field{{Name: "Request", Value: "r1"}}}
+	for name, handler := range map[string]log.Handler{
+		"read":   log.HandlerFunc(func(*log.Entry) error { return nil }),
+		"unread": blocked(make(chan struct{}, 1), make(chan struct{})),
+	} {
+		b.Run(name, func(b *testing.B) {
+			o := New(Seams{Log: handler})
+			defer o.Close()
+			for b.Loop() {
+				o.Observe(line)
+			}
+		})
+	}
+}
+
 // blocked returns a log handler that says when it is first entered and blocks until the other channel closes.
 func blocked(entered chan<- struct{}, until <-chan struct{}) log.Handler {
 	return log.HandlerFunc(func(*log.Entry) error {
--- a/internal/edge/platform/claim.go
+++ b/internal/edge/platform/claim.go
@@ -46,7 +46,9 @@
 			return
 		}
 		if err := c.store.Remove(c.ctx, claimKey(e.Name), unchanged(found.Version)); err != nil {
-			c.log.WithField("Error", err.Error()).Warn("orders: claim not released")
+			c.observe(effect.Log{Level: effect.Warn, Part: "orders", Text: "claim not released", Fields: []effect.Field{
+				{Name: "Error", Value: err.Error()},
+			}})
 		}
 	})
 }
@@ -92,7 +94,9 @@
 	}
 	var claim wireClaim
 	if err := json.Unmarshal(found.Value, &claim); err != nil {
-		c.log.WithField("Error", err.Error()).Error("orders: claim does not decode")
+		c.observe(effect.Log{Level: effect.Failure, Part: "orders", Text: "claim does not decode", Fields: []effect.Field{
+			{Name: "Error", Value: err.Error()},
+		}})
 		return found, wireClaim{}, nil
 	}
 	return found, claim, nil
--- a/internal/edge/platform/client.go
+++ b/internal/edge/platform/client.go
@@ -6,7 +6,7 @@
 //	client := platform.New(platform.Settings{
 //		Store: platform.NewStore("http://10.0.0.1:7000", &http.Client{}),
 //		Post: loop.Post,
-//		Log:  log.Log,
+//		Observe: operator.Observe,
 //	})
 //	defer client.Close()
 //	client.WatchHead(effect.WatchHead{Version: 7})
@@ -21,8 +21,6 @@
 	"sync"
 	"time"
 
-	"github.com/apex/log"
-
 	"jayfold.dev/jayfold/internal/core/effect"
 	"jayfold.dev/jayfold/internal/core/event"
 	"jayfold.dev/jayfold/internal/core/fleet"
@@ -36,8 +34,8 @@
 	Store Store
 	// Post takes the events. It is not used by the blocking functions.
 	Post func(event.Body)
-	// Log takes reports of values that do not decode.
-	Log log.Interface
+	// Observe takes log lines on values that do not decode. It must not block; nil means that nobody reads them.
+	Observe func(effect.Effect)
 }
 
 // Client calls the platform.
@@ -46,7 +44,7 @@
 	// process tells the claims of this process from those of an earlier life of the node.
 	process string
 	post    func(event.Body)
-	log     log.Interface
+	observe func(effect.Effect)
 	ctx     context.Context
 	cancel  context.CancelFunc
 	running sync.WaitGroup
@@ -57,12 +55,15 @@
 
 // New returns a client. Close ends its calls.
 func New(s Settings) *Client {
+	if s.Observe == nil {
+		s.Observe = func(effect.Effect) {}
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Client{
 		store:   bounded(s.Store),
 		process: rand.Text(),
 		post:    s.Post,
-		log:     s.Log,
+		observe: s.Observe,
 		ctx:     ctx,
 		cancel:  cancel,
 	}
--- a/internal/edge/platform/client_test.go
+++ b/internal/edge/platform/client_test.go
@@ -11,8 +11,6 @@
 	"testing"
 	"time"
 
-	"github.com/apex/log"
-	"github.com/apex/log/handlers/memory"
 	"github.com/matryer/is"
 
 	"jayfold.dev/jayfold/internal/core/effect"
@@ -28,7 +26,7 @@
 	base   string
 	client *platform.Client
 	events chan event.Body
-	logged *memory.Handler
+	logged chan effect.Effect
 }
 
 func newWorld(t *testing.T) world {
@@ -42,7 +40,7 @@
 		server: lab.New(lab.Limits{}, time.Now),
 		base:   "http://" + listener.Addr().String(),
 		events: make(chan event.Body, 16),
-		logged: memory.New(),
+		logged: make(chan effect.Effect, 16),
 	}
 	ended := make(chan error, 1)
 	go func() { ended <- w.server.Serve(ctx, listener) }()
@@ -71,9 +69,9 @@
 
 func (w world) newClient(tr http.RoundTripper) *platform.Client {
 	return platform.New(platform.Settings{
-		Store: platform.NewStore(w.base, &http.Client{Transport: tr}),
-		Post:  func(body event.Body) { w.events <- body },
-		Log:   &log.Logger{Handler: w.logged, Level: log.DebugLevel},
+		Store:   platform.NewStore(w.base, &http.Client{Transport: tr}),
+		Post:    func(body event.Body) { w.events <- body },
+		Observe: func(e effect.Effect) { w.logged <- e },
 	})
 }
 
@@ -275,7 +273,8 @@
 		w.put(t, "members/n2", "nonsense")
 		w.client.ListMembers(effect.ListMembers{})
 		is.New(t).Equal(w.next(t), event.MembersListed{Members: []fleet.Member{member}})
-		is.New(t).Equal(len(w.logged.Entries), 1)
+		is.New(t).Equal(len(w.logged), 1)
+		is.New(t).Equal((<-w.logged).(effect.Log).Text, "member record left out")
 	})
 }
 
--- a/internal/edge/platform/member.go
+++ b/internal/edge/platform/member.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 
+	"jayfold.dev/jayfold/internal/core/effect"
 	"jayfold.dev/jayfold/internal/core/fleet"
 )
 
@@ -62,7 +63,10 @@
 	for _, o := range listed {
 		m, err := decodeMember(strings.TrimPrefix(o.Key, memberPrefix), o.Value)
 		if err != nil {
-			c.log.WithField("Key", o.Key).WithField("Error", err.Error()).Warn("platform: member record left out")
+			c.observe(effect.Log{Level: effect.Warn, Part: "platform", Text: "member record left out", Fields: []effect.Field{
+				{Name: "Key", Value: o.Key},
+				{Name: "Error", Value: err.Error()},
+			}})
 			continue
 		}
 		members = append(members, m)
--- a/internal/process/node/app.go
+++ b/internal/process/node/app.go
@@ -128,12 +128,8 @@
 	return target.NewClient(seams.Targets, target.NewDial(), time.Now)
 }
 
-func newPlatform(seams Seams, loop *control.Loop) *platform.Client {
-	return platform.New(platform.Settings{
-		Store: seams.Store,
-		Post:  loop.Post,
-		Log:   &log.Logger{Handler: seams.Log, Level: log.DebugLevel},
-	})
+func newPlatform(seams Seams, loop *control.Loop, op *operator.Operator) *platform.Client {
+	return platform.New(platform.Settings{Store: seams.Store, Post: loop.Post, Observe: op.Observe})
 }
 
 func newOperator(seams Seams, loop *control.Loop) *operator.Operator {
