core, edge/operator: put log fields into words only when their line is written

Change: fields may hold values with a String method; the goroutine that writes the log puts them into words, after the limit. Test: TestFieldsAreWrittenInWords.

--- a/internal/core/attempt/trail.go
+++ b/internal/core/attempt/trail.go
@@ -37,6 +37,18 @@
 	return text
 }
 
+// steps are the attempts of one request. They are put into words only when their line is written, not in the reducer.
+type steps []step
+
+// String returns the steps one after the other.
+func (s steps) String() string {
+	words := make([]string, len(s))
+	for i, one := range s {
+		words[i] = one.String()
+	}
+	return strings.Join(words, "; ")
+}
+
 func rounded(d time.Duration) time.Duration { return d.Round(100 * time.Microsecond) }
 
 // withStep returns the flight with the end of an attempt in its trail.
@@ -52,22 +64,19 @@
 // endLine returns the log line that explains how a request ended. The steps are in the order in which they ended; attempts
 // that were still in flight come last.
 func (f flight) endLine(now time.Time, last []effect.Effect) effect.Effect {
-	steps := make([]string, 0, len(f.trail)+len(f.live))
-	for _, s := range f.trail {
-		steps = append(steps, s.String())
-	}
+	steps := append(make(steps, 0, len(f.trail)+len(f.live)), f.trail...)
 	for _, t := range f.live {
-		steps = append(steps, step{target: t.target, manner: t.manner, after: t.started.Sub(f.received)}.String())
+		steps = append(steps, step{target: t.target, manner: t.manner, after: t.started.Sub(f.received)})
 	}
 	line := effect.Log{Level: effect.Info, Part: "request", Text: "request canceled by its caller", Fields: []effect.Field{
 		{Name: "Request", Value: string(f.id)},
 		{Name: "Pool", Value: string(f.template.Pool)},
-		{Name: "Class", Value: f.template.Class.String()},
+		{Name: "Class", Value: f.template.Class},
 		{Name: "Revision", Value: uint64(f.revision)},
-		{Name: "RevisionAge", Value: rounded(f.age).String()},
-		{Name: "Elapsed", Value: rounded(now.Sub(f.received)).String()},
-		{Name: "Left", Value: rounded(f.template.Deadline.Sub(now)).String()},
-		{Name: "Steps", Value: strings.Join(steps, "; ")},
+		{Name: "RevisionAge", Value: rounded(f.age)},
+		{Name: "Elapsed", Value: rounded(now.Sub(f.received))},
+		{Name: "Left", Value: rounded(f.template.Deadline.Sub(now))},
+		{Name: "Steps", Value: steps},
 	}}
 	for _, e := range last {
 		switch e := e.(type) {
@@ -80,7 +89,7 @@
 			line.Level, line.Text = effect.Warn, "request refused"
 			line.Fields = append(line.Fields,
 				effect.Field{Name: "Cause", Value: string(e.Problem.Cause)},
-				effect.Field{Name: "Verdict", Value: e.Problem.Verdict.String()},
+				effect.Field{Name: "Verdict", Value: e.Problem.Verdict},
 				effect.Field{Name: "Detail", Value: e.Problem.Detail})
 		}
 	}
--- a/internal/core/effect/observe.go
+++ b/internal/core/effect/observe.go
@@ -14,7 +14,8 @@
 
 // Field is one field of a log line.
 type Field struct {
-	Name  string
+	Name string
+	// Value may be a fmt.Stringer; it is put into words when the line is written, so that a step does not wait for it.
 	Value any
 }
 
--- a/internal/core/node/explain.go
+++ b/internal/core/node/explain.go
@@ -10,8 +10,8 @@
 )
 
 // explain adds the log lines of what was decided in a step: each refusal on arrival with the tables it rests on, each refusal
-// of an attempt with the load, each end of a run with the evidence it gave, and what has changed in its view of targets and of
-// other nodes. The receiver is the state before the step, after the state after it.
+// of an attempt with the load, each end of a run with the evidence it gave, and what has changed in what the node knows of
+// targets and of other nodes. The receiver is the state before the step, after the state after it.
 func (s State) explain(ev event.Event, after State, effects []effect.Effect) []effect.Effect {
 	switch body := ev.Body.(type) {
 	case event.RunFinished:
@@ -50,7 +50,7 @@
 		{Name: "Attempt", Value: string(e.Attempt)},
 		{Name: "Target", Value: string(e.Report.Target)},
 		{Name: "Cause", Value: string(e.Problem.Cause)},
-		{Name: "Verdict", Value: e.Problem.Verdict.String()},
+		{Name: "Verdict", Value: e.Problem.Verdict},
 		{Name: "InFlight", Value: load.InFlight},
 		{Name: "Queued", Value: load.Queued},
 		{Name: "Slots", Value: load.Slots},
@@ -65,7 +65,7 @@
 		{Name: "Attempt", Value: string(run.Attempt.ID)},
 		{Name: "Target", Value: string(run.Attempt.Target)},
 		{Name: "Instance", Value: run.Instance},
-		{Name: "Elapsed", Value: ev.At.Sub(run.Started).String()},
+		{Name: "Elapsed", Value: ev.At.Sub(run.Started)},
 		{Name: "Status", Value: outcome.Status},
 		{Name: "Suspect", Value: after.health.Suspect(run.Attempt.Target)},
 	}}
@@ -73,7 +73,7 @@
 		line.Level, line.Text = effect.Warn, "run failed"
 		line.Fields = append(line.Fields,
 			effect.Field{Name: "Cause", Value: string(problem.Cause)},
-			effect.Field{Name: "Verdict", Value: problem.Verdict.String()},
+			effect.Field{Name: "Verdict", Value: problem.Verdict},
 			effect.Field{Name: "Detail", Value: problem.Detail})
 	}
 	return line
@@ -91,9 +91,9 @@
 			{Name: "Host", Value: body.Request.Host},
 			{Name: "Path", Value: body.Request.Path},
 			{Name: "Cause", Value: string(refusal.Problem.Cause)},
-			{Name: "Verdict", Value: refusal.Problem.Verdict.String()},
+			{Name: "Verdict", Value: refusal.Problem.Verdict},
 			{Name: "Revision", Value: uint64(s.Revision())},
-			{Name: "RevisionAge", Value: s.tables.Age(ev.At).Round(time.Millisecond).String()},
+			{Name: "RevisionAge", Value: s.tables.Age(ev.At).Round(time.Millisecond)},
 			{Name: "Newest", Value: uint64(s.tables.Newest())},
 		}}}
 	}
@@ -128,7 +128,7 @@
 	fields := []effect.Field{{Name: "Peer", Value: string(node)}, {Name: "Request", Value: string(body.Attempt.Request())}}
 	switch {
 	case until.After(before) && until.After(ev.At):
-		fields = append(fields, effect.Field{Name: "Avoided", Value: until.Sub(ev.At).Round(time.Millisecond).String()})
+		fields = append(fields, effect.Field{Name: "Avoided", Value: until.Sub(ev.At).Round(time.Millisecond)})
 		if problem, failed := body.Outcome.Problem.Get(); failed {
 			fields = append(fields, effect.Field{Name: "Error", Value: problem.Detail})
 		}
--- a/internal/core/node/explain_test.go
+++ b/internal/core/node/explain_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -25,6 +26,9 @@
 	fields := map[string]any{}
 	for _, f := range lines[0].Fields {
 		fields[f.Name] = f.Value
+		if text, ok := f.Value.(fmt.Stringer); ok {
+			fields[f.Name] = text.String()
+		}
 	}
 	for name, value := range want {
 		is.Equal(fields[name], value)
--- a/internal/edge/operator/line.go
+++ b/internal/edge/operator/line.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/apex/log"
@@ -47,14 +48,17 @@
 // how many were suppressed.
 func (l *lines) write(now time.Time, e effect.Log) {
 	text := e.Part + ": " + e.Text
-	fields := log.Fields{}
-	for _, f := range e.Fields {
-		fields[f.Name] = f.Value
-	}
 	passes, suppressed := l.pass(now, text, bursts[e.Level])
 	if !passes {
 		return
 	}
+	fields := log.Fields{}
+	for _, f := range e.Fields {
+		fields[f.Name] = f.Value
+		if words, ok := f.Value.(fmt.Stringer); ok {
+			fields[f.Name] = words.String()
+		}
+	}
 	if suppressed > 0 {
 		fields["Suppressed"] = suppressed
 	}
--- a/internal/edge/operator/operator_test.go
+++ b/internal/edge/operator/operator_test.go
@@ -124,6 +124,18 @@
 	is.New(t).Equal(suppressed, 1000-bursts[effect.Warn])
 }
 
+// A duration must not be written as a number of nanoseconds that nobody can tell from milliseconds.
+func TestFieldsAreWrittenInWords(t *testing.T) {
+	lines := memory.New()
+	o := New(Seams{Log: lines})
+	o.Observe(effect.Log{Part: "request", Text: "request answered", Fields: []effect.Field{
+		{Name: "Elapsed", Value: 1500 * time.Millisecond}, {Name: "Status", Value: 200},
+	}})
+	o.Close()
+	is.New(t).Equal(lines.Entries[0].Fields["Elapsed"], "1.5s")
+	is.New(t).Equal(lines.Entries[0].Fields["Status"], 200)
+}
+
 // The log's writer may block, for example on a full pipe; the control loop must not.
 func TestObserveDoesNotBlock(t *testing.T) {
 	entered, release := make(chan struct{}, 1), make(chan struct{})
