core/admission: leave room in the retry budget for calls

All nodes had just started, too, and each granted its whole slack at once.

Lookups on a target that is called now use 0.3 of the budget, orders 0.6, and the slack grows over the first window of a node.

--- a/internal/core/admission/heartbeat.go
+++ b/internal/core/admission/heartbeat.go
@@ -75,7 +75,7 @@
 // started returns a target whose process is new to this sidecar. What waits for the target goes on waiting; a run counts
 // only for the process that it runs on.
 func (s State) started(now time.Time, id fleet.TargetID, old local, a fleet.Announcement) local {
-	l := local{since: now, queue: old.queue, repeats: old.repeats}
+	l := local{since: now, queue: old.queue, repeats: old.repeats.begun(now)}
 	for attempt, run := range s.running.All() {
 		if run.Attempt.Target == id && run.Instance == a.Instance {
 			l.running = l.running.With(attempt)
--- a/internal/core/admission/state.go
+++ b/internal/core/admission/state.go
@@ -130,7 +130,7 @@
 		return fleet.DeadlinePassed, true
 	case ctx.Suspect(attempt.Target) && !mayRunOnSuspect(ctx, attempt):
 		return fleet.Failing, true
-	case attempt.Repeated && !l.repeats.allows(ctx.Now, s.settings.Retries, ctx.PoolSize(attempt.Pool), attempt.Idempotent):
+	case attempt.Repeated && !l.repeats.allows(ctx.Now, s.allowanceOf(ctx, l, attempt)):
 		return fleet.RetryBudget, true
 	default:
 		return "", false
--- a/internal/core/admission/state_test.go
+++ b/internal/core/admission/state_test.go
@@ -319,6 +319,30 @@
 		}
 		is.True(!repeat(r, "b"))
 	})
+	t.Run("a target that is called leaves room for the calls of repeated requests", func(t *testing.T) {
+		is, r := is.New(t), newWarmRig(4)
+		r.ask("call", fleet.Internal)
+		r.now = r.now.Add(10 * time.Millisecond)
+		r.finish("call", fleet.Outcome{})
+		is.True(repeat(r, "a"))
+		is.True(repeat(r, "b"))
+		is.True(!repeat(r, "c")) // a target that is not called takes four
+		r.assertRefused(is, "c", fleet.RetryBudget, fleet.NotRun)
+	})
+	t.Run("a target that has just started has no slack", func(t *testing.T) {
+		is, r := is.New(t), newRig()
+		r.announce("i1", 4)
+		r.pass(time.Second, "i1", 4)
+		is.True(!repeat(r, "a"))
+		r.assertRefused(is, "a", fleet.RetryBudget, fleet.NotRun)
+		r.pass(9*time.Second, "i1", 4)
+		is.True(repeat(r, "b"))
+	})
+	t.Run("a target's new process goes on with its slack", func(t *testing.T) {
+		is, r := is.New(t), newWarmRig(4)
+		r.announce("i2", 4)
+		is.True(repeat(r, "a"))
+	})
 	t.Run("busy", func(t *testing.T) {
 		is, r := is.New(t), newWarmRig(4)
 		repeats := 0
