--- a/internal/core/attempt/state.go
+++ b/internal/core/attempt/state.go
@@ -9,8 +9,8 @@
 //	state, effects = state.Tick(ctx)
 //
 // A request that is not idempotent has at most one attempt in flight and gets another only after NotRun. An idempotent
-// one is retried and hedged on other targets, within the retry budget that their sidecars keep. Outcomes of attempts that were given up are
-// dropped.
+// one is retried and hedged on other targets, within the retry budget that their sidecars keep. Outcomes of attempts that
+// were given up are dropped.
 package attempt
 
 import (
@@ -144,7 +144,9 @@
 	attempt.Baseline = s.pool(attempt.Pool).baselines[attempt.Class].value
 	s.own = s.own.occupied(c.Target.ID)
 	s.reaches = s.reaches.tried(ctx, c.Node)
-	return s, f.started(ctx.Now, attempt, try{manner: where.manner, near: c.AvailabilityZone == s.zone, wait: f.waitAt(c.Target.ID)}), effect.Forward{Attempt: attempt, Far: c.AvailabilityZone != s.zone}
+	near := c.AvailabilityZone == s.zone
+	started := f.started(ctx.Now, attempt, try{manner: where.manner, near: near, wait: f.waitAt(c.Target.ID)})
+	return s, started, effect.Forward{Attempt: attempt, Far: !near}
 }
 
 // waitAt returns the queue that a target named when it was asked for a slot; 0 when it was not.
--- a/internal/core/fleet/settings.go
+++ b/internal/core/fleet/settings.go
@@ -18,7 +18,7 @@
 // Retries bound the repeated attempts at one pool: within any Window there are at most Ratio times the pool's requests and
 // Slack more. The sidecar of each target keeps to the part for the requests that reach it and to an equal part of the
 // slack. All requests pass the sidecars, and there are far fewer of them before a pool than there are ingresses, so that
-// the budget holds without a word between nodes and little of it lies where it is not needed.
+// the budget holds without a message between nodes and little of it lies where it is not needed.
 type Retries struct {
 	Ratio  float64
 	Window time.Duration
--- a/internal/edge/logfile/trace.go
+++ b/internal/edge/logfile/trace.go
@@ -75,7 +75,7 @@
 // snapshot collects what the node of a line had logged before it: the last lines on the tables and on the platform, on the
 // targets that the request met, and on their nodes.
 func snapshot(before []Line, at Line, subjects map[string]bool) Snapshot {
-	b := Snapshot{Node: at.Node, At: at.At}
+	s := Snapshot{Node: at.Node, At: at.At}
 	last := map[string]Line{}
 	for _, line := range before {
 		if about := line.subject(subjects); line.Node == at.Node && about != "" {
@@ -84,9 +84,9 @@
 	}
 	for _, about := range slices.Sorted(maps.Keys(last)) {
 		line := last[about]
-		b.Facts = append(b.Facts, fmt.Sprintf("%s%s, %s ago", line.Text, line.details(), at.At.Sub(line.At).Round(time.Millisecond)))
+		s.Facts = append(s.Facts, fmt.Sprintf("%s%s, %s ago", line.Text, line.details(), at.At.Sub(line.At).Round(time.Millisecond)))
 	}
-	return b
+	return s
 }
 
 // stateLines are the texts of lines that say what a node knows, with the field that names what it is about.
@@ -106,7 +106,8 @@
 	"membership: node is present":               "Peer",
 }
 
-// subject returns what a line is about, and nothing for a line that says nothing of the node's knowledge or is about another target or node.
+// subject returns what a line is about. It is empty for a line that says nothing of the node's knowledge, or that is about
+// another target or node.
 func (l Line) subject(subjects map[string]bool) string {
 	field, known := stateLines[l.Text]
 	if !known {
@@ -144,17 +145,17 @@
 // clock is how times are printed. The date is that of the logs.
 const clock = "15:04:05.000"
 
-// Print writes the trace, the stateLines first.
-func (s Trace) Print(w io.Writer) {
-	fmt.Fprintf(w, "request %s\n", s.ID)
-	for _, b := range s.Snapshots {
-		fmt.Fprintf(w, "\n%s at %s had last logged:\n", b.Node, b.At.Format(clock))
-		for _, fact := range b.Facts {
+// Print writes the trace: first what each node knew, then the lines.
+func (t Trace) Print(w io.Writer) {
+	fmt.Fprintf(w, "request %s\n", t.ID)
+	for _, known := range t.Snapshots {
+		fmt.Fprintf(w, "\n%s at %s had last logged:\n", known.Node, known.At.Format(clock))
+		for _, fact := range known.Facts {
 			fmt.Fprintf(w, "  %s\n", fact)
 		}
 	}
 	fmt.Fprintln(w)
-	for _, line := range s.Lines {
+	for _, line := range t.Lines {
 		fmt.Fprintf(w, "%s %s %s%s\n", line.At.Format(clock), line.Node, line.Text, line.details())
 	}
 }
--- a/internal/edge/peer/forwardheader.go
+++ b/internal/edge/peer/forwardheader.go
@@ -91,7 +91,9 @@
 
 func modeOf(a fleet.Attempt) string {
 	var words []string
-	for word, holds := range map[string]bool{modeProbe: a.Probe, modeTrial: a.Trial, modeRepeated: a.Repeated, modeDerived: a.Derived, modeForced: a.Forced} {
+	for word, holds := range map[string]bool{
+		modeProbe: a.Probe, modeTrial: a.Trial, modeRepeated: a.Repeated, modeDerived: a.Derived, modeForced: a.Forced,
+	} {
 		if holds {
 			words = append(words, word)
 		}
--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -47,7 +47,7 @@
 	Kind    Kind
 	// On is the number of the node, from 1. Target is that of one of its two targets.
 	On, Target int
-	// Direction is that of a cut link.
+	// Backward tells which direction of a link is cut: that of the answers.
 	Backward bool
 }
 
