edge/peer: avoid ended connections, verify new ones for orders

Its end had arrived, but the process had not read it yet (reproduced beside 3 busy processes, 2 of 12 runs). On a new connection the same happens where something accepts for a peer that is gone or hangs: the forwarder counted the opening as an answer. Ruled out: a second run of the order; each token ran once. Change: the forwarder asks the system for a connection's state before it uses it, and an order on a new connection waits for an answer of the peer. The scenarios wait until the links have passed on the end of the dead node's connections; before that no process can know of it, and MayHaveRun is the right answer. Before: TestForwardAvoidsEndedConnection and TestOrderNeedsAnAnsweringPeer fail with Broken. After: both pass, and both scenarios pass 24 times beside 4 busy processes.

--- a/internal/edge/peer/forward_fault_test.go
+++ b/internal/edge/peer/forward_fault_test.go
@@ -395,3 +395,76 @@
 		}
 	})
 }
+
+// lateReader is a connection whose bytes, and whose end, are read only once the gate is open.
+type lateReader struct {
+	*net.TCPConn
+	gate *sync.RWMutex
+}
+
+func (c lateReader) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	c.gate.RLock()
+	defer c.gate.RUnlock()
+	return n, err
+}
+
+// Guards against an order that is lost on the connection to a node that has just died: the end of the connection had
+// arrived, and this process had not read it yet. CI saw it as 502 MayHaveRun for an order that another node could answer.
+func TestForwardAvoidsEndedConnection(t *testing.T) {
+	b := newBench(t)
+	var gate sync.RWMutex
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		var dialer net.Dialer
+		conn, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return lateReader{conn.(*net.TCPConn), &gate}, nil
+	}
+	b.forwarder = NewForwarder("a", ForwarderSeams{Now: time.Now, Post: b.post, Dial: dial})
+	t.Cleanup(b.forwarder.Close)
+	attempt := b.attempt()
+	wantWhole(t, b.send(t.Context(), attempt, http.MethodPost, "1"), http.StatusOK, "hello")
+
+	gate.Lock()
+	defer gate.Unlock()
+	is.New(t).NoErr(b.server.Close())
+	attempt.ID, attempt.Deadline = "r.2", time.Now().Add(time.Second)
+	wantProblem(t, b.send(t.Context(), attempt, http.MethodPost, "1").err, fleet.Unreachable, fleet.NotRun)
+}
+
+// Guards against an order that is lost on a new connection to a node that hangs or has gone: its system, or what stands
+// before it, still opens connections.
+func TestOrderNeedsAnAnsweringPeer(t *testing.T) {
+	for name, handle := range map[string]func(net.Conn){
+		"hangs":  func(net.Conn) {},
+		"closes": func(conn net.Conn) { time.AfterFunc(time.Millisecond, func() { _ = conn.Close() }) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t)
+			attempt := b.attempt()
+			attempt.Address = accepting(t, handle)
+			attempt.Deadline = time.Now().Add(time.Second)
+			wantProblem(t, b.send(t.Context(), attempt, http.MethodPost, "1").err, fleet.Unreachable, fleet.NotRun)
+		})
+	}
+}
+
+// accepting returns the address of a listener that passes its connections to a function and answers nothing.
+func accepting(t *testing.T, handle func(net.Conn)) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			handle(conn)
+		}
+	}()
+	return listener.Addr().String()
+}
--- a/internal/edge/peer/forwarder.go
+++ b/internal/edge/peer/forwarder.go
@@ -35,7 +35,7 @@
 	Now  func() time.Time
 	Post func(event.Body)
 	// Dial opens a TCP connection; nil means net.Dialer.
-	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	Dial dialFunc
 }
 
 // Forwarder sends attempts to the sidecars of other nodes.
@@ -49,8 +49,12 @@
 
 // NewForwarder returns the forwarder of the given node, without any connection.
 func NewForwarder(self fleet.NodeID, seams ForwarderSeams) *Forwarder {
+	dial := seams.Dial
+	if dial == nil {
+		dial = new(net.Dialer).DialContext
+	}
 	transport := &http.Transport{
-		DialContext:        seams.Dial,
+		DialContext:        keepSocket(dial),
 		DisableCompression: true,
 		// A request that waits in a queue keeps its body back for all that time.
 		ExpectContinueTimeout: continueTimeout,
@@ -77,7 +81,7 @@
 	ctx context.Context, forward effect.Forward, r *http.Request, body []byte,
 ) (*http.Response, func() fleet.Option[fleet.Report], error) {
 	attempt := forward.Attempt
-	l, err := f.connect(ctx, attempt.Address, timeoutOf(forward.Far))
+	l, err := f.connect(ctx, attempt, timeoutOf(forward.Far))
 	if err != nil {
 		return nil, noReport, err
 	}
@@ -116,24 +120,41 @@
 	return fleet.NewProblem(fleet.Broken, fleet.MayHaveRun, err.Error())
 }
 
-// connect returns a connection with a reserved request. One that has not answered lately is verified first, and replaced
-// where it has gone silent, so that no request is lost on it. Opening a connection takes a round trip, so that a new one is
-// verified by that.
-func (f *Forwarder) connect(ctx context.Context, address string, timeout time.Duration) (*link, error) {
-	l, err := f.links.reserve(ctx, address, timeout)
+// connect returns a connection on which the attempt can be sent. One that has not answered lately is verified first, and
+// replaced where it has gone silent, so that no request is lost on it. A new one is verified by its opening, which takes a
+// round trip; for a request that must not run twice the peer itself has to answer.
+func (f *Forwarder) connect(ctx context.Context, attempt fleet.Attempt, timeout time.Duration) (*link, error) {
+	l, err := f.links.reserve(ctx, attempt.Address, timeout)
 	if err != nil {
 		return nil, notSent(err)
 	}
-	if l.fresh(f.seams.Now()) || f.verify(ctx, l, address, timeout) == nil {
+	if err = f.ready(ctx, l, attempt, timeout); err == nil {
 		return l, nil
 	}
-	f.links.retire(address, l)
-	if l, err = f.links.dial(ctx, address, timeout); err != nil {
+	if !l.proven.Load() {
+		return nil, notSent(err)
+	}
+	if l, err = f.links.dial(ctx, attempt.Address, timeout); err != nil {
+		return nil, notSent(err)
+	}
+	if err = f.ready(ctx, l, attempt, timeout); err != nil {
 		return nil, notSent(err)
 	}
 	return l, nil
 }
 
+// ready verifies a connection for an attempt where that is needed. One that does not answer takes no further requests.
+func (f *Forwarder) ready(ctx context.Context, l *link, attempt fleet.Attempt, timeout time.Duration) error {
+	if l.usable(f.seams.Now(), attempt.Idempotent) {
+		return nil
+	}
+	err := f.verify(ctx, l, attempt.Address, timeout)
+	if err != nil {
+		f.links.retire(attempt.Address, l)
+	}
+	return err
+}
+
 func notSent(err error) fleet.Problem {
 	return fleet.NewProblem(fleet.Unreachable, fleet.NotRun, err.Error())
 }
--- a/internal/edge/peer/forwardlink.go
+++ b/internal/edge/peer/forwardlink.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -10,7 +11,7 @@
 )
 
 const (
-	// freshWithin is how long after an answer a connection counts as verified. Non-idempotent requests need that.
+	// freshWithin is how long after an answer a connection counts as verified.
 	freshWithin = 500 * time.Millisecond
 	// nearTimeout and farTimeout bound the verification of a connection and the opening of one, each of which takes one
 	// round trip: within an availability zone 0.4 ms and whatever the peer waits for its processor, between zones 3 ms,
@@ -35,20 +36,27 @@
 // link is one connection to a peer. The library sends a request on a ClientConn at most once.
 type link struct {
 	conn *http.ClientConn
+	// socket is the connection below conn.
+	socket net.Conn
 	// answered is the time of the last answer, or of the opening, in nanoseconds since 1970.
 	answered atomic.Int64
+	// proven means that the peer has answered on it. Where a peer hangs, its system still opens connections.
+	proven atomic.Bool
 	// retired means that no new request is sent on it.
 	retired atomic.Bool
 	idle    *time.Timer
 }
 
-func newLink(conn *http.ClientConn, now time.Time) *link {
-	l := &link{conn: conn}
+func newLink(conn *http.ClientConn, socket net.Conn, now time.Time) *link {
+	l := &link{conn: conn, socket: socket}
 	l.answered.Store(now.UnixNano())
 	l.idle = time.AfterFunc(idleTimeout, l.closeIdle)
 	return l
 }
 
+// broken reports whether no request can be sent on the connection.
+func (l *link) broken() bool { return l.conn.Err() != nil || ended(l.socket) }
+
 func (l *link) closeIdle() {
 	if l.conn.InFlight() == 0 {
 		_ = l.conn.Close()
@@ -70,11 +78,15 @@
 	l.closeIdle()
 }
 
-func (l *link) fresh(now time.Time) bool { return now.Sub(l.lastAnswer()) <= freshWithin }
+// usable reports whether a request can be sent without verifying the connection first.
+func (l *link) usable(now time.Time, idempotent bool) bool {
+	return now.Sub(l.lastAnswer()) <= freshWithin && (idempotent || l.proven.Load())
+}
 
 func (l *link) lastAnswer() time.Time { return time.Unix(0, l.answered.Load()) }
 
 func (l *link) touch(now time.Time) {
+	l.proven.Store(true)
 	l.answered.Store(now.UnixNano())
 	l.idle.Reset(l.idleTime())
 }
@@ -84,6 +96,23 @@
 	_ = l.conn.Close()
 }
 
+// dialFunc opens a connection.
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// socketKey is the key of a context's *net.Conn, which keepSocket fills.
+type socketKey struct{}
+
+// keepSocket wraps a dial function so that the caller of NewClientConn gets the connection that was opened for it.
+func keepSocket(dial dialFunc) dialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if socket, ok := ctx.Value(socketKey{}).(*net.Conn); ok {
+			*socket = conn
+		}
+		return conn, err
+	}
+}
+
 // links holds the open connections by address.
 type links struct {
 	transport *http.Transport
@@ -121,8 +150,8 @@
 	var usable []*link
 	var found *link
 	for _, l := range ls.open[address] {
-		if l.conn.Err() != nil {
-			l.idle.Stop()
+		if l.broken() {
+			l.retire()
 			continue
 		}
 		usable = append(usable, l)
@@ -138,7 +167,8 @@
 func (ls *links) dial(ctx context.Context, address string, timeout time.Duration) (*link, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	conn, err := ls.transport.NewClientConn(ctx, "http", address)
+	var socket net.Conn
+	conn, err := ls.transport.NewClientConn(context.WithValue(ctx, socketKey{}, &socket), "http", address)
 	if err != nil {
 		return nil, err
 	}
@@ -146,7 +176,7 @@
 		_ = conn.Close()
 		return nil, err
 	}
-	l := newLink(conn, ls.now())
+	l := newLink(conn, socket, ls.now())
 	ls.mu.Lock()
 	defer ls.mu.Unlock()
 	if ls.closed {
--- a/internal/lab/link/link.go
+++ b/internal/lab/link/link.go
@@ -13,6 +13,7 @@
 import (
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -100,6 +101,13 @@
 	l.changed.Broadcast()
 }
 
+// Open returns the number of open connections.
+func (l *Link) Open() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.conns)
+}
+
 // Close ends the link and its connections.
 func (l *Link) Close() {
 	_ = l.listener.Close()
@@ -142,7 +150,11 @@
 // pass joins a connection with one to the target, which is opened only while both directions work.
 func (l *Link) pass(from net.Conn) {
 	p := &pair{ends: [2]net.Conn{from, nil}}
-	if !l.keep(p) || !l.await(p, Both) {
+	if !l.keep(p) {
+		return
+	}
+	defer l.forget(p)
+	if !l.await(p, Both) {
 		return
 	}
 	to, err := net.Dial("tcp", l.target)
@@ -174,6 +186,13 @@
 	return true
 }
 
+// forget takes a connection out whose ends are closed.
+func (l *Link) forget(p *pair) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conns = slices.DeleteFunc(l.conns, func(other *pair) bool { return other == p })
+}
+
 func (l *Link) copy(p *pair, to io.Writer, from io.Reader, direction Direction) {
 	defer p.close()
 	buffer := make([]byte, 32<<10)
--- a/test/scenario/link_test.go
+++ b/test/scenario/link_test.go
@@ -1,6 +1,9 @@
 package scenario
 
 import (
+	"strings"
+	"time"
+
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"jayfold.dev/jayfold/internal/lab/link"
@@ -40,3 +43,19 @@
 	}
 	linked(ts, args[0]).Set(link.Condition{})
 }
+
+// disconnected waits until the links to a node carry no connection, so that the other nodes' systems know of its end.
+func disconnected(ts *testscript.TestScript, _ bool, args []string) {
+	if len(args) != 1 {
+		ts.Fatalf("usage: disconnected NODE")
+	}
+	number := strings.TrimPrefix(args[0], "n")
+	for _, name := range []string{"peers" + number, "forward" + number} {
+		l := linked(ts, name)
+		for end := time.Now().Add(patience); l.Open() > 0; time.Sleep(pace) {
+			if time.Now().After(end) {
+				ts.Fatalf("%s carries %d connections after %s", name, l.Open(), patience)
+			}
+		}
+	}
+}
