--- a/internal/core/membership/rumor.go
+++ b/internal/core/membership/rumor.go
@@ -5,9 +5,9 @@
 )
 
 const (
-	// recordsPerMessage and targetsPerMessage bound what rides on one message. With about 130 bytes a record and 30 bytes a
-	// target a message has at most 4 KB, so that even a storm of changes stays within the 18 KB/s of a node. From 8 records
-	// on, a zone of a fleet that starts together took twice as long to pass on what it heard of the others.
+	// recordsPerMessage and targetsPerMessage bound what rides on one message. With about 70 bytes a record and 26 bytes a
+	// target a message has at most 3 KB, so that even a storm of changes stays within the 18 KB/s of a node. With 8 records
+	// the zones of a fleet that starts together took twice as long to pass on what they had heard of the others.
 	recordsPerMessage = 16
 	targetsPerMessage = 64
 	// sendsPerRound times the rounds of gossip is how often a record is sent. SWIM reaches everyone with high probability
