core: failing targets lend their part of the retry budget

Each target has a sixth of the slack, the parts of the four failing ones were left over or went into attempts forced on them. Ruled out: the budget of the pool as a whole, of which half was left; counters shared by messages, which cost bytes between zones. Change: a failing target that refuses a repeated attempt counts it and says so with the refusal; the request's next attempt runs elsewhere without being counted again. A request that lacks only the budget asks a failing target before it is forced on one. The sum of what all targets count stays bounded as before.

--- a/internal/core/admission/budget.go
+++ b/internal/core/admission/budget.go
@@ -55,27 +55,44 @@
 // arrivals are the attempts of one step of the window.
 type arrivals struct {
 	first, repeated int
+	// borrowed attempts ran here and were counted by another target, lent ones the other way round.
+	borrowed, lent int
 	// targets is the largest number of targets that the pool had at one of them.
 	targets int
 }
 
-// with returns the arrivals with one more.
-func (a arrivals) with(repeated bool) arrivals {
-	if repeated {
+// with returns the arrivals with one more attempt.
+func (a arrivals) with(attempt fleet.Attempt) arrivals {
+	switch {
+	case attempt.Borrowed:
+		a.borrowed++
+	case draws(attempt):
 		a.repeated++
-	} else {
+	default:
 		a.first++
 	}
 	return a
 }
 
+// draws reports whether an attempt counts against the retry budget.
+func draws(attempt fleet.Attempt) bool { return attempt.Repeated || attempt.Derived }
+
 // plus returns the arrivals of two steps or targets.
 func (a arrivals) plus(b arrivals) arrivals {
-	return arrivals{first: a.first + b.first, repeated: a.repeated + b.repeated, targets: max(a.targets, b.targets)}
+	return arrivals{
+		first:    a.first + b.first,
+		repeated: a.repeated + b.repeated,
+		borrowed: a.borrowed + b.borrowed,
+		lent:     a.lent + b.lent,
+		targets:  max(a.targets, b.targets),
+	}
 }
 
-// share returns the part of the arrivals that are repeated, 0 without any.
-func (a arrivals) share() float64 { return float64(a.repeated) / float64(max(a.first+a.repeated, 1)) }
+// ran returns how many of the attempts ran here.
+func (a arrivals) ran() int { return a.first + a.repeated + a.borrowed }
+
+// share returns the part of those that ran here which were repeated, 0 without any.
+func (a arrivals) share() float64 { return float64(a.repeated+a.borrowed) / float64(max(a.ran(), 1)) }
 
 // begun returns the budget of a target that this node hears of: the counting goes on where it has begun already.
 func (b budget) begun(now time.Time) budget {
@@ -96,10 +113,20 @@
 }
 
 // counted returns the budget after an attempt that starts.
-func (b budget) counted(now time.Time, a allowance, repeated bool) budget {
+func (b budget) counted(now time.Time, a allowance, attempt fleet.Attempt) budget {
+	return b.adding(now, a, arrivals{}.with(attempt))
+}
+
+// lending returns the budget after an attempt for which another target may run the request.
+func (b budget) lending(now time.Time, a allowance) budget {
+	return b.adding(now, a, arrivals{lent: 1})
+}
+
+func (b budget) adding(now time.Time, a allowance, more arrivals) budget {
 	b = b.at(now, a.retries.Window)
 	step := &b.steps[b.current%int64(len(b.steps))]
-	*step = step.plus(arrivals{targets: a.targets}).with(repeated)
+	more.targets = a.targets
+	*step = step.plus(more)
 	return b
 }
 
@@ -120,5 +147,5 @@
 	}
 	grown := min(1, float64(now.Sub(b.since))/float64(a.retries.Window))
 	limit := a.retries.Ratio*float64(total.first) + grown*a.retries.Slack/float64(total.targets)
-	return float64(total.repeated+1) <= a.part*limit
+	return float64(total.repeated+total.lent+1) <= a.part*limit
 }
--- a/internal/core/admission/run.go
+++ b/internal/core/admission/run.go
@@ -26,7 +26,7 @@
 // run starts an attempt.
 func (s State) run(ctx Context, l local, attempt fleet.Attempt) (State, []effect.Effect) {
 	l.running = l.running.With(attempt.ID)
-	l.repeats = l.repeats.counted(ctx.Now, s.allowanceOf(ctx, attempt), attempt.Repeated || attempt.Derived)
+	l.repeats = l.repeats.counted(ctx.Now, s.allowanceOf(ctx, attempt), attempt)
 	s.targets = s.targets.With(attempt.Target, l)
 	s.running = s.running.With(attempt.ID, Run{
 		Attempt:  attempt,
--- a/internal/core/admission/state.go
+++ b/internal/core/admission/state.go
@@ -105,6 +105,9 @@
 		return s.run(ctx, l, attempt)
 	}
 	s.seen = s.seen.with(ctx.Now, attempt.ID, false)
+	if refused && s.mayLend(ctx, l, attempt, cause) {
+		return s.lend(ctx, l, attempt, cause)
+	}
 	if refused {
 		return s, s.refuse(ctx.Now, attempt, cause)
 	}
@@ -130,7 +133,7 @@
 		return fleet.DeadlinePassed, true
 	case ctx.Suspect(attempt.Target) && !mayRunOnSuspect(ctx, attempt):
 		return fleet.Failing, true
-	case (attempt.Repeated || attempt.Derived) && !l.repeats.allows(ctx.Now, s.allowanceOf(ctx, attempt)):
+	case draws(attempt) && !attempt.Borrowed && !l.repeats.allows(ctx.Now, s.allowanceOf(ctx, attempt)):
 		return fleet.RetryBudget, true
 	default:
 		return "", false
@@ -276,12 +279,12 @@
 	for _, l := range s.targets.All() {
 		started = started.plus(l.repeats.lately(now, s.settings.Retries.Window))
 	}
-	if started.first+started.repeated > 0 {
+	if started.ran() > 0 {
 		return started.share()
 	}
 	var running arrivals
 	for _, run := range s.running.All() {
-		running = running.with(run.Attempt.Repeated || run.Attempt.Derived)
+		running = running.with(run.Attempt)
 	}
 	return running.share()
 }
--- a/internal/core/attempt/finish.go
+++ b/internal/core/attempt/finish.go
@@ -36,7 +36,11 @@
 	}
 	s = s.blamed(ctx, f, t, problem, report)
 	r, _ := report.Get()
-	return s.retry(ctx, f.failed(ctx.Now, t, problem, outcome.Status, r.Wait))
+	f = f.failed(ctx.Now, t, problem, outcome.Status, r.Wait)
+	if r.Lent {
+		f = f.withCredit()
+	}
+	return s.retry(ctx, f)
 }
 
 // reported takes in a sidecar's report on a target of the request's pool.
--- a/internal/core/attempt/flight.go
+++ b/internal/core/attempt/flight.go
@@ -39,6 +39,8 @@
 	bounces []bounce
 	// reached means that a target got the request, if only to refuse it.
 	reached bool
+	// credit means that a failing target has lent the request an attempt of its part of the retry budget.
+	credit bool
 	// trail is what the log says of the attempts that ended, under the tables of revision, which had been in force for age
 	// when the request came.
 	trail    []step
@@ -63,12 +65,14 @@
 
 // try is an attempt in flight.
 type try struct {
-	id      fleet.AttemptID
-	target  fleet.TargetID
-	node    fleet.NodeID
-	manner  manner
-	near    bool
-	started time.Time
+	id     fleet.AttemptID
+	target fleet.TargetID
+	node   fleet.NodeID
+	manner manner
+	near   bool
+	// borrowed means that the attempt uses the request's credit.
+	borrowed bool
+	started  time.Time
 	// wait is the queue that the target named when it was asked for a slot.
 	wait time.Duration
 	// slow is when a second target is asked beside this one, and lost when this one is given up for it. Attempts that are
@@ -80,7 +84,9 @@
 // started returns the flight with one more attempt.
 func (f flight) started(now time.Time, attempt fleet.Attempt, t try) flight {
 	f.attempts++
+	f.credit = f.credit && !attempt.Borrowed
 	t.id, t.target, t.node, t.started = attempt.ID, attempt.Target, attempt.Node, now
+	t.borrowed = attempt.Borrowed
 	if attempt.Idempotent {
 		p := patienceOf(attempt, attempt.Deadline.Sub(now))
 		t.slow, t.lost = now.Add(t.wait+p.slow), now.Add(t.wait+p.lost)
@@ -128,7 +134,9 @@
 	f = f.without(t.id).withStep(now, t, problem, wait)
 	f.verdict = f.verdict.Join(problem.Verdict)
 	f.problem = problem
-	f.reached = f.reached || problem.Verdict != fleet.NotRun || problem.Cause == fleet.Shed || problem.Cause == fleet.Misdirected
+	arrived := problem.Verdict != fleet.NotRun || problem.Cause == fleet.Shed || problem.Cause == fleet.Misdirected
+	f.reached = f.reached || arrived
+	f.credit = f.credit || t.borrowed && !arrived
 	if problem.Verdict == fleet.NotRun {
 		f.tried = slices.DeleteFunc(slices.Clone(f.tried), func(id fleet.TargetID) bool { return id == t.target })
 		b := bounce{target: t.target, cause: problem.Cause, manner: t.manner, near: t.near, wait: wait}
@@ -143,6 +151,19 @@
 	return f
 }
 
+// withCredit returns the flight after a failing target lent it an attempt: those that refused it for their part of the retry
+// budget may be asked again.
+func (f flight) withCredit() flight {
+	f.credit = true
+	f.bounces = slices.DeleteFunc(slices.Clone(f.bounces), func(b bounce) bool { return b.cause == fleet.RetryBudget })
+	return f
+}
+
+// lacksBudget reports whether a target refused the request only for its part of the retry budget.
+func (f flight) lacksBudget() bool {
+	return !f.credit && slices.ContainsFunc(f.bounces, func(b bounce) bool { return b.cause == fleet.RetryBudget })
+}
+
 // mayHaveCrashed are the problems after which the target's process may be dead. Its sidecar answers before it has found out.
 var mayHaveCrashed = map[fleet.Cause]bool{fleet.TargetCrashed: true, fleet.Broken: true}
 
--- a/internal/core/attempt/placement.go
+++ b/internal/core/attempt/placement.go
@@ -39,7 +39,7 @@
 	wait time.Duration
 }
 
-// place decides where the next attempt of a request goes. It answers four loads:
+// place decides where the next attempt of a request goes. It answers five loads:
 //
 //   - Light load, with targets that fail now and then: a free target of the own availability zone, and the next one as soon
 //     as it refuses. Another zone is asked only when none of the own takes the request.
@@ -48,10 +48,12 @@
 //     the goal.
 //   - An overload of the whole pool: no queue meets the goal, so that nothing is gained in another zone, and the request
 //     waits in its own as long as it can be answered at all.
+//   - A pool of which most targets fail: the healthy ones have used up their parts of the retry budget, so that a failing one
+//     is asked, which lends of its own.
 //   - A pool that fails as a whole: when only suspect targets are left, one of them is forced to take the request.
 func (c *choice) place() (placement, bool) {
 	steps := []func() (int, manner){
-		c.home, c.free, c.nearInGoal, c.farFree, c.farInGoal, c.nearInTime, c.farInTime, c.unasked, c.suspect,
+		c.home, c.free, c.nearInGoal, c.farFree, c.lender, c.farInGoal, c.nearInTime, c.farInTime, c.unasked, c.suspect,
 	}
 	if len(c.flight.live) > 0 {
 		// A second attempt beside a slow one helps only where it starts at once.
@@ -75,6 +77,22 @@
 	return c.probe(false), probing
 }
 
+// lender returns a target that has just failed, to be asked for a part of its retry budget.
+func (c *choice) lender() (int, manner) {
+	if !c.flight.lacksBudget() || len(c.flight.bounces) >= maxProbes {
+		return -1, probing
+	}
+	for _, near := range []bool{true, false} {
+		var buffer [usualPool]int32
+		for _, i := range c.inZone(near, buffer[:0]) {
+			if c.untried(int(i)) && c.ctx.Now.Before(c.view(int(i)).suspectUntil) {
+				return int(i), probing
+			}
+		}
+	}
+	return -1, probing
+}
+
 // probe returns a target that the request has not been to and that is not known to be full.
 func (c *choice) probe(near bool) int {
 	if len(c.flight.bounces) >= maxProbes {
--- a/internal/core/attempt/state.go
+++ b/internal/core/attempt/state.go
@@ -137,6 +137,7 @@
 	attempt.Forced = where.manner == forced
 	attempt.Trial = f.mayFail(ctx.Now)
 	attempt.Repeated = f.arrived()
+	attempt.Borrowed = f.credit && (attempt.Repeated || attempt.Derived)
 	attempt.ID = fleet.NewAttemptID(f.id, f.attempts+1)
 	attempt.Target = c.Target.ID
 	attempt.Node = c.Node
--- a/internal/core/fleet/load.go
+++ b/internal/core/fleet/load.go
@@ -30,6 +30,9 @@
 	Suspect bool
 	// Wait is how long a request of the same rank would wait for a slot.
 	Wait time.Duration
+	// Lent means that the target refused the attempt and counted it against its part of the retry budget all the same, so
+	// that the request's next attempt may run elsewhere.
+	Lent bool
 	// Revision is the sidecar's tables revision.
 	Revision Revision
 	// Quarantine lists fingerprints that were quarantined lately.
--- a/internal/core/fleet/request.go
+++ b/internal/core/fleet/request.go
@@ -40,6 +40,8 @@
 	// Derived means that the request is a call made by another one that was repeated. It counts towards the budget like a
 	// repeated one, and may use more of it.
 	Derived bool
+	// Borrowed means that another target has counted the attempt against its own part of the retry budget.
+	Borrowed bool
 	// Forced means that no healthy target is left, so that suspicion alone refuses nothing.
 	Forced bool
 	Caller Caller
--- a/internal/edge/peer/forward_test.go
+++ b/internal/edge/peer/forward_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -259,6 +260,34 @@
 	}
 }
 
+// Guards against a part of the retry budget that is lost or invented on its way between nodes.
+func TestForwardPassesLentAttempts(t *testing.T) {
+	for _, lent := range []bool{true, false} {
+		t.Run(fmt.Sprint(lent), func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(t)
+			var asked fleet.Attempt
+			b.decide = func(s *Sidecar, body event.Body) {
+				if e, ok := body.(event.AdmissionAsked); ok {
+					asked = e.Attempt
+					problem := fleet.NewProblem(fleet.Failing, fleet.NotRun, "")
+					report := testReport
+					report.Lent = lent
+					s.RefuseAttempt(effect.RefuseAttempt{Attempt: asked.ID, Problem: problem, Report: report})
+				}
+			}
+			attempt := b.attempt()
+			attempt.Borrowed = lent
+			got := b.send(t.Context(), attempt, http.MethodPost, "1")
+			wantProblem(t, got.err, fleet.Failing, fleet.NotRun)
+			report, ok := got.report().Get()
+			is.True(ok)
+			is.Equal(report.Lent, lent)
+			is.Equal(asked.Borrowed, lent)
+		})
+	}
+}
+
 // Guards against verdicts without proof: NotRun needs a connection on which nothing was written.
 func TestForwardToDeadNode(t *testing.T) {
 	b := newBench(t)
--- a/internal/edge/peer/forwardheader.go
+++ b/internal/edge/peer/forwardheader.go
@@ -86,13 +86,15 @@
 	modeTrial    = "trial"
 	modeRepeated = "repeated"
 	modeDerived  = "derived"
+	modeBorrowed = "borrowed"
 	modeForced   = "forced"
 )
 
 func modeOf(a fleet.Attempt) string {
 	var words []string
 	for word, holds := range map[string]bool{
-		modeProbe: a.Probe, modeTrial: a.Trial, modeRepeated: a.Repeated, modeDerived: a.Derived, modeForced: a.Forced,
+		modeProbe: a.Probe, modeTrial: a.Trial, modeRepeated: a.Repeated, modeDerived: a.Derived, modeBorrowed: a.Borrowed,
+		modeForced: a.Forced,
 	} {
 		if holds {
 			words = append(words, word)
@@ -124,6 +126,7 @@
 			Trial:       slices.Contains(mode, modeTrial),
 			Repeated:    slices.Contains(mode, modeRepeated),
 			Derived:     slices.Contains(mode, modeDerived),
+			Borrowed:    slices.Contains(mode, modeBorrowed),
 			Forced:      slices.Contains(mode, modeForced),
 			Caller:      fleet.Caller(d.optional(headerCaller)),
 			Key:         fleet.IdempotencyKey(d.optional(headerKey)),
--- a/internal/edge/peer/forwardreport.go
+++ b/internal/edge/peer/forwardreport.go
@@ -21,6 +21,7 @@
 	headerDetail     = "Jayfold-Detail"     // free text
 	headerLoad       = "Jayfold-Load"       // in flight, queued, slots, wait in milliseconds and p95 in microseconds
 	headerReport     = "Jayfold-Report"     // target, class, whether ejected and suspect, and revision
+	headerLent       = "Jayfold-Lent"       // there where the target has lent a part of its retry budget
 	headerQuarantine = "Jayfold-Quarantine" // fingerprints
 	headerEcho       = "Jayfold-Echo"       // of the attempt's id
 )
@@ -51,6 +52,9 @@
 		strconv.FormatBool(report.Suspect),
 		strconv.FormatUint(uint64(report.Revision), 10),
 	))
+	if report.Lent {
+		h.Set(prefix+headerLent, strconv.FormatBool(true))
+	}
 	if len(report.Quarantine) > 0 {
 		h.Set(prefix+headerQuarantine, joinFingerprints(report.Quarantine))
 	}
@@ -80,6 +84,7 @@
 		Class:      d.class(shared[1]),
 		Ejected:    d.boolean(shared[2]),
 		Suspect:    d.boolean(shared[3]),
+		Lent:       h.Get(headerLent) != "",
 		Revision:   fleet.Revision(d.number(shared[4], 10)),
 		Quarantine: d.fingerprints(headerQuarantine),
 	}
