core/attempt, core/node: log lines show lent and borrowed attempts

Cause: a request that a target refused for the retry budget and then took could not be explained from the logs. Change: Lent on the refusal's line, borrowed in Steps; TestCredit checks the latter, which fails without it.

--- a/internal/core/attempt/credit_test.go
+++ b/internal/core/attempt/credit_test.go
@@ -1,6 +1,8 @@
 package attempt
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -40,7 +42,11 @@
 		healthy, next := refused(t, b)
 		again := assertBorrowed(t, wantForward(t, b.lends(next)), true)
 		is.New(t).Equal(again.Target, healthy)
-		wantAnswer(t, b.succeed(again), again.ID)
+		effects := b.succeed(again)
+		wantAnswer(t, effects, again.ID)
+		line, ok := effects[0].(effect.Log)
+		is.New(t).True(ok)
+		is.New(t).True(strings.Contains(fmt.Sprint(line.Fields), " borrowed")) // the log says why it was not refused again
 	})
 	t.Run("a full target leaves it to the next one", func(t *testing.T) {
 		b := newBench()
--- a/internal/core/attempt/trail.go
+++ b/internal/core/attempt/trail.go
@@ -13,6 +13,8 @@
 type step struct {
 	target fleet.TargetID
 	manner manner
+	// borrowed means that a failing target had lent the attempt a part of its retry budget.
+	borrowed bool
 	// after is the time from the request's arrival to the attempt's start, and took that from there to its end.
 	after, took time.Duration
 	// cause is empty while the attempt is in flight and when it was answered.
@@ -27,6 +29,9 @@
 // String returns the step in one phrase: where and how, when, and how it ended.
 func (s step) String() string {
 	text := fmt.Sprintf("%s %s +%s", s.target, mannerNames[s.manner], rounded(s.after))
+	if s.borrowed {
+		text += " borrowed"
+	}
 	if s.cause == "" {
 		return text
 	}
@@ -55,7 +60,7 @@
 func (f flight) withStep(now time.Time, t try, problem fleet.Problem, wait time.Duration) flight {
 	after := t.started.Sub(f.received)
 	f.trail = append(f.trail[:len(f.trail):len(f.trail)], step{
-		target: t.target, manner: t.manner, after: after, took: now.Sub(t.started),
+		target: t.target, manner: t.manner, borrowed: t.borrowed, after: after, took: now.Sub(t.started),
 		cause: problem.Cause, verdict: problem.Verdict, wait: wait,
 	})
 	return f
@@ -66,7 +71,9 @@
 func (f flight) endLine(now time.Time, last []effect.Effect) effect.Effect {
 	steps := append(make(steps, 0, len(f.trail)+len(f.live)), f.trail...)
 	for _, t := range f.live {
-		steps = append(steps, step{target: t.target, manner: t.manner, after: t.started.Sub(f.received)})
+		steps = append(steps, step{
+			target: t.target, manner: t.manner, borrowed: t.borrowed, after: t.started.Sub(f.received),
+		})
 	}
 	line := effect.Log{Level: effect.Info, Part: "request", Text: "request canceled by its caller", Fields: []effect.Field{
 		{Name: "Request", Value: string(f.id)},
--- a/internal/core/node/explain.go
+++ b/internal/core/node/explain.go
@@ -51,6 +51,7 @@
 		{Name: "Target", Value: string(e.Report.Target)},
 		{Name: "Cause", Value: string(e.Problem.Cause)},
 		{Name: "Verdict", Value: e.Problem.Verdict},
+		{Name: "Lent", Value: e.Report.Lent},
 		{Name: "InFlight", Value: load.InFlight},
 		{Name: "Queued", Value: load.Queued},
 		{Name: "Slots", Value: load.Slots},
