core/membership: why a starting node tells three nodes of other zones

The constant had no source. Comment only; the figure is from TestTargetsOfAllZonesAreKnownSoon with two in place of three.

--- a/internal/core/membership/probe.go
+++ b/internal/core/membership/probe.go
@@ -15,7 +15,8 @@
 	// every two seconds.
 	farPeriods = 16
 	// firstFar is the period after its start in which a node tells firstFarPeers of other zones what its own zone has:
-	// targets announce themselves within 1.5 s, and their zone knows of them two probes later.
+	// targets announce themselves within 1.5 s, and their zone knows of them two probes later. With two of them, three of ten
+	// simulated starts had a node that lacked a target after 8 s.
 	firstFar      = 4
 	firstFarPeers = 3
 	// nearWait is how long a starting node waits for a member of its own zone before it pulls the records of one far away.
