core/admission: calls are traced to the request that makes them

Cause: requests on routes for calls were counted against the retry budget by the share of repeated requests among those that had started lately. Ruled out: the division of the budget among the targets, all of which had used up their part. Change: a request may name its parent (Jayfold-Parent; on the platform its id begins with that of its parent). One whose parent runs on the host counts as that run does; targets that name parents name them always; while nothing runs no request is a call. The log names the parent, and explain follows it in place of a prefix of the id.

--- a/internal/core/admission/state.go
+++ b/internal/core/admission/state.go
@@ -42,6 +42,8 @@
 	arrivals uint64
 	ticked   time.Time
 	draining bool
+	// named means that the targets of this host name the request that makes a call.
+	named bool
 }
 
 // Gate is what the ejection part says of a target when an attempt asks for admission.
@@ -272,22 +274,5 @@
 // Running returns an attempt that runs on a target of this host.
 func (s State) Running(id fleet.AttemptID) (Run, bool) { return s.running.Get(id) }
 
-// RepeatedShare returns which part of the requests that make calls on this host are repeated ones or their calls. Each
-// makes as many calls as another, however long it runs, so that those count that started lately; without any, those that run.
-func (s State) RepeatedShare(now time.Time) float64 {
-	var started arrivals
-	for _, l := range s.targets.All() {
-		started = started.plus(l.repeats.lately(now, s.settings.Retries.Window))
-	}
-	if started.ran() > 0 {
-		return started.share()
-	}
-	var running arrivals
-	for _, run := range s.running.All() {
-		running = running.with(run.Attempt)
-	}
-	return running.share()
-}
-
 // InFlight returns the number of attempts that run on targets of this host.
 func (s State) InFlight() int { return s.running.Len() }
--- a/internal/core/attempt/flight.go
+++ b/internal/core/attempt/flight.go
@@ -26,6 +26,8 @@
 // flight is one request between its arrival and its answer.
 type flight struct {
 	id fleet.RequestID
+	// parent is the request that makes this one, where it is a call that names it.
+	parent fleet.RequestID
 	// template is what all attempts of the request have in common.
 	template fleet.Attempt
 	received time.Time
--- a/internal/core/attempt/state.go
+++ b/internal/core/attempt/state.go
@@ -71,6 +71,7 @@
 	}
 	f := flight{
 		id:       request.ID,
+		parent:   request.Parent,
 		received: ctx.Now,
 		template: fleet.Attempt{
 			Pool:        route.Pool,
--- a/internal/core/attempt/trail.go
+++ b/internal/core/attempt/trail.go
@@ -85,6 +85,9 @@
 		{Name: "Left", Value: rounded(f.template.Deadline.Sub(now))},
 		{Name: "Steps", Value: steps},
 	}}
+	if f.parent != "" {
+		line.Fields = append(line.Fields, effect.Field{Name: "Parent", Value: string(f.parent)})
+	}
 	for _, e := range last {
 		switch e := e.(type) {
 		case effect.Answer:
--- a/internal/core/fleet/request.go
+++ b/internal/core/fleet/request.go
@@ -12,6 +12,8 @@
 	// Idempotent is what the caller's header says.
 	Idempotent Option[bool]
 	Key        IdempotencyKey
+	// Parent is the request during whose run a target makes this one; empty where the caller names none.
+	Parent RequestID
 	// Derived means that the request is a call of another one that was repeated.
 	Derived bool
 	// Timeout is the caller's own limit; 0 means none.
--- a/internal/core/node/ingress.go
+++ b/internal/core/node/ingress.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"jayfold.dev/jayfold/internal/core/admission"
 	"jayfold.dev/jayfold/internal/core/attempt"
 	"jayfold.dev/jayfold/internal/core/effect"
 	"jayfold.dev/jayfold/internal/core/event"
@@ -38,24 +39,13 @@
 	}
 	s.splits, route.Pool = s.splits.Next(route, ev.Random)
 	idempotent := routing.Idempotent(route, request)
-	request.Derived = s.derived(ev, route)
+	call := admission.Call{Parent: request.Parent, Internal: route.Class == fleet.Internal}
+	s.admission, request.Derived = s.admission.Called(ev.At, call, ev.Random)
 	next, effects := s.attempts.Arrived(s.attemptContext(ev), request, route, idempotent)
 	s.attempts = next
 	return s, effects
 }
 
-// derivedDraws is the number of equally likely draws for the origin of an internal request.
-const derivedDraws = 1 << 16
-
-// derived reports whether an internal request is to count as a call of a repeated one. Which of the requests on this
-// host made it is not known, so that it is drawn by their share, which is right on average.
-func (s State) derived(ev event.Event, route fleet.Route) bool {
-	if route.Class != fleet.Internal {
-		return false
-	}
-	return float64(ev.Random%derivedDraws) < s.admission.RepeatedShare(ev.At)*derivedDraws
-}
-
 func refuse(request fleet.Request, cause fleet.Cause, detail string) []effect.Effect {
 	return []effect.Effect{effect.Refuse{
 		Request: request.ID,
--- a/internal/edge/caller/request.go
+++ b/internal/edge/caller/request.go
@@ -21,6 +21,7 @@
 	headerTimeout    = "Jayfold-Timeout"
 	headerIdempotent = "Jayfold-Idempotent"
 	headerKey        = "Idempotency-Key"
+	headerParent     = "Jayfold-Parent"
 )
 
 // maxNameBytes bounds account names and idempotency keys, which travel between nodes and are remembered.
@@ -75,6 +76,10 @@
 	if err != nil {
 		return fleet.Request{}, err
 	}
+	parent, err := single(r.Header, headerParent)
+	if err != nil {
+		return fleet.Request{}, err
+	}
 	timeout, err := timeoutOf(r.Header)
 	if err != nil {
 		return fleet.Request{}, err
@@ -89,6 +94,7 @@
 		Host:        host,
 		Path:        r.URL.Path,
 		Caller:      fleet.Caller(caller),
+		Parent:      fleet.RequestID(parent),
 		Idempotent:  idempotent,
 		Key:         fleet.IdempotencyKey(key),
 		Timeout:     timeout,
--- a/internal/edge/caller/server_test.go
+++ b/internal/edge/caller/server_test.go
@@ -212,6 +212,7 @@
 		"timeout negative":        {"", []string{"Jayfold-Timeout", "-1s"}, http.StatusBadRequest},
 		"idempotent malformed":    {"", []string{"Jayfold-Idempotent", "no"}, http.StatusBadRequest},
 		"two callers":             {"", []string{"Jayfold-Caller", "a", "Jayfold-Caller", "b"}, http.StatusBadRequest},
+		"two parents":             {"", []string{"Jayfold-Parent", "a", "Jayfold-Parent", "b"}, http.StatusBadRequest},
 		"idempotency key is long": {"", []string{"Idempotency-Key", strings.Repeat("k", 257)}, http.StatusBadRequest},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -329,3 +330,13 @@
 	b.server.http.Handler.ServeHTTP(recorder, httptest.NewRequest("GET", readyPath, nil))
 	is.Equal(recorder.Code, http.StatusServiceUnavailable)
 }
+
+// Guards against calls of targets that nobody can trace to the request that made them.
+func TestCallsNameTheirParent(t *testing.T) {
+	is := is.New(t)
+	r := httptest.NewRequest(http.MethodGet, "http://h/a", nil)
+	r.Header.Set("Jayfold-Parent", "r1")
+	request, err := decodeRequest(r, nil)
+	is.NoErr(err)
+	is.Equal(request.Parent, fleet.RequestID("r1"))
+}
--- a/internal/edge/logfile/trace.go
+++ b/internal/edge/logfile/trace.go
@@ -30,10 +30,11 @@
 func NewTrace(lines []Line, id string) Trace {
 	trace := Trace{ID: id}
 	lines = ordered(lines)
-	subjects := subjectsOf(lines, id)
+	requests := family(lines, id)
+	subjects := subjectsOf(lines, requests)
 	seen := map[string]bool{}
 	for i, line := range lines {
-		if !line.concerns(id) {
+		if !requests[line.Fields["Request"]] {
 			continue
 		}
 		trace.Lines = append(trace.Lines, line)
@@ -45,18 +46,22 @@
 	return trace
 }
 
-// concerns reports whether a line is about a request or a call that a target made for it, which has the request's id before
-// its own.
-func (l Line) concerns(id string) bool {
-	request := l.Fields["Request"]
-	return request == id || strings.HasPrefix(request, id+".")
+// family returns the ids of a request and of the calls that targets made for it.
+func family(lines []Line, id string) map[string]bool {
+	requests := map[string]bool{id: true}
+	for _, line := range lines {
+		if line.Fields["Parent"] == id {
+			requests[line.Fields["Request"]] = true
+		}
+	}
+	return requests
 }
 
-// subjectsOf returns the targets that the lines of a request name, and their nodes.
-func subjectsOf(lines []Line, id string) map[string]bool {
+// subjectsOf returns the targets that the lines of some requests name, and their nodes.
+func subjectsOf(lines []Line, requests map[string]bool) map[string]bool {
 	subjects := map[string]bool{}
 	for _, line := range lines {
-		if !line.concerns(id) {
+		if !requests[line.Fields["Request"]] {
 			continue
 		}
 		names := []string{line.Fields["Target"]}
