core/admission: the room that repeated attempts leave follows the calls that come

Cause: lookups used 0.55 of the retry budget, and the rest was for calls of repeated requests, also in pools that have few or none. The fixed part dates from a time when those calls were estimated. Change: 0.9 of the budget is used; lookups leave 0.1 and orders 0.05 of it, beside room for half as many calls again as came within the window.

--- a/internal/core/admission/budget.go
+++ b/internal/core/admission/budget.go
@@ -9,14 +9,16 @@
 const (
 	// budgetSteps divide the window, so that old requests are forgotten a step at a time.
 	budgetSteps = 10
-	// lookupPart is the part of the budget that requests use which may be repeated at will, and orderPart that of the others:
-	// an order is repeated only after a target refused it, and has no other chance. The rest is for the calls that repeated
-	// requests make at other pools: they count there as repeated too, and to refuse one fails the request that waits for it.
-	// A repeated request was seen to make 1.4 calls at one pool.
-	lookupPart = 0.55
-	orderPart  = 0.6
-	// callPart is the part that these calls use. Which calls they are is drawn, so that of 100 some ten may go uncounted.
-	callPart = 0.85
+	// usedPart is the part of the budget that is used at most. Targets that do not name the request that makes a call leave
+	// some of the calls of repeated requests uncounted.
+	usedPart = 0.9
+	// lookupReserve is the part of the budget that requests which may be repeated at will leave to others, and orderReserve
+	// that of the rest: an order is repeated only after a target refused it, and has no other chance. The calls that repeated
+	// requests make at other pools count there as repeated too, and to refuse one fails the request that waits for it.
+	lookupReserve = 0.1
+	orderReserve  = 0.05
+	// callGrowth is how much the calls of repeated requests may grow within a window before other attempts make room for them.
+	callGrowth = 0.5
 )
 
 // allowance is what decides how many repeated attempts one target takes.
@@ -24,8 +26,9 @@
 	retries fleet.Retries
 	// targets is the number of targets of the pool, which share its slack.
 	targets int
-	// part is the part of the budget that the attempt may use.
-	part float64
+	// reserve is the part of the budget that the attempt leaves to others, beside room for as many calls more of repeated
+	// requests as growth times those of the window.
+	reserve, growth float64
 }
 
 // allowanceOf returns the allowance of a target for an attempt.
@@ -33,11 +36,10 @@
 	a := allowance{retries: s.settings.Retries, targets: ctx.PoolSize(attempt.Pool)}
 	switch {
 	case attempt.Derived:
-		a.part = callPart
 	case attempt.Idempotent:
-		a.part = lookupPart
+		a.reserve, a.growth = lookupReserve, callGrowth
 	default:
-		a.part = orderPart
+		a.reserve, a.growth = orderReserve, callGrowth
 	}
 	return a
 }
@@ -55,6 +57,8 @@
 // arrivals are the attempts of one step of the window.
 type arrivals struct {
 	first, repeated int
+	// derived are those of the repeated ones that calls of repeated requests make.
+	derived int
 	// borrowed attempts ran here and were counted by another target, lent ones the other way round.
 	borrowed, lent int
 	// targets is the largest number of targets that the pool had at one of them.
@@ -66,7 +70,10 @@
 	switch {
 	case attempt.Borrowed:
 		a.borrowed++
-	case draws(attempt):
+	case attempt.Derived:
+		a.repeated++
+		a.derived++
+	case attempt.Repeated:
 		a.repeated++
 	default:
 		a.first++
@@ -82,6 +89,7 @@
 	return arrivals{
 		first:    a.first + b.first,
 		repeated: a.repeated + b.repeated,
+		derived:  a.derived + b.derived,
 		borrowed: a.borrowed + b.borrowed,
 		lent:     a.lent + b.lent,
 		targets:  max(a.targets, b.targets),
@@ -147,5 +155,6 @@
 	}
 	grown := min(1, float64(now.Sub(b.since))/float64(a.retries.Window))
 	limit := a.retries.Ratio*float64(total.first) + grown*a.retries.Slack/float64(total.targets)
-	return float64(total.repeated+total.lent+1) <= a.part*limit
+	room := (usedPart-a.reserve)*limit - a.growth*float64(total.derived)
+	return float64(total.repeated+total.lent+1) <= room
 }
