core/health, core/attempt: a pool that sheds requests is used for those that it takes

Cause: a refusal counted like an error, so that two of them left a target with trials only. Change: refusals have a score of their own. A target that only refuses is Shedding: it is asked after healthy ones, and takes every request that is forced on it; orders go there before faulty targets, also while healthy ones are full, and are not parked for it. The report between nodes names the health in place of a flag.

--- a/internal/core/admission/lend_test.go
+++ b/internal/core/admission/lend_test.go
@@ -13,11 +13,11 @@
 // assertLent asks a failing target for an attempt and checks whether it lends one.
 func (r *rig) assertLent(is *is.I, a fleet.Attempt, want bool) {
 	is.Helper()
-	r.failing = true
+	r.health = fleet.Faulty
 	r.askAs(a)
 	refusal := r.assertRefused(is, a.ID, fleet.Failing, fleet.NotRun)
 	is.Equal(refusal.Report.Lent, want)
-	r.failing = false
+	r.health = fleet.Healthy
 }
 
 // TestLending guards against a pool of which most targets fail and whose healthy ones refuse what is repeated for the budget,
--- a/internal/core/admission/state.go
+++ b/internal/core/admission/state.go
@@ -66,9 +66,9 @@
 	PoolSize func(fleet.PoolName) int
 	// Gate says which attempts a target takes.
 	Gate func(fleet.TargetID) Gate
-	// Suspect reports whether a target has just failed; MayTry whether it takes a trial now.
-	Suspect func(fleet.TargetID) bool
-	MayTry  func(fleet.TargetID) bool
+	// Health is what a target's last requests say of it; MayTry reports whether one that is not healthy takes a trial now.
+	Health func(fleet.TargetID) fleet.Health
+	MayTry func(fleet.TargetID) bool
 	// Quarantined reports whether requests with a fingerprint are refused; Suspected whether they may have crashed a
 	// target, so that no two of them run on one target at a time.
 	Quarantined func(fleet.Fingerprint) bool
@@ -133,7 +133,7 @@
 		return fleet.Ejected, true
 	case !attempt.Deadline.After(ctx.Now):
 		return fleet.DeadlinePassed, true
-	case ctx.Suspect(attempt.Target) && !mayRunOnSuspect(ctx, attempt):
+	case !healthAllows(ctx, attempt):
 		return fleet.Failing, true
 	case draws(attempt) && !attempt.Borrowed && !l.repeats.allows(ctx.Now, s.allowanceOf(ctx, attempt)):
 		return fleet.RetryBudget, true
@@ -142,14 +142,21 @@
 	}
 }
 
-// mayRunOnSuspect reports whether an attempt may run on a target that has just failed. It answers a pool of which only failing
-// targets are left: an order that is forced on one of them mostly fails, and nobody knows whether it ran. So orders take no
-// more of the target than its trials, and only when no other trial does; the rest is refused and may come again.
-func mayRunOnSuspect(ctx Context, attempt fleet.Attempt) bool {
-	if attempt.Forced && attempt.Idempotent {
+// healthAllows reports whether an attempt may run on its target as far as the target's last requests say. It answers two loads:
+//
+//   - A pool of which only failing targets are left: an order that is forced on one of them mostly fails, and nobody knows
+//     whether it ran. So orders take no more of a faulty target than its trials, and only when no other trial does; the rest is
+//     refused and may come again.
+//   - A pool that sheds a part of its requests: what a target refuses has not run and is asked for elsewhere, so that every
+//     request that finds no healthy target may be forced on a shedding one.
+func healthAllows(ctx Context, attempt fleet.Attempt) bool {
+	health := ctx.Health(attempt.Target)
+	switch {
+	case health == fleet.Healthy, attempt.Forced && (attempt.Idempotent || health == fleet.Shedding):
 		return true
+	default:
+		return (attempt.Forced || attempt.Trial) && ctx.MayTry(attempt.Target)
 	}
-	return (attempt.Forced || attempt.Trial) && ctx.MayTry(attempt.Target)
 }
 
 // fits reports whether an attempt can start now.
--- a/internal/core/admission/state_test.go
+++ b/internal/core/admission/state_test.go
@@ -23,9 +23,10 @@
 	suspected   fleet.Set[fleet.Fingerprint]
 	// targets is the size of the pool.
 	targets int
-	// failing and mayTry are what the health part says of every target.
-	failing, mayTry bool
-	effects         []effect.Effect
+	// health and mayTry are what the health part says of every target.
+	health  fleet.Health
+	mayTry  bool
+	effects []effect.Effect
 }
 
 // testRetries allow each of two targets ten repeated attempts and a tenth of its requests within the window.
@@ -59,7 +60,7 @@
 		Quarantined: r.quarantined.Has,
 		Suspected:   r.suspected.Has,
 		PoolSize:    func(fleet.PoolName) int { return r.targets },
-		Suspect:     func(fleet.TargetID) bool { return r.failing },
+		Health:      func(fleet.TargetID) fleet.Health { return r.health },
 		MayTry:      func(fleet.TargetID) bool { return r.mayTry },
 	}
 }
@@ -450,19 +451,22 @@
 	}
 	for name, c := range map[string]struct {
 		attempt func(fleet.Attempt) fleet.Attempt
+		health  fleet.Health
 		mayTry  bool
 		runs    bool
 	}{
-		"an order on a suspect target":            {func(a fleet.Attempt) fleet.Attempt { return a }, true, false},
-		"a trial on a suspect target":             {func(a fleet.Attempt) fleet.Attempt { a.Trial = true; return a }, true, true},
-		"a trial too soon":                        {func(a fleet.Attempt) fleet.Attempt { a.Trial = true; return a }, false, false},
-		"a lookup when no healthy target is left": {func(a fleet.Attempt) fleet.Attempt { a.Forced, a.Idempotent = true, true; return a }, false, true},
-		"an order when no healthy target is left": {func(a fleet.Attempt) fleet.Attempt { a.Forced = true; return a }, true, true},
-		"an order between two trials":             {func(a fleet.Attempt) fleet.Attempt { a.Forced = true; return a }, false, false},
+		"an order on a faulty target":               {func(a fleet.Attempt) fleet.Attempt { return a }, fleet.Faulty, true, false},
+		"a trial on a faulty target":                {func(a fleet.Attempt) fleet.Attempt { a.Trial = true; return a }, fleet.Faulty, true, true},
+		"a trial too soon":                          {func(a fleet.Attempt) fleet.Attempt { a.Trial = true; return a }, fleet.Faulty, false, false},
+		"a lookup when no healthy target is left":   {func(a fleet.Attempt) fleet.Attempt { a.Forced, a.Idempotent = true, true; return a }, fleet.Faulty, false, true},
+		"an order when no healthy target is left":   {func(a fleet.Attempt) fleet.Attempt { a.Forced = true; return a }, fleet.Faulty, true, true},
+		"an order between two trials":               {func(a fleet.Attempt) fleet.Attempt { a.Forced = true; return a }, fleet.Faulty, false, false},
+		"an order on a shedding target":             {func(a fleet.Attempt) fleet.Attempt { return a }, fleet.Shedding, true, false},
+		"an order when only shedding ones are left": {func(a fleet.Attempt) fleet.Attempt { a.Forced = true; return a }, fleet.Shedding, false, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is, r := is.New(t), newWarmRig(4)
-			r.failing, r.mayTry = true, c.mayTry
+			r.health, r.mayTry = c.health, c.mayTry
 			r.askAs(c.attempt(r.attempt("1", fleet.Order)))
 			if c.runs {
 				r.assertRuns(is, "1")
--- a/internal/core/attempt/choice.go
+++ b/internal/core/attempt/choice.go
@@ -8,6 +8,9 @@
 	// crossingCost is how many requests per slot fuller the own availability zone must be before a request is forced on
 	// another one. Half a request per slot is more wait than the round trip of 3 ms between zones costs.
 	crossingCost = 0.5
+	// faultyCost is how many requests per slot fuller a shedding target must be than a faulty one before that is asked first. A
+	// queue holds four per slot.
+	faultyCost = 4
 	// full is the load, in requests per slot, of a target without a free slot.
 	full = 1
 	// maxDraws bounds the random draws for an eligible target; after that all are looked at.
--- a/internal/core/attempt/credit_test.go
+++ b/internal/core/attempt/credit_test.go
@@ -15,7 +15,7 @@
 // lends refuses an attempt on a failing target that counts it against its own part of the retry budget.
 func (b *bench) lends(a fleet.Attempt) []effect.Effect {
 	lent := report(a.Target, 20*time.Millisecond)
-	lent.Suspect, lent.Lent = true, true
+	lent.Health, lent.Lent = fleet.Faulty, true
 	return b.finish(a, failure(fleet.Failing, fleet.NotRun), fleet.Some(lent))
 }
 
@@ -65,7 +65,7 @@
 		b := newBench()
 		failing := fleet.NewTargetID("n5", "t")
 		suspect := report(failing, 20*time.Millisecond)
-		suspect.Suspect = true
+		suspect.Health = fleet.Faulty
 		other := wantForward(t, b.arrive(true, ""))
 		b.finish(other, fleet.Outcome{Status: 200}, fleet.Some(suspect))
 		next := wantForward(t, b.arrive(true, ""))
--- a/internal/core/attempt/park.go
+++ b/internal/core/attempt/park.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"jayfold.dev/jayfold/internal/core/effect"
+	"jayfold.dev/jayfold/internal/core/fleet"
 )
 
 // parkStep is the time after which a parked request is placed anew. A trial of a suspect target takes about as long.
@@ -53,7 +54,7 @@
 // proceed starts the next attempt of a request, or parks it; false means that nothing is left to try.
 func (s State) proceed(ctx Context, f flight) (State, []effect.Effect, bool) {
 	where, ok := s.choose(ctx, f)
-	if (!ok && len(f.bounces) == 0 || ok && where.manner == forced) && s.mayPark(ctx, f) {
+	if (!ok && len(f.bounces) == 0 || ok && s.mayBreak(f, where)) && s.mayPark(ctx, f) {
 		next, effects := s.park(ctx, f)
 		return next, effects, true
 	}
@@ -63,3 +64,10 @@
 	s, f, forward := s.start(ctx, f, where)
 	return s.store(f), []effect.Effect{forward}, true
 }
+
+// mayBreak reports whether an attempt is forced on a target that may break it off. One that only sheds requests either answers
+// it or refuses it at once.
+func (s State) mayBreak(f flight, where placement) bool {
+	sheds := s.pool(f.template.Pool).view(where.candidate.Target.ID).health == fleet.Shedding
+	return where.manner == forced && !sheds
+}
--- a/internal/core/attempt/placement.go
+++ b/internal/core/attempt/placement.go
@@ -50,7 +50,8 @@
 //     waits in its own as long as it can be answered at all.
 //   - A pool of which most targets fail: the healthy ones have used up their parts of the retry budget, so that a failing one
 //     is asked, which lends of its own.
-//   - A pool that fails as a whole: when only suspect targets are left, one of them is forced to take the request.
+//   - A pool that fails as a whole: when only suspect targets are left, one of them is forced to take the request. Targets that
+//     shed a part of their requests are asked before those that break them off, and for orders also where healthy ones are full.
 func (c *choice) place() (placement, bool) {
 	steps := []func() (int, manner){
 		c.home, c.free, c.nearInGoal, c.farFree, c.lender, c.farInGoal, c.nearInTime, c.farInTime, c.unasked, c.suspect,
@@ -158,29 +159,41 @@
 }
 
 // suspect returns a target that has just failed, or one of which the ingress remembers a refusal that may be out of date.
+// Those that only refuse requests come first, since what they refuse has not run.
 func (c *choice) suspect() (int, manner) {
-	if _, full := c.flight.shortestQueue(); full && !c.flight.template.Idempotent {
-		// Healthy targets are left, if only full ones. The caller of an order has more of a refusal, after which it may be
-		// sent again, than of a try after which nobody knows whether it ran.
-		return -1, forced
-	}
+	// Where healthy targets are left, if only full ones, the caller of an order has more of a refusal, after which it may be
+	// sent again, than of a try after which nobody knows whether it ran.
+	_, full := c.flight.shortestQueue()
+	onlyShedding := full && !c.flight.template.Idempotent
 	best := -1
 	var lowest float64
 	for i := range c.candidates {
+		v := c.view(i)
 		if c.flight.triedAt(c.candidates[i].Target.ID) || c.flight.bouncedHard(c.candidates[i].Target.ID) {
 			continue
 		}
-		share := c.share(i, c.view(i))
-		if c.candidates[i].AvailabilityZone != c.state.zone {
-			share += crossingCost
+		if onlyShedding && v.health != fleet.Shedding {
+			continue
 		}
-		if best < 0 || share < lowest {
+		if share := c.share(i, v) + c.forcingCost(i, v); best < 0 || share < lowest {
 			best, lowest = i, share
 		}
 	}
 	return best, forced
 }
 
+// forcingCost returns what speaks against forcing a request on a target, in requests per slot.
+func (c *choice) forcingCost(i int, v *view) float64 {
+	cost := 0.0
+	if c.candidates[i].AvailabilityZone != c.state.zone {
+		cost += crossingCost
+	}
+	if v.health != fleet.Shedding {
+		cost += faultyCost
+	}
+	return cost
+}
+
 // usual returns how long a request of the class usually runs; 0 while that is not known.
 func (c *choice) usual() time.Duration {
 	return c.pool.baselines[c.flight.template.Class].value
--- a/internal/core/attempt/pool.go
+++ b/internal/core/attempt/pool.go
@@ -45,7 +45,8 @@
 	if r.Load.Share() >= full {
 		v.fullUntil = now.Add(min(r.Wait, longestFull))
 	}
-	if r.Suspect {
+	if r.Health != fleet.Healthy {
+		v.health = r.Health
 		v.suspectUntil = now.Add(suspicionLifetime)
 	}
 	next := p.with(r.Target, v)
--- a/internal/core/attempt/state_test.go
+++ b/internal/core/attempt/state_test.go
@@ -396,6 +396,36 @@
 		}
 		is.New(t).True(wantForward(t, effects).Forced)
 	})
+	// shed lets a target refuse an attempt because it has just shed others.
+	shed := func(b *bench, a fleet.Attempt) []effect.Effect {
+		r := report(a.Target, 20*time.Millisecond)
+		r.Health = fleet.Shedding
+		return b.finish(a, failure(fleet.Failing, fleet.NotRun), fleet.Some(r))
+	}
+	t.Run("an order goes to a shedding target at once", func(t *testing.T) {
+		is, b := is.New(t), newBench()
+		first := wantForward(t, b.arrive(false, ""))
+		effects := shed(b, first)
+		for range 5 {
+			effects = b.fail(wantForward(t, effects), fleet.Failing, fleet.NotRun)
+		}
+		order := wantForward(t, effects)
+		is.True(order.Forced)
+		is.Equal(order.Target, first.Target)
+	})
+	t.Run("and also while healthy ones are full", func(t *testing.T) {
+		is, b := is.New(t), newBench()
+		effects := b.full(wantForward(t, b.arrive(false, "")), time.Minute)
+		first := wantForward(t, effects)
+		effects = shed(b, first)
+		for range 4 {
+			effects = b.fail(wantForward(t, effects), fleet.Failing, fleet.NotRun)
+		}
+		order := wantForward(t, effects)
+		is.True(order.Forced)
+		is.Equal(order.Target, first.Target)
+		wantRefusal(t, b.fail(order, fleet.Shed, fleet.NotRun), fleet.Overloaded, fleet.NotRun)
+	})
 	t.Run("an order goes to the first target that recovers", func(t *testing.T) {
 		b := newBench()
 		refuse(b, b.arrive(false, ""))
--- a/internal/core/attempt/view.go
+++ b/internal/core/attempt/view.go
@@ -12,7 +12,7 @@
 	loadLifetime = 500 * time.Millisecond
 	// longestFull bounds how long a target counts as full by what it said of its queue.
 	longestFull = time.Second
-	// suspicionLifetime is how long an ingress passes over a target that was suspect when it last answered. It is about
+	// suspicionLifetime is how long an ingress passes over a target that was not healthy when it last answered. It is about
 	// the pause between two trials.
 	suspicionLifetime = 300 * time.Millisecond
 	// viewLifetime is how long a target is remembered after its last report.
@@ -27,8 +27,9 @@
 	refusedUntil time.Time
 	// fullUntil is when the target may have a free slot again, by the queue that it named.
 	fullUntil time.Time
-	// suspectUntil is set when the target was suspect.
+	// suspectUntil is set when the target was not healthy, and health is what it was then.
 	suspectUntil time.Time
+	health       fleet.Health
 }
 
 // unknownView is the view of a target of which nothing was heard yet.
--- a/internal/core/fleet/load.go
+++ b/internal/core/fleet/load.go
@@ -26,8 +26,7 @@
 	P95     time.Duration
 	Class   Class
 	Ejected bool
-	// Suspect means that the target takes only trials.
-	Suspect bool
+	Health  Health
 	// Wait is how long a request of the same rank would wait for a slot.
 	Wait time.Duration
 	// Lent means that the target refused the attempt and counted it against its part of the retry budget all the same, so
--- a/internal/core/health/record.go
+++ b/internal/core/health/record.go
@@ -8,19 +8,47 @@
 
 // record is the recent history of one target.
 type record struct {
-	score   float64
-	suspect bool
+	failing, shedding gauge
 	// pause is the time between trials; next is when the next one may start.
 	pause time.Duration
 	next  time.Time
 	// succeeding means that the last request succeeded.
 	succeeding bool
-	// failedAfter is the longest that a request took to fail since the target became suspect.
+	// failedAfter is the longest that a request took to fail since the target was healthy.
 	failedAfter time.Duration
 	trials      fleet.Map[fleet.AttemptID, trial]
 }
 
-// trial is a request that runs on a suspect target.
+// gauge is one score of a target with what follows from it.
+type gauge struct {
+	score   float64
+	reached bool
+}
+
+// plus returns the gauge after one more piece of evidence.
+func (g gauge) plus(weight float64) gauge {
+	g.score = min(max(g.score+weight, lowestScore), highestScore)
+	switch {
+	case g.score >= suspectScore:
+		g.reached = true
+	case g.score < clearScore:
+		g.reached = false
+	}
+	return g
+}
+
+func (r record) health() fleet.Health {
+	switch {
+	case r.failing.reached:
+		return fleet.Faulty
+	case r.shedding.reached:
+		return fleet.Shedding
+	default:
+		return fleet.Healthy
+	}
+}
+
+// trial is a request that runs on a target that is not healthy.
 type trial struct {
 	started time.Time
 	// counted means that the trial has counted as a success while it ran.
@@ -67,7 +95,13 @@
 
 // scored returns the record with one more piece of evidence.
 func (r record) scored(now time.Time, e Evidence) record {
-	r.score = min(max(r.score+weights[e], lowestScore), highestScore)
+	weight := weights[e]
+	if e != Refused {
+		r.failing = r.failing.plus(weight)
+	}
+	if e == Refused || e == Succeeded {
+		r.shedding = r.shedding.plus(weight)
+	}
 	switch e {
 	case Succeeded, None:
 		// The next trial may follow at once.
@@ -78,11 +112,8 @@
 		r.pause = min(max(2*r.pause, firstPause), longestPause)
 		r.next = now.Add(r.pause)
 	}
-	switch {
-	case r.score >= suspectScore:
-		r.suspect = true
-	case r.score < clearScore:
-		r.suspect, r.pause, r.failedAfter = false, 0, 0
+	if r.health() == fleet.Healthy {
+		r.pause, r.failedAfter = 0, 0
 		r.trials = fleet.Map[fleet.AttemptID, trial]{}
 	}
 	return r
--- a/internal/core/health/state.go
+++ b/internal/core/health/state.go
@@ -1,9 +1,10 @@
 // Package health keeps work that cannot be repeated away from a target within one or two failures, long before the
 // evidence suffices for an ejection.
 //
-// A target counts as suspect from the first failure that a healthy one hardly ever has, until a few requests in a row have
-// succeeded. While it is suspect it takes only trials: requests that may run again elsewhere, one at a time and with a
-// growing pause between them. Nothing is promised to anyone and no other node is asked, so that a wrong suspicion costs one
+// A target counts as faulty from the first failure that a healthy one hardly ever has, until a few requests in a row have
+// succeeded. While it is faulty it takes only trials: requests that may run again elsewhere, one at a time and with a
+// growing pause between them. One that only refuses requests counts as shedding: it is asked after others, but since what it
+// refuses has not run, it takes as many as it will when no other target is left. Nothing is promised to anyone and no other node is asked, so that a wrong suspicion costs one
 // more try of a request elsewhere and ends with the next successes; a target that fails for long is ejected under leases.
 //
 // # Usage
@@ -11,7 +12,7 @@
 //	state = state.Started(now, target, attempt)
 //	state = state.Finished(now, target, attempt, health.Broke)
 //	state = state.Tick(now)
-//	if state.Suspect(target) && !state.MayTry(now, target) { ... }
+//	if state.Health(target) == fleet.Faulty && !state.MayTry(now, target) { ... }
 package health
 
 import (
@@ -29,22 +30,25 @@
 	None Evidence = iota
 	// Succeeded is an answer that is no server error.
 	Succeeded
+	// Refused is a refusal of a request that did not run, although the target had a free slot for it.
+	Refused
 	// Erred is a server error, which may be the fault of another service that the target called.
 	Erred
 	// Broke is a connection that broke, silence, or bytes that are no answer: only the target itself can cause it.
 	Broke
 )
 
-// The score of a target is the log-likelihood ratio of its last requests, failing against healthy, within bounds. A failing
+// A score of a target is the log-likelihood ratio of its last requests, failing against healthy, within bounds. A failing
 // target is taken to fail 60% of its requests; a healthy one breaks 1.5% and answers 10% with a server error while a
 // service behind it fails.
 var weights = map[Evidence]float64{
 	Succeeded: -0.9, // ln(0.4 / 0.985)
+	Refused:   1.8,  // like an error
 	Erred:     1.8,  // ln(0.6 / 0.1)
 	Broke:     3.7,  // ln(0.6 / 0.015)
 }
 
-// A target is suspect from suspectScore on, which one break or two errors reach, until the score is below clearScore. The
+// A target is faulty or shedding from suspectScore on, which one break or two errors reach, until the score is below clearScore. The
 // highest score leaves three successes to the clearing: a target that fails 85% of its requests passes them once in 300.
 const (
 	suspectScore = 2.5
@@ -71,29 +75,29 @@
 	records fleet.Map[fleet.TargetID, record]
 }
 
-// Suspect reports whether a target takes only trials.
-func (s State) Suspect(id fleet.TargetID) bool {
+// Health returns what the last requests of a target say of it.
+func (s State) Health(id fleet.TargetID) fleet.Health {
 	r, _ := s.records.Get(id)
-	return r.suspect
+	return r.health()
 }
 
-// Score returns the log-likelihood ratio of a target's last requests, failing against healthy.
-func (s State) Score(id fleet.TargetID) float64 {
+// Scores returns the log-likelihood ratios of a target's last requests: failing against healthy, and shedding against healthy.
+func (s State) Scores(id fleet.TargetID) (failing, shedding float64) {
 	r, _ := s.records.Get(id)
-	return r.score
+	return r.failing.score, r.shedding.score
 }
 
-// MayTry reports whether a suspect target takes a trial now.
+// MayTry reports whether a target that is not healthy takes a trial now.
 func (s State) MayTry(now time.Time, id fleet.TargetID) bool {
 	r, _ := s.records.Get(id)
 	return !now.Before(r.next)
 }
 
-// Started notes that a request started on a target. While the target is suspect no other trial follows until one has
+// Started notes that a request started on a target. While the target is not healthy no other trial follows until one has
 // succeeded.
 func (s State) Started(now time.Time, id fleet.TargetID, attempt fleet.AttemptID) State {
 	r, _ := s.records.Get(id)
-	if !r.suspect {
+	if r.health() == fleet.Healthy {
 		return s
 	}
 	s.records = s.records.With(id, r.tried(now, attempt))
@@ -105,7 +109,7 @@
 	now time.Time, id fleet.TargetID, attempt fleet.AttemptID, e Evidence, took time.Duration,
 ) State {
 	r, known := s.records.Get(id)
-	if e == None && !r.suspect || !known && e == Succeeded {
+	if e == None && r.health() == fleet.Healthy || !known && e == Succeeded {
 		return s
 	}
 	s.records = s.records.With(id, r.finished(now, attempt, e, took))
--- a/internal/core/health/state_test.go
+++ b/internal/core/health/state_test.go
@@ -23,6 +23,8 @@
 	return s
 }
 
+func suspect(s health.State) bool { return s.Health(target) == fleet.Faulty }
+
 // Guards against orders on a target that has just failed, and against targets that are avoided without reason or for long.
 func TestSuspicion(t *testing.T) {
 	const ok, erred, broke = health.Succeeded, health.Erred, health.Broke
@@ -43,9 +45,36 @@
 		"requests that their callers leave": {[]health.Evidence{health.None, health.None}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			is.New(t).Equal(after(c.history...).Suspect(target), c.suspect)
+			is.New(t).Equal(suspect(after(c.history...)), c.suspect)
+		})
+	}
+}
+
+// TestShedding guards against a pool that refuses half of its requests and is used as if it broke them off, and the reverse.
+func TestShedding(t *testing.T) {
+	const ok, refused, broke = health.Succeeded, health.Refused, health.Broke
+	for name, c := range map[string]struct {
+		history []health.Evidence
+		want    fleet.Health
+	}{
+		"one refusal":                        {[]health.Evidence{refused}, fleet.Healthy},
+		"two refusals":                       {[]health.Evidence{refused, refused}, fleet.Shedding},
+		"successes after them":               {[]health.Evidence{refused, refused, ok, ok}, fleet.Healthy},
+		"a break beside refusals":            {[]health.Evidence{refused, refused, broke}, fleet.Faulty},
+		"refusals after a break":             {[]health.Evidence{broke, refused, refused}, fleet.Faulty},
+		"refusals that go on after a break":  {[]health.Evidence{broke, ok, refused, refused, refused, ok, refused}, fleet.Shedding},
+		"refusals do not add up with errors": {[]health.Evidence{refused, health.Erred}, fleet.Healthy},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is.New(t).Equal(after(c.history...).Health(target), c.want)
 		})
 	}
+	t.Run("trials are spaced", func(t *testing.T) {
+		is := is.New(t)
+		s := after(refused, refused)
+		is.True(!s.MayTry(start, target))
+		is.True(s.MayTry(start.Add(200*time.Millisecond), target))
+	})
 }
 
 // Guards against trials that flood a failing target, and against one that is never tried again.
@@ -73,29 +102,29 @@
 		is.New(t).True(s.MayTry(start.Add(2*time.Second), target))
 	})
 	t.Run("a new process has no history", func(t *testing.T) {
-		is.New(t).True(!after(health.Broke).Forget(target).Suspect(target))
+		is.New(t).True(!suspect(after(health.Broke).Forget(target)))
 	})
 }
 
 // Guards against a target that stays out of use for the length of several requests although it has recovered, and against
 // trials that count twice or too soon.
 func TestOutlivingTrials(t *testing.T) {
-	// suspect is a target whose requests failed after the given time, with two trials that have run for a while.
-	suspect := func(failedAfter, ran time.Duration) health.State {
+	// outlived is a target whose requests failed after the given time, with two trials that have run for a while.
+	outlived := func(failedAfter, ran time.Duration) health.State {
 		s := health.State{}.Finished(start, target, "r.1", health.Broke, failedAfter)
 		s = s.Started(start, target, "r.2").Started(start, target, "r.3")
 		return s.Tick(start.Add(ran))
 	}
 	t.Run("two that outlive quick failures clear the target", func(t *testing.T) {
-		is.New(t).True(!suspect(2*time.Millisecond, 100*time.Millisecond).Suspect(target))
+		is.New(t).True(!suspect(outlived(2*time.Millisecond, 100*time.Millisecond)))
 	})
 	t.Run("not before they have run longer than the failures", func(t *testing.T) {
-		is.New(t).True(suspect(400*time.Millisecond, time.Second).Suspect(target))
+		is.New(t).True(suspect(outlived(400*time.Millisecond, time.Second)))
 	})
 	t.Run("one does not count again when it ends", func(t *testing.T) {
 		s := health.State{}.Finished(start, target, "r.1", health.Broke, time.Millisecond)
 		s = s.Started(start, target, "r.2").Tick(start.Add(time.Second))
 		s = s.Finished(start.Add(time.Second), target, "r.2", health.Succeeded, time.Second)
-		is.New(t).True(s.Suspect(target))
+		is.New(t).True(suspect(s))
 	})
 }
--- a/internal/core/node/explain.go
+++ b/internal/core/node/explain.go
@@ -55,7 +55,7 @@
 		{Name: "InFlight", Value: load.InFlight},
 		{Name: "Queued", Value: load.Queued},
 		{Name: "Slots", Value: load.Slots},
-		{Name: "Suspect", Value: e.Report.Suspect},
+		{Name: "Health", Value: e.Report.Health},
 		{Name: "Revision", Value: uint64(e.Report.Revision)},
 	}}
 }
@@ -68,7 +68,7 @@
 		{Name: "Instance", Value: run.Instance},
 		{Name: "Elapsed", Value: ev.At.Sub(run.Started)},
 		{Name: "Status", Value: outcome.Status},
-		{Name: "Suspect", Value: after.health.Suspect(run.Attempt.Target)},
+		{Name: "Health", Value: after.health.Health(run.Attempt.Target)},
 	}}
 	if problem, failed := outcome.Problem.Get(); failed {
 		line.Level, line.Text = effect.Warn, "run failed"
@@ -104,21 +104,32 @@
 // refusedOnArrival are the causes for which a request is refused before a target is looked for.
 var refusedOnArrival = map[fleet.Cause]bool{fleet.NoTables: true, fleet.NoRoute: true, fleet.Quarantined: true}
 
-// suspicionLines returns the line on a target that became suspect, or trusted again.
+// suspicionLines returns the line on a target whose health has changed.
 func (s State) suspicionLines(after State, id fleet.TargetID) []effect.Effect {
-	if s.health.Suspect(id) == after.health.Suspect(id) {
+	health := after.health.Health(id)
+	if s.health.Health(id) == health {
 		return nil
 	}
-	line := effect.Log{Level: effect.Info, Part: "health", Text: "target trusted again", Fields: []effect.Field{
+	failing, shedding := after.health.Scores(id)
+	line := effect.Log{Level: effect.Info, Part: "health", Text: healthLines[health], Fields: []effect.Field{
 		{Name: "Target", Value: string(id)},
-		{Name: "Score", Value: after.health.Score(id)},
+		{Name: "Health", Value: health},
+		{Name: "Score", Value: failing},
+		{Name: "ShedScore", Value: shedding},
 	}}
-	if after.health.Suspect(id) {
-		line.Level, line.Text = effect.Warn, "target suspect, takes only trials"
+	if health != fleet.Healthy {
+		line.Level = effect.Warn
 	}
 	return []effect.Effect{line}
 }
 
+// healthLines are the sentences on a target that has come to a health.
+var healthLines = map[fleet.Health]string{
+	fleet.Healthy:  "target trusted again",
+	fleet.Shedding: "target sheds requests, asked after others",
+	fleet.Faulty:   "target suspect, takes only trials",
+}
+
 // reachLines returns the line on a node that is avoided because it could not be reached, or no longer.
 func (s State) reachLines(ev event.Event, after State, body event.AttemptFinished) []effect.Effect {
 	node, known := s.attempts.NodeOf(body.Attempt)
--- a/internal/core/node/sidecar.go
+++ b/internal/core/node/sidecar.go
@@ -32,7 +32,7 @@
 		Now:         ev.At,
 		Gate:        func(id fleet.TargetID) admission.Gate { return ejected.Gate(ev.At, id) },
 		PoolSize:    func(name fleet.PoolName) int { return len(directory.Pool(name)) },
-		Suspect:     healths.Suspect,
+		Health:      healths.Health,
 		MayTry:      func(id fleet.TargetID) bool { return healths.MayTry(ev.At, id) },
 		Quarantined: func(f fleet.Fingerprint) bool { return quarantined.Has(ev.At, f) },
 		Suspected:   func(f fleet.Fingerprint) bool { return quarantined.Suspected(ev.At, f) },
@@ -68,7 +68,7 @@
 func (s State) completeReport(now time.Time, report fleet.Report) fleet.Report {
 	report.P95 = s.detection.P95(report.Target, report.Class)
 	report.Ejected = s.ejection.Ejected(now, report.Target)
-	report.Suspect = s.health.Suspect(report.Target)
+	report.Health = s.health.Health(report.Target)
 	report.Quarantine = s.quarantine.Recent(now)
 	return report
 }
@@ -137,7 +137,7 @@
 	fleet.TargetFailed:   health.Erred,
 	fleet.DeadlinePassed: health.Erred,
 	// The sidecar never gives a target more than its slots, so that one that refuses is not well.
-	fleet.Shed: health.Erred,
+	fleet.Shed: health.Refused,
 }
 
 func evidenceOf(outcome fleet.Outcome) health.Evidence {
--- a/internal/edge/peer/forwardfield.go
+++ b/internal/edge/peer/forwardfield.go
@@ -99,6 +99,14 @@
 	return class
 }
 
+func (d *headerDecoder) health(f field) fleet.Health {
+	health, err := fleet.ParseHealth(f.value)
+	if err != nil {
+		d.fail(f, "want Healthy, Shedding or Faulty")
+	}
+	return health
+}
+
 func (d *headerDecoder) boolean(f field) bool {
 	switch f.value {
 	case "true":
--- a/internal/edge/peer/forwardreport.go
+++ b/internal/edge/peer/forwardreport.go
@@ -20,7 +20,7 @@
 	headerProblem    = "Jayfold-Problem"    // cause and time after which to try again, in milliseconds
 	headerDetail     = "Jayfold-Detail"     // free text
 	headerLoad       = "Jayfold-Load"       // in flight, queued, slots, wait in milliseconds and p95 in microseconds
-	headerReport     = "Jayfold-Report"     // target, class, whether ejected and suspect, and revision
+	headerReport     = "Jayfold-Report"     // target, class, whether ejected, health and revision
 	headerLent       = "Jayfold-Lent"       // there where the target has lent a part of its retry budget
 	headerQuarantine = "Jayfold-Quarantine" // fingerprints
 	headerEcho       = "Jayfold-Echo"       // of the attempt's id
@@ -49,7 +49,7 @@
 		string(report.Target),
 		report.Class.String(),
 		strconv.FormatBool(report.Ejected),
-		strconv.FormatBool(report.Suspect),
+		report.Health.String(),
 		strconv.FormatUint(uint64(report.Revision), 10),
 	))
 	if report.Lent {
@@ -75,7 +75,7 @@
 	}
 	d := headerDecoder{header: h}
 	own := d.fields(headerLoad, "running", "queued", "slots", "wait", "p95")
-	shared := d.fields(headerReport, "target", "class", "ejected", "suspect", "revision")
+	shared := d.fields(headerReport, "target", "class", "ejected", "health", "revision")
 	report := fleet.Report{
 		Load:       fleet.Load{InFlight: d.count(own[0]), Queued: d.count(own[1]), Slots: d.count(own[2])},
 		Wait:       d.duration(own[3], time.Millisecond, maxRetryAfter),
@@ -83,7 +83,7 @@
 		Target:     fleet.TargetID(d.name(shared[0])),
 		Class:      d.class(shared[1]),
 		Ejected:    d.boolean(shared[2]),
-		Suspect:    d.boolean(shared[3]),
+		Health:     d.health(shared[3]),
 		Lent:       h.Get(headerLent) != "",
 		Revision:   fleet.Revision(d.number(shared[4], 10)),
 		Quarantine: d.fingerprints(headerQuarantine),
