core/tables, core/membership: three nodes of a zone watch the platform, the others a copy

A failed registration was repeated only after 5 min, so that nodes that start while the platform is away would not find one another. Watchers, and nodes that have a revision from a peer, tell four nodes of their zone at once. A process creates its record and replaces it when one is there; failed writes are repeated after 2 s and longer.

--- a/internal/core/effect/platform.go
+++ b/internal/core/effect/platform.go
@@ -11,6 +11,8 @@
 	Version uint64
 	// Wait is how long the platform holds the call when nothing changes.
 	Wait time.Duration
+	// Stale allows an answer from a copy of the platform's data that may be seconds old, which costs it less.
+	Stale bool
 }
 
 // FetchTables reads the chunks of a revision from the platform. Event: event.TablesDecoded or event.TablesRejected.
--- a/internal/core/membership/seed.go
+++ b/internal/core/membership/seed.go
@@ -14,7 +14,7 @@
 	registerInterval = 5 * time.Minute
 	// listInterval is the time between two reads of the member list by a node that knows others.
 	listInterval = 30 * time.Minute
-	// firstList and lastList bound the time between two reads by a node that knows no other.
+	// firstList and lastList bound the time between two reads by a node that knows no other, and between two writes that fail.
 	firstList = 2 * time.Second
 	lastList  = time.Minute
 	// listSpread and registerSpread are the times over which nodes that start together spread their first calls: 540 nodes
@@ -34,6 +34,8 @@
 	list     time.Time
 	wait     time.Duration
 	register time.Time
+	// again is the wait after the next write that fails.
+	again time.Duration
 }
 
 // Listed takes in the records kept on the platform.
@@ -47,7 +49,7 @@
 	var effects []effect.Effect
 	if s.started.IsZero() {
 		s.started = now
-		s.seeds.wait = firstList
+		s.seeds.wait, s.seeds.again = firstList, firstList
 	}
 	if !now.Before(s.seeds.list) {
 		effects = append(effects, effect.ListMembers{After: within(listSpread, random)})
@@ -72,6 +74,14 @@
 	return s
 }
 
+// RegisterFailed makes this node write its record again soon: nodes that start while the platform is away find one another by
+// these records. The wait doubles with each failure.
+func (s State) RegisterFailed(now time.Time, random uint64) State {
+	s.seeds.register = now.Add(jitter(s.seeds.again, random))
+	s.seeds.again = min(2*s.seeds.again, lastList)
+	return s
+}
+
 // contact pings some listed nodes that are not known to be present, and pulls the records of one of them when this node
 // has just started. All but one of them are in this node's zone, where there are any: they know of the other zones.
 func (s State) contact(now time.Time, random uint64) (State, []effect.Effect) {
--- a/internal/core/node/platform.go
+++ b/internal/core/node/platform.go
@@ -3,6 +3,7 @@
 import (
 	"jayfold.dev/jayfold/internal/core/effect"
 	"jayfold.dev/jayfold/internal/core/event"
+	"jayfold.dev/jayfold/internal/core/tables"
 )
 
 // platformAnswered hands an answer of the platform to the part that asked.
@@ -10,7 +11,7 @@
 	var effects []effect.Effect
 	switch body := ev.Body.(type) {
 	case event.HeadRead:
-		s.tables, effects = s.tables.HeadRead(ev.At, ev.Random, s.membership.Len(), body.Head, body.Version)
+		s.tables, effects = s.tables.HeadRead(ev.At, ev.Random, s.fleet(), body.Head, body.Version)
 	case event.TablesDecoded:
 		return s.tablesDecoded(ev, body)
 	case event.TablesRejected:
@@ -18,19 +19,31 @@
 	case event.MembersListed:
 		s.membership = s.membership.Listed(body.Members)
 	case event.PlatformFailed:
+		if body.Call == event.CallRegisterMember {
+			s.membership = s.membership.RegisterFailed(ev.At, ev.Random)
+		}
 		s.tables, effects = s.tables.PlatformFailed(ev.At, ev.Random, body.Call, body.Detail)
 	}
 	return s, effects
 }
 
+func (s State) fleet() tables.Fleet {
+	return tables.Fleet{Members: s.membership.Len(), Watcher: s.membership.Watcher()}
+}
+
 // tablesDecoded brings a revision into force and shows it to the edges.
 func (s State) tablesDecoded(ev event.Event, body event.TablesDecoded) (State, []effect.Effect) {
-	before := s.Revision()
+	before, spreads := s.Revision(), s.tables.Spreads(body.Tables.Revision)
 	next, effects := s.tables.Decoded(ev.At, body.Tables, body.Router, body.Content)
 	s.tables = next
 	if s.Revision() != before {
 		effects = append(effects, effect.UseTables{Tables: s.tables.Current()})
 	}
+	if spreads {
+		told, pings := s.membership.Told()
+		s.membership = told
+		effects = append(effects, pings...)
+	}
 	if before == 0 && s.Revision() != 0 && !s.shutdown.begun() {
 		effects = append(effects, effect.UseReadiness{Ready: true})
 	}
--- a/internal/core/tables/delay.go
+++ b/internal/core/tables/delay.go
@@ -15,12 +15,14 @@
 	fetchPerMember = 10 * time.Millisecond
 	longestFetch   = 3 * time.Second
 	// watchPerMember, shortestWatch and longestWatch set how long a watch waits. An answer that the platform lost is noticed
-	// at the watch's end. The watches of a fleet end at different times, about one every 0.3 s in a fleet of up to 60 nodes,
+	// at the watch's end. The watches of a fleet end at different times, about one every 0.6 s in a fleet of up to 30 nodes,
 	// and a node that reads a new revision then tells its peers, so that a change is in force within 6 s although every
-	// watch lost its answer. At 30 s, 540 nodes make 33 calls a second while nothing changes.
-	watchPerMember = 500 * time.Millisecond
+	// watch lost its answer.
+	watchPerMember = time.Second
 	shortestWatch  = 3 * time.Second
 	longestWatch   = 30 * time.Second
+	// longestStale bounds the wait of a watch on a copy: a node that has to take the place of a watcher does so at its end.
+	longestStale = 10 * time.Second
 	// firstRetry and longestRetry bound the delay after a failed call, which doubles with each failure. At 10 s, 540 nodes
 	// make 54 to 108 calls a second during an outage, and a change made right after it is in force within 6 s: the first
 	// nodes find it at once and their peers ask them. With 30 s it took 6.5 s.
@@ -36,8 +38,11 @@
 
 // watchWait returns how long a watch waits in a fleet of the given size: up to the longest wait for that size, and less
 // for most, since all watches start together when a change has ended them.
-func watchWait(random uint64, members int) time.Duration {
-	longest := min(longestWatch, max(shortestWatch, watchPerMember*time.Duration(members)))
+func watchWait(random uint64, f Fleet) time.Duration {
+	longest := min(longestWatch, max(shortestWatch, watchPerMember*time.Duration(f.Members)))
+	if !f.Watcher {
+		longest = min(longest, longestStale)
+	}
 	return shortestWatch + scale(longest-shortestWatch, lowFraction(random))
 }
 
--- a/internal/core/tables/platform.go
+++ b/internal/core/tables/platform.go
@@ -17,8 +17,18 @@
 	version uint64
 	// failures counts the calls that failed in a row.
 	failures int
-	// wait is how long the platform holds the next one.
-	wait time.Duration
+	// wait is how long the platform holds the next one, and stale whether a copy may answer it.
+	wait  time.Duration
+	stale bool
+}
+
+// Fleet is what the other nodes mean for the calls on the platform.
+type Fleet struct {
+	// Members is the number of nodes, which sets the delays.
+	Members int
+	// Watcher means that this node is one of those of its zone that watch the platform's own data. The others watch a copy,
+	// which costs less, and hear of a change from a watcher when the copy lags.
+	Watcher bool
 }
 
 // fetch is the reading of a revision from the platform. At most one runs.
@@ -53,7 +63,7 @@
 		return s, nil
 	}
 	s.watch.running = true
-	return s, []effect.Effect{effect.WatchHead{Version: s.watch.version, Wait: s.watch.wait}}
+	return s, []effect.Effect{effect.WatchHead{Version: s.watch.version, Wait: s.watch.wait, Stale: s.watch.stale}}
 }
 
 // startFetch reads the platform when its time has come. A request to a peer that is under way goes first, but for no
@@ -71,14 +81,18 @@
 }
 
 // HeadRead takes in what the platform's head says. The head has revision 0 when it has not changed or does not exist.
-// Members is the number of nodes in the fleet, which sets the delays.
 func (s State) HeadRead(
-	now time.Time, random uint64, members int, head fleet.Head, version uint64,
+	now time.Time, random uint64, f Fleet, head fleet.Head, version uint64,
 ) (State, []effect.Effect) {
 	effects := s.found()
 	s.platform = true
-	fetchDelay := s.fetchDelay(random, members)
-	s.watch = watch{due: now.Add(rearmDelay(random, members)), version: version, wait: watchWait(random, members)}
+	fetchDelay := s.fetchDelay(random, f.Members)
+	s.watch = watch{
+		due:     now.Add(rearmDelay(random, f.Members)),
+		version: version,
+		wait:    watchWait(random, f),
+		stale:   !f.Watcher,
+	}
 	if head.Revision == 0 {
 		return s, effects
 	}
--- a/internal/core/tables/spread_test.go
+++ b/internal/core/tables/spread_test.go
@@ -61,6 +61,18 @@
 		}
 	})
 
+	t.Run("of a change that the copy shows late", func(t *testing.T) {
+		w := started()
+		w.copyLag = 20 * time.Second
+		for range 3 {
+			w.apply()
+			s := measure(w)
+			t.Logf("seed 1: in force after %v, %d reads, at most %d within 100 ms", s.took, s.reads, s.peak)
+			is.New(t).True(s.took <= inForceWithin)
+			w.run(w.copyLag)
+		}
+	})
+
 	t.Run("of a change made at the end of an outage", func(t *testing.T) {
 		w := started()
 		w.setOutage(true)
--- a/internal/core/tables/state.go
+++ b/internal/core/tables/state.go
@@ -7,7 +7,8 @@
 //	tables := state.Current()
 //
 // A node learns of a revision in two ways: a watch on the platform's head, and the revision that every message of another
-// node shows. It fetches the revision from a peer that has it, or else from the platform. After a change each node waits
+// node shows. A few nodes of each zone watch the head itself and tell others of a change at once; the rest watch a copy that
+// may lag. A node fetches the revision from a peer that has it, or else from the platform. After a change each node waits
 // for a random time before it reads the platform, so that a few nodes read it and the others find a peer first. A
 // revision that is not newer than the one in force is never taken.
 package tables
@@ -59,6 +60,12 @@
 // Newest returns the highest revision seen anywhere.
 func (s State) Newest() fleet.Revision { return s.newest }
 
+// Spreads reports whether this node is to tell others of a revision that it is about to take: it has it from the platform's own
+// data or from a peer, so that others may be behind. A copy that shows it to one node shows it to all.
+func (s State) Spreads(r fleet.Revision) bool {
+	return r > s.current.Revision && (!s.watch.stale || s.ask.decoding == r)
+}
+
 // PlatformReachable reports whether the last call on the platform succeeded.
 func (s State) PlatformReachable() bool { return s.platform }
 
--- a/internal/core/tables/state_test.go
+++ b/internal/core/tables/state_test.go
@@ -109,14 +109,14 @@
 
 	t.Run("a platform that shows an older revision changes nothing", func(t *testing.T) {
 		s, _ := watching().Decoded(start, fleet.Tables{Revision: 8}, routing.Router{}, nil)
-		s, effects := s.HeadRead(start, 0, 3, fleet.Head{Revision: 7}, 9)
+		s, effects := s.HeadRead(start, 0, tables.Fleet{Members: 3, Watcher: true}, fleet.Head{Revision: 7}, 9)
 		is.New(t).Equal(len(effects), 1) // the log line
 		is.New(t).Equal(s.Current().Revision, fleet.Revision(8))
 	})
 
 	t.Run("a revision that a peer sends first is not read from the platform", func(t *testing.T) {
 		s, _ := watching().Decoded(start, fleet.Tables{Revision: 6}, routing.Router{}, nil)
-		s, effects := s.HeadRead(start, 1<<63, 540, fleet.Head{Revision: 7}, 9)
+		s, effects := s.HeadRead(start, 1<<63, tables.Fleet{Members: 540, Watcher: true}, fleet.Head{Revision: 7}, 9)
 		is.New(t).Equal(len(effects), 0)
 		s, effects = s.Seen(start, "a", "address", 7)
 		assertAsked(t, effects, "a")
@@ -127,24 +127,68 @@
 
 	// All watches start together after a change. When they also ended together, a lost answer went unseen for a whole wait.
 	for _, sized := range []struct {
-		members int
+		fleet   tables.Fleet
 		longest time.Duration
-	}{{1, 3 * time.Second}, {24, 12 * time.Second}, {540, 30 * time.Second}} {
-		t.Run(fmt.Sprintf("%d nodes wait 3 s to %s, each for another time", sized.members, sized.longest), func(t *testing.T) {
-			assertWait(t, sized.members, 0, 3*time.Second)
-			assertWait(t, sized.members, 1<<31, (3*time.Second+sized.longest)/2)
-			assertWait(t, sized.members, 1<<32-1, sized.longest)
+	}{
+		{tables.Fleet{Members: 1, Watcher: true}, 3 * time.Second},
+		{tables.Fleet{Members: 24, Watcher: true}, 24 * time.Second},
+		{tables.Fleet{Members: 540, Watcher: true}, 30 * time.Second},
+		{tables.Fleet{Members: 5}, 5 * time.Second},
+		{tables.Fleet{Members: 540}, 10 * time.Second},
+	} {
+		t.Run(fmt.Sprintf("%+v wait 3 s to %s, each for another time", sized.fleet, sized.longest), func(t *testing.T) {
+			assertWatch(t, sized.fleet, 0, 3*time.Second)
+			assertWatch(t, sized.fleet, 1<<31, (3*time.Second+sized.longest)/2)
+			assertWatch(t, sized.fleet, 1<<32-1, sized.longest)
 		})
 	}
+	t.Run("the first watch and those of watchers are not of a copy", func(t *testing.T) {
+		_, effects := tables.New().Tick(start, 0)
+		is.New(t).Equal(effects, []effect.Effect{effect.WatchHead{}})
+	})
 }
 
-// assertWait checks how long the next watch of a node waits in a fleet of the given size.
-func assertWait(t *testing.T, members int, random uint64, want time.Duration) {
+// assertWatch checks the next watch of a node of a fleet.
+func assertWatch(t *testing.T, f tables.Fleet, random uint64, wait time.Duration) {
 	t.Helper()
-	s, _ := watching().HeadRead(start, random, members, fleet.Head{}, 9)
+	is := is.New(t)
+	s, _ := watching().HeadRead(start, random, f, fleet.Head{}, 9)
 	_, effects := s.Tick(start.Add(time.Minute), 0)
-	is.New(t).Equal(len(effects), 1)
-	is.New(t).True((effects[0].(effect.WatchHead).Wait - want).Abs() < time.Millisecond)
+	is.Equal(len(effects), 1)
+	watch, ok := effects[0].(effect.WatchHead)
+	is.True(ok)
+	is.True((watch.Wait - wait).Abs() < time.Millisecond)
+	is.Equal(watch.Stale, !f.Watcher)
+}
+
+// TestSpreads guards against a change that the nodes with a copy hear of only when the copy has it, and against pings of all
+// nodes to all others where every copy has it at once.
+func TestSpreads(t *testing.T) {
+	read := func(watcher bool) tables.State {
+		s, _ := watching().HeadRead(start, 0, tables.Fleet{Members: 24, Watcher: watcher}, fleet.Head{}, 9)
+		return s
+	}
+	fromPeer := func() tables.State {
+		s, _ := read(false).Seen(start, "a", "address", 7)
+		s, _ = s.Received(start, content("a", 7))
+		return s
+	}
+	for name, c := range map[string]struct {
+		state    tables.State
+		revision fleet.Revision
+		want     bool
+	}{
+		"a watcher":                       {read(true), 7, true},
+		"a node with a copy":              {read(false), 7, false},
+		"a node with a copy, from a peer": {fromPeer(), 7, true},
+		"another revision from the copy":  {fromPeer(), 8, false},
+		"a watcher that has it":           {read(true), 0, false},
+		"a node that has just started":    {tables.New(), 7, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is.New(t).Equal(c.state.Spreads(c.revision), c.want)
+		})
+	}
 }
 
 // BenchmarkTickBehind measures the most expensive tick: a node that is behind and looks for a peer among 540.
--- a/internal/core/tables/world_test.go
+++ b/internal/core/tables/world_test.go
@@ -17,17 +17,21 @@
 	now    time.Time
 	random func() uint64
 	nodes  []tables.State
-	// head is the platform's newest revision, which is also the version of the head object.
-	head   fleet.Revision
-	outage bool
+	// head is the platform's newest revision, which is also the version of the head object. The copy shows it copyLag later.
+	head    fleet.Revision
+	copyLag time.Duration
+	applied time.Time
+	outage  bool
 	// damage makes every content that is decoded invalid.
 	damage bool
-	// watches counts the watches of each node that have no answer yet; waiting holds the nodes whose watch waits.
+	// watches counts the watches of each node that have no answer yet; waiting holds the watches that wait, by node.
 	watches []int
-	waiting []int
+	waiting map[int]effect.WatchHead
 	queue   []delivery
-	// reads counts the calls on the platform.
+	// reads counts the calls on the platform itself.
 	reads int
+	// tells are the nodes that are to tell another one of their revision.
+	tells [][2]int
 }
 
 // delivery is one input of a node that is under way.
@@ -44,9 +48,37 @@
 		random:  random,
 		nodes:   make([]tables.State, nodes),
 		watches: make([]int, nodes),
+		waiting: map[int]effect.WatchHead{},
 	}
 }
 
+// zoneSize is the number of nodes of an availability zone, of which the first zoneWatchers watch the platform itself.
+const (
+	zoneSize     = 77
+	zoneWatchers = 3
+)
+
+func (w *world) fleet(i int) tables.Fleet {
+	return tables.Fleet{Members: len(w.nodes), Watcher: i%zoneSize < zoneWatchers}
+}
+
+// neighbor returns a random node of a node's zone.
+func (w *world) neighbor(i int) int {
+	first := i / zoneSize * zoneSize
+	return first + int(w.random()%uint64(min(zoneSize, len(w.nodes)-first)))
+}
+
+// shown returns the newest revision that a watch may show.
+func (w *world) shown(stale bool) fleet.Revision {
+	if stale && w.head > 0 && w.now.Sub(w.applied) < w.copyLag {
+		return w.head - 1
+	}
+	return w.head
+}
+
+// toldPeers is how many nodes a node tells of a change at once.
+const toldPeers = 4
+
 func nodeID(i int) fleet.NodeID { return fleet.NodeID(fmt.Sprintf("node-%03d", i)) }
 
 func nodeIndex(id fleet.NodeID) int {
@@ -74,16 +106,22 @@
 	for _, e := range effects {
 		w.carryOut(i, e)
 	}
+	for _, tell := range w.tells {
+		w.exchange(tell[0], tell[1])
+	}
+	w.tells = nil
 }
 
 func (w *world) carryOut(i int, e effect.Effect) {
 	switch e := e.(type) {
 	case effect.WatchHead:
-		w.reads++
 		w.watches[i]++
-		w.waiting = append(w.waiting, i)
-		if w.outage || e.Version != uint64(w.head) {
-			w.answerWatches(i)
+		if !e.Stale {
+			w.reads++
+		}
+		w.waiting[i] = e
+		if w.outage || uint64(w.shown(e.Stale)) > e.Version {
+			w.endWatch(i)
 		}
 	case effect.FetchTables:
 		w.reads++
@@ -99,32 +137,32 @@
 	}
 }
 
-// answerWatches answers the waiting watches of a node.
-func (w *world) answerWatches(node int) {
-	var others []int
-	for _, i := range w.waiting {
-		switch {
-		case i != node:
-			others = append(others, i)
-		case w.outage:
-			w.fail(i, event.CallWatchHead)
-		default:
-			w.answerWatch(i, w.head)
-		}
+// endWatch answers the waiting watch of a node, if it has one.
+func (w *world) endWatch(i int) {
+	waiting, ok := w.waiting[i]
+	delete(w.waiting, i)
+	switch {
+	case !ok:
+	case w.outage:
+		w.fail(i, event.CallWatchHead)
+	default:
+		w.answerWatch(i, w.shown(waiting.Stale))
 	}
-	w.waiting = others
 }
 
 func (w *world) answerWatch(i int, head fleet.Revision) {
 	w.post(i, false, func(s tables.State) (tables.State, []effect.Effect) {
 		w.watches[i]--
-		return s.HeadRead(w.now, w.random(), len(w.nodes), fleet.Head{Revision: head}, uint64(head))
+		return s.HeadRead(w.now, w.random(), w.fleet(i), fleet.Head{Revision: head}, uint64(head))
 	})
 }
 
-func (w *world) answerAllWatches() {
+// endWatches answers the waiting watches that have something to show.
+func (w *world) endWatches() {
 	for i := range w.nodes {
-		w.answerWatches(i)
+		if waiting, ok := w.waiting[i]; ok && (w.outage || uint64(w.shown(waiting.Stale)) > waiting.Version) {
+			w.endWatch(i)
+		}
 	}
 }
 
@@ -143,7 +181,14 @@
 		return
 	}
 	w.post(i, false, func(s tables.State) (tables.State, []effect.Effect) {
-		return s.Decoded(w.now, fleet.Tables{Revision: r}, routing.Router{}, []byte("content"))
+		spreads := s.Spreads(r)
+		s, effects := s.Decoded(w.now, fleet.Tables{Revision: r}, routing.Router{}, []byte("content"))
+		if spreads {
+			for range toldPeers {
+				w.tells = append(w.tells, [2]int{i, w.neighbor(i)})
+			}
+		}
+		return s, effects
 	})
 }
 
@@ -166,14 +211,13 @@
 // apply makes a new revision the platform's head.
 func (w *world) apply() {
 	w.head++
-	w.answerAllWatches()
+	w.applied = w.now
+	w.endWatches()
 }
 
 func (w *world) setOutage(outage bool) {
 	w.outage = outage
-	if outage {
-		w.answerAllWatches()
-	}
+	w.endWatches()
 }
 
 func (w *world) tick(i int) {
@@ -192,6 +236,7 @@
 	const step = 20 * time.Millisecond
 	for end := w.now.Add(d); w.now.Before(end); w.now = w.now.Add(step) {
 		slot := int(w.now.UnixMilli()/step.Milliseconds()) % 50
+		w.endWatches()
 		for i := range w.nodes {
 			if i%5 == slot%5 {
 				w.tick(i)
--- a/internal/edge/platform/client.go
+++ b/internal/edge/platform/client.go
@@ -81,7 +81,7 @@
 // WatchHead carries out the effect.
 func (c *Client) WatchHead(e effect.WatchHead) {
 	c.start(0, func(ctx context.Context) event.Body {
-		found, err := c.store.Watch(ctx, HeadKey, e.Version, e.Wait)
+		found, err := c.store.Watch(ctx, HeadKey, e.Version, Hold{Wait: e.Wait, Stale: e.Stale})
 		if err != nil {
 			return failed(event.CallWatchHead, err)
 		}
@@ -135,15 +135,27 @@
 		if c.registered.Newer(e.Member) {
 			return nil
 		}
+		first := c.registered.Node == ""
 		c.registered = e.Member
-		key := memberPrefix + string(e.Member.Node)
-		if err := c.store.Put(ctx, key, encodeMember(e.Member), Condition{}); err != nil {
+		if err := c.register(ctx, e.Member, first); err != nil {
 			return failed(event.CallRegisterMember, err)
 		}
 		return nil
 	})
 }
 
+// register writes a member record. The first one of a process mostly creates it, which some platforms take as a call of its
+// own; one that an earlier process has left is replaced.
+func (c *Client) register(ctx context.Context, m fleet.Member, first bool) error {
+	key, value := memberPrefix+string(m.Node), encodeMember(m)
+	if first {
+		if err := c.store.Put(ctx, key, value, unchanged(0)); !errors.Is(err, ErrConflict) {
+			return err
+		}
+	}
+	return c.store.Put(ctx, key, value, Condition{})
+}
+
 // start runs a call after a delay on a goroutine of its own and posts its event, unless that is nil.
 func (c *Client) start(after time.Duration, call func(context.Context) event.Body) {
 	c.running.Go(func() {
--- a/internal/edge/platform/objects.go
+++ b/internal/edge/platform/objects.go
@@ -12,7 +12,6 @@
 	"net/url"
 	"strconv"
 	"strings"
-	"time"
 )
 
 const (
@@ -64,8 +63,12 @@
 
 // watch waits until the object has another version. It returns the object with that version and no value when nothing
 // changed.
-func (o objects) watch(ctx context.Context, key string, version uint64, wait time.Duration) (Object, error) {
-	return o.read(ctx, key, fmt.Sprintf("?after=%d&wait=%s", version, wait))
+func (o objects) watch(ctx context.Context, key string, version uint64, hold Hold) (Object, error) {
+	query := fmt.Sprintf("?after=%d&wait=%s", version, hold.Wait)
+	if hold.Stale {
+		query += "&stale=1"
+	}
+	return o.read(ctx, key, query)
 }
 
 func (o objects) read(ctx context.Context, key, query string) (Object, error) {
--- a/internal/edge/platform/store.go
+++ b/internal/edge/platform/store.go
@@ -11,9 +11,9 @@
 type Store struct {
 	// Get reads an object. One that does not exist has version 0.
 	Get func(ctx context.Context, key string) (Object, error)
-	// Watch waits for up to wait until the object has changed since a version, which is that of an earlier read of the
-	// same key. Without a change it returns the object without its value, with the version to watch from next.
-	Watch func(ctx context.Context, key string, version uint64, wait time.Duration) (Object, error)
+	// Watch waits until the object has changed since a version, which is that of an earlier read of the same key. Without a
+	// change it returns the object without its value, with the version to watch from next.
+	Watch func(ctx context.Context, key string, version uint64, hold Hold) (Object, error)
 	// List reads all objects whose keys begin with a prefix.
 	List func(ctx context.Context, prefix string) ([]Object, error)
 	// Put writes an object and Remove deletes it, if the condition holds; else the error is ErrConflict. An object that
@@ -29,6 +29,14 @@
 	Value   []byte
 }
 
+// Hold says how the platform may answer a watch.
+type Hold struct {
+	// Wait is how long it may wait for a change.
+	Wait time.Duration
+	// Stale allows an answer from a copy that may be seconds old.
+	Stale bool
+}
+
 // Condition is what must hold for a write to take effect. The zero value always holds.
 type Condition struct {
 	// Set means that the object must have Version; 0 means that it must not exist.
@@ -72,10 +80,10 @@
 			defer cancel()
 			return s.Get(ctx, key)
 		},
-		Watch: func(ctx context.Context, key string, version uint64, wait time.Duration) (Object, error) {
-			ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
+		Watch: func(ctx context.Context, key string, version uint64, hold Hold) (Object, error) {
+			ctx, cancel := context.WithTimeout(ctx, hold.Wait+watchSlack)
 			defer cancel()
-			return s.Watch(ctx, key, version, wait)
+			return s.Watch(ctx, key, version, hold)
 		},
 		List: func(ctx context.Context, prefix string) ([]Object, error) {
 			ctx, cancel := context.WithTimeout(ctx, callTimeout)
