core/attempt: a target without a place in its queue is not asked again as the last resort

Cause: a request that no queue took was forced on every target in turn, also on the healthy ones that had refused it a place a moment before. Change: a target that refused a request a place in its queue is asked no more.

--- a/internal/core/attempt/flight.go
+++ b/internal/core/attempt/flight.go
@@ -216,10 +216,12 @@
 	return slices.ContainsFunc(f.bounces, func(b bounce) bool { return b.target == id && b.manner != probing })
 }
 
-// bouncedHard reports whether asking a target in another manner cannot help.
+// bouncedHard reports whether asking a target in another manner cannot help. One that has no place in its queue has none for a
+// request that is forced on it either.
 func (f flight) bouncedHard(id fleet.TargetID) bool {
 	return slices.ContainsFunc(f.bounces, func(b bounce) bool {
-		return b.target == id && (b.manner == forced || !softCauses[b.cause])
+		noPlace := b.cause == fleet.Overloaded && b.manner == waiting
+		return b.target == id && (b.manner == forced || noPlace || !softCauses[b.cause])
 	})
 }
 
--- a/internal/core/attempt/state_test.go
+++ b/internal/core/attempt/state_test.go
@@ -379,6 +379,31 @@
 		}
 		return effects
 	}
+	t.Run("not a target that has no place in its queue", func(t *testing.T) {
+		is, b := is.New(t), newBench()
+		effects := b.arrive(true, "")
+		var full fleet.TargetID
+		for range 7 {
+			a := wantForward(t, effects)
+			switch {
+			case full == "" && a.Probe:
+				full = a.Target
+				effects = b.full(a, 100*time.Millisecond)
+			case a.Target == full:
+				is.True(!a.Probe)
+				effects = b.full(a, 100*time.Millisecond) // it lost its place to a more urgent one
+			default:
+				effects = b.fail(a, fleet.Failing, fleet.NotRun)
+			}
+		}
+		for range 5 {
+			a := wantForward(t, effects)
+			is.True(a.Forced)
+			is.True(a.Target != full)
+			effects = b.fail(a, fleet.Failing, fleet.NotRun)
+		}
+		wantRefusal(t, effects, fleet.Overloaded, fleet.NotRun)
+	})
 	t.Run("a lookup when every target is suspect", func(t *testing.T) {
 		b := newBench()
 		is.New(t).True(wantForward(t, refuse(b, b.arrive(true, ""))).Forced)
