core/admission: the retry budget's slack is shared by the targets that the ingress knows

Ruled out: attempts that are not counted. Whether the smaller parts of before would have hidden it was not measured. Change: an attempt names how many targets of its pool the ingress knows; the sidecar shares the slack by the larger of the two numbers. Tests: a part that comes from the ingress's number (red before), and the headers between nodes with every field.

--- a/internal/core/admission/budget.go
+++ b/internal/core/admission/budget.go
@@ -24,7 +24,8 @@
 // allowance is what decides how many repeated attempts one target takes.
 type allowance struct {
 	retries fleet.Retries
-	// targets is the number of targets of the pool, which share its slack.
+	// targets is the number of targets of the pool, which share its slack, as the ingress or this node knows it: a node that has
+	// just started knows few, and took the slack of all for its own.
 	targets int
 	// reserve is the part of the budget that the attempt leaves to others, beside room for as many calls more of repeated
 	// requests as growth times those of the window.
@@ -33,7 +34,7 @@
 
 // allowanceOf returns the allowance of a target for an attempt.
 func (s State) allowanceOf(ctx Context, attempt fleet.Attempt) allowance {
-	a := allowance{retries: s.settings.Retries, targets: ctx.PoolSize(attempt.Pool)}
+	a := allowance{retries: s.settings.Retries, targets: max(ctx.PoolSize(attempt.Pool), attempt.PoolSize)}
 	switch {
 	case attempt.Derived:
 	case attempt.Idempotent:
--- a/internal/core/admission/state_test.go
+++ b/internal/core/admission/state_test.go
@@ -365,6 +365,21 @@
 		r.pass(11*time.Second, "i1", 4)
 		is.Equal(granted(r, "d", repeat), lookupRepeats)
 	})
+	t.Run("a node that knows no other target takes the size of the pool from the ingress", func(t *testing.T) {
+		is, r := is.New(t), newWarmRig(4)
+		r.targets = 1
+		count := 0
+		for i := range 20 {
+			a := r.attempt(fmt.Sprint("a", i), fleet.Lookup)
+			a.Repeated, a.PoolSize = true, 2
+			r.askAs(a)
+			if _, refused := r.effects[0].(effect.RefuseAttempt); !refused {
+				count++
+				r.finish(string(a.ID), fleet.Outcome{})
+			}
+		}
+		is.Equal(count, lookupRepeats)
+	})
 	t.Run("a target that has just started has no slack", func(t *testing.T) {
 		is, r := is.New(t), newRig()
 		r.announce("i1", 4)
--- a/internal/core/attempt/state.go
+++ b/internal/core/attempt/state.go
@@ -141,6 +141,7 @@
 	attempt.Borrowed = f.credit && (attempt.Repeated || attempt.Derived)
 	attempt.ID = fleet.NewAttemptID(f.id, f.attempts+1)
 	attempt.Target = c.Target.ID
+	attempt.PoolSize = len(ctx.Directory.Pool(attempt.Pool))
 	attempt.Node = c.Node
 	attempt.Address = c.ForwardAddress
 	attempt.Baseline = s.pool(attempt.Pool).baselines[attempt.Class].value
--- a/internal/core/fleet/request.go
+++ b/internal/core/fleet/request.go
@@ -26,7 +26,9 @@
 	ID     AttemptID
 	Target TargetID
 	Pool   PoolName
-	Node   NodeID
+	// PoolSize is the number of targets of the pool that the ingress knows. A node that has just started knows fewer.
+	PoolSize int
+	Node     NodeID
 	// Address is the forward address of the node on the target's host.
 	Address    string
 	Class      Class
--- /dev/null
+++ b/internal/edge/peer/forwardfield_test.go
@@ -0,0 +1,59 @@
+package peer
+
+import (
+	"net/http"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jayfold.dev/jayfold/internal/core/fleet"
+)
+
+// assertComplete checks that a sample has a value in every field but those named.
+func assertComplete(t *testing.T, sample any, without ...string) {
+	t.Helper()
+	value := reflect.ValueOf(sample)
+	left := map[string]bool{}
+	for _, name := range without {
+		left[name] = true
+	}
+	for i := range value.NumField() {
+		if name := value.Type().Field(i).Name; !left[name] && value.Field(i).IsZero() {
+			t.Errorf("the sample has no %s", name)
+		}
+	}
+}
+
+// Guards against a field of an attempt or of a report that gets lost between two nodes.
+func TestForwardKeepsFields(t *testing.T) {
+	now := time.Unix(1000, 0)
+	t.Run("of an attempt", func(t *testing.T) {
+		is := is.New(t)
+		attempt := fleet.Attempt{
+			ID: "r.1", Target: "b/t", Pool: "p", PoolSize: 7, Node: "b", Class: fleet.Order, Idempotent: true, Priority: 3,
+			Probe: true, Trial: true, Repeated: true, Derived: true, Borrowed: true, Forced: true, Caller: "acme", Key: "k",
+			Deadline: now.Add(2 * time.Second), Goal: now.Add(time.Second), Baseline: time.Millisecond, Fingerprint: 5,
+		}
+		assertComplete(t, attempt, "Address") // where it is sent, which the receiver knows
+		h := http.Header{}
+		encodeAttempt(h, wireAttempt{Attempt: attempt, From: "a", Revision: 9}, now)
+		got, err := decodeAttempt(h, now)
+		is.NoErr(err)
+		is.Equal(got, wireAttempt{Attempt: attempt, From: "a", Revision: 9})
+	})
+	t.Run("of a report", func(t *testing.T) {
+		is := is.New(t)
+		report := fleet.Report{
+			Target: "b/t", Load: fleet.Load{InFlight: 1, Queued: 2, Slots: 3}, P95: time.Millisecond, Class: fleet.Order,
+			Ejected: true, Health: fleet.Faulty, Wait: time.Second, Lent: true, Revision: 9, Quarantine: []fleet.Fingerprint{5},
+		}
+		assertComplete(t, report)
+		h := http.Header{}
+		encodeReport(h, "", report)
+		got, ok := decodeReport(h).Get()
+		is.True(ok)
+		is.Equal(got, report)
+	})
+}
--- a/internal/edge/peer/forwardheader.go
+++ b/internal/edge/peer/forwardheader.go
@@ -18,7 +18,7 @@
 const (
 	headerPrefix  = "Jayfold-"
 	headerAttempt = "Jayfold-Attempt" // id, budget, goal, baseline and fingerprint
-	headerTarget  = "Jayfold-Target"  // target, pool, sender, class, whether idempotent, priority and revision
+	headerTarget  = "Jayfold-Target"  // target, pool, its size, sender, class, whether idempotent, priority and revision
 	headerCaller  = "Jayfold-Caller"
 	headerKey     = "Jayfold-Key"
 	headerMode    = "Jayfold-Mode" // which of the words below hold
@@ -37,6 +37,8 @@
 	maxBaseline = time.Hour
 	// maxPriority is the largest that a queue tells apart.
 	maxPriority = 255
+	// maxPoolSize is beyond the targets of all pools at the design size.
+	maxPoolSize = 1 << 16
 )
 
 // wireAttempt is what the headers of a forwarded request say.
@@ -63,6 +65,7 @@
 	h.Set(headerTarget, joinFields(
 		string(a.Target),
 		string(a.Pool),
+		strconv.Itoa(a.PoolSize),
 		string(wire.From),
 		a.Class.String(),
 		strconv.FormatBool(a.Idempotent),
@@ -109,7 +112,7 @@
 	d := headerDecoder{header: h}
 	mode := strings.Fields(d.optional(headerMode))
 	own := d.fields(headerAttempt, "id", "budget", "goal", "baseline", "fingerprint")
-	shared := d.fields(headerTarget, "target", "pool", "sender", "class", "idempotent", "priority", "revision")
+	shared := d.fields(headerTarget, "target", "pool", "pool size", "sender", "class", "idempotent", "priority", "revision")
 	wire := wireAttempt{
 		Attempt: fleet.Attempt{
 			ID:          fleet.AttemptID(d.name(own[0])),
@@ -119,9 +122,10 @@
 			Fingerprint: fleet.Fingerprint(d.number(own[4], 16)),
 			Target:      fleet.TargetID(d.name(shared[0])),
 			Pool:        fleet.PoolName(d.name(shared[1])),
-			Class:       d.class(shared[3]),
-			Idempotent:  d.boolean(shared[4]),
-			Priority:    int(min(d.number(shared[5], 10), maxPriority)),
+			PoolSize:    int(min(d.number(shared[2], 10), maxPoolSize)),
+			Class:       d.class(shared[4]),
+			Idempotent:  d.boolean(shared[5]),
+			Priority:    int(min(d.number(shared[6], 10), maxPriority)),
 			Probe:       slices.Contains(mode, modeProbe),
 			Trial:       slices.Contains(mode, modeTrial),
 			Repeated:    slices.Contains(mode, modeRepeated),
@@ -131,8 +135,8 @@
 			Caller:      fleet.Caller(d.optional(headerCaller)),
 			Key:         fleet.IdempotencyKey(d.optional(headerKey)),
 		},
-		From:     fleet.NodeID(d.name(shared[2])),
-		Revision: fleet.Revision(d.number(shared[6], 10)),
+		From:     fleet.NodeID(d.name(shared[3])),
+		Revision: fleet.Revision(d.number(shared[7], 10)),
 	}
 	if id := wire.Attempt.ID; id.Request() == "" || string(id.Request()) == string(id) {
 		d.fail(own[0], "want a request id, a dot and a number")
--- /dev/null
+++ b/internal/lab/replay/nodes.go
@@ -0,0 +1,244 @@
+package replay
+
+import (
+	"fmt"
+	"time"
+
+	"jayfold.dev/jayfold/internal/core/effect"
+	"jayfold.dev/jayfold/internal/core/event"
+	"jayfold.dev/jayfold/internal/core/fleet"
+	"jayfold.dev/jayfold/internal/core/message"
+	"jayfold.dev/jayfold/internal/core/node"
+	"jayfold.dev/jayfold/internal/core/routing"
+)
+
+const (
+	nearLatency  = 200 * time.Microsecond
+	farLatency   = 1400 * time.Microsecond
+	tickInterval = 100 * time.Millisecond
+	heartbeat    = time.Second
+)
+
+// settings are those of the Sicilian site.
+var settings = fleet.Settings{
+	Retries:   fleet.Retries{Ratio: 0.2, Window: 10 * time.Second, Slack: 58},
+	Heartbeat: heartbeat,
+	Grace:     time.Minute,
+}
+
+// Jayfold is one node beside each target.
+var Jayfold = Policy{Name: "jayfold", start: newNodes}
+
+// nodes are the reducers of the site and what is under way between them.
+type nodes struct {
+	site  *site
+	nodes []*host
+	byID  map[fleet.NodeID]*host
+	// requests are those in flight, and attempts what became of their attempts so far.
+	requests map[fleet.RequestID]*request
+	attempts map[fleet.AttemptID]*attempt
+	revision fleet.Revision
+}
+
+// attempt is an attempt of a node at a request.
+type attempt struct {
+	ingress, sidecar *host
+	// run is there while the attempt is at work on the target.
+	run *run
+	// outcome is that of its run.
+	outcome fleet.Outcome
+}
+
+// host is a node with its target.
+type host struct {
+	id     fleet.NodeID
+	target *target
+	state  node.State
+	// due is the time for which the node's next event.RequestsDue is entered.
+	due time.Time
+}
+
+func newNodes(s *site) placer {
+	n := &nodes{
+		site: s, byID: map[fleet.NodeID]*host{}, requests: map[fleet.RequestID]*request{}, attempts: map[fleet.AttemptID]*attempt{},
+	}
+	members := make([]fleet.Member, 0, len(s.targets))
+	for _, t := range s.targets {
+		id := fleet.NodeID(fmt.Sprintf("n%02d", t.index))
+		members = append(members, fleet.Member{
+			Node: id, AvailabilityZone: zoneName(t.zone), PeerAddress: string(id), ForwardAddress: string(id),
+			Incarnation: 1, Sequence: 1,
+			Targets: []fleet.Target{{ID: fleet.NewTargetID(id, "t"), Pool: fleet.PoolName(t.pool), Slots: slots}},
+		})
+	}
+	for i, t := range s.targets {
+		h := &host{id: members[i].Node, target: t, state: node.New(members[i], settings)}
+		n.nodes, n.byID[h.id] = append(n.nodes, h), h
+		n.post(h, event.MessageReceived{Envelope: message.Envelope{
+			From: members[0].Node, Incarnation: 1, Message: message.Sync{Members: members},
+		}})
+		n.announce(h)
+		s.agenda.Every(tickInterval, func() { n.post(h, event.Tick{}) })
+		s.agenda.Every(heartbeat, func() { n.announce(h) })
+	}
+	n.moved()
+	return placer{arrived: n.arrived, moved: n.moved}
+}
+
+func zoneName(zone int) fleet.AvailabilityZone { return fleet.AvailabilityZone(fmt.Sprint("z", zone)) }
+
+func (n *nodes) announce(h *host) {
+	n.post(h, event.TargetAnnounced{Announcement: fleet.Announcement{
+		Name: "t", Pool: fleet.PoolName(h.target.pool), Address: string(h.id), Slots: slots, Connections: 100, Instance: "1",
+		Started: epoch.Add(-time.Hour),
+	}})
+}
+
+// moved brings tables into force that route the classes as the pattern has it now.
+func (n *nodes) moved() {
+	n.revision++
+	tables := fleet.Tables{Revision: n.revision}
+	for _, pool := range pools {
+		name := fleet.PoolName(pool)
+		// A floor above the pool: no ejection, as on the users' platform.
+		tables.Pools = tables.Pools.With(name, fleet.Pool{Name: name, Service: pool, Floor: len(n.nodes)})
+	}
+	for _, c := range classes {
+		k := kinds[c]
+		tables.Routes = append(tables.Routes, fleet.Route{
+			Name: paths[c], PathPrefix: paths[c], Pool: fleet.PoolName(n.site.pattern.pool(c, n.site.elapsed())), Class: coreClasses[c],
+			Idempotent: fleet.Some(k.idempotent), Deadline: k.deadline, Goal: k.goal, Attempts: 2, Priority: priorities[c],
+		})
+	}
+	for _, h := range n.nodes {
+		n.post(h, event.TablesDecoded{Tables: tables, Router: routing.New(tables)})
+	}
+}
+
+var (
+	paths       = [...]string{order: "/orders/", lookup: "/lookups/", call: "/calls/"}
+	coreClasses = [...]fleet.Class{order: fleet.Order, lookup: fleet.Lookup, call: fleet.Internal}
+	priorities  = [...]int{order: 1, lookup: 2, call: 0}
+)
+
+// arrived hands a request to a node of its zone: a call to that of its parent, any other to a random one.
+func (n *nodes) arrived(r *request) {
+	var near []*host
+	for _, h := range n.nodes {
+		if h.target.zone == r.zone && (r.parent == nil || r.parent.target == h.target) {
+			near = append(near, h)
+		}
+	}
+	h := near[n.site.choices.IntN(len(near))]
+	arriving := fleet.Request{ID: fleet.RequestID(r.id), Method: "GET", Host: "shop", Path: paths[r.class] + r.id,
+		Timeout: r.deadline.Sub(n.site.agenda.Now)}
+	if r.parent != nil {
+		arriving.Parent = fleet.RequestID(r.parent.request.id)
+	}
+	n.requests[arriving.ID] = r
+	n.post(h, event.RequestArrived{Request: arriving})
+}
+
+// post gives an event to a node, carries out its effects and enters the time at which it wants to be asked again.
+func (n *nodes) post(h *host, body event.Body) {
+	state, effects := h.state.Reduce(event.Event{At: n.site.agenda.Now, Random: n.site.choices.Uint64(), Body: body})
+	h.state = state
+	for _, e := range effects {
+		n.carryOut(h, e)
+	}
+	due, ok := h.state.Due()
+	if !ok || due.Equal(h.due) {
+		return
+	}
+	h.due = due
+	n.site.agenda.After(due.Sub(n.site.agenda.Now), func() {
+		if h.due.Equal(due) {
+			h.due = time.Time{}
+			n.post(h, event.RequestsDue{})
+		}
+	})
+}
+
+// later gives an event to a node after the latency of a hop from another one.
+func (n *nodes) later(from, to *host, body event.Body) {
+	latency := nearLatency
+	if from.target.zone != to.target.zone {
+		latency = farLatency
+	}
+	n.site.agenda.After(latency, func() { n.post(to, body) })
+}
+
+func (n *nodes) carryOut(h *host, e effect.Effect) {
+	switch e := e.(type) {
+	case effect.Forward:
+		a := &attempt{ingress: h, sidecar: n.byID[e.Attempt.Node]}
+		n.attempts[e.Attempt.ID] = a
+		n.later(h, a.sidecar, event.AdmissionAsked{Attempt: e.Attempt})
+	case effect.Abandon:
+		n.later(h, n.attempts[e.Attempt].sidecar, event.AdmissionCanceled{Attempt: e.Attempt})
+	case effect.RefuseAttempt:
+		a := n.attempts[e.Attempt]
+		a.outcome = fleet.Outcome{Problem: fleet.Some(e.Problem)}
+		n.finish(a, e.Attempt, e.Report)
+	case effect.Run:
+		n.run(h, e.Attempt)
+	case effect.CancelRun:
+		n.attempts[e.Attempt].run.end(canceled)
+	case effect.ReportRun:
+		n.finish(n.attempts[e.Attempt], e.Attempt, e.Report)
+	case effect.Answer:
+		n.answer(e)
+	case effect.Refuse:
+		n.end(e.Request, ending{refused: e.Problem.Verdict == fleet.NotRun})
+	case effect.Send:
+		n.later(h, n.byID[e.To], event.MessageReceived{Envelope: message.Envelope{
+			From: h.id, Incarnation: e.Incarnation, Address: string(h.id), Revision: e.Revision, Message: e.Message,
+		}})
+	}
+}
+
+// run starts an attempt on its target.
+func (n *nodes) run(h *host, started fleet.Attempt) {
+	a := n.attempts[started.ID]
+	began := n.site.agenda.Now
+	repeated := started.Repeated || started.Derived
+	a.run = h.target.begin(n.requests[started.ID.Request()], repeated, func(how result) {
+		a.outcome = outcomes[how]
+		a.outcome.Took = n.site.agenda.Now.Sub(began)
+		n.post(h, event.RunFinished{Attempt: started.ID, Outcome: a.outcome})
+	})
+}
+
+// outcomes are what a node sees of the ends of runs.
+var outcomes = map[result]fleet.Outcome{
+	ran:        {Status: 200},
+	failedCall: {Status: 500, Problem: problem(fleet.TargetFailed, fleet.Ran)},
+	broke:      {Problem: problem(fleet.Broken, fleet.MayHaveRun)},
+	shed:       {Problem: problem(fleet.Shed, fleet.NotRun)},
+	canceled:   {Problem: problem(fleet.Canceled, fleet.MayHaveRun)},
+}
+
+func problem(cause fleet.Cause, verdict fleet.Verdict) fleet.Option[fleet.Problem] {
+	return fleet.Some(fleet.NewProblem(cause, verdict, "replay"))
+}
+
+// finish tells an ingress how its attempt ended.
+func (n *nodes) finish(a *attempt, id fleet.AttemptID, report fleet.Report) {
+	n.later(a.sidecar, a.ingress, event.AttemptFinished{Attempt: id, Outcome: a.outcome, Report: fleet.Some(report)})
+}
+
+func (n *nodes) answer(e effect.Answer) {
+	a := n.attempts[e.Attempt]
+	end := ending{answer: whole, zone: a.sidecar.target.zone}
+	if a.outcome.Status != 200 {
+		end.answer = erred
+	}
+	n.end(e.Request, end)
+}
+
+func (n *nodes) end(id fleet.RequestID, end ending) {
+	if r, ok := n.requests[id]; ok && !r.over {
+		r.over = true
+		r.ended(end)
+	}
+}
--- /dev/null
+++ b/internal/lab/replay/replay.go
@@ -0,0 +1,168 @@
+// Package replay plays a load pattern on the targets of a small site under one policy that decides where requests wait, which
+// are turned away and where they run. The policies are jayfold's own reducers, one node for each target, and two baselines.
+//
+// # Usage
+//
+//	for _, policy := range replay.Policies {
+//		result := replay.Run(replay.Patterns[0], policy, seed)
+//	}
+//
+// Time, arrivals, service times and failures are simulated and depend on the seed alone, so that every policy meets the same
+// requests. There is no network but its latency, and no partition: for those there are the fuzz tests and the soak.
+package replay
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// warmUp is the time before the requests that count: nodes settle and the retry budget grows over its window.
+	warmUp = 12 * time.Second
+	// played is how long the requests that count arrive, and drained how long the last of them may take.
+	played  = 30 * time.Second
+	drained = 10 * time.Second
+)
+
+// epoch is the simulated time of the start.
+var epoch = time.Unix(1_800_000_000, 0)
+
+// Policy decides what becomes of requests.
+type Policy struct {
+	Name  string
+	start func(*site) placer
+}
+
+// placer is a policy at work on one site.
+type placer struct {
+	// arrived takes in a request; the placer ends it once.
+	arrived func(*request)
+	// moved says that the pools of the classes have changed.
+	moved func()
+}
+
+// Result is what a policy made of a pattern.
+type Result struct {
+	// Earned is the part of the payoff that was earned: all of it for an answer within the goal, late for a later one.
+	Earned float64
+	// Net is what remains of it after the worth of the time that refused requests were held.
+	Net float64
+	// Served, Late, Refused and Failed are parts of the requests: answered within the goal, answered after it, told that they
+	// did not run, and all others.
+	Served, Late, Refused, Failed float64
+	// Orders and Lookups are the parts of each that were answered.
+	Orders, Lookups float64
+	// Held is the mean time until a refusal.
+	Held time.Duration
+	// Crossed is the part of the answers that came from another availability zone.
+	Crossed float64
+	// Repeated is the part of the runs that were not the first of their request.
+	Repeated float64
+}
+
+// Run plays a pattern under a policy.
+func Run(p Pattern, policy Policy, seed uint64) Result {
+	s := newSite(p, seed)
+	s.placer = policy.start(s)
+	for _, class := range classes {
+		if p.rate(class, 0) > 0 {
+			s.arrive(class)
+		}
+	}
+	for _, at := range p.changes {
+		s.agenda.After(warmUp+at, s.placer.moved)
+	}
+	s.agenda.RunUntil(epoch.Add(warmUp + played + drained))
+	return s.tally.result()
+}
+
+// site is the targets and the clients, and what has happened so far.
+type site struct {
+	agenda  Agenda
+	pattern Pattern
+	// arrivals draws the requests, each with the draws of its runs, and choices what the policy leaves to chance. No policy
+	// changes the requests that another one meets.
+	arrivals, choices *rand.Rand
+	targets           []*target
+	placer            placer
+	tally             tally
+	count             int
+}
+
+func newSite(p Pattern, seed uint64) *site {
+	s := &site{
+		agenda:   Agenda{Now: epoch},
+		pattern:  p,
+		arrivals: rand.New(rand.NewPCG(seed, 1)),
+		choices:  rand.New(rand.NewPCG(seed, 2)),
+	}
+	for i := range zones * targetsPerZone * len(pools) {
+		s.targets = append(s.targets, &target{
+			site: s, index: i, zone: i % zones, pool: pools[i/(zones*targetsPerZone)], running: map[*run]bool{},
+		})
+	}
+	return s
+}
+
+// elapsed is the time since requests count.
+func (s *site) elapsed() time.Duration { return s.agenda.Now.Sub(epoch) - warmUp }
+
+// arrive starts the next request of a class, and those after it.
+func (s *site) arrive(class class) {
+	rate := s.pattern.rate(class, s.elapsed())
+	s.agenda.After(exponential(s.arrivals, rate), func() {
+		if s.elapsed() >= played {
+			return
+		}
+		zone := s.pattern.zone(s.elapsed(), s.arrivals.Float64())
+		abusive := s.arrivals.Float64() < s.pattern.abusive
+		s.begin(class, zone, abusive, rand.New(rand.NewPCG(s.arrivals.Uint64(), 0)))
+		s.arrive(class)
+	})
+}
+
+// begin sends a request of a client.
+func (s *site) begin(class class, zone int, abusive bool, draws *rand.Rand) {
+	counts := s.elapsed() >= 0
+	r := s.request(class, zone, draws)
+	var tries int
+	r.ended = func(end ending) {
+		if abusive && tries < s.pattern.repeats && end.answer == none && s.agenda.Now.Before(r.deadline) {
+			tries++
+			again := s.request(class, zone, draws)
+			again.deadline, again.ended = r.deadline, r.ended
+			s.placer.arrived(again)
+			return
+		}
+		if counts {
+			s.tally.add(r, s.agenda.Now, end)
+		}
+	}
+	s.placer.arrived(r)
+}
+
+func (s *site) request(class class, zone int, draws *rand.Rand) *request {
+	s.count++
+	k := kinds[class]
+	return &request{
+		id:       fmt.Sprintf("r%06d", s.count),
+		class:    class,
+		zone:     zone,
+		pool:     s.pattern.pool(class, s.elapsed()),
+		arrived:  s.agenda.Now,
+		goal:     s.agenda.Now.Add(k.goal),
+		deadline: s.agenda.Now.Add(k.deadline),
+		draws:    draws,
+	}
+}
+
+func exponential(r *rand.Rand, perSecond float64) time.Duration {
+	return time.Duration(r.ExpFloat64() / perSecond * float64(time.Second))
+}
+
+// lognormal draws a time with the given mean.
+func lognormal(r *rand.Rand, mean time.Duration, sigma float64) time.Duration {
+	return time.Duration(float64(mean) * math.Exp(sigma*r.NormFloat64()-sigma*sigma/2))
+}
