core/admission: what would miss its goal by waiting is refused at once

Cause: in an overload that lasts, requests waited in queues until just before their deadline, ran late or were refused after up to a second. Ruled out: that late answers make up for it. Change: an attempt that would meet its response-time goal if it started now, and misses it by waiting, is refused. One that would miss the goal anyway, and a call, wait as before. The wait of an attempt that is late already counts the slots that those of its own priority take.

--- a/internal/core/admission/heartbeat.go
+++ b/internal/core/admission/heartbeat.go
@@ -159,7 +159,7 @@
 		switch {
 		case !w.attempt.Deadline.After(ctx.Now):
 			cause = fleet.DeadlinePassed
-		case !l.hopeless(ctx.Now, w.attempt, l.waitBehind(w.attempt.Priority, work)):
+		case !l.tooLate(ctx.Now, w.attempt, l.waitBehind(ctx.Now, w.attempt, work)):
 			work += l.service.expected(w.attempt.Class)
 			continue
 		}
--- a/internal/core/admission/queue.go
+++ b/internal/core/admission/queue.go
@@ -114,11 +114,15 @@
 	return work
 }
 
-// waitBehind returns how long an attempt of a priority waits behind the given work: until the next slot is free, and while
-// the work runs on the slots that more urgent attempts leave over.
-func (l local) waitBehind(priority int, work time.Duration) time.Duration {
+// waitBehind returns how long an attempt waits behind the given work: until the next slot is free, and while the work runs on the
+// slots that those which go before it leave over. One that is late also waits for those of its own priority that are not.
+func (l local) waitBehind(now time.Time, a fleet.Attempt, work time.Duration) time.Duration {
 	slots := float64(max(l.slots, 1))
-	capacity := max(slots-l.usage.before(priority), leastCapacity*slots)
+	urgent := a.Priority
+	if l.turnOf(now, newcomer, a).late {
+		urgent++
+	}
+	capacity := max(slots-l.usage.before(urgent), leastCapacity*slots)
 	return time.Duration(float64(l.service.mean)/slots + float64(work)/capacity)
 }
 
@@ -127,10 +131,19 @@
 	if l.queue.len() == 0 && l.running.Len() < l.slots {
 		return 0
 	}
-	return l.waitBehind(a.Priority, l.workAhead(now, a))
+	return l.waitBehind(now, a, l.workAhead(now, a))
 }
 
-// hopeless reports whether an attempt cannot be answered in time, though it would start after the given wait.
-func (l local) hopeless(now time.Time, a fleet.Attempt, wait time.Duration) bool {
-	return now.Add(wait + l.service.of(a.Class)).After(a.Deadline)
+// tooLate reports whether the answer to an attempt that starts after the given wait would come too late. It answers an overload
+// that lasts: requests that wait until they have missed their response-time goal take slots from those that could meet it, and
+// their callers hear late that they are refused. So an attempt that misses its goal only by waiting does not wait. One that would
+// miss it anyway, because its target is slow, waits as long as its deadline leaves time, and so does a call: to
+// refuse it would waste the work of the request that makes it.
+func (l local) tooLate(now time.Time, a fleet.Attempt, wait time.Duration) bool {
+	took := l.service.of(a.Class)
+	latest := a.Deadline
+	if wait > 0 && a.Class != fleet.Internal && !a.Goal.IsZero() && !now.Add(took).After(a.Goal) {
+		latest = a.Goal
+	}
+	return now.Add(wait + took).After(latest)
 }
--- a/internal/core/admission/run.go
+++ b/internal/core/admission/run.go
@@ -59,7 +59,7 @@
 		switch {
 		case refused:
 			more = s.refuse(ctx.Now, attempt, cause)
-		case l.hopeless(ctx.Now, attempt, 0):
+		case l.tooLate(ctx.Now, attempt, 0):
 			more = s.refuse(ctx.Now, attempt, fleet.Overloaded)
 		default:
 			s, more = s.run(ctx, l, attempt)
--- a/internal/core/admission/state.go
+++ b/internal/core/admission/state.go
@@ -179,7 +179,7 @@
 // enqueue lets an attempt wait, in place of one of a lower class when the queue is full.
 func (s State) enqueue(ctx Context, l local, attempt fleet.Attempt) (State, []effect.Effect) {
 	wait := l.expectedWait(ctx.Now, attempt)
-	if attempt.Probe || l.hopeless(ctx.Now, attempt, wait) {
+	if attempt.Probe || l.tooLate(ctx.Now, attempt, wait) {
 		return s, s.refuse(ctx.Now, attempt, fleet.Overloaded)
 	}
 	var effects []effect.Effect
--- a/internal/core/admission/state_test.go
+++ b/internal/core/admission/state_test.go
@@ -256,6 +256,61 @@
 		refusal := r.assertRefused(is, "2", fleet.Overloaded, fleet.NotRun)
 		is.Equal(refusal.Problem.RetryAfter, 6*time.Second)
 	})
+	goal := func(r *rig, id string, class fleet.Class, within time.Duration) fleet.Attempt {
+		a := r.attempt(id, class)
+		a.Goal = r.now.Add(within)
+		return a
+	}
+	busy := func(r *rig) { // for a second more
+		r.ask("0", fleet.Lookup)
+		r.finish("0", fleet.Outcome{Took: time.Second})
+		r.ask("1", fleet.Lookup)
+	}
+	t.Run("refuses at once what would miss its goal by waiting", func(t *testing.T) {
+		is, r := is.New(t), newWarmRig(1)
+		busy(r)
+		r.askAs(goal(r, "2", fleet.Lookup, 1500*time.Millisecond))
+		r.assertRefused(is, "2", fleet.Overloaded, fleet.NotRun)
+	})
+	t.Run("refuses what misses its goal because others went first", func(t *testing.T) {
+		is, r := is.New(t), newWarmRig(1)
+		busy(r)
+		r.askAs(goal(r, "2", fleet.Lookup, 2500*time.Millisecond))
+		is.Equal(len(r.effects), 0)
+		r.ask("3", fleet.Order)
+		r.tick()
+		r.assertRefused(is, "2", fleet.Overloaded, fleet.NotRun)
+	})
+	t.Run("keeps what would miss its goal without waiting", func(t *testing.T) {
+		is, r := is.New(t), newWarmRig(1)
+		busy(r)
+		r.askAs(goal(r, "2", fleet.Lookup, 500*time.Millisecond))
+		is.Equal(len(r.effects), 0)
+	})
+	t.Run("keeps a call that would miss its goal", func(t *testing.T) {
+		is, r := is.New(t), newWarmRig(1)
+		r.ask("0", fleet.Internal)
+		r.finish("0", fleet.Outcome{Took: time.Second})
+		r.ask("1", fleet.Internal)
+		r.askAs(goal(r, "2", fleet.Internal, 1500*time.Millisecond))
+		is.Equal(len(r.effects), 0)
+	})
+	t.Run("a late attempt waits for those of its priority that are not", func(t *testing.T) {
+		is, r := is.New(t), newWarmRig(1)
+		busy(r)
+		for range 20 {
+			r.announce("i1", 1)
+			r.now = r.now.Add(100 * time.Millisecond)
+			r.tick()
+		}
+		r.ask("2", fleet.Order)
+		late, timely := goal(r, "3", fleet.Lookup, 500*time.Millisecond), goal(r, "4", fleet.Lookup, 9*time.Second)
+		late.Probe, timely.Probe = true, true
+		r.askAs(timely)
+		timelyWait := r.assertRefused(is, "4", fleet.Overloaded, fleet.NotRun).Report.Wait
+		r.askAs(late)
+		is.True(r.assertRefused(is, "3", fleet.Overloaded, fleet.NotRun).Report.Wait > timelyWait)
+	})
 	t.Run("counts on the slots that more urgent work leaves over", func(t *testing.T) {
 		is, r := is.New(t), newWarmRig(4)
 		urgent := func(id string) fleet.Attempt {
