core/admission: orders leave no part of the retry budget to others

Cause: while all targets of a pool shed half of their requests, the budget decides how many are served. Orders left 0.05 of the budget and room for half as many calls again. Change: only lookups leave a part. Conclusion: kept, since orders are worth most and one rule less is needed.

--- a/internal/core/admission/budget.go
+++ b/internal/core/admission/budget.go
@@ -12,12 +12,11 @@
 	// usedPart is the part of the budget that is used at most. Targets that do not name the request that makes a call leave
 	// some of the calls of repeated requests uncounted.
 	usedPart = 0.9
-	// lookupReserve is the part of the budget that requests which may be repeated at will leave to others, and orderReserve
-	// that of the rest: an order is repeated only after a target refused it, and has no other chance. The calls that repeated
-	// requests make at other pools count there as repeated too, and to refuse one fails the request that waits for it.
+	// lookupReserve is the part of the budget that requests which may be repeated at will leave to others. An order is repeated
+	// only after a target refused it, and has no other chance. The calls that repeated requests make at other pools count there as
+	// repeated too, and to refuse one fails the request that waits for it.
 	lookupReserve = 0.1
-	orderReserve  = 0.05
-	// callGrowth is how much the calls of repeated requests may grow within a window before other attempts make room for them.
+	// callGrowth is how much the calls of repeated requests may grow within a window before lookups make room for them.
 	callGrowth = 0.5
 )
 
@@ -32,15 +31,12 @@
 	reserve, growth float64
 }
 
-// allowanceOf returns the allowance of a target for an attempt.
+// allowanceOf returns the allowance of a target for an attempt. It answers a pool that sheds a part of its requests: what is left of
+// the budget then decides how many are served, and orders, which are worth most, leave none of it to others.
 func (s State) allowanceOf(ctx Context, attempt fleet.Attempt) allowance {
 	a := allowance{retries: s.settings.Retries, targets: max(ctx.PoolSize(attempt.Pool), attempt.PoolSize)}
-	switch {
-	case attempt.Derived:
-	case attempt.Idempotent:
+	if attempt.Idempotent && !attempt.Derived {
 		a.reserve, a.growth = lookupReserve, callGrowth
-	default:
-		a.reserve, a.growth = orderReserve, callGrowth
 	}
 	return a
 }
