core/attempt: a pool that sheds as a whole is known after three of its targets

Traced: 368 of some 750 orders of that time were refused without being offered to any target, since eight targets were asked for a slot and four more for a place, which used up the twelve refusals of a request. Ruled out: the retry budget (65 orders). Change: after three targets that shed, and none that is full, a request is forced on one that sheds. The replay has a large pool that sheds, and one of which some targets fail besides; TestLastResort and TestPatterns/all_targets_of_a_large_pool_shed_half were red before.

--- a/internal/core/attempt/placement.go
+++ b/internal/core/attempt/placement.go
@@ -19,8 +19,13 @@
 	forced
 )
 
-// maxProbes bounds the targets that are asked for a free slot. A pool in which that many are full is full.
-const maxProbes = 8
+const (
+	// maxProbes bounds the targets that are asked for a free slot. A pool in which that many are full is full.
+	maxProbes = 8
+	// sheddingProbes is how many targets must have refused a request because they shed, and none because it is full, until its pool is
+	// taken to shed as a whole. Where a third of the targets shed, and the others are healthy, that happens to 1 request in 27.
+	sheddingProbes = 3
+)
 
 // placement is where an attempt goes.
 type placement struct {
@@ -39,7 +44,7 @@
 	wait time.Duration
 }
 
-// place decides where the next attempt of a request goes. It answers five loads:
+// place decides where the next attempt of a request goes. It answers six loads:
 //
 //   - Light load, with targets that fail now and then: a free target of the own availability zone, and the next one as soon
 //     as it refuses. Another zone is asked only when none of the own takes the request.
@@ -52,9 +57,11 @@
 //     is asked, which lends of its own.
 //   - A pool that fails as a whole: when only suspect targets are left, one of them is forced to take the request. Targets that
 //     shed a part of their requests are asked before those that break them off, and for orders also where healthy ones are full.
+//   - A pool that sheds as a whole: after a few targets that do, one is forced to take the request. In a large pool a request would
+//     otherwise use up its refusals before it is offered to any target.
 func (c *choice) place() (placement, bool) {
 	steps := []func() (int, manner){
-		c.home, c.free, c.nearInGoal, c.farFree, c.lender, c.farInGoal, c.nearInTime, c.farInTime, c.unasked, c.suspect,
+		c.home, c.shedding, c.free, c.nearInGoal, c.farFree, c.lender, c.farInGoal, c.nearInTime, c.farInTime, c.unasked, c.suspect,
 	}
 	if len(c.flight.live) > 0 {
 		// A second attempt beside a slow one helps only where it starts at once.
@@ -78,6 +85,23 @@
 	return c.probe(false), probing
 }
 
+// shedding returns a target that sheds, once the pool seems to shed as a whole.
+func (c *choice) shedding() (int, manner) {
+	shed := 0
+	for _, b := range c.flight.bounces {
+		switch {
+		case b.cause == fleet.Overloaded:
+			return -1, forced
+		case c.pool.view(b.target).health == fleet.Shedding:
+			shed++
+		}
+	}
+	if shed < sheddingProbes {
+		return -1, forced
+	}
+	return c.suspect()
+}
+
 // lender returns a target that has just failed, to be asked for a part of its retry budget.
 func (c *choice) lender() (int, manner) {
 	if !c.flight.lacksBudget() || len(c.flight.bounces) >= maxProbes {
--- a/internal/core/attempt/state_test.go
+++ b/internal/core/attempt/state_test.go
@@ -427,6 +427,24 @@
 		r.Health = fleet.Shedding
 		return b.finish(a, failure(fleet.Failing, fleet.NotRun), fleet.Some(r))
 	}
+	t.Run("any request is forced on a target of a pool that sheds as a whole", func(t *testing.T) {
+		is, b := is.New(t), newBench()
+		effects := b.fail(wantForward(t, b.arrive(true, "")), fleet.Failing, fleet.NotRun) // one that breaks requests off
+		for range sheddingProbes {
+			a := wantForward(t, effects)
+			is.True(!a.Forced)
+			effects = shed(b, a)
+		}
+		is.True(wantForward(t, effects).Forced)
+	})
+	t.Run("not while a target is only full", func(t *testing.T) {
+		is, b := is.New(t), newBench()
+		effects := b.full(wantForward(t, b.arrive(true, "")), 100*time.Millisecond)
+		for range sheddingProbes {
+			effects = shed(b, wantForward(t, effects))
+		}
+		is.True(!wantForward(t, effects).Forced)
+	})
 	t.Run("an order goes to a shedding target at once", func(t *testing.T) {
 		is, b := is.New(t), newBench()
 		first := wantForward(t, b.arrive(false, ""))
--- a/internal/lab/replay/pattern.go
+++ b/internal/lab/replay/pattern.go
@@ -5,6 +5,8 @@
 // Pattern is one load.
 type Pattern struct {
 	Name string
+	// scale is how many times as many targets and requests there are as on a small site; 0 means once.
+	scale int
 	// load multiplies the usual rates of the classes at a time.
 	load func(class, time.Duration) float64
 	// shifted is the share of the clients that have moved to the first zone at a time.
@@ -31,14 +33,17 @@
 // errorShare is the share of requests that a healthy target breaks off.
 const errorShare = 0.002
 
+func (p Pattern) size() int { return max(p.scale, 1) }
+
 func (p Pattern) rate(class class, at time.Duration) float64 {
 	if class == call {
 		return 0
 	}
+	rate := usual[class] * float64(p.size())
 	if p.load == nil || at < 0 {
-		return usual[class]
+		return rate
 	}
-	return usual[class] * p.load(class, at)
+	return rate * p.load(class, at)
 }
 
 // zone returns the availability zone of a client, from a uniform draw in [0, 1).
@@ -94,6 +99,14 @@
 	}
 }
 
+// shedding makes the targets of the second pool refuse more than half of their requests for eight seconds.
+func shedding(t *target, at time.Duration) condition {
+	if t.pool == pools[1] && between(at, 8*time.Second, 16*time.Second) {
+		return condition{sheds: 0.55}
+	}
+	return condition{}
+}
+
 // flicker makes each target break most requests off for three seconds of ten, each at times of its own.
 func flicker(t *target, at time.Duration) condition {
 	const period, length = 10 * time.Second, 3 * time.Second
@@ -126,11 +139,13 @@
 		return 0
 	}},
 	{Name: "half the targets fail", conditions: failing(0.85, func(t *target) bool { return t.index%2 == 0 })},
-	{Name: "all targets shed half", conditions: func(t *target, at time.Duration) condition {
-		if t.pool == pools[1] && between(at, 8*time.Second, 16*time.Second) {
-			return condition{sheds: 0.55}
+	{Name: "all targets shed half", conditions: shedding},
+	{Name: "all targets of a large pool shed half", scale: 4, conditions: shedding},
+	{Name: "targets of a large pool shed half or fail", scale: 4, conditions: func(t *target, at time.Duration) condition {
+		if c := flicker(t, at); c.breaks > 0 {
+			return c
 		}
-		return condition{}
+		return shedding(t, at)
 	}},
 	{Name: "overload while tables change", load: burst(2, order, lookup), changes: everySecond(), ordersMoved: func(at time.Duration) bool {
 		return between(at, 6*time.Second, 24*time.Second) && at/time.Second%2 == 0
--- a/internal/lab/replay/replay.go
+++ b/internal/lab/replay/replay.go
@@ -141,9 +141,10 @@
 	for _, pool := range pools {
 		s.usage[pool] = &usage{}
 	}
-	for i := range zones * targetsPerZone * len(pools) {
+	perPool := zones * targetsPerZone * p.size()
+	for i := range perPool * len(pools) {
 		s.targets = append(s.targets, &target{
-			site: s, index: i, zone: i % zones, pool: pools[i/(zones*targetsPerZone)], running: map[*run]bool{},
+			site: s, index: i, zone: i % zones, pool: pools[i/perPool], running: map[*run]bool{},
 		})
 	}
 	return s
