--- a/internal/core/admission/budget.go
+++ b/internal/core/admission/budget.go
@@ -31,8 +31,8 @@
 	reserve, growth float64
 }
 
-// allowanceOf returns the allowance of a target for an attempt. It answers a pool that sheds a part of its requests: what is left of
-// the budget then decides how many are served, and orders, which are worth most, leave none of it to others.
+// allowanceOf returns the allowance of a target for an attempt. It answers a pool that sheds a part of its requests: what is left
+// of the budget then decides how many are served, and orders, which are worth most, leave none of it to others.
 func (s State) allowanceOf(ctx Context, attempt fleet.Attempt) allowance {
 	a := allowance{retries: s.settings.Retries, targets: max(ctx.PoolSize(attempt.Pool), attempt.PoolSize)}
 	if attempt.Idempotent && !attempt.Derived {
--- a/internal/core/admission/queue.go
+++ b/internal/core/admission/queue.go
@@ -137,8 +137,8 @@
 // tooLate reports whether the answer to an attempt that starts after the given wait would come too late. It answers an overload
 // that lasts: requests that wait until they have missed their response-time goal take slots from those that could meet it, and
 // their callers hear late that they are refused. So an attempt that misses its goal only by waiting does not wait. One that would
-// miss it anyway, because its target is slow, waits as long as its deadline leaves time, and so does a call: to
-// refuse it would waste the work of the request that makes it.
+// miss it anyway, because its target is slow, waits as long as its deadline leaves time, and so does a call: to refuse it would
+// waste the work of the request that makes it.
 func (l local) tooLate(now time.Time, a fleet.Attempt, wait time.Duration) bool {
 	took := l.service.of(a.Class)
 	latest := a.Deadline
--- a/internal/core/admission/state.go
+++ b/internal/core/admission/state.go
@@ -1,9 +1,8 @@
 // Package admission holds the sidecar's decisions on the targets of its host: which attempts run now, wait or are refused.
 //
-// Each target has the slots that it announced and a queue. The queue is bounded in length, and an attempt whose expected
-// wait exceeds its remaining budget is refused at once, so that it can still run elsewhere. Orders go before internal
-// requests, and those before lookups. Everything refused here has verdict NotRun, except for a duplicate of an attempt that
-// may have started.
+// Each target has the slots that it announced and a queue. The queue is bounded in length, and an attempt that would miss its
+// response-time goal by waiting is refused at once, so that it can still run elsewhere. Orders go before internal requests, and
+// those before lookups. Everything refused here has verdict NotRun, except for a duplicate of an attempt that may have started.
 //
 // # Usage
 //
--- a/internal/core/health/state.go
+++ b/internal/core/health/state.go
@@ -4,8 +4,9 @@
 // A target counts as faulty from the first failure that a healthy one hardly ever has, until a few requests in a row have
 // succeeded. While it is faulty it takes only trials: requests that may run again elsewhere, one at a time and with a
 // growing pause between them. One that only refuses requests counts as shedding: it is asked after others, but since what it
-// refuses has not run, it takes as many as it will when no other target is left. Nothing is promised to anyone and no other node is asked, so that a wrong suspicion costs one
-// more try of a request elsewhere and ends with the next successes; a target that fails for long is ejected under leases.
+// refuses has not run, it takes as many as it will when no other target is left. Nothing is promised to anyone and no other node
+// is asked, so that a wrong suspicion costs one more try of a request elsewhere and ends with the next successes; a target that
+// fails for long is ejected under leases.
 //
 // # Usage
 //
@@ -48,8 +49,8 @@
 	Broke:     3.7,  // ln(0.6 / 0.015)
 }
 
-// A target is faulty or shedding from suspectScore on, which one break or two errors reach, until the score is below clearScore. The
-// highest score leaves three successes to the clearing: a target that fails 85% of its requests passes them once in 300.
+// A target is faulty or shedding from suspectScore on, which one break or two errors reach, until the score is below clearScore.
+// The highest score leaves three successes to the clearing: a target that fails 85% of its requests passes them once in 300.
 const (
 	suspectScore = 2.5
 	clearScore   = 2
