core/membership, core/admission: departures of targets outlive a restart of their node

Change: the member record names the departures of the last 30 s. Peers that a restarted node asks or pings send it its last record back, and each new departure writes the record to the platform. The node reads the list 0.1 s before it writes its own record.

--- a/internal/core/admission/order.go
+++ b/internal/core/admission/order.go
@@ -28,6 +28,37 @@
 	return longestDelay
 }
 
+// Departures returns the departures that this node is to remember over a restart, in the order of their targets.
+func (s State) Departures(now time.Time) []fleet.Departure {
+	var departures []fleet.Departure
+	for id, d := range s.departed.All() {
+		if !d.started.IsZero() && now.Sub(d.at) < longestDelay {
+			departures = append(departures, fleet.Departure{Target: id, Instance: d.instance, Started: d.started})
+		}
+	}
+	return departures
+}
+
+// Inherited takes in departures that this node knew before it restarted. A target that a late heartbeat has brought back in the
+// meantime is removed; one that drains announces itself again.
+func (s State) Inherited(now time.Time, departures []fleet.Departure) (State, []effect.Effect) {
+	var effects []effect.Effect
+	for _, d := range departures {
+		if known, ok := s.departed.Get(d.Target); ok && !known.started.Before(d.Started) {
+			continue
+		}
+		s.departed = s.departed.With(d.Target, departure{instance: d.Instance, started: d.Started, at: now})
+		l, ok := s.targets.Get(d.Target)
+		if !ok || !s.outdated(now, d.Target, l.announcement) {
+			continue
+		}
+		var removed []effect.Effect
+		s, removed = s.removed(now, d.Target, fleet.Draining, "target had left before the node started")
+		effects = append(effects, removed...)
+	}
+	return s, effects
+}
+
 // outdated reports whether a heartbeat was overtaken on its way: by a later one, by the departure of its process, by the
 // heartbeat of the process that took its place, or by that of another target to which its address has gone.
 func (s State) outdated(now time.Time, id fleet.TargetID, a fleet.Announcement) bool {
--- a/internal/core/fleet/member.go
+++ b/internal/core/fleet/member.go
@@ -35,6 +35,9 @@
 	Status   Status
 	// Targets are the targets on the node's host, in id order.
 	Targets []Target
+	// Departures are the departures of the last half minute, in the order of their targets. The node forgets them when it
+	// restarts, and learns them again from this record.
+	Departures []Departure
 }
 
 // Newer reports whether m overrides other, a record of the same node.
@@ -63,3 +66,9 @@
 	m.Sequence++
 	return m
 }
+
+// WithDepartures returns the record with other departures, under the same sequence number.
+func (m Member) WithDepartures(departures []Departure) Member {
+	m.Departures = departures
+	return m
+}
--- a/internal/core/fleet/target.go
+++ b/internal/core/fleet/target.go
@@ -31,6 +31,15 @@
 	Ejected bool
 }
 
+// Departure names a target's process that has drained, left or lost its address to another one. Heartbeats of it may still be
+// under way.
+type Departure struct {
+	Target   TargetID
+	Instance string
+	// Started is when the process started. Only processes that tell it have departures that are kept.
+	Started time.Time
+}
+
 // Announcement is one heartbeat of a target to the node on its host.
 type Announcement struct {
 	Name string
--- a/internal/core/membership/own.go
+++ b/internal/core/membership/own.go
@@ -1,10 +1,12 @@
 package membership
 
 import (
+	"slices"
 	"time"
 
 	"jayfold.dev/jayfold/internal/core/effect"
 	"jayfold.dev/jayfold/internal/core/fleet"
+	"jayfold.dev/jayfold/internal/core/message"
 )
 
 const (
@@ -19,22 +21,44 @@
 
 // own is what is to happen to this node's own record.
 type own struct {
-	pending fleet.Option[[]fleet.Target]
+	pending fleet.Option[hosted]
 	changed time.Time
 	urgent  bool
+	// keep means that the platform is to keep the record, since it has a new departure.
+	keep bool
 }
 
-// TargetsChanged puts the targets on this host into the node's own record: at once when a target is gone or draining, so
-// that ingresses stop using it, and otherwise at the next tick, but no more than once a second. A caller repeats it with
-// each tick until the record has the targets.
-func (s State) TargetsChanged(targets []fleet.Target) State {
-	if !withdraws(s.Self().Targets, targets) {
-		s.own.pending = fleet.Some(targets)
+// hosted is what a node's record says of its host.
+type hosted struct {
+	targets    []fleet.Target
+	departures []fleet.Departure
+}
+
+// hosting returns this node's record with what it says of the host.
+func (s State) hosting(h hosted) fleet.Member {
+	return s.Self().WithTargets(h.targets).WithDepartures(h.departures)
+}
+
+// TargetsChanged puts the targets on this host and their departures into the node's own record: at once when a target is gone or
+// draining, so that ingresses stop using it, and otherwise at the next tick, but no more than once a second. A caller repeats it
+// with each tick until the record has them. A record with a new departure is also written to the platform, from where the node
+// learns it again after a restart of the whole fleet.
+func (s State) TargetsChanged(targets []fleet.Target, departures []fleet.Departure) State {
+	h := hosted{targets: targets, departures: departures}
+	departs := adds(s.Self().Departures, departures)
+	if !departs && !withdraws(s.Self().Targets, targets) {
+		s.own.pending = fleet.Some(h)
 		return s
 	}
-	s.own.pending = fleet.Option[[]fleet.Target]{}
+	s.own.pending = fleet.Option[hosted]{}
 	s.own.urgent = true
-	return s.rewritten(s.Self().WithTargets(targets))
+	s.own.keep = s.own.keep || departs
+	return s.rewritten(s.hosting(h))
+}
+
+// adds reports whether there is a departure that was not known before.
+func adds(old, changed []fleet.Departure) bool {
+	return slices.ContainsFunc(changed, func(d fleet.Departure) bool { return !slices.Contains(old, d) })
 }
 
 // withdraws reports whether a target that was ready is no longer.
@@ -54,19 +78,47 @@
 // rewritten puts a new version of the own record in force and spreads it.
 func (s State) rewritten(m fleet.Member) State { return s.with(m).spread(m.Node) }
 
-// publish applies a change of the targets that is due, and tells several peers of one that cannot wait.
+// publish applies a change of the targets that is due, and tells several peers, and where it is to be kept the platform, of one
+// that cannot wait.
 func (s State) publish(now time.Time, _ uint64) (State, []effect.Effect) {
-	targets, ok := s.own.pending.Get()
-	s.own.pending = fleet.Option[[]fleet.Target]{}
+	h, ok := s.own.pending.Get()
+	s.own.pending = fleet.Option[hosted]{}
 	if ok && now.Sub(s.own.changed) >= changeInterval {
 		s.own.changed = now
-		s = s.rewritten(s.Self().WithTargets(targets))
+		s = s.rewritten(s.hosting(h))
 	}
 	if !s.own.urgent {
 		return s, nil
 	}
 	s.own.urgent = false
-	return s.pingAll(s.peers(urgentPeers, s.self))
+	s, effects := s.pingAll(s.peers(urgentPeers, s.self))
+	if s.own.keep {
+		s.own.keep = false
+		effects = append(effects, effect.RegisterMember{Member: s.Self()})
+	}
+	return s, effects
+}
+
+// Earlier returns the departures in records of this node's earlier lives.
+func (s State) Earlier(records []fleet.Member) []fleet.Departure {
+	var departures []fleet.Departure
+	for _, m := range records {
+		if m.Node == s.self && m.Incarnation != s.Self().Incarnation {
+			departures = append(departures, m.Departures...)
+		}
+	}
+	return departures
+}
+
+// returned answers a node that has restarted with the record of its earlier life, if that has departures, before the new record
+// takes its place here.
+func (s State) returned(envelope message.Envelope) []effect.Effect {
+	known, ok := s.Member(envelope.From)
+	if !ok || known.Incarnation >= envelope.Incarnation || len(known.Departures) == 0 {
+		return nil
+	}
+	earlier := message.Sync{Number: inTurn, Members: []fleet.Member{known}}
+	return []effect.Effect{effect.Send{To: envelope.From, Address: envelope.Address, Message: earlier}}
 }
 
 // refute answers a record of this node that it did not write, such as a suspicion, with a newer one. A peer that sends an
--- a/internal/core/membership/seed.go
+++ b/internal/core/membership/seed.go
@@ -21,6 +21,9 @@
 	// make at most 1,080 reads and 360 writes per second.
 	listSpread     = 500 * time.Millisecond
 	registerSpread = 1500 * time.Millisecond
+	// listLead is by how much the first read goes before the first write, so that a node that has restarted finds its last record:
+	// some answers of the platform's store, which take milliseconds.
+	listLead = 100 * time.Millisecond
 )
 
 // seedRanges say out of how many nodes, those that started last, each contact is drawn. The platform keeps the records of
@@ -56,7 +59,7 @@
 		s = s.scheduleList(now, random)
 	}
 	if !now.Before(s.seeds.register) {
-		effects = append(effects, effect.RegisterMember{Member: s.Self(), After: within(registerSpread, random)})
+		effects = append(effects, effect.RegisterMember{Member: s.Self(), After: listLead + within(registerSpread, random)})
 		s.seeds.register = now.Add(jitter(registerInterval, random))
 	}
 	s, contacts := s.contact(now, random)
--- a/internal/core/membership/state.go
+++ b/internal/core/membership/state.go
@@ -161,6 +161,12 @@
 	if envelope.From == s.self {
 		return s, nil
 	}
+	first := s.returned(envelope)
+	s, effects := s.handle(now, envelope)
+	return s, append(first, effects...)
+}
+
+func (s State) handle(now time.Time, envelope message.Envelope) (State, []effect.Effect) {
 	switch m := envelope.Message.(type) {
 	case message.Ping:
 		return s.pinged(now, envelope, m)
--- a/internal/core/membership/state_test.go
+++ b/internal/core/membership/state_test.go
@@ -175,7 +175,7 @@
 	case "die":
 		p.stopped, p.dead = true, true
 	case "targets":
-		n.apply(p, p.state.TargetsChanged([]fleet.Target{{ID: fleet.NewTargetID(id, "u"), Pool: "pool"}}), nil)
+		n.apply(p, p.state.TargetsChanged([]fleet.Target{{ID: fleet.NewTargetID(id, "u"), Pool: "pool"}}, nil), nil)
 	case "lose":
 		n.loss = rapid.Float64Range(0, 0.6).Draw(t, "loss")
 	}
@@ -316,7 +316,7 @@
 func TestLeavingIsKnownAtOnce(t *testing.T) {
 	for name, leave := range map[string]func(State) (State, []effect.Effect){
 		"node leaves":    func(s State) (State, []effect.Effect) { return s.Left() },
-		"target removed": func(s State) (State, []effect.Effect) { return s.TargetsChanged(nil), nil },
+		"target removed": func(s State) (State, []effect.Effect) { return s.TargetsChanged(nil, nil), nil },
 	} {
 		t.Run(name, func(t *testing.T) {
 			n := started(t, 6)
@@ -340,7 +340,7 @@
 	before := p.state.Self().Sequence
 	for i := range 100 {
 		flapping := []fleet.Target{{ID: "n0/t", Pool: "pool", Slots: 4, Ejected: i%2 == 0}}
-		n.apply(p, p.state.TargetsChanged(flapping), nil)
+		n.apply(p, p.state.TargetsChanged(flapping, nil), nil)
 		n.step()
 	}
 	is.New(t).True(p.state.Self().Sequence <= before+11)
@@ -355,6 +355,23 @@
 	is.New(t).True(n.processes["n1"].state.Self().Incarnation > 1)
 }
 
+// Guards against a node that has restarted and overwrites its last record before it has read which targets had left.
+func TestLastRecordIsReadBeforeItIsReplaced(t *testing.T) {
+	for random := range uint64(5000) {
+		_, effects := New(fleet.Member{Node: "n1"}).Tick(time.Unix(1000, 0), random*uint64(time.Millisecond))
+		var read, written time.Duration
+		for _, e := range effects {
+			switch e := e.(type) {
+			case effect.ListMembers:
+				read = e.After
+			case effect.RegisterMember:
+				written = e.After
+			}
+		}
+		is.New(t).True(written-read >= 100*time.Millisecond)
+	}
+}
+
 // Guards against messages that outgrow the byte budget in a storm of changes.
 func TestGossipIsBounded(t *testing.T) {
 	s := New(fleet.Member{Node: "self"})
@@ -409,7 +426,7 @@
 	}
 	n.run(announced)
 	for id, p := range n.processes {
-		p.state = p.state.TargetsChanged([]fleet.Target{{ID: fleet.NewTargetID(id, "t"), Pool: "pool", Slots: 4}})
+		p.state = p.state.TargetsChanged([]fleet.Target{{ID: fleet.NewTargetID(id, "t"), Pool: "pool", Slots: 4}}, nil)
 	}
 	return n
 }
--- a/internal/core/node/fleet.go
+++ b/internal/core/node/fleet.go
@@ -25,12 +25,22 @@
 		s.ejection, more = s.ejection.Received(s.ejectionContext(ev), envelope.From, envelope.Message)
 	case message.Suspicions:
 		s, more = s.suspicionsReceived(ev, body)
+	case message.Sync:
+		s, more = s.syncReceived(ev, envelope, body)
 	default:
 		s.membership, more = s.membership.Received(ev.At, envelope)
 	}
 	return s, append(effects, more...)
 }
 
+// syncReceived also looks for records of this node's earlier lives, with which peers answer it after a restart.
+func (s State) syncReceived(ev event.Event, envelope message.Envelope, m message.Sync) (State, []effect.Effect) {
+	s, effects := s.departuresRead(ev, m.Members)
+	next, more := s.membership.Received(ev.At, envelope)
+	s.membership = next
+	return s, append(effects, more...)
+}
+
 func (s State) sendFailed(body event.SendFailed) (State, []effect.Effect) {
 	s.membership = s.membership.SendFailed(body.To)
 	return s, nil
--- a/internal/core/node/platform.go
+++ b/internal/core/node/platform.go
@@ -17,6 +17,7 @@
 	case event.TablesRejected:
 		s.tables, effects = s.tables.Rejected(ev.At, body.Revision, body.Detail)
 	case event.MembersListed:
+		s, effects = s.departuresRead(ev, body.Members)
 		s.membership = s.membership.Listed(body.Members)
 	case event.PlatformFailed:
 		if body.Call == event.CallRegisterMember {
--- a/internal/core/node/sidecar.go
+++ b/internal/core/node/sidecar.go
@@ -233,22 +233,30 @@
 	return s.publishTargets(ev), s.completeReports(ev.At, effects)
 }
 
-// publishTargets puts the targets of this host into the node's member record when they have changed.
+// departuresRead takes in what records of this node's earlier lives say of targets that have left.
+func (s State) departuresRead(ev event.Event, records []fleet.Member) (State, []effect.Effect) {
+	next, effects := s.admission.Inherited(ev.At, s.membership.Earlier(records))
+	s.admission = next
+	return s.publishTargets(ev), s.completeReports(ev.At, effects)
+}
+
+// publishTargets puts the targets of this host and their departures into the node's member record when they have changed.
 func (s State) publishTargets(ev event.Event) State {
 	targets := s.admission.Targets()
 	for i, t := range targets {
 		targets[i].Ejected = s.ejection.Ejected(ev.At, t.ID)
 	}
-	published := s.membership.Self().Targets
-	if slices.Equal(targets, published) {
+	departures := s.admission.Departures(ev.At)
+	published := s.membership.Self()
+	if slices.Equal(targets, published.Targets) && slices.Equal(departures, published.Departures) {
 		return s
 	}
-	for _, t := range published {
+	for _, t := range published.Targets {
 		if !s.admission.Knows(t.ID) {
 			s.detection = s.detection.Forget(t.ID)
 			s.health = s.health.Forget(t.ID)
 		}
 	}
-	s.membership = s.membership.TargetsChanged(targets)
+	s.membership = s.membership.TargetsChanged(targets, departures)
 	return s
 }
--- a/internal/edge/peer/message_member.go
+++ b/internal/edge/peer/message_member.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"time"
 
 	"jayfold.dev/jayfold/internal/core/fleet"
 	"jayfold.dev/jayfold/internal/core/message"
@@ -21,6 +22,7 @@
 	Sequence         uint64
 	Status           uint8
 	Targets          []wireTarget
+	Departures       []wireDeparture
 }
 
 // wireTarget is the encoded form of fleet.Target. Name is the part of its id after the node's id.
@@ -34,6 +36,15 @@
 	Ejected bool
 }
 
+// wireDeparture is the encoded form of fleet.Departure, with the name that wireTarget has. Started is in Unix milliseconds.
+type wireDeparture struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack through reflection
+
+	Name     string
+	Instance string
+	Started  int64
+}
+
 // wireVersion is the encoded form of message.MemberVersion.
 type wireVersion struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack through reflection
@@ -86,6 +97,7 @@
 		Sequence:         m.Sequence,
 		Status:           uint8(m.Status),
 		Targets:          each(m.Targets, targetToWire(m.Node)),
+		Departures:       each(m.Departures, departureToWire(m.Node)),
 	}
 }
 
@@ -95,6 +107,10 @@
 		return fleet.Member{}, errMember
 	}
 	targets, err := eachChecked(w.Targets, targetFromWire(fleet.NodeID(w.Node)))
+	if err != nil {
+		return fleet.Member{}, err
+	}
+	departures, err := eachChecked(w.Departures, departureFromWire(fleet.NodeID(w.Node)))
 	return fleet.Member{
 		Node:             fleet.NodeID(w.Node),
 		AvailabilityZone: fleet.AvailabilityZone(w.AvailabilityZone),
@@ -104,13 +120,38 @@
 		Sequence:         w.Sequence,
 		Status:           fleet.Status(w.Status),
 		Targets:          targets,
+		Departures:       departures,
 	}, err
 }
 
+// nameOf returns the part of a target's id after its node's.
+func nameOf(node fleet.NodeID, id fleet.TargetID) string {
+	return string(id[min(len(id), len(node)+1):])
+}
+
+func departureToWire(node fleet.NodeID) func(fleet.Departure) wireDeparture {
+	return func(d fleet.Departure) wireDeparture {
+		return wireDeparture{Name: nameOf(node, d.Target), Instance: d.Instance, Started: d.Started.UnixMilli()}
+	}
+}
+
+func departureFromWire(node fleet.NodeID) func(wireDeparture) (fleet.Departure, error) {
+	return func(w wireDeparture) (fleet.Departure, error) {
+		if !named(w.Name) || !short(w.Instance) {
+			return fleet.Departure{}, errMember
+		}
+		return fleet.Departure{
+			Target:   fleet.NewTargetID(node, w.Name),
+			Instance: w.Instance,
+			Started:  time.UnixMilli(w.Started),
+		}, nil
+	}
+}
+
 func targetToWire(node fleet.NodeID) func(fleet.Target) wireTarget {
 	return func(t fleet.Target) wireTarget {
 		return wireTarget{
-			Name:    string(t.ID[min(len(t.ID), len(node)+1):]),
+			Name:    nameOf(node, t.ID),
 			Pool:    string(t.Pool),
 			State:   uint8(t.State),
 			Slots:   t.Slots,
--- a/internal/edge/peer/message_test.go
+++ b/internal/edge/peer/message_test.go
@@ -244,6 +244,10 @@
 
 // fill gives every field of a value a drawn value other than its zero value.
 func fill(t *rapid.T, v reflect.Value) {
+	if at, ok := v.Addr().Interface().(*time.Time); ok {
+		*at = time.UnixMilli(rapid.Int64Range(1, 1<<40).Draw(t, "time"))
+		return
+	}
 	switch v.Kind() {
 	case reflect.Struct:
 		for i := range v.NumField() {
@@ -253,6 +257,9 @@
 			for i := range target.Targets {
 				target.Targets[i].ID = fleet.NewTargetID(target.Node, string(target.Targets[i].ID))
 			}
+			for i := range target.Departures {
+				target.Departures[i].Target = fleet.NewTargetID(target.Node, string(target.Departures[i].Target))
+			}
 		}
 	case reflect.Slice:
 		v.Set(reflect.MakeSlice(v.Type(), rapid.IntRange(1, 4).Draw(t, "length"), 4))
--- a/internal/edge/platform/client_test.go
+++ b/internal/edge/platform/client_test.go
@@ -267,7 +267,7 @@
 		w := newWorld(t)
 		member := fleet.Member{Node: "n1", PeerAddress: "127.0.0.1:1", Incarnation: 3, Targets: []fleet.Target{
 			{ID: "n1/t1", Pool: "a", Slots: 4},
-		}}
+		}, Departures: []fleet.Departure{{Target: "n1/t0", Instance: "7", Started: time.UnixMilli(7).UTC()}}}
 		w.client.RegisterMember(effect.RegisterMember{Member: member})
 		w.client.Wait()
 		w.put(t, "members/n2", "nonsense")
--- a/internal/edge/platform/member.go
+++ b/internal/edge/platform/member.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"time"
 
 	"jayfold.dev/jayfold/internal/core/effect"
 	"jayfold.dev/jayfold/internal/core/fleet"
@@ -23,6 +24,13 @@
 	Sequence         uint64
 	Status           string
 	Targets          []wireTarget
+	Departures       []wireDeparture `json:",omitempty"`
+}
+
+type wireDeparture struct {
+	ID       fleet.TargetID
+	Instance string
+	Started  time.Time
 }
 
 type wireTarget struct {
@@ -52,6 +60,9 @@
 	for _, t := range m.Targets {
 		wire.Targets = append(wire.Targets, wireTarget{t.ID, t.Pool, t.State.String(), t.Slots, t.Ejected})
 	}
+	for _, d := range m.Departures {
+		wire.Departures = append(wire.Departures, wireDeparture{d.Target, d.Instance, d.Started})
+	}
 	// The wire types have no value that JSON lacks.
 	value, _ := json.Marshal(wire)
 	return value
@@ -102,6 +113,12 @@
 		}
 		m.Targets = append(m.Targets, t)
 	}
+	for _, w := range wire.Departures {
+		if w.ID.Node() != wire.Node {
+			return fleet.Member{}, fmt.Errorf("departure of %q does not belong to node %q", w.ID, wire.Node)
+		}
+		m.Departures = append(m.Departures, fleet.Departure{Target: w.ID, Instance: w.Instance, Started: w.Started})
+	}
 	// The directory relies on the order.
 	slices.SortFunc(m.Targets, func(a, b fleet.Target) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	return m, nil
