core/node: failures of calls are not blamed on the targets that made them

Cause: a target whose call to another pool fails answers with an error, and two such errors made it take only trials.

Change: errors and missed deadlines of a run say nothing of its target when a call of it has failed or is still in flight. The ingress names the parent in the effects that end a call, and the sidecar marks the parent's runs.

--- a/internal/core/admission/call.go
+++ b/internal/core/admission/call.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -22,9 +23,9 @@
 // request that ran here name it in all of their calls. Of those that do not, it is not known which of the requests on this
 // host made a call, so that it is drawn by the share of the repeated ones, which is right on average.
 func (s State) Called(now time.Time, call Call, random uint64) (State, bool) {
-	if runs, repeated := s.runsOf(call.Parent); runs > 0 {
+	if runs := s.runsOf(call.Parent); len(runs) > 0 {
 		s.named = true
-		return s, repeated > 0
+		return s, slices.ContainsFunc(runs, func(r Run) bool { return draws(r.Attempt) })
 	}
 	if s.named || !call.Internal {
 		return s, false
@@ -32,25 +33,32 @@
 	return s, float64(random%callDraws) < s.repeatedShare(now)*callDraws
 }
 
-// runsOf returns how many attempts of a request run on targets of this host, and how many of them are repeated.
-func (s State) runsOf(id fleet.RequestID) (runs, repeated int) {
+// CallFailed notes that a call failed which a request that runs on this host made: what becomes of the request then says nothing of
+// its target.
+func (s State) CallFailed(parent fleet.RequestID) State {
+	for _, run := range s.runsOf(parent) {
+		run.CallFailed = true
+		s.running = s.running.With(run.Attempt.ID, run)
+	}
+	return s
+}
+
+// runsOf returns the attempts of a request that run on targets of this host.
+func (s State) runsOf(id fleet.RequestID) []Run {
 	if id == "" {
-		return 0, 0
+		return nil
 	}
+	var runs []Run
 	prefix := fleet.AttemptID(id + ".")
 	for attempt, run := range s.running.From(prefix) {
 		if !strings.HasPrefix(string(attempt), string(prefix)) {
 			break
 		}
-		if attempt.Request() != id {
-			continue
-		}
-		runs++
-		if draws(run.Attempt) {
-			repeated++
+		if attempt.Request() == id {
+			runs = append(runs, run)
 		}
 	}
-	return runs, repeated
+	return runs
 }
 
 // repeatedShare returns which part of the requests that make calls on this host are repeated ones or their calls. Each
--- a/internal/core/admission/run.go
+++ b/internal/core/admission/run.go
@@ -13,6 +13,8 @@
 	Started time.Time
 	// Instance is the target's process.
 	Instance string
+	// CallFailed means that a call failed which the target made to serve the attempt.
+	CallFailed bool
 }
 
 // Finished is a run that ended.
--- a/internal/core/attempt/finish.go
+++ b/internal/core/attempt/finish.go
@@ -28,7 +28,7 @@
 	problem, failed := outcome.Problem.Get()
 	if !failed {
 		f = f.without(id).withStep(ctx.Now, t, problem, 0)
-		return s.end(ctx.Now, f, effect.Answer{Request: f.id, Attempt: id})
+		return s.end(ctx.Now, f, effect.Answer{Request: f.id, Attempt: id, Parent: f.parent})
 	}
 	if problem.Cause == fleet.Duplicate {
 		// The attempt that was seen before may have run.
--- a/internal/core/attempt/flight.go
+++ b/internal/core/attempt/flight.go
@@ -242,7 +242,7 @@
 // last returns the effect that ends the request without an answer in time.
 func (f flight) last() effect.Effect {
 	if f.fallback != "" {
-		return effect.Answer{Request: f.id, Attempt: f.fallback}
+		return effect.Answer{Request: f.id, Attempt: f.fallback, Parent: f.parent, Failed: true}
 	}
 	return f.refusal()
 }
@@ -258,7 +258,7 @@
 	if problem.RetryAfter == 0 {
 		problem.RetryAfter = defaultRetryAfter
 	}
-	return effect.Refuse{Request: f.id, Problem: problem}
+	return effect.Refuse{Request: f.id, Problem: problem, Parent: f.parent}
 }
 
 // shortestQueue returns the shortest wait that a full target named, and whether one did.
--- a/internal/core/attempt/state.go
+++ b/internal/core/attempt/state.go
@@ -130,6 +130,16 @@
 // InFlight returns the number of requests that wait for their answer.
 func (s State) InFlight() int { return s.flights.Len() }
 
+// Calls reports whether a call that a request makes is in flight.
+func (s State) Calls(parent fleet.RequestID) bool {
+	for _, f := range s.flights.All() {
+		if f.parent == parent {
+			return true
+		}
+	}
+	return false
+}
+
 // start begins an attempt of a request on a target.
 func (s State) start(ctx Context, f flight, where placement) (State, flight, effect.Effect) {
 	c := where.candidate
--- a/internal/core/attempt/trail.go
+++ b/internal/core/attempt/trail.go
@@ -92,7 +92,7 @@
 		switch e := e.(type) {
 		case effect.Answer:
 			line.Text = "request answered"
-			if e.Attempt == f.fallback {
+			if e.Failed {
 				line.Level, line.Text = effect.Warn, "request answered with the target's error"
 			}
 		case effect.Refuse:
--- a/internal/core/effect/effect.go
+++ b/internal/core/effect/effect.go
@@ -31,12 +31,18 @@
 type Answer struct {
 	Request fleet.RequestID
 	Attempt fleet.AttemptID
+	// Parent is the request that makes this one, where it is a call that names it.
+	Parent fleet.RequestID
+	// Failed means that the answer is a server error of the target.
+	Failed bool
 }
 
 // Refuse answers a caller with a problem.
 type Refuse struct {
 	Request fleet.RequestID
 	Problem fleet.Problem
+	// Parent is the request that makes this one, where it is a call that names it.
+	Parent fleet.RequestID
 }
 
 // Abandon cancels an attempt whose answer is no longer wanted.
--- /dev/null
+++ b/internal/core/node/evidence.go
@@ -0,0 +1,58 @@
+package node
+
+import (
+	"jayfold.dev/jayfold/internal/core/admission"
+	"jayfold.dev/jayfold/internal/core/effect"
+	"jayfold.dev/jayfold/internal/core/fleet"
+	"jayfold.dev/jayfold/internal/core/health"
+)
+
+// evidence gives what the problems of runs say of a target. The others say nothing.
+var evidence = map[fleet.Cause]health.Evidence{
+	fleet.Broken:         health.Broke,
+	fleet.TargetCrashed:  health.Broke,
+	fleet.Unreachable:    health.Broke,
+	fleet.TargetFailed:   health.Erred,
+	fleet.DeadlinePassed: health.Erred,
+	// The sidecar never gives a target more than its slots, so that one that refuses is not well.
+	fleet.Shed: health.Refused,
+}
+
+// evidenceOf returns what a run says of its target.
+func (s State) evidenceOf(run admission.Run, outcome fleet.Outcome) health.Evidence {
+	problem, failed := outcome.Problem.Get()
+	switch {
+	case !failed:
+		return health.Succeeded
+	case s.failedBehind(run, outcome):
+		return health.None
+	default:
+		return evidence[problem.Cause]
+	}
+}
+
+// failedBehind reports whether a run ended with an error or without an answer in time because of a call that its target made. It
+// answers an overload of a pool that others call: their targets would count as failing too, and take their slots out of service
+// when they are needed most.
+func (s State) failedBehind(run admission.Run, outcome fleet.Outcome) bool {
+	problem, _ := outcome.Problem.Get()
+	if evidence[problem.Cause] != health.Erred {
+		return false
+	}
+	return run.CallFailed || s.attempts.Calls(run.Attempt.ID.Request())
+}
+
+// noteFailedCalls tells the sidecar which calls failed that requests on this host made.
+func (s State) noteFailedCalls(effects []effect.Effect) State {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case effect.Refuse:
+			s.admission = s.admission.CallFailed(e.Parent)
+		case effect.Answer:
+			if e.Failed {
+				s.admission = s.admission.CallFailed(e.Parent)
+			}
+		}
+	}
+	return s
+}
--- a/internal/core/node/ingress.go
+++ b/internal/core/node/ingress.go
@@ -50,6 +50,7 @@
 	return []effect.Effect{effect.Refuse{
 		Request: request.ID,
 		Problem: fleet.NewProblem(cause, fleet.NotRun, detail),
+		Parent:  request.Parent,
 	}}
 }
 
--- a/internal/core/node/sidecar.go
+++ b/internal/core/node/sidecar.go
@@ -10,7 +10,6 @@
 	"jayfold.dev/jayfold/internal/core/ejection"
 	"jayfold.dev/jayfold/internal/core/event"
 	"jayfold.dev/jayfold/internal/core/fleet"
-	"jayfold.dev/jayfold/internal/core/health"
 )
 
 func (s State) ejectionContext(ev event.Event) ejection.Context {
@@ -89,7 +88,7 @@
 	}
 	run := finished.Run
 	s.ejection = s.ejection.TrialFinished(run.Attempt.Target)
-	s.health = s.health.Finished(ev.At, run.Attempt.Target, body.Attempt, evidenceOf(body.Outcome), ev.At.Sub(run.Started))
+	s.health = s.health.Finished(ev.At, run.Attempt.Target, body.Attempt, s.evidenceOf(run, body.Outcome), ev.At.Sub(run.Started))
 	if body.Outcome.Verdict() == fleet.Ran {
 		s.quarantine = s.quarantine.Succeeded(ev.At, run.Attempt.Fingerprint)
 	} else {
@@ -129,24 +128,6 @@
 	return s, append(effects, judged...)
 }
 
-// evidence gives what the problems of runs say of a target. The others say nothing.
-var evidence = map[fleet.Cause]health.Evidence{
-	fleet.Broken:         health.Broke,
-	fleet.TargetCrashed:  health.Broke,
-	fleet.Unreachable:    health.Broke,
-	fleet.TargetFailed:   health.Erred,
-	fleet.DeadlinePassed: health.Erred,
-	// The sidecar never gives a target more than its slots, so that one that refuses is not well.
-	fleet.Shed: health.Refused,
-}
-
-func evidenceOf(outcome fleet.Outcome) health.Evidence {
-	if problem, failed := outcome.Problem.Get(); failed {
-		return evidence[problem.Cause]
-	}
-	return health.Succeeded
-}
-
 // noteStarts tells the health part which runs began in a step.
 func (s State) noteStarts(now time.Time, effects []effect.Effect) State {
 	for _, e := range effects {
@@ -176,11 +157,11 @@
 // firstServerError is the lowest HTTP status of an answer that counts as a failure of the target.
 const firstServerError = 500
 
-// judge feeds the detector. Crashes by a quarantined request say nothing of the target.
+// judge feeds the detector. Crashes by a quarantined request and failures of calls say nothing of the target.
 func (s State) judge(ev event.Event, run admission.Run, outcome fleet.Outcome) (State, []effect.Effect) {
 	problem, failed := outcome.Problem.Get()
 	canceled := problem.Cause == fleet.Canceled
-	if s.quarantine.Has(ev.At, run.Attempt.Fingerprint) {
+	if s.quarantine.Has(ev.At, run.Attempt.Fingerprint) || s.failedBehind(run, outcome) {
 		return s, nil
 	}
 	pool, _ := s.tables.Current().Pool(run.Attempt.Pool)
--- a/internal/core/node/state.go
+++ b/internal/core/node/state.go
@@ -59,7 +59,7 @@
 func (s State) Reduce(ev event.Event) (State, []effect.Effect) {
 	next, effects := s.dispatch(ev)
 	next, effects = next.settleOrders(effects)
-	next = next.noteStarts(ev.At, effects)
+	next = next.noteStarts(ev.At, effects).noteFailedCalls(effects)
 	effects = s.observe(ev, effects)
 	effects = s.explain(ev, next, next.stamp(effects))
 	return next, effects
