--- a/cmd/jayfold-lab/capacity.go
+++ b/cmd/jayfold-lab/capacity.go
@@ -6,12 +6,22 @@
 	"jayfold.dev/jayfold/internal/lab/capacity"
 )
 
-// capacityCommand measures the slopes behind docs/CAPACITY.md.
-type capacityCommand struct{}
+// capacityCommand measures what docs/CAPACITY.md is made with.
+type capacityCommand struct {
+	Whole   bool   `help:"Measure a whole process in a fleet of the design size instead of the slopes."`
+	Jayfold string `help:"The program jayfold for --whole; left out, it is built."`
+}
 
 // Run implements the command.
-func (*capacityCommand) Run() error {
+func (c *capacityCommand) Run() error {
 	ctx, cancel := untilStopped()
 	defer cancel()
+	if c.Whole {
+		program, err := jayfold(c.Jayfold)
+		if err != nil {
+			return err
+		}
+		return capacity.RunWhole(ctx, os.Stdout, capacity.DefaultWholeOptions(program))
+	}
 	return capacity.Run(ctx, os.Stdout, capacity.DefaultOptions())
 }
--- /dev/null
+++ b/cmd/jayfold-lab/program.go
@@ -0,0 +1,25 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+)
+
+// jayfold returns the path of the program jayfold, which is built where none is given.
+func jayfold(given string) (string, error) {
+	if given != "" {
+		return exec.LookPath(given)
+	}
+	dir, err := os.MkdirTemp("", "jayfold-bin")
+	if err != nil {
+		return "", err
+	}
+	built := filepath.Join(dir, "jayfold")
+	out, err := exec.Command("go", "build", "-o", built, "./cmd/jayfold").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("go build: %w: %s", err, out)
+	}
+	return built, nil
+}
--- a/cmd/jayfold-lab/soak.go
+++ b/cmd/jayfold-lab/soak.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"io"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"time"
 
 	"jayfold.dev/jayfold/internal/lab/soak"
@@ -27,7 +25,7 @@
 	if err != nil {
 		return err
 	}
-	program, err := c.program()
+	program, err := jayfold(c.Jayfold)
 	if err != nil {
 		return err
 	}
@@ -60,20 +58,3 @@
 	}
 	return nil
 }
-
-// program returns the path of jayfold, which is built where none is given.
-func (c *soakCommand) program() (string, error) {
-	if c.Jayfold != "" {
-		return exec.LookPath(c.Jayfold)
-	}
-	dir, err := os.MkdirTemp("", "jayfold-bin")
-	if err != nil {
-		return "", err
-	}
-	built := filepath.Join(dir, "jayfold")
-	out, err := exec.Command("go", "build", "-o", built, "./cmd/jayfold").CombinedOutput()
-	if err != nil {
-		return "", fmt.Errorf("go build: %w: %s", err, out)
-	}
-	return built, nil
-}
--- a/internal/lab/capacity/capacity_test.go
+++ b/internal/lab/capacity/capacity_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"os/exec"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -48,3 +50,22 @@
 	is.True(c.sent > 100 && c.received > 100)
 	is.True(c.connections >= 1)
 }
+
+// Guards against a stand-in of the fleet that the measured process does not talk to: it must serve every pool, in both roles.
+func TestWholeProcessIsMeasured(t *testing.T) {
+	is := is.New(t)
+	program := filepath.Join(t.TempDir(), "jayfold")
+	out, err := exec.Command("go", "build", "-o", program, "jayfold.dev/jayfold/cmd/jayfold").CombinedOutput()
+	t.Log(string(out))
+	is.NoErr(err)
+	var b bytes.Buffer
+	is.NoErr(RunWhole(context.Background(), &b, WholeOptions{Program: program, Members: 30, Rate: 20, Phase: 2 * time.Second}))
+	rows := strings.Split(strings.TrimSpace(b.String()), "\n")[3:]
+	is.Equal(len(rows), 3)
+	for i, row := range rows {
+		fields := strings.Fields(row)
+		answered := fields[len(fields)-2:]
+		is.Equal(answered[0] != "0", i > 0)
+		is.Equal(answered[1] != "0", i > 0)
+	}
+}
--- /dev/null
+++ b/internal/lab/capacity/whole.go
@@ -0,0 +1,123 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"text/tabwriter"
+	"time"
+
+	"jayfold.dev/jayfold/internal/lab/link"
+)
+
+const (
+	// allowedMemory and allowedCPU are what a node may take for control at the design size, in MB and in percent of a core.
+	allowedMemory = 64
+	allowedCPU    = 4.6
+	// designRate is a node's share of 60,000 requests a second, in each of its two roles.
+	designRate = 60_000 / designMembers
+	// tablesPeriod is the time between two changes of the tables, of which each is decoded anew. The design has 370 a day.
+	tablesPeriod = 10 * time.Second
+)
+
+// WholeOptions say how a whole process is measured.
+type WholeOptions struct {
+	// Program is the program jayfold.
+	Program string
+	// Members is the size of the fleet; targets, pools and routes follow from it.
+	Members int
+	// Rate is the number of requests a second that the node takes from callers, and of those that other nodes forward to it.
+	Rate int
+	// Phase is how long each phase lasts.
+	Phase time.Duration
+}
+
+// DefaultWholeOptions returns the options that docs/CAPACITY.md is made with.
+func DefaultWholeOptions(program string) WholeOptions {
+	return WholeOptions{Program: program, Members: designMembers, Rate: designRate, Phase: 40 * time.Second}
+}
+
+// RunWhole starts one node as a process of its own, in a fleet whose other members this process stands in for, and prints its
+// memory and processor time: while it is idle, with traffic in both roles, and while the tables change as well.
+func RunWhole(ctx context.Context, w io.Writer, options WholeOptions) error {
+	ctx, cancel := context.WithCancel(ctx)
+	r, err := newRest(ctx, scaled(options.Members))
+	if err != nil {
+		cancel()
+		return err
+	}
+	defer r.stop()
+	defer cancel()
+	node, err := r.startNode(ctx, options.Program)
+	if err != nil {
+		return err
+	}
+	defer node.stop()
+	if err := r.waitServing(ctx, node); err != nil {
+		return err
+	}
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(w, "one node of %d, %d targets, %d routes; %d req/s as ingress and %d as sidecar; allowed for control: %d MB, %.1f%%\n\n",
+		options.Members, r.design.targets, r.design.routes, options.Rate, options.Rate, allowedMemory, allowedCPU)
+	fmt.Fprintln(table, "phase\tmemory, mean MB\tmost MB\tCPU, % of a core\trequests answered\tattempts answered")
+	traffic, stop := context.WithCancel(ctx)
+	defer stop()
+	for _, phase := range []struct {
+		name  string
+		begin func()
+	}{
+		{"idle", func() {}},
+		{"traffic", func() { r.drive(traffic, node, options.Rate) }},
+		{"traffic and changing tables", func() { go r.changeTables(traffic) }},
+	} {
+		phase.begin()
+		asked, forwarded := r.answered.Load(), r.forwarded.Load()
+		u, err := measureUsage(ctx, node.command.Process.Pid, options.Phase)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(table, "%s\t%.1f\t%.1f\t%.1f\t%d\t%d\n",
+			phase.name, u.mean, u.most, u.cpu, r.answered.Load()-asked, r.forwarded.Load()-forwarded)
+	}
+	return table.Flush()
+}
+
+// measuredNode is the process under measurement with its addresses.
+type measuredNode struct {
+	command                              *exec.Cmd
+	dir                                  string
+	callers, targets, peers, forward, op string
+}
+
+// startNode writes the settings of the first member and starts its process.
+func (r *rest) startNode(ctx context.Context, program string) (*measuredNode, error) {
+	dir, err := os.MkdirTemp("", "jayfold-whole")
+	if err != nil {
+		return nil, err
+	}
+	n := &measuredNode{
+		dir: dir, callers: link.FreeAddress(), targets: link.FreeAddress(), peers: link.FreeAddress(),
+		forward: link.FreeAddress(), op: link.FreeAddress(),
+	}
+	path := filepath.Join(dir, "settings.json")
+	content := fmt.Sprintf(`{"Node": "%s", "AvailabilityZone": "%s", "Host": "127.0.0.1", "Platform": "%s", "LogLevel": "warn",
+		"Limits": {"MaxMemoryBytes": %d},
+		"Listen": {"Callers": "%s", "Targets": "%s", "Peers": "%s", "Forward": "%s", "Operators": "%s"}}`,
+		r.self.Node, r.self.AvailabilityZone, r.store, allowedMemory<<20, n.callers, n.targets, n.peers, n.forward, n.op)
+	if err := os.WriteFile(path, []byte(content), 0o600); err != nil {
+		return nil, err
+	}
+	n.command = exec.CommandContext(ctx, program, "node", "--settings", path)
+	n.command.Stderr = os.Stderr
+	return n, n.command.Start()
+}
+
+// stop ends the process and removes its files.
+func (n *measuredNode) stop() {
+	_ = n.command.Process.Kill()
+	_ = n.command.Wait()
+	_ = os.RemoveAll(n.dir)
+}
