core/tables: logs tell late knowledge of a revision from a late fetch

Change: the line has the fields SeenFor and Source; a revision that is known for a second and not in force gets one line that names what the node waits for.

--- /dev/null
+++ b/internal/core/tables/logging.go
@@ -0,0 +1,69 @@
+package tables
+
+import (
+	"time"
+
+	"jayfold.dev/jayfold/internal/core/effect"
+	"jayfold.dev/jayfold/internal/core/fleet"
+)
+
+// lateAfter is the time after which a known revision that is not in force is logged. A node normally has the content within
+// milliseconds; a request to a peer times out after a second.
+const lateAfter = time.Second
+
+// source is where the content of a revision came from.
+type source string
+
+// The sources.
+const (
+	fromPeer     source = "Peer"
+	fromPlatform source = "Platform"
+	fromCopy     source = "Copy"
+)
+
+// sourceOf returns the source of a revision that has just been decoded.
+func (s State) sourceOf(r fleet.Revision) source {
+	switch {
+	case s.peerRequest.decoding == r:
+		return fromPeer
+	case s.fetch.fromCopy:
+		return fromCopy
+	default:
+		return fromPlatform
+	}
+}
+
+// withNewest records that a revision exists.
+func (s State) withNewest(now time.Time, r fleet.Revision) State {
+	if r > s.newestRevision {
+		s.newestRevision, s.newestSince = r, now
+	}
+	return s
+}
+
+// inForceLog returns the log line for a revision that has just come into force. SeenFor is the time since the newest revision was
+// first seen, so that a change that reached the node late differs from one that it could not read or decode.
+func (s State) inForceLog(now time.Time, from source) effect.Effect {
+	return log(effect.Info, "revision in force",
+		effect.LogField{Name: "Revision", Value: s.current.Revision},
+		effect.LogField{Name: "Source", Value: string(from)},
+		effect.LogField{Name: "SeenFor", Value: now.Sub(s.newestSince).Round(time.Millisecond)})
+}
+
+// logLateRevision returns one log line for each newest revision that is known for lateAfter and not in force.
+func (s State) logLateRevision(now time.Time) (State, []effect.Effect) {
+	if s.newestRevision <= max(s.current.Revision, s.lateLogged) || now.Sub(s.newestSince) < lateAfter {
+		return s, nil
+	}
+	s.lateLogged = s.newestRevision
+	return s, []effect.Effect{log(effect.Warn, "newer revision is not in force",
+		effect.LogField{Name: "Newest", Value: s.newestRevision},
+		effect.LogField{Name: "InForce", Value: s.current.Revision},
+		effect.LogField{Name: "Fetching", Value: s.fetch.running},
+		effect.LogField{Name: "Asked", Value: string(s.peerRequest.peer)},
+		effect.LogField{Name: "Decoding", Value: s.peerRequest.decoding})}
+}
+
+func log(level effect.Level, message string, fields ...effect.LogField) effect.Effect {
+	return effect.WriteLog{Level: level, Component: "tables", Message: message, Fields: fields}
+}
--- a/internal/core/tables/peers.go
+++ b/internal/core/tables/peers.go
@@ -53,7 +53,7 @@
 
 // PeerRevisionSeen handles the tables revision in a message of another node and requests the tables if they are newer.
 func (s State) PeerRevisionSeen(now time.Time, from fleet.NodeID, address string, r fleet.Revision) (State, []effect.Effect) {
-	s.newestRevision = max(s.newestRevision, r)
+	s = s.withNewest(now, r)
 	if r <= s.current.Revision {
 		if s.holders.Len() > 0 {
 			s.holders = s.holders.Without(from)
--- a/internal/core/tables/platform.go
+++ b/internal/core/tables/platform.go
@@ -33,8 +33,9 @@
 
 // fetch is the state of the call that reads a revision from the platform, of which at most one runs at a time.
 type fetch struct {
-	// head is the newest head read from the platform.
-	head fleet.TablesHead
+	// head is the newest head read from the platform, or from the copy if fromCopy is true.
+	head     fleet.TablesHead
+	fromCopy bool
 	// running is the revision that is being read, or 0.
 	running fleet.Revision
 	// due is the time from which the revision of head may be read, unless a peer sends it first.
@@ -86,6 +87,7 @@
 	effects := s.recoveryLog()
 	s.platformReachable = true
 	fetchDelay := s.fetchDelay(random, f.Members)
+	fromCopy := s.watch.mayBeStale
 	s.watch = watch{
 		due:        now.Add(rewatchDelay(random, f.Members)),
 		version:    version,
@@ -95,13 +97,14 @@
 	if head.Revision == 0 {
 		return s, effects
 	}
-	s.newestRevision = max(s.newestRevision, head.Revision)
+	s = s.withNewest(now, head.Revision)
 	if head.Revision < s.current.Revision {
 		return s, append(effects, log(effect.Warn, "the platform has an older revision",
 			effect.LogField{Name: "Revision", Value: head.Revision}, effect.LogField{Name: "InForce", Value: s.current.Revision}))
 	}
 	if head.Revision > s.fetch.head.Revision {
 		s.fetch.head = head
+		s.fetch.fromCopy = fromCopy
 		s.fetch.due = now.Add(fetchDelay)
 		s.fetch.failures = 0
 	}
--- a/internal/core/tables/state.go
+++ b/internal/core/tables/state.go
@@ -14,6 +14,7 @@
 package tables
 
 import (
+	"slices"
 	"time"
 
 	"jayfold.dev/jayfold/internal/core/effect"
@@ -30,10 +31,14 @@
 	content        []byte
 	router         routing.Router
 	newestRevision fleet.Revision
-	watch          watch
-	fetch          fetch
-	holders        fleet.Map[fleet.NodeID, holder]
-	peerRequest    peerRequest
+	// newestSince is the time at which newestRevision was first seen, and lateLogged the newest revision for which a log line says
+	// that it is not in force.
+	newestSince time.Time
+	lateLogged  fleet.Revision
+	watch       watch
+	fetch       fetch
+	holders     fleet.Map[fleet.NodeID, holder]
+	peerRequest peerRequest
 	// nextPeerRequest is the earliest time of the next request to a peer.
 	nextPeerRequest time.Time
 	// platformReachable is true if no watch or fetch has failed since the last successful watch.
@@ -76,11 +81,13 @@
 	s, watching := s.startWatch(now)
 	s, asking := s.requestFromAny(now, random)
 	s, fetching := s.startFetch(now)
-	return s, append(append(watching, asking...), fetching...)
+	s, late := s.logLateRevision(now)
+	return s, slices.Concat(watching, asking, fetching, late)
 }
 
 // TablesDecoded brings a revision into force if it is newer than the current one. The router is built from t.
 func (s State) TablesDecoded(now time.Time, t fleet.Tables, router routing.Router, content []byte) (State, []effect.Effect) {
+	source := s.sourceOf(t.Revision)
 	s.fetch = s.fetch.finished(t.Revision)
 	s.peerRequest = s.peerRequest.afterDecoding(t.Revision)
 	if t.Revision <= s.current.Revision {
@@ -90,10 +97,9 @@
 	s.inForceSince = now
 	s.content = content
 	s.router = router
-	s.newestRevision = max(s.newestRevision, t.Revision)
-	s = s.withoutOutdatedHolders()
+	s = s.withNewest(now, t.Revision).withoutOutdatedHolders()
 	s, fetching := s.startFetch(now)
-	return s, append(fetching, log(effect.Info, "revision in force", effect.LogField{Name: "Revision", Value: t.Revision}))
+	return s, append(fetching, s.inForceLog(now, source))
 }
 
 // TablesRejected handles a revision from a peer or the platform that cannot be decoded or is invalid.
@@ -107,7 +113,3 @@
 	return s, []effect.Effect{log(effect.Error, "revision rejected",
 		effect.LogField{Name: "Revision", Value: r}, effect.LogField{Name: "Error", Value: detail})}
 }
-
-func log(level effect.Level, message string, fields ...effect.LogField) effect.Effect {
-	return effect.WriteLog{Level: level, Component: "tables", Message: message, Fields: fields}
-}
--- a/internal/edge/logfile/trace.go
+++ b/internal/edge/logfile/trace.go
@@ -100,6 +100,7 @@
 // the node concerned. The name is empty for the state of the tables and the platform.
 var stateTexts = map[string]string{
 	"tables: revision in force":                 "",
+	"tables: newer revision is not in force":    "",
 	"tables: platform lost":                     "",
 	"tables: platform found again":              "",
 	"health: target suspect, takes only trials": "Target",
