edge/peer: a message between nodes has a bound on its nesting

Callers would see: a node that ends, and again after each restart while the sender goes on. Cause: msgpack skips unknown values recursively, and the envelope is decoded before the limit of its kind is known, so that 4 MB of nested arrays take a stack of their own size. Evidence: TestNestedMessage ended with a stack overflow before, with a stack of 16 MB. Change: a message is walked once without recursion before it is decoded; more than 32 levels are an error. Result: TestNestedMessage passes.

--- a/internal/edge/peer/message_codec.go
+++ b/internal/edge/peer/message_codec.go
@@ -120,6 +120,9 @@
 	if len(encoded) > contentLimit {
 		return message.Envelope{}, errTooLarge
 	}
+	if err := checkDepth(encoded); err != nil {
+		return message.Envelope{}, err
+	}
 	var wire wireEnvelope
 	if err := msgpack.Unmarshal(encoded, &wire); err != nil {
 		return message.Envelope{}, fmt.Errorf("peer: decode envelope: %w", err)
