edge/peer, process/node: bounds on what peers and local programs send

Callers would see: a node whose memory fills until it is ended. Cause: the same class as the endless head of a target. net/rpc reads a reply of up to 1 GB into memory, and http.Transport a head of 10 MB, if another program has the address of a peer. The servers for heartbeats, operators and readiness allowed heads of 1 MB.

--- a/internal/edge/peer/forwarder.go
+++ b/internal/edge/peer/forwarder.go
@@ -56,6 +56,8 @@
 	transport := &http.Transport{
 		DialContext:        captureSocket(dial),
 		DisableCompression: true,
+		// The head of a target's response has at most 64 KiB.
+		MaxResponseHeaderBytes: maxPeerHeaderBytes,
 		// The body of a request is held back while the request waits in the sidecar's queue.
 		ExpectContinueTimeout: continueTimeout,
 		Protocols:             new(http.Protocols),
--- a/internal/edge/peer/message_sender.go
+++ b/internal/edge/peer/message_sender.go
@@ -11,8 +11,12 @@
 	"jayfold.dev/jayfold/internal/core/message"
 )
 
-// deliverMethod is the only RPC method between nodes.
-const deliverMethod = "Node.Deliver"
+const (
+	// deliverMethod is the only RPC method between nodes.
+	deliverMethod = "Node.Deliver"
+	// replyLimit bounds the bytes of a reply, which is empty or an error text.
+	replyLimit = framingLimit
+)
 
 // errCallTimeout is returned if a peer does not reply to an RPC within the call timeout.
 var errCallTimeout = errors.New("peer: no reply within the call timeout")
@@ -98,7 +102,7 @@
 		if err != nil {
 			return err
 		}
-		s.client = rpc.NewClient(countingConn{conn, &s.messenger.sent, &s.messenger.received})
+		s.client = rpc.NewClient(newBoundedConn(countingConn{conn, &s.messenger.sent, &s.messenger.received}, replyLimit))
 	}
 	var out []byte
 	call := s.client.Go(deliverMethod, encoded, &out, make(chan *rpc.Call, 1))
--- a/internal/edge/peer/message_server.go
+++ b/internal/edge/peer/message_server.go
@@ -4,7 +4,6 @@
 	"errors"
 	"net"
 	"net/rpc"
-	"sync/atomic"
 	"time"
 
 	"jayfold.dev/jayfold/internal/core/event"
@@ -40,7 +39,7 @@
 		}
 		go func() {
 			defer m.removeInbound(conn)
-			server.ServeConn(&inboundConn{Conn: countingConn{conn, &m.sent, &m.received}})
+			server.ServeConn(newInboundConn(countingConn{conn, &m.sent, &m.received}))
 		}()
 	}
 }
@@ -78,28 +77,20 @@
 	return nil
 }
 
-// inboundConn is a connection that a peer has opened. It limits the bytes read between two replies, so that an oversized message
-// ends the connection before it takes memory, and it has an idle timeout.
+// inboundConn is a connection that a peer has opened. It has an idle timeout, and limits the bytes read between two replies, so that
+// an oversized message ends the connection before it takes memory.
 type inboundConn struct {
-	net.Conn
-	readSinceReply atomic.Int64
+	*boundedConn
+}
+
+func newInboundConn(conn net.Conn) inboundConn {
+	return inboundConn{newBoundedConn(conn, contentLimit+framingLimit)}
 }
 
 // Read implements io.Reader.
-func (c *inboundConn) Read(p []byte) (int, error) {
-	if c.readSinceReply.Load() > contentLimit+framingLimit {
-		return 0, errTooLarge
-	}
+func (c inboundConn) Read(p []byte) (int, error) {
 	if err := c.SetReadDeadline(time.Now().Add(inboundIdleTimeout)); err != nil {
 		return 0, err
 	}
-	n, err := c.Conn.Read(p)
-	c.readSinceReply.Add(int64(n))
-	return n, err
-}
-
-// Write implements io.Writer.
-func (c *inboundConn) Write(p []byte) (int, error) {
-	c.readSinceReply.Store(0)
-	return c.Conn.Write(p)
+	return c.boundedConn.Read(p)
 }
--- a/internal/process/node/serve.go
+++ b/internal/process/node/serve.go
@@ -23,6 +23,9 @@
 // target's whole request must arrive within it.
 const headerReadTimeout = 5 * time.Second
 
+// maxHeadBytes bounds the headers of such a request.
+const maxHeadBytes = 64 << 10
+
 // serveParams are the components of a node that serve starts and stops.
 type serveParams struct {
 	fx.In
@@ -51,8 +54,9 @@
 func serve(hooks fx.Lifecycle, s serveParams) {
 	ctx, cancel := context.WithCancel(context.Background())
 	forward := peer.NewForwardServer(s.Sidecar)
-	targets := &http.Server{Handler: s.Targets, ReadHeaderTimeout: headerReadTimeout, ReadTimeout: headerReadTimeout}
-	operators := &http.Server{Handler: s.Operator.Handler(), ReadHeaderTimeout: headerReadTimeout}
+	targets := newServer(s.Targets)
+	targets.ReadTimeout = headerReadTimeout
+	operators := newServer(s.Operator.Handler())
 	listeners := []listener{
 		{s.Settings.Listen.Callers, s.Callers.Serve},
 		{s.Settings.Listen.Targets, targets.Serve},
@@ -60,7 +64,7 @@
 		{s.Settings.Listen.Forward, forward.Serve},
 		{s.Settings.Listen.Operators, operators.Serve},
 	}
-	ready := &http.Server{Handler: http.HandlerFunc(s.Callers.ServeReady), ReadHeaderTimeout: headerReadTimeout}
+	ready := newServer(http.HandlerFunc(s.Callers.ServeReady))
 	if s.Settings.Listen.Ready.IsValid() {
 		listeners = append(listeners, listener{s.Settings.Listen.Ready, ready.Serve})
 	}
@@ -95,6 +99,10 @@
 	})
 }
 
+func newServer(handler http.Handler) *http.Server {
+	return &http.Server{Handler: handler, ReadHeaderTimeout: headerReadTimeout, MaxHeaderBytes: maxHeadBytes}
+}
+
 // forwardDrainTimeout bounds the wait for responses that are still being sent to other nodes when drain has returned. Runs
 // that have not ended by then have exceeded the stop grace.
 const forwardDrainTimeout = 100 * time.Millisecond
