platform: one object that does not decode hides no other

Callers would see: a node without a member list, or without changes of the configuration, for as long as another writer's odd object is there; after a restart it knows only its own target. Cause: a page of a list, or the events of a watch, were decoded as a whole. One object that is nested beyond 10,000, has a negative revision or one of 1e40, a name of another type, or is no object, made the whole page fail.

--- a/internal/edge/platform/member.go
+++ b/internal/edge/platform/member.go
@@ -72,7 +72,11 @@
 func (c *Client) decodeMembers(listed []Object) []fleet.Member {
 	members := make([]fleet.Member, 0, len(listed))
 	for _, o := range listed {
-		m, err := decodeMember(strings.TrimPrefix(o.Key, memberPrefix), o.Value)
+		var m fleet.Member
+		err := o.Err
+		if err == nil {
+			m, err = decodeMember(strings.TrimPrefix(o.Key, memberPrefix), o.Value)
+		}
 		if err != nil {
 			c.observe(effect.WriteLog{Level: effect.Warn, Component: "platform", Message: "member record skipped", Fields: []effect.LogField{
 				{Name: "Key", Value: o.Key},
--- a/internal/edge/platform/objectapi.go
+++ b/internal/edge/platform/objectapi.go
@@ -126,7 +126,7 @@
 	}
 	listed := make([]Object, 0, len(wire.Objects))
 	for _, w := range wire.Objects {
-		listed = append(listed, Object(w))
+		listed = append(listed, Object{Key: w.Key, Version: w.Version, Value: w.Value})
 	}
 	return listed, nil
 }
--- a/internal/edge/platform/store.go
+++ b/internal/edge/platform/store.go
@@ -27,6 +27,8 @@
 	Key     string
 	Version uint64
 	Value   []byte
+	// Err is the reason why an object of a list could not be read. Its other fields may then be missing.
+	Err error
 }
 
 // WatchOptions are the options of Store.Watch.
