--- a/internal/edge/platform/objectapi.go
+++ b/internal/edge/platform/objectapi.go
@@ -17,8 +17,8 @@
 const (
 	// maxObjectBytes bounds a response with one object. The platform's limit for a value is 1 MB.
 	maxObjectBytes = 2 << 20
-	// maxListBytes bounds a list response. It exceeds the size of 540 member records of 14 targets each.
-	maxListBytes = 32 << 20
+	// maxListBytes bounds a list response. 540 member records of 14 targets each take 1 MB, and a node has 64 MB of memory.
+	maxListBytes = 8 << 20
 )
 
 // NewStore returns a Store that calls jayfold's own object API. base is the URL of the platform without a path.
--- a/internal/edge/platform/transport.go
+++ b/internal/edge/platform/transport.go
@@ -14,8 +14,12 @@
 // it would miss the changes of that time.
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
 
-// NewTransport returns a transport for calls to the platform that detects dead connections.
+// maxHeadBytes bounds the status line and headers of a response. The default of net/http, 10 MB, takes several times as much memory
+// while it is read.
+const maxHeadBytes = 64 << 10
+
+// NewTransport returns a transport for calls to the platform that detects dead connections and heads without end.
 func NewTransport() *http.Transport {
 	dialer := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive}
-	return &http.Transport{DialContext: dialer.DialContext, DisableCompression: true}
+	return &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes}
 }
