edge/target: a heartbeat whose process starts in the future is refused

Callers would see: requests of a service refused for up to 30 s, and the endpoint's requests lost, while its host follows a heartbeat of another writer. Cause: heartbeats are ordered by the start of their process, and a start of any size was accepted. One in the future made all later heartbeats of the name, or of the address, count as out of order. Change: the start may be at most one hour ahead of the node's clock.

--- a/internal/edge/target/doc.go
+++ b/internal/edge/target/doc.go
@@ -3,7 +3,9 @@
 //
 // # Usage
 //
-//	server := target.NewServer(target.NewHeartbeatAPI(), host, target.Seams{Post: loop.Post, KnownPool: knownPool})
+//	server := target.NewServer(target.NewHeartbeatAPI(), host, target.Seams{
+//		Now: time.Now, Post: loop.Post, KnownPool: knownPool,
+//	})
 //	go http.Serve(listener, server)
 //
 //	client := target.NewClient(target.NewProtocol(), target.NewDial(), time.Now)
--- a/internal/edge/target/heartbeat.go
+++ b/internal/edge/target/heartbeat.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/netip"
 	"regexp"
+	"time"
 
 	"jayfold.dev/jayfold/internal/core/fleet"
 )
@@ -14,6 +15,9 @@
 const (
 	maxSlots       = 1024
 	maxConnections = 65535
+	// maxClockDifference is how far the clock of a target may be ahead of that of the node. Heartbeats are ordered by the start of
+	// their process, so that one with a start far in the future would hide all that follow.
+	maxClockDifference = time.Hour
 	// maxInstanceBytes bounds the length of fleet.Heartbeat.Instance.
 	maxInstanceBytes = 128
 )
@@ -86,6 +90,7 @@
 	check(h.Slots >= 1 && h.Slots <= maxSlots, "Slots: %d is not in 1..%d", h.Slots, maxSlots)
 	check(h.Connections >= 1 && h.Connections <= maxConnections,
 		"Connections: %d is not in 1..%d", h.Connections, maxConnections)
+	check(!h.Started.After(s.seams.Now().Add(maxClockDifference)), "the process starts in the future, at %s", h.Started)
 	return problems
 }
 
--- a/internal/edge/target/heartbeat_test.go
+++ b/internal/edge/target/heartbeat_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"net/netip"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -18,7 +19,7 @@
 	f.Add([]byte(`{"Slots": 1e9}`))
 	f.Add([]byte(`[`))
 	host := netip.MustParseAddr("127.0.0.1")
-	server := NewServer(NewHeartbeatAPI(), host, Seams{KnownPool: func(fleet.PoolName) bool { return true }})
+	server := NewServer(NewHeartbeatAPI(), host, Seams{Now: time.Now, KnownPool: func(fleet.PoolName) bool { return true }})
 	f.Fuzz(func(t *testing.T, body []byte) {
 		h, problems, err := decodeHeartbeat("t", bytes.NewReader(body))
 		if err != nil || len(problems) > 0 || len(server.validate(h)) > 0 {
--- a/internal/edge/target/server.go
+++ b/internal/edge/target/server.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"time"
 
 	"github.com/gorilla/mux"
 
@@ -34,6 +35,7 @@
 
 // Seams are the external dependencies of a Server.
 type Seams struct {
+	Now  func() time.Time
 	Post func(event.Body)
 	// KnownPool reports whether the tables in force contain a pool.
 	KnownPool func(fleet.PoolName) bool
--- a/internal/edge/target/server_test.go
+++ b/internal/edge/target/server_test.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -21,6 +22,7 @@
 func serveRequest(method, path, body string) (*httptest.ResponseRecorder, []event.Body) {
 	var posted []event.Body
 	server := target.NewServer(target.NewHeartbeatAPI(), netip.MustParseAddr("10.0.0.7"), target.Seams{
+		Now:       time.Now,
 		Post:      func(b event.Body) { posted = append(posted, b) },
 		KnownPool: func(name fleet.PoolName) bool { return name == "catalogue" },
 	})
--- a/internal/process/node/app.go
+++ b/internal/process/node/app.go
@@ -120,7 +120,7 @@
 }
 
 func newTargetServer(s settings.Settings, seams Seams, loop *control.Loop, d *dispatcher) *target.Server {
-	return target.NewServer(seams.Heartbeats, s.Host, target.Seams{Post: loop.Post, KnownPool: d.knownPool})
+	return target.NewServer(seams.Heartbeats, s.Host, target.Seams{Now: time.Now, Post: loop.Post, KnownPool: d.knownPool})
 }
 
 func newTargetClient(seams Seams) *target.Client {
