edge/platform: a member record that no node can have written is skipped

Callers would see: a node that starts slowly, because it contacts an address that does not exist, or one whose peers ignore it, because it counts its incarnation on from the largest number to 0. Cause: records on the platform were decoded, but their values not checked: ports, addresses, the largest incarnation and sequence number, slots without bound. Change: such a record is logged and skipped, as one that does not decode.

--- a/internal/edge/platform/client_test.go
+++ b/internal/edge/platform/client_test.go
@@ -282,6 +282,36 @@
 	})
 }
 
+// TestOddMemberRecordIsSkipped guards against a member record of another writer that hides the others, or that a node takes over
+// although no process can have written it: an incarnation near the largest number would make a restarted node start again at 0.
+func TestOddMemberRecordIsSkipped(t *testing.T) {
+	const good = `{"Node": "n2", "PeerAddress": "10.0.0.2:70", "ForwardAddress": "10.0.0.2:71", "Incarnation": 5, "Status": "Alive"}`
+	for name, c := range map[string]struct{ old, odd string }{
+		"a port out of range":        {"10.0.0.2:70", "10.0.0.2:70000"},
+		"port 0":                     {"10.0.0.2:71", "10.0.0.2:0"},
+		"a host name":                {"10.0.0.2:70", "somewhere:70"},
+		"the largest incarnation":    {`"Incarnation": 5`, `"Incarnation": 18446744073709551615`},
+		"an incarnation of 1e40":     {`"Incarnation": 5`, `"Incarnation": 1e40`},
+		"the largest sequence":       {`"Incarnation": 5`, `"Incarnation": 5, "Sequence": 18446744073709551615`},
+		"nested too deeply":          {`"Alive"`, strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000)},
+		"more slots than any target": {`"Alive"`, `"Alive", "Targets": [{"ID": "n2/t", "Pool": "p", "State": "Ready", "Slots": 2000000000}]`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(t)
+			h.putObject(t, "members/n1", strings.ReplaceAll(good, "n2", "n1"))
+			h.putObject(t, "members/n2", strings.Replace(good, c.old, c.odd, 1))
+			h.putObject(t, "members/n3", strings.ReplaceAll(good, "n2", "n3"))
+			h.client.ListMembers(effect.ListMembers{})
+			listed, ok := h.nextEvent(t).(event.MembersListed)
+			is.True(ok)
+			is.Equal(len(listed.Members), 2)
+			is.Equal(len(h.logged), 1)
+			is.Equal((<-h.logged).(effect.WriteLog).Message, "member record skipped")
+		})
+	}
+}
+
 // TestClaims guards against an order that runs on two nodes, and against a claim that remains after its order did not run.
 func TestClaims(t *testing.T) {
 	claim := func(t *testing.T, h harness, attempt fleet.AttemptID) fleet.ClaimResult {
--- a/internal/edge/platform/member.go
+++ b/internal/edge/platform/member.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
@@ -46,6 +47,14 @@
 	targetStates = []fleet.TargetState{fleet.TargetReady, fleet.TargetDraining}
 )
 
+const (
+	// maxVersion bounds the incarnation and the sequence number of a record. A start time in milliseconds is far below it, and a
+	// node that finds an earlier record of its own can still count on from there.
+	maxVersion = 1 << 53
+	// maxSlots is the limit for the slots in a heartbeat.
+	maxSlots = 1024
+)
+
 func encodeMember(m fleet.Member) []byte {
 	wire := wireMember{
 		Node:             m.Node,
@@ -97,6 +106,9 @@
 	if string(wire.Node) != node || node == "" {
 		return fleet.Member{}, fmt.Errorf("the member record is of node %q; want %q", wire.Node, node)
 	}
+	if err := wire.check(); err != nil {
+		return fleet.Member{}, err
+	}
 	status, err := parseName("status", wire.Status, statuses)
 	if err != nil {
 		return fleet.Member{}, err
@@ -128,6 +140,22 @@
 	return m, nil
 }
 
+// check returns an error if the record has a value that no node writes. Other programs can write to the platform too.
+func (w wireMember) check() error {
+	for _, address := range []string{w.PeerAddress, w.ForwardAddress} {
+		if address == "" {
+			continue
+		}
+		if parsed, err := netip.ParseAddrPort(address); err != nil || parsed.Port() == 0 {
+			return fmt.Errorf("%q is not an IP address and port", address)
+		}
+	}
+	if w.Incarnation > maxVersion || w.Sequence > maxVersion {
+		return fmt.Errorf("incarnation %d and sequence number %d are not at most %d", w.Incarnation, w.Sequence, uint64(maxVersion))
+	}
+	return nil
+}
+
 func decodeTarget(node fleet.NodeID, w wireTarget) (fleet.Target, error) {
 	if w.ID.Node() != node {
 		return fleet.Target{}, fmt.Errorf("target %q does not belong to node %q", w.ID, node)
@@ -136,8 +164,8 @@
 	if err != nil {
 		return fleet.Target{}, err
 	}
-	if w.Slots < 0 {
-		return fleet.Target{}, fmt.Errorf("target %q has %d slots", w.ID, w.Slots)
+	if w.Slots < 0 || w.Slots > maxSlots {
+		return fleet.Target{}, fmt.Errorf("target %q has %d slots; want 0 to %d", w.ID, w.Slots, maxSlots)
 	}
 	return fleet.Target{ID: w.ID, Pool: w.Pool, State: state, Slots: w.Slots, Ejected: w.Ejected}, nil
 }
