edge/target: an earlier refusal, written once more, is not taken for that of a later request

Callers saw in reports of other operators: 'not run, try again' for requests that a target had run or was running, or such a request run by a second target. Cause: a response on a kept connection counted as that of the present request if it had no id, or the same id; the caller's id is the same in all attempts at a request. A refusal then gave the verdict NotRun. Evidence: eight of ten subtests of TestRefusalWrittenTwice failed before. Change: the connection is closed after a refusal; a request that its target has refused before gets a new connection; a response without an id on a connection that has carried another one belongs to no request. Result: the test passes. The cost is a new connection, 1 ms, after each refusal.

--- a/internal/edge/target/client.go
+++ b/internal/edge/target/client.go
@@ -61,19 +61,24 @@
 		return nil, fleet.NewProblem(fleet.DeadlinePassed, fleet.NotRun, "the deadline passed before the attempt started")
 	}
 	ctx, cancel := context.WithTimeout(ctx, remaining)
-	conn, err := c.endpoint(run).acquire(ctx, run.Attempt.Idempotent)
+	endpoint, id := c.endpoint(run), run.Attempt.ID.Request()
+	conn, err := endpoint.acquire(ctx, id, run.Attempt.Idempotent)
 	if err != nil {
 		cancel()
 		return nil, problemOf(err, fleet.NotRun)
 	}
 	e := newExchange(ctx, cancel, conn)
-	isMismatched := func(r *http.Response) bool { return c.protocol.IsMismatched(run, r) }
+	isMismatched := func(r *http.Response, reused bool) bool { return c.protocol.IsMismatched(run, r, reused) }
 	response, err := e.roundTrip(c.outgoingRequest(ctx, run, request), isMismatched)
 	if err != nil {
 		return nil, problemOf(err, e.abort())
 	}
 	if problem, ok := c.protocol.CheckResponse(run, response).Get(); ok {
-		e.discard(response)
+		// A faulty target may write a refusal once more, where it would count as the response to a later attempt.
+		e.end(false)
+		if problem.Verdict == fleet.NotRun {
+			endpoint.addRefused(id)
+		}
 		return nil, problem
 	}
 	return response, nil
--- a/internal/edge/target/endpoint.go
+++ b/internal/edge/target/endpoint.go
@@ -8,6 +8,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"jayfold.dev/jayfold/internal/core/fleet"
 )
 
 const (
@@ -19,6 +21,8 @@
 	defaultIdleLimit = 4 * time.Second
 	// idleMargin is subtracted from the target's Keep-Alive timeout, which has a resolution of 1 s.
 	idleMargin = time.Second
+	// maxRefused bounds the refused requests that are remembered. An attempt at the same request follows within seconds, if at all.
+	maxRefused = 64
 	// readBufferBytes is enough for the headers of a typical response.
 	readBufferBytes = 4 << 10
 )
@@ -40,6 +44,8 @@
 	// idle holds the connections without a request, the most recently used last.
 	idle   []*conn
 	closed bool
+	// refused holds the requests that the target has refused last, the oldest first.
+	refused []fleet.RequestID
 }
 
 // conn is a connection to a target. It carries one request at a time.
@@ -58,18 +64,18 @@
 	return &endpoint{key: key, dial: dial, now: now, semaphore: make(chan struct{}, max(key.connections, 1))}
 }
 
-// acquire returns a connection for one request and reuses an idle one if that is safe.
-func (e *endpoint) acquire(ctx context.Context, idempotent bool) (*conn, error) {
+// acquire returns a connection for one request and reuses an idle one if that is safe. A request that the target has refused before
+// gets a new one: on another, a faulty target may write the earlier refusal once more, and it has the same request id.
+func (e *endpoint) acquire(ctx context.Context, id fleet.RequestID, idempotent bool) (*conn, error) {
 	select {
 	case e.semaphore <- struct{}{}:
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
-	for c := e.popIdle(); c != nil; c = e.popIdle() {
-		if c.usable(e.now(), idempotent) {
+	if !e.hasRefused(id) {
+		if c := e.popUsable(idempotent); c != nil {
 			return c, nil
 		}
-		_ = c.Close()
 	}
 	opened, err := e.dial(ctx, "tcp", e.key.address)
 	if err != nil {
@@ -83,6 +89,17 @@
 	return &conn{Conn: opened, reader: bufio.NewReaderSize(head, readBufferBytes), head: head, endpoint: e}, nil
 }
 
+// popUsable removes and returns an idle connection on which a request may be sent. It closes those on which none may be sent.
+func (e *endpoint) popUsable(idempotent bool) *conn {
+	for c := e.popIdle(); c != nil; c = e.popIdle() {
+		if c.usable(e.now(), idempotent) {
+			return c
+		}
+		_ = c.Close()
+	}
+	return nil
+}
+
 // popIdle removes and returns the most recently used idle connection, which is the least likely to be stale.
 func (e *endpoint) popIdle() *conn {
 	e.mu.Lock()
@@ -117,6 +134,20 @@
 	})
 }
 
+// addRefused remembers a request that the target has refused.
+func (e *endpoint) addRefused(id fleet.RequestID) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.refused = append(e.refused, id)
+	e.refused = e.refused[max(0, len(e.refused)-maxRefused):]
+}
+
+func (e *endpoint) hasRefused(id fleet.RequestID) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Contains(e.refused, id)
+}
+
 // close closes the idle connections at once, and each of the others when its response ends.
 func (e *endpoint) close() {
 	e.mu.Lock()
--- a/internal/edge/target/exchange.go
+++ b/internal/edge/target/exchange.go
@@ -16,7 +16,7 @@
 const (
 	// maxMismatchedResponses is the number of mismatched responses after which the connection is closed and the request fails.
 	maxMismatchedResponses = 4
-	// maxDiscardedBytes bounds what is read of an unused response body so that its connection can be reused.
+	// maxDiscardedBytes bounds what is read of the body of a mismatched response to get to the next response.
 	maxDiscardedBytes = 64 << 10
 	// maxBufferedBodyBytes is the size of a body that fits in the buffers of a connection, so that writing it never blocks.
 	maxBufferedBodyBytes = 2 << 10
@@ -50,7 +50,10 @@
 
 // roundTrip writes the request and reads the headers of its response, which may arrive before the request is written. It
 // skips the responses for which isMismatched returns true.
-func (e *exchange) roundTrip(request *http.Request, isMismatched func(*http.Response) bool) (*http.Response, error) {
+func (e *exchange) roundTrip(
+	request *http.Request, isMismatched func(response *http.Response, reused bool) bool,
+) (*http.Response, error) {
+	reused := !e.conn.lastResponse.IsZero()
 	if request.ContentLength >= 0 && request.ContentLength <= maxBufferedBodyBytes {
 		e.write(request)
 	} else {
@@ -61,7 +64,7 @@
 		if err != nil {
 			return nil, e.contextErrorOr(err)
 		}
-		if !isMismatched(response) {
+		if !isMismatched(response, reused) {
 			e.conn.keepAlive = parseKeepAlive(response.Header)
 			response.Body = &responseBody{exchange: e, response: response, body: response.Body}
 			return response, nil
@@ -69,6 +72,7 @@
 		if !drain(response.Body) || response.Close {
 			return nil, errMismatched
 		}
+		reused = true
 	}
 	return nil, errMismatched
 }
@@ -130,12 +134,6 @@
 	return verdict
 }
 
-// discard discards the body of an unused response.
-func (e *exchange) discard(response *http.Response) {
-	drain(response.Body)
-	_ = response.Body.Close()
-}
-
 // drain reads up to maxDiscardedBytes of a body and reports whether it reached the end of the body.
 func drain(body io.Reader) bool {
 	_, err := io.CopyN(io.Discard, body, maxDiscardedBytes)
--- a/internal/edge/target/protocol.go
+++ b/internal/edge/target/protocol.go
@@ -13,10 +13,11 @@
 type Protocol struct {
 	// SetHeaders sets the headers of a request to a target, after the hop-by-hop headers have been removed.
 	SetHeaders func(header http.Header, run effect.StartRun, remaining time.Duration)
-	// IsMismatched reports whether a response belongs to a request other than the one that was sent for the run.
-	IsMismatched func(run effect.StartRun, response *http.Response) bool
+	// IsMismatched reports whether a response belongs to a request other than the one that was sent for the run. reused is true if
+	// the connection has carried another response before, which a faulty target may write once more.
+	IsMismatched func(run effect.StartRun, response *http.Response, reused bool) bool
 	// CheckResponse returns the problem of a response that must not be passed on, such as one from a target that sheds the
-	// request.
+	// request. The connection is closed after such a response.
 	CheckResponse func(run effect.StartRun, response *http.Response) fleet.Option[fleet.Problem]
 }
 
@@ -24,7 +25,7 @@
 func NewProtocol() Protocol {
 	return Protocol{
 		SetHeaders:   setHeaders,
-		IsMismatched: func(effect.StartRun, *http.Response) bool { return false },
+		IsMismatched: func(effect.StartRun, *http.Response, bool) bool { return false },
 		CheckResponse: func(effect.StartRun, *http.Response) fleet.Option[fleet.Problem] {
 			return fleet.Option[fleet.Problem]{}
 		},
