edge/caller: a bound on the bodies of all requests together

Callers would see: a node that ends, with all its requests, once a caller sends bytes without end, or a few send large bodies. The limit of one body is 64 MiB on the users' platform, a host there has 184 to 284 MB, and a body is in memory until its request ends. Cause: each body had a limit, all of them together had none. Evidence: with a bound of 1 GB in its place the body that could never be held is accepted, and the second of several bodies waits beside the first until the test times out. Change: Limits.MaxBufferedBytes, 32 MiB by default. A body that can never be held is refused at once with 413, one that finds no room with 503 and NotRun. The fake reducer of the tests answers the request that was sent, so that several can be in flight.

--- /dev/null
+++ b/internal/edge/caller/body_memory.go
@@ -0,0 +1,50 @@
+package caller
+
+import (
+	"io"
+	"sync/atomic"
+	"time"
+
+	"jayfold.dev/jayfold/internal/core/fleet"
+)
+
+// bodiesFullRetryAfter is the delay in the refusal of a request whose body finds no memory. Bodies are held until their requests end.
+const bodiesFullRetryAfter = time.Second
+
+var (
+	errBodiesFull = fleet.NewProblem(fleet.Overloaded, fleet.NotRun, "the bodies of other requests fill the memory for them").
+			WithRetryAfter(bodiesFullRetryAfter)
+	errBodyTooLarge = fleet.NewProblem(fleet.TooLarge, fleet.NotRun, "the body exceeds the size limit")
+)
+
+// bodyMemory bounds the bytes of all request bodies that the server holds. A body is held until its request ends, since another attempt
+// may need it.
+type bodyMemory struct {
+	limit int64
+	used  atomic.Int64
+}
+
+func newBodyMemory(limit int64) *bodyMemory { return &bodyMemory{limit: limit} }
+
+// heldBody is the part of one request.
+type heldBody struct {
+	memory *bodyMemory
+	source io.Reader
+	bytes  int64
+}
+
+// Read implements io.Reader. The error is a fleet.Problem if there is no memory for further bytes.
+func (b *heldBody) Read(p []byte) (int, error) {
+	n, err := b.source.Read(p)
+	b.bytes += int64(n)
+	if used := b.memory.used.Add(int64(n)); used <= b.memory.limit {
+		return n, err
+	}
+	if b.bytes > b.memory.limit {
+		return n, errBodyTooLarge
+	}
+	return n, errBodiesFull
+}
+
+// release frees the memory of the body.
+func (b *heldBody) release() { b.memory.used.Add(-b.bytes) }
--- a/internal/edge/caller/exchange.go
+++ b/internal/edge/caller/exchange.go
@@ -41,7 +41,9 @@
 
 // serve handles the requests of callers.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
-	body, err := s.readBody(w, r)
+	held := &heldBody{memory: s.bodies}
+	defer held.release()
+	body, err := s.readBody(w, r, held)
 	if err != nil {
 		s.protocol.Refuse(w, s.seams.NewRequestID(), problemOf(err))
 		return
--- a/internal/edge/caller/request.go
+++ b/internal/edge/caller/request.go
@@ -31,21 +31,28 @@
 // RandomRequestID returns a request id with at least 128 random bits.
 func RandomRequestID() fleet.RequestID { return fleet.RequestID(rand.Text()) }
 
-// readBody reads the whole body of a request. It returns a problem if the headers, the body or the time exceed their limit.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+// readBody reads the whole body of a request into held. It returns a problem if the headers, the body or the time exceed their limit.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, held *heldBody) ([]byte, error) {
 	limits := s.limits()
 	if headerBytes(r.Header) > limits.HeaderBytes {
 		return nil, errHeadersTooLarge
 	}
+	if r.ContentLength > min(limits.BodyBytes, s.bodies.limit) {
+		return nil, errBodyTooLarge
+	}
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(s.bodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limits.BodyBytes))
+	held.source = http.MaxBytesReader(w, r.Body, limits.BodyBytes)
+	body, err := io.ReadAll(held)
 	if err == nil {
 		_ = control.SetReadDeadline(time.Time{})
 		return body, nil
 	}
+	if _, ok := errors.AsType[fleet.Problem](err); ok {
+		return nil, err
+	}
 	if _, tooLarge := errors.AsType[*http.MaxBytesError](err); tooLarge {
-		return nil, fleet.NewProblem(fleet.TooLarge, fleet.NotRun, "the body exceeds the size limit")
+		return nil, errBodyTooLarge
 	}
 	detail := "reading the body: " + err.Error()
 	if errors.Is(err, os.ErrDeadlineExceeded) {
--- a/internal/edge/caller/server.go
+++ b/internal/edge/caller/server.go
@@ -2,7 +2,9 @@
 //
 // # Usage
 //
-//	settings := caller.Settings{Protocol: caller.NewProtocol(), Limits: limits, BodyTimeout: 30 * time.Second}
+//	settings := caller.Settings{
+//		Protocol: caller.NewProtocol(), Limits: limits, BodyTimeout: 30 * time.Second, BufferedBytes: 32 << 20,
+//	}
 //	server := caller.New(settings, caller.Seams{
 //		Now: time.Now, NewRequestID: caller.RandomRequestID, Post: loop.Post, Forward: forwarder.Forward,
 //	})
@@ -47,6 +49,9 @@
 	Limits fleet.Limits
 	// BodyTimeout is the time within which the body of a request must arrive.
 	BodyTimeout time.Duration
+	// BufferedBytes is the maximum number of bytes of the bodies of all requests in progress. A larger body is refused whatever its own
+	// limit is.
+	BufferedBytes int64
 }
 
 // Seams are the external dependencies of a Server.
@@ -64,6 +69,7 @@
 type Server struct {
 	protocol    Protocol
 	bodyTimeout time.Duration
+	bodies      *bodyMemory
 	seams       Seams
 	http        *http.Server
 	// ready is true if callers should use this node. leaving is true if the node is about to stop.
@@ -83,6 +89,7 @@
 	s := &Server{
 		protocol:    settings.Protocol,
 		bodyTimeout: settings.BodyTimeout,
+		bodies:      newBodyMemory(settings.BufferedBytes),
 		seams:       seams,
 		effects:     make(map[fleet.RequestID]chan effect.Effect),
 	}
--- a/internal/edge/caller/server_test.go
+++ b/internal/edge/caller/server_test.go
@@ -44,7 +44,7 @@
 	settings := Settings{
 		Protocol:    NewProtocol(),
 		Limits:      fleet.Limits{HeaderBytes: 4 << 10, BodyBytes: 100, HeaderTimeout: time.Second},
-		BodyTimeout: 300 * time.Millisecond,
+		BodyTimeout: 300 * time.Millisecond, BufferedBytes: 1 << 20,
 	}
 	ts.server = New(settings, Seams{
 		Now:          time.Now,
@@ -93,11 +93,12 @@
 	case event.RequestArrived:
 		s.ForwardAttempt(effect.ForwardAttempt{Attempt: fleet.Attempt{ID: fleet.NewAttemptID(body.Request.ID, 1)}})
 	case event.AttemptFinished:
+		request := body.Attempt.Request()
 		if problem, failed := body.Outcome.Problem.Get(); failed {
-			s.RefuseRequest(effect.RefuseRequest{Request: testID, Problem: problem})
+			s.RefuseRequest(effect.RefuseRequest{Request: request, Problem: problem})
 			return
 		}
-		s.RelayResponse(effect.RelayResponse{Request: testID, Attempt: body.Attempt})
+		s.RelayResponse(effect.RelayResponse{Request: request, Attempt: body.Attempt})
 	}
 }
 
--- a/internal/lab/testbed/testbed.go
+++ b/internal/lab/testbed/testbed.go
@@ -169,10 +169,11 @@
 			Operators: addresses[4],
 		},
 		Limits: settings.Limits{
-			MaxBodyBytes:   1 << 20,
-			MaxHeaderBytes: 64 << 10,
-			HeaderTimeout:  5 * time.Second,
-			BodyTimeout:    30 * time.Second,
+			MaxBodyBytes:     1 << 20,
+			MaxHeaderBytes:   64 << 10,
+			MaxBufferedBytes: 32 << 20,
+			HeaderTimeout:    5 * time.Second,
+			BodyTimeout:      30 * time.Second,
 		},
 	}}
 	n.app = node.New(n.Settings, node.NewSeams(n.Settings, s.Log))
--- a/internal/process/node/app.go
+++ b/internal/process/node/app.go
@@ -93,7 +93,10 @@
 }
 
 func newCallers(s settings.Settings, seams Seams, loop *control.Loop, forwarder *peer.Forwarder) *caller.Server {
-	settings := caller.Settings{Protocol: seams.Callers, Limits: s.Reloadable().Limits, BodyTimeout: s.Limits.BodyTimeout}
+	settings := caller.Settings{
+		Protocol: seams.Callers, Limits: s.Reloadable().Limits, BodyTimeout: s.Limits.BodyTimeout,
+		BufferedBytes: s.Limits.MaxBufferedBytes,
+	}
 	return caller.New(settings, caller.Seams{
 		Now:          time.Now,
 		NewRequestID: caller.RandomRequestID,
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -84,11 +84,13 @@
 	Forward netip.AddrPort
 }
 
-// Limits are the limits for one request of a caller.
+// Limits are the limits for the requests of callers.
 type Limits struct {
 	// MaxBodyBytes and MaxHeaderBytes bound the sizes of a request's body and headers.
 	MaxBodyBytes   int64
 	MaxHeaderBytes int
+	// MaxBufferedBytes bounds the bodies of all requests in progress together. A body is in memory until its request ends.
+	MaxBufferedBytes int64
 	// HeaderTimeout and BodyTimeout are the limits for receiving a request's headers and body.
 	HeaderTimeout time.Duration
 	BodyTimeout   time.Duration
@@ -103,10 +105,11 @@
 		// Covers the longest deadline of a route and the time until callers notice that the node is leaving.
 		StopGrace: node.DefaultSettings().StopGrace,
 		Limits: Limits{
-			MaxBodyBytes:   1 << 20,
-			MaxHeaderBytes: 64 << 10,
-			HeaderTimeout:  5 * time.Second,
-			BodyTimeout:    30 * time.Second,
+			MaxBodyBytes:     1 << 20,
+			MaxHeaderBytes:   64 << 10,
+			MaxBufferedBytes: 32 << 20,
+			HeaderTimeout:    5 * time.Second,
+			BodyTimeout:      30 * time.Second,
 		},
 	}
 }
