edge/peer: the timer that verifies a connection ends with its request

Callers would see: nothing at first; a node that runs for long spends processor time on timers of requests that have ended. Evidence: TestMonitorStopsDuringCheck failed before. Change: a stopped monitor does not set its timer. Result: the test passes.

--- a/internal/edge/peer/forward_fault_test.go
+++ b/internal/edge/peer/forward_fault_test.go
@@ -475,3 +475,28 @@
 	}()
 	return listener.Addr().String()
 }
+
+// TestMonitorStopsDuringCheck guards against the timer of a request that ends while its connection is being checked, which then fires
+// until the process ends.
+func TestMonitorStopsDuringCheck(t *testing.T) {
+	var checks atomic.Int64
+	checking, proceed := make(chan struct{}), make(chan struct{})
+	started := time.Now()
+	f := NewForwarder("a", ForwarderSeams{Now: func() time.Time {
+		if checks.Add(1) == 1 {
+			close(checking)
+			<-proceed
+		}
+		return started
+	}})
+	defer f.Close()
+	f.verifyInterval = 5 * time.Millisecond
+	c := &forwardConn{}
+	c.lastResponseNanos.Store(started.UnixNano())
+	stop := f.monitor(t.Context(), c, "b")
+	<-checking
+	stop()
+	close(proceed)
+	time.Sleep(10 * f.verifyInterval)
+	is.New(t).Equal(checks.Load(), int64(1))
+}
--- a/internal/edge/peer/forwarder.go
+++ b/internal/edge/peer/forwarder.go
@@ -167,6 +167,7 @@
 func (f *Forwarder) monitor(ctx context.Context, c *forwardConn, address string) func() {
 	var timer *time.Timer
 	var mu sync.Mutex
+	stopped := false
 	check := func() {
 		if f.seams.Now().Sub(c.lastResponse()) >= f.verifyInterval {
 			verifyCtx, cancel := context.WithTimeout(ctx, f.verifyInterval)
@@ -178,7 +179,9 @@
 		}
 		mu.Lock()
 		defer mu.Unlock()
-		timer.Reset(f.verifyInterval)
+		if !stopped {
+			timer.Reset(f.verifyInterval)
+		}
 	}
 	mu.Lock()
 	defer mu.Unlock()
@@ -186,6 +189,7 @@
 	return func() {
 		mu.Lock()
 		defer mu.Unlock()
+		stopped = true
 		timer.Stop()
 	}
 }
