--- a/internal/core/tables/logging.go
+++ b/internal/core/tables/logging.go
@@ -11,25 +11,25 @@
 // milliseconds; a request to a peer times out after a second.
 const lateAfter = time.Second
 
-// source is where the content of a revision came from.
+// source is where a node got the content of a revision.
 type source string
 
-// The sources.
+// The sources. A copy of the platform's data may lag.
 const (
-	fromPeer     source = "Peer"
-	fromPlatform source = "Platform"
-	fromCopy     source = "Copy"
+	sourcePeer     source = "Peer"
+	sourcePlatform source = "Platform"
+	sourceCopy     source = "Copy"
 )
 
 // sourceOf returns the source of a revision that has just been decoded.
 func (s State) sourceOf(r fleet.Revision) source {
 	switch {
 	case s.peerRequest.decoding == r:
-		return fromPeer
+		return sourcePeer
 	case s.fetch.fromCopy:
-		return fromCopy
+		return sourceCopy
 	default:
-		return fromPlatform
+		return sourcePlatform
 	}
 }
 
--- a/internal/edge/caller/body_memory.go
+++ b/internal/edge/caller/body_memory.go
@@ -26,7 +26,7 @@
 
 func newBodyMemory(limit int64) *bodyMemory { return &bodyMemory{limit: limit} }
 
-// heldBody is the part of one request.
+// heldBody reads the body of one request and counts its bytes as held until they are released.
 type heldBody struct {
 	memory *bodyMemory
 	source io.Reader
