edge/target: the server of TestLongHead reads the request and stays open

The stand-in of the test did not read the request and returned without closing; once the garbage collector closed its connection, the unread request made the system send a reset, which discards what the client had not read yet. Change: the stand-in reads the request and holds the connection until the client closes it. The checks are the same.

--- a/internal/edge/target/endless_test.go
+++ b/internal/edge/target/endless_test.go
@@ -1,6 +1,7 @@
 package target_test
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -74,7 +75,14 @@
 	head := "HTTP/1.1 103 Early Hints\r\nX-Hint: " + strings.Repeat("h", 10<<10) + "\r\n\r\n" +
 		"HTTP/1.1 200 OK\r\nX-Long: " + strings.Repeat("x", 40<<10) + "\r\nContent-Length: 1048576\r\n\r\n"
 	address := serveConns(t, func(conn net.Conn) {
+		defer func() { _ = conn.Close() }()
+		reader := bufio.NewReader(conn)
+		if _, err := http.ReadRequest(reader); err != nil {
+			return
+		}
 		_, _ = io.WriteString(conn, head+strings.Repeat("b", 1<<20))
+		// A connection that is closed with unread bytes is reset, which discards what the client has not read yet.
+		_, _ = io.Copy(io.Discard, reader)
 	})
 	body, err := send(t.Context(), newClient(), newRun(address, 5*time.Second), httptest.NewRequest(http.MethodGet, "/", nil))
 	is.NoErr(err)
