--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -146,7 +146,10 @@
 }
 
 var cases = map[string]func(s *site) int{
-	"nested-route": nestedRoute,
+	"nested-route":  nestedRoute,
+	"added-route":   addedRoute,
+	"late-ping":     latePing,
+	"frozen-sender": frozenSender,
 }
 
 func main() {
