--- a/review/_standin/frozen_sender.go
+++ b/review/_standin/frozen_sender.go
@@ -72,7 +72,7 @@
 	return s.judgeFloor(endpoints, answers, sender, frozen, woken)
 }
 
-// judgeFloor checks every span of floorWindow during the freeze.
+// judgeFloor checks every span of floorWindow between two times. Requests at the given node, which may be nil, do not count.
 func (s *site) judgeFloor(endpoints []*endpoint, answers map[*node][]answer, frozenNode *node, from, until time.Time) int {
 	worst := 0
 	total, servedTotal := 0, 0
@@ -105,7 +105,7 @@
 		if broke {
 			worst++
 		}
-		s.record.printf("from %.1f s after the freeze, for 2 s: %d of %d endpoints got requests; %d of %d orders at machines in touch not served (%.0f%%); broken: %v",
+		s.record.printf("from %.1f s on, for 2 s: %d of %d endpoints got requests; %d of %d orders at machines in touch not served (%.0f%%); broken: %v",
 			start.Sub(from).Seconds(), reached, len(endpoints), unserved, sent, 100*share, broke)
 	}
 	for _, list := range answers {
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -150,6 +150,7 @@
 	"added-route":   addedRoute,
 	"late-ping":     latePing,
 	"frozen-sender": frozenSender,
+	"killed-node":   killedNode,
 }
 
 func main() {
