review: cases renumbered, claims, a loopback address for each machine

Measured: two of eleven script runs could not run (exit 2), since ports were taken between choice and use; each machine now has a loopback address of its own.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Looks for a sound endpoint that gets no orders long after its node was killed and started again.
+# Looks for requests that reach an endpoint with another path or query than the client sent.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/sidecar ] && [ -x target/review-standin ] || exit 2
-exec target/review-standin killed-node review/5
+exec target/review-standin empty-query review/5
--- a/review/_standin/added_route.go
+++ b/review/_standin/added_route.go
@@ -17,7 +17,7 @@
 	for _, zone := range []string{"palermo", "catania"} {
 		for _, service := range services {
 			n := s.addNode("sidecar-"+zone+"-"+service, zone, service)
-			endpoints = append(endpoints, startEndpoint(s.record, "i-"+zone+service, service, zone, n.control, 4, 50*time.Millisecond))
+			endpoints = append(endpoints, startEndpoint(s.record, n, "i-"+zone+service, service, 4, 50*time.Millisecond))
 		}
 	}
 	s.waitReady()
--- a/review/_standin/endpoint.go
+++ b/review/_standin/endpoint.go
@@ -54,11 +54,11 @@
 // endpointQueue is the number of requests that an endpoint queues beyond its slots.
 const endpointQueue = 36
 
-func startEndpoint(rec *record, id, service, zone, control string, slots int, work time.Duration) *endpoint {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+func startEndpoint(rec *record, n *node, id, service string, slots int, work time.Duration) *endpoint {
+	listener, err := net.Listen("tcp", n.host+":0")
 	check(err)
 	e := &endpoint{
-		id: id, service: service, zone: zone, address: listener.Addr().String(), control: control, slots: slots, work: work,
+		id: id, service: service, zone: n.zone, address: listener.Addr().String(), control: n.control, slots: slots, work: work,
 		born: time.Now().UnixMilli(), record: rec, free: make(chan struct{}, slots), stop: make(chan struct{}),
 		loses: func(int64) bool { return false },
 	}
--- a/review/_standin/frozen_sender.go
+++ b/review/_standin/frozen_sender.go
@@ -22,13 +22,13 @@
 	s.store.configure(config(7, []string{orders, catalogue},
 		route("/puka111/", "non_idempotent", orders), route("/leny950/", "idempotent", catalogue)))
 	sender := s.addNode("sidecar-palermo-1", "palermo", catalogue)
-	startEndpoint(s.record, "i-sender", catalogue, "palermo", sender.control, 4, 290*time.Millisecond)
+	startEndpoint(s.record, sender, "i-sender", catalogue, 4, 290*time.Millisecond)
 	var endpoints []*endpoint
 	var others []*node
 	for _, place := range [][2]string{{"sidecar-palermo-2", "palermo"}, {"sidecar-catania-1", "catania"}, {"sidecar-catania-2", "catania"}} {
 		n := s.addNode(place[0], place[1], orders)
 		others = append(others, n)
-		endpoints = append(endpoints, startEndpoint(s.record, "i-"+place[0], orders, place[1], n.control, 4, 290*time.Millisecond))
+		endpoints = append(endpoints, startEndpoint(s.record, n, "i-"+place[0], orders, 4, 290*time.Millisecond))
 	}
 	s.waitReady()
 	time.Sleep(2*stableWindow + time.Second)
--- a/review/_standin/killed_node.go
+++ b/review/_standin/killed_node.go
@@ -14,14 +14,14 @@
 	for _, zone := range []string{"palermo", "catania"} {
 		n := s.addNode("sidecar-"+zone+"-1", zone, catalogue)
 		senders = append(senders, n)
-		startEndpoint(s.record, "i-"+zone+"-1", catalogue, zone, n.control, 4, 290*time.Millisecond)
+		startEndpoint(s.record, n, "i-"+zone+"-1", catalogue, 4, 290*time.Millisecond)
 	}
 	var endpoints []*endpoint
 	var nodes []*node
 	for _, zone := range []string{"palermo", "catania", "siracusa"} {
 		n := s.addNode("sidecar-"+zone+"-2", zone, orders)
 		nodes = append(nodes, n)
-		endpoints = append(endpoints, startEndpoint(s.record, "i-"+zone+"-2", orders, zone, n.control, 4, 290*time.Millisecond))
+		endpoints = append(endpoints, startEndpoint(s.record, n, "i-"+zone+"-2", orders, 4, 290*time.Millisecond))
 	}
 	s.waitReady()
 	time.Sleep(2*stableWindow + time.Second)
--- a/review/_standin/late_ping.go
+++ b/review/_standin/late_ping.go
@@ -20,7 +20,7 @@
 	var endpoints []*endpoint
 	for _, zone := range []string{"palermo", "catania", "siracusa"} {
 		n := s.addNode("sidecar-"+zone+"-1", zone, service)
-		endpoints = append(endpoints, startEndpoint(s.record, "i-"+zone, service, zone, n.control, 4, 290*time.Millisecond))
+		endpoints = append(endpoints, startEndpoint(s.record, n, "i-"+zone, service, 4, 290*time.Millisecond))
 	}
 	s.waitReady()
 	time.Sleep(stableWindow + time.Second)
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -98,7 +98,7 @@
 			_ = os.RemoveAll(dir)
 		}
 	})
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", hostAddress(storeHost)+":0")
 	check(err)
 	s.address = listener.Addr().String()
 	go func() { _ = http.Serve(listener, s.store) }()
@@ -108,7 +108,7 @@
 
 // addNode starts the node of a machine whose endpoint belongs to the given service.
 func (s *site) addNode(name, zone, service string) *node {
-	n := newNode(s.dir, name, zone, service, s.address)
+	n := newNode(s.dir, hostAddress(1+len(s.nodes)), name, zone, service, s.address)
 	s.nodes = append(s.nodes, n)
 	n.start()
 	return n
@@ -151,6 +151,8 @@
 	"late-ping":     latePing,
 	"frozen-sender": frozenSender,
 	"killed-node":   killedNode,
+	"soak":          soak,
+	"empty-query":   emptyQuery,
 }
 
 func main() {
--- a/review/_standin/node.go
+++ b/review/_standin/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -15,7 +16,7 @@
 
 // node is a process of the product, started with the command of the deploy file and the settings of its template.
 type node struct {
-	name, zone                        string
+	name, zone, host                  string
 	outbound, ready, control, inbound string
 	settings, log                     string
 	command                           *exec.Cmd
@@ -23,9 +24,18 @@
 
 var placeholder = regexp.MustCompile(`\{\{[A-Za-z0-9.]+\}\}`)
 
-// freePort returns a port that was free a moment ago.
-func freePort() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+// network is the first three numbers of the loopback addresses of this run. Each machine has an address of its own, so that neither another
+// run nor the outgoing connections of this machine take a port between its choice and its use.
+var network = fmt.Sprintf("127.%d.%d", 2+rand.IntN(250), rand.IntN(256))
+
+// storeHost is the last number of the store's address.
+const storeHost = 250
+
+func hostAddress(number int) string { return fmt.Sprintf("%s.%d", network, number) }
+
+// freePort returns a port of a host that was free a moment ago.
+func freePort(host string) string {
+	listener, err := net.Listen("tcp", host+":0")
 	check(err)
 	defer func() { _ = listener.Close() }()
 	_, port, err := net.SplitHostPort(listener.Addr().String())
@@ -33,16 +43,16 @@
 	return port
 }
 
-func newNode(dir, name, zone, service, platform string) *node {
-	address := func() string { return "127.0.0.1:" + freePort() }
+func newNode(dir, host, name, zone, service, platform string) *node {
+	address := func() string { return host + ":" + freePort(host) }
 	n := &node{
-		name: name, zone: zone, outbound: address(), ready: address(), control: address(), inbound: address(),
+		name: name, zone: zone, host: host, outbound: address(), ready: address(), control: address(), inbound: address(),
 		settings: filepath.Join(dir, name+".conf"), log: filepath.Join(dir, name+".log"),
 	}
 	fields := map[string]string{
-		"Node": name, "Zone": zone, "Ip": "127.0.0.1", "Service": service, "HeartbeatMs": "1500",
+		"Node": name, "Zone": zone, "Ip": host, "Service": service, "HeartbeatMs": "1500",
 		"Listen.Outbound": n.outbound, "Listen.Ready": n.ready, "Listen.Control": n.control, "Listen.Inbound": n.inbound,
-		"InternalPortRange.0": freePort(), "InternalPortRange.1": freePort(), "Platform.Address": platform,
+		"InternalPortRange.0": freePort(host), "InternalPortRange.1": freePort(host), "Platform.Address": platform,
 		"Bounds.RetryBudgetRatio": "0.2", "Bounds.RetryWindowS": "10", "Bounds.RetrySlack": "58", "Bounds.GraceS": "6",
 	}
 	template, err := os.ReadFile("platform/settings.jsonc.tmpl")
