--- a/review/_standin/node.go
+++ b/review/_standin/node.go
@@ -33,14 +33,23 @@
 
 func hostAddress(number int) string { return fmt.Sprintf("%s.%d", network, number) }
 
-// freePort returns a port of a host that was free a moment ago.
+// usedAddresses holds the addresses that freePort has returned.
+var usedAddresses = map[string]bool{}
+
+// freePort returns a port of a host that was free a moment ago. It returns each port once.
 func freePort(host string) string {
-	listener, err := net.Listen("tcp", host+":0")
-	check(err)
-	defer func() { _ = listener.Close() }()
-	_, port, err := net.SplitHostPort(listener.Addr().String())
-	check(err)
-	return port
+	for {
+		listener, err := net.Listen("tcp", host+":0")
+		check(err)
+		address := listener.Addr().String()
+		_ = listener.Close()
+		if !usedAddresses[address] {
+			usedAddresses[address] = true
+			_, port, err := net.SplitHostPort(address)
+			check(err)
+			return port
+		}
+	}
 }
 
 func newNode(dir, host, name, zone, service, platform string) *node {
