--- a/review/_standin/late_ping.go
+++ b/review/_standin/late_ping.go
@@ -14,7 +14,13 @@
 // latePing looks for requests that reach an endpoint after its leaving was acknowledged. An endpoint leaves without a report of
 // draining: it sends DELETE, serves on for a while and exits. The disruption: before that, the endpoint is partitioned from its node's
 // control for 6 s, and the pings of that time arrive late, after the DELETE.
-func latePing(s *site) int {
+func latePing(s *site) int { return playLatePing(s, false) }
+
+// latePingAfterRestart is latePing with another disruption: the node is killed and started again, the endpoint leaves before a ping has
+// reached the new process, and one ping from before arrives late.
+func latePingAfterRestart(s *site) int { return playLatePing(s, true) }
+
+func playLatePing(s *site, restart bool) int {
 	const service = "wuno96b"
 	s.store.configure(config(7, []string{service}, route("/puka111/", "non_idempotent", service)))
 	var endpoints []*endpoint
@@ -51,7 +57,24 @@
 
 	leaver := endpoints[0]
 	var late [][]byte
-	if s.trouble {
+	bound, serves := drainBound, drainBound+2*time.Second
+	switch {
+	case s.trouble && restart:
+		leaver.mu.Lock()
+		leaver.heldPings = true
+		leaver.mu.Unlock()
+		late = append(late, leaver.ping("ready"))
+		s.nodes[0].kill()
+		s.record.printf("node %s is killed; a ping of endpoint %s is held", s.nodes[0].name, leaver.id)
+		time.Sleep(time.Second)
+		s.nodes[0].start()
+		if !s.nodes[0].waitReady(5 * time.Second) {
+			return notRun
+		}
+		// The machine is in touch again stableWindow after the start.
+		bound, serves = stableWindow, stableWindow+2*time.Second
+		s.record.printf("node %s is started again and ready", s.nodes[0].name)
+	case s.trouble:
 		leaver.mu.Lock()
 		leaver.heldPings = true
 		leaver.mu.Unlock()
@@ -68,12 +91,12 @@
 	if status/100 != 2 {
 		return notRun
 	}
-	time.Sleep(500 * time.Millisecond)
+	time.Sleep(time.Second)
 	for _, body := range late {
 		s.record.printf("a late ping of endpoint %s arrives; the answer is %d: %s", leaver.id, leaver.send(http.MethodPut, body), body)
 	}
 	// It serves for DrainMs after the ack and a little longer.
-	time.Sleep(time.Until(acked.Add(drainBound + 2*time.Second)))
+	time.Sleep(time.Until(acked.Add(serves)))
 	leaver.exit()
 	s.record.printf("endpoint %s exits", leaver.id)
 	time.Sleep(3 * time.Second)
@@ -83,7 +106,7 @@
 	after := 0
 	lost := map[string]bool{}
 	for _, a := range leaver.seen() {
-		if a.at.After(acked.Add(drainBound)) {
+		if a.at.After(acked.Add(bound)) {
 			after++
 			lost[a.id] = true
 			s.record.printf("id %s reached endpoint %s %v after the ack", a.id, leaver.id, a.at.Sub(acked).Round(time.Millisecond))
@@ -99,8 +122,8 @@
 			s.record.printf("order %s ran at the leaving endpoint and has no answer of it: status %d", a.id, a.status)
 		}
 	}
-	s.record.printf("%d orders sent, %d served; %d reached the endpoint later than DrainMs after the ack, %d of these lost their answer",
-		len(answers), served, after, cut)
+	s.record.printf("%d orders sent, %d served; %d reached the endpoint later than %v after the ack, %d of these lost their answer",
+		len(answers), served, after, bound, cut)
 	switch {
 	case served < len(answers)/2:
 		return notRun
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -146,13 +146,13 @@
 }
 
 var cases = map[string]func(s *site) int{
-	"nested-route":  nestedRoute,
-	"added-route":   addedRoute,
-	"late-ping":     latePing,
-	"frozen-sender": frozenSender,
-	"killed-node":   killedNode,
-	"soak":          soak,
-	"empty-query":   emptyQuery,
+	"nested-route":      nestedRoute,
+	"added-route":       addedRoute,
+	"late-ping":         latePing,
+	"late-ping-restart": latePingAfterRestart,
+	"frozen-sender":     frozenSender,
+	"killed-node":       killedNode,
+	"empty-query":       emptyQuery,
 }
 
 func main() {
