--- a/review/_standin/endpoint.go
+++ b/review/_standin/endpoint.go
@@ -49,20 +49,36 @@
 	// heldPings is set while the path from the endpoint to its node is cut.
 	heldPings bool
 	gone      bool
+	conns     map[net.Conn]bool
+	poison    func()
 }
 
 // endpointQueue is the number of requests that an endpoint queues beyond its slots.
 const endpointQueue = 36
 
 func startEndpoint(rec *record, n *node, id, service string, slots int, work time.Duration) *endpoint {
-	listener, err := net.Listen("tcp", n.host+":0")
+	return listenEndpoint(rec, n, n.host+":0", id, service, slots, work)
+}
+
+// listenEndpoint is startEndpoint at a given address.
+func listenEndpoint(rec *record, n *node, address, id, service string, slots int, work time.Duration) *endpoint {
+	listener, err := net.Listen("tcp", address)
 	check(err)
 	e := &endpoint{
 		id: id, service: service, zone: n.zone, address: listener.Addr().String(), control: n.control, slots: slots, work: work,
 		born: time.Now().UnixMilli(), record: rec, free: make(chan struct{}, slots), stop: make(chan struct{}),
 		loses: func(int64) bool { return false },
 	}
-	e.server = &http.Server{Handler: e}
+	e.conns = map[net.Conn]bool{}
+	e.server = &http.Server{Handler: e, ConnState: func(c net.Conn, state http.ConnState) {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if state == http.StateNew {
+			e.conns[c] = true
+		} else if state == http.StateClosed {
+			delete(e.conns, c)
+		}
+	}}
 	go func() { _ = e.server.Serve(listener) }()
 	go e.beat()
 	return e
@@ -158,6 +174,10 @@
 	}
 	defer func() { <-e.free }()
 	n := e.arrived(r, true)
+	if e.crashesOn(r) {
+		time.Sleep(time.Second)
+		return
+	}
 	time.Sleep(e.work)
 	if e.loses(n) {
 		e.record.printf("endpoint %s: answer to id %s is lost", e.id, r.Header.Get("Attempt-Id"))
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -108,9 +108,15 @@
 
 // addNode starts the node of a machine whose endpoint belongs to the given service.
 func (s *site) addNode(name, zone, service string) *node {
+	n := s.newNode(name, zone, service)
+	n.start()
+	return n
+}
+
+// newNode is addNode without the start.
+func (s *site) newNode(name, zone, service string) *node {
 	n := newNode(s.dir, hostAddress(1+len(s.nodes)), name, zone, service, s.address)
 	s.nodes = append(s.nodes, n)
-	n.start()
 	return n
 }
 
@@ -151,6 +157,8 @@
 	"late-ping":         latePing,
 	"late-ping-restart": latePingAfterRestart,
 	"frozen-sender":     frozenSender,
+	"longer-grace":      longerGrace,
+	"poison":            poison,
 	"killed-node":       killedNode,
 	"empty-query":       emptyQuery,
 }
--- /dev/null
+++ b/review/_standin/poison.go
@@ -0,0 +1,123 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// lingers is how long the port of a crashing endpoint still accepts connections after the connections have broken.
+const lingers = 100 * time.Millisecond
+
+// poison looks for a request that goes on reaching endpoints after it has crashed three of them. The disruption: every endpoint that begins
+// to run it crashes and is back after 3 s at its address; the request comes again, with the same path, caller and body, at any machine.
+func poison(s *site) int {
+	const service = "wuno96b"
+	s.store.configure(config(7, []string{service}, route("/puka111/", "non_idempotent", service), route("/leny950/", "idempotent", service)))
+	var mu sync.Mutex
+	var reached []time.Time
+	for _, zone := range []string{"palermo", "catania", "siracusa"} {
+		for _, number := range []string{"1", "2"} {
+			n := s.addNode("sidecar-"+zone+"-"+number, zone, service)
+			go s.crashingEndpoint(n, service, func() {
+				mu.Lock()
+				defer mu.Unlock()
+				reached = append(reached, time.Now())
+			})
+		}
+	}
+	s.waitReady()
+	time.Sleep(stableWindow + time.Second)
+	var wg sync.WaitGroup
+	end := time.Now().Add(40 * time.Second)
+	for i, n := range s.nodes {
+		wg.Go(func() {
+			c := newClient(s.record, n)
+			time.Sleep(time.Duration(i) * 300 * time.Millisecond)
+			for time.Now().Before(end) {
+				c.send(http.MethodGet, "/leny950/poison/", 4*time.Second, 0)
+				time.Sleep(1700 * time.Millisecond)
+			}
+		})
+		wg.Go(func() {
+			c := newClient(s.record, n)
+			for time.Now().Before(end) {
+				c.send(http.MethodGet, "/leny950/2f/", 4*time.Second, 0)
+				time.Sleep(200 * time.Millisecond)
+			}
+		})
+	}
+	wg.Wait()
+	mu.Lock()
+	defer mu.Unlock()
+	late := 0
+	if len(reached) >= 3 {
+		for _, at := range reached[3:] {
+			if at.After(reached[2].Add(stableWindow)) {
+				late++
+			}
+		}
+	}
+	s.record.printf("the request crashed endpoints %d times, %d times later than %v after the third", len(reached), late, stableWindow)
+	if late > 3 {
+		return broken
+	}
+	return held
+}
+
+// crashingEndpoint runs the endpoint beside a node and starts it again, under a new id, 3 s after each crash.
+func (s *site) crashingEndpoint(n *node, service string, crashes func()) {
+	address := n.host + ":0"
+	for number := 0; ; number++ {
+		crashed := make(chan struct{})
+		var once sync.Once
+		e := listenEndpoint(s.record, n, address, fmt.Sprintf("i-%s-%d", n.name, number), service, 4, 50*time.Millisecond)
+		if s.trouble {
+			e.setPoison(func() {
+				crashes()
+				once.Do(func() { close(crashed) })
+			})
+		}
+		<-crashed
+		s.record.printf("endpoint %s crashes", e.id)
+		e.leave()
+		e.dropConnections()
+		time.Sleep(lingers)
+		e.exit()
+		time.Sleep(3 * time.Second)
+		address = e.address
+	}
+}
+
+// setPoison sets the function that is called when the endpoint begins to run a request that crashes it.
+func (e *endpoint) setPoison(crash func()) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.poison = crash
+}
+
+func (e *endpoint) crashesOn(r *http.Request) bool {
+	e.mu.Lock()
+	crash := e.poison
+	e.mu.Unlock()
+	if crash == nil || !strings.HasSuffix(r.URL.Path, "/poison/") {
+		return false
+	}
+	crash()
+	return true
+}
+
+// dropConnections resets all connections of the endpoint.
+func (e *endpoint) dropConnections() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for c := range e.conns {
+		if t, ok := c.(*net.TCPConn); ok {
+			_ = t.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+}
