--- a/review/_standin/client.go
+++ b/review/_standin/client.go
@@ -41,8 +41,8 @@
 	// The client of net/http must not send an attempt twice by itself.
 	request.GetBody = nil
 	request.Host = "jepu9.example"
-	request.Header.Set("Attempt-Id", a.id)
-	request.Header.Set("Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
+	request.Header.Set(wire.RequestID, a.id)
+	request.Header.Set(wire.Deadline, fmt.Sprint(deadline.Milliseconds()))
 	c.http.Timeout = deadline + 500*time.Millisecond
 	c.record.printf("client at %s: sends %s %s id %s", c.node.name, method, path, a.id)
 	response, err := c.http.Do(request)
@@ -50,7 +50,7 @@
 		var body []byte
 		body, err = io.ReadAll(response.Body)
 		_ = response.Body.Close()
-		a.status, a.signed, a.body = response.StatusCode, response.Header.Get("Response-Signature") != "", strings.TrimSpace(string(body))
+		a.status, a.signed, a.body = response.StatusCode, response.Header.Get(wire.Signature) != "", strings.TrimSpace(string(body))
 	}
 	a.took = time.Since(a.sent)
 	if err != nil {
--- a/review/_standin/empty_query.go
+++ b/review/_standin/empty_query.go
@@ -58,7 +58,8 @@
 	check(err)
 	defer func() { _ = c.Close() }()
 	_ = c.SetDeadline(time.Now().Add(5 * time.Second))
-	_, _ = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: jepu9.example\r\nAttempt-Id: %s\r\nDeadline-Ms: 4000\r\nContent-Length: 2\r\n\r\nok", uri, id)
+	_, _ = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: jepu9.example\r\n%s: %s\r\n%s: 4000\r\nContent-Length: 2\r\n\r\nok",
+		uri, wire.RequestID, id, wire.Deadline)
 	response, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil {
 		return err.Error()
--- a/review/_standin/endpoint.go
+++ b/review/_standin/endpoint.go
@@ -106,7 +106,7 @@
 func (e *endpoint) ping(state string) []byte {
 	body, err := json.Marshal(map[string]any{
 		"Service": e.service, "Address": e.address, "Zone": e.zone, "Version": "v1", "Slots": e.slots, "State": state,
-		"ColdRemainingMs": 0, "Seq": e.seq.Add(1), "born": e.born,
+		wire.ColdTime: 0, "Seq": e.seq.Add(1), "born": e.born,
 	})
 	check(err)
 	return body
@@ -131,7 +131,7 @@
 func (e *endpoint) arrived(r *http.Request, ran bool) int64 {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	id := r.Header.Get("Attempt-Id")
+	id := r.Header.Get(wire.RequestID)
 	e.arrivals = append(e.arrivals, arrival{time.Now(), e, id, r.Method, r.RequestURI, ran})
 	e.record.printf("endpoint %s (%s): %s %s id %s ran=%v", e.id, e.service, r.Method, r.RequestURI, id, ran)
 	if ran {
@@ -142,8 +142,8 @@
 
 func (e *endpoint) notRun(w http.ResponseWriter, r *http.Request, status int) {
 	e.arrived(r, false)
-	w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
-	w.Header().Set("Not-Executed", "1")
+	w.Header().Set(wire.RequestID, r.Header.Get(wire.RequestID))
+	w.Header().Set(wire.NotRun, "1")
 	w.Header().Set("Instance-Id", e.id)
 	w.WriteHeader(status)
 }
@@ -153,7 +153,7 @@
 		w.Header().Set("Instance-Id", e.id)
 		return
 	}
-	if target := r.Header.Get("Target-Instance"); target != "" && target != e.id {
+	if target := r.Header.Get(wire.Target); target != "" && target != e.id {
 		e.notRun(w, r, http.StatusMisdirectedRequest)
 		return
 	}
@@ -180,7 +180,7 @@
 	}
 	time.Sleep(e.work)
 	if e.loses(n) {
-		e.record.printf("endpoint %s: answer to id %s is lost", e.id, r.Header.Get("Attempt-Id"))
+		e.record.printf("endpoint %s: answer to id %s is lost", e.id, r.Header.Get(wire.RequestID))
 		conn, _, err := w.(http.Hijacker).Hijack()
 		if err == nil {
 			_ = conn.(*net.TCPConn).SetLinger(0)
@@ -188,10 +188,10 @@
 		}
 		return
 	}
-	w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
-	w.Header().Set("Response-Signature", "3e1b.07."+e.id)
-	w.Header().Set("Server-Load", fmt.Sprintf("%d,0,%d", len(e.free), e.slots))
-	_, _ = fmt.Fprintf(w, "%s ran %s with %d bytes", e.service, r.Header.Get("Attempt-Id"), len(body))
+	w.Header().Set(wire.RequestID, r.Header.Get(wire.RequestID))
+	w.Header().Set(wire.Signature, "3e1b.07."+e.id)
+	w.Header().Set(wire.Load, fmt.Sprintf("%d,0,%d", len(e.free), e.slots))
+	_, _ = fmt.Fprintf(w, "%s ran %s with %d bytes", e.service, r.Header.Get(wire.RequestID), len(body))
 }
 
 // exit ends the endpoint's process: no more pings, all connections closed.
--- a/review/_standin/longer_grace.go
+++ b/review/_standin/longer_grace.go
@@ -17,7 +17,7 @@
 	lookups := route("/leny950/", "idempotent", service)
 	orders := route("/puka111/", "non_idempotent", service)
 	for _, r := range []map[string]any{lookups, orders} {
-		r["TimeoutMs"], r["TargetLatencyMs"] = 8000, 4000
+		r["TimeoutMs"], r[wire.LatencyGoal] = 8000, 4000
 	}
 	s.store.configure(config(7, []string{service}, lookups, orders))
 	lengthen := func(n *node) {
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -131,8 +131,8 @@
 // route returns a route of a configuration.
 func route(prefix, kind, service string) map[string]any {
 	return map[string]any{
-		"Name": "r" + strings.ReplaceAll(prefix, "/", "-") + "x", "Host": "jepu9.example", "PathPrefix": prefix, "RouteType": kind, "Service": service,
-		"TimeoutMs": 2000, "TargetLatencyMs": 1000, "Priority": 1, "Attempts": 2,
+		"Name": "r" + strings.ReplaceAll(prefix, "/", "-") + "x", "Host": "jepu9.example", "PathPrefix": prefix, wire.RouteKind: kind, "Service": service,
+		"TimeoutMs": 2000, wire.LatencyGoal: 1000, "Priority": 1, "Attempts": 2,
 	}
 }
 
--- a/review/_standin/node.go
+++ b/review/_standin/node.go
@@ -61,7 +61,7 @@
 	fields := map[string]string{
 		"Node": name, "Zone": zone, "Ip": host, "Service": service, "HeartbeatMs": "1500",
 		"Listen.Outbound": n.outbound, "Listen.Ready": n.ready, "Listen.Control": n.control, "Listen.Inbound": n.inbound,
-		"InternalPortRange.0": freePort(host), "InternalPortRange.1": freePort(host), "Platform.Address": platform,
+		wire.NodePorts + ".0": freePort(host), wire.NodePorts + ".1": freePort(host), "Platform.Address": platform,
 		"Bounds.RetryBudgetRatio": "0.2", "Bounds.RetryWindowS": "10", "Bounds.RetrySlack": "58", "Bounds.GraceS": "6",
 	}
 	template, err := os.ReadFile("platform/settings.jsonc.tmpl")
@@ -82,7 +82,7 @@
 	log, err := os.OpenFile(n.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	check(err)
 	n.command = exec.Command("target/sidecar")
-	n.command.Env = []string{"JAYFOLD_BOOT=" + n.settings, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
+	n.command.Env = []string{wire.SettingsPath + "=" + n.settings, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
 	n.command.Stdout, n.command.Stderr = log, log
 	n.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	check(n.command.Start())
--- a/review/_standin/store.go
+++ b/review/_standin/store.go
@@ -110,12 +110,12 @@
 		}
 	}
 	sort.Slice(items, func(i, j int) bool { return items[i].Metadata.Name < items[j].Metadata.Name })
-	reply(w, http.StatusOK, map[string]any{"items": items, "More": false, "CurrentRev": s.revision})
+	reply(w, http.StatusOK, map[string]any{"items": items, "More": false, wire.StoreRevision: s.revision})
 }
 
 func (s *store) watch(w http.ResponseWriter, r *http.Request, kind string) {
 	from, _ := strconv.ParseUint(r.URL.Query().Get("Watch"), 10, 64)
-	wait, _ := strconv.Atoi(r.URL.Query().Get("WaitMs"))
+	wait, _ := strconv.Atoi(r.URL.Query().Get(wire.WatchWait))
 	limit := time.After(time.Duration(min(wait, 30000)) * time.Millisecond)
 	for waiting := true; ; {
 		s.mu.Lock()
@@ -128,7 +128,7 @@
 		changed, revision := s.changed, s.revision
 		s.mu.Unlock()
 		if len(events) > 0 || !waiting {
-			reply(w, http.StatusOK, map[string]any{"events": events, "CurrentRev": revision})
+			reply(w, http.StatusOK, map[string]any{"events": events, wire.StoreRevision: revision})
 			return
 		}
 		select {
