--- a/review/_standin/poison.go
+++ b/review/_standin/poison.go
@@ -12,6 +12,9 @@
 // lingers is how long the port of a crashing endpoint still accepts connections after the connections have broken.
 const lingers = 70 * time.Millisecond
 
+// comesAgain is the time after which the request comes again, at the next machine.
+const comesAgain = 3 * time.Second
+
 // poison looks for a request that goes on reaching endpoints after it has crashed three of them. The disruption: every endpoint that begins
 // to run it crashes and is back after 3 s at its address; the request comes again, with the same path, caller and body, at any machine.
 func poison(s *site) int {
@@ -32,16 +35,14 @@
 	s.waitReady()
 	time.Sleep(stableWindow + time.Second)
 	var wg sync.WaitGroup
-	end := time.Now().Add(40 * time.Second)
-	for i, n := range s.nodes {
-		wg.Go(func() {
-			c := newClient(s.record, n)
-			time.Sleep(time.Duration(i) * 300 * time.Millisecond)
-			for time.Now().Before(end) {
-				c.send(http.MethodGet, "/leny950/poison/", 4*time.Second, 0)
-				time.Sleep(1700 * time.Millisecond)
-			}
-		})
+	end := time.Now().Add(45 * time.Second)
+	wg.Go(func() {
+		for i := 0; time.Now().Before(end); i++ {
+			newClient(s.record, s.nodes[i%len(s.nodes)]).send(http.MethodGet, "/leny950/poison/", 4*time.Second, 0)
+			time.Sleep(comesAgain)
+		}
+	})
+	for _, n := range s.nodes {
 		wg.Go(func() {
 			c := newClient(s.record, n)
 			for time.Now().Before(end) {
