core/routing: a prefix that ends with a slash matches only paths below it

Cause: the router cut the slash off the end of prefixes and paths, so that the prefix /a/b/ also took the path /a/b.

Prefixes are now matched as written: /a/ begins only the paths below it, /a also the path /a. The same class: routes were matched on the decoded path, so that %2F separated segments and a prefix with an escape matched nothing; prefix and path are now compared in one canonical form. The target still gets the path as sent.

--- a/internal/core/fleet/request.go
+++ b/internal/core/fleet/request.go
@@ -7,6 +7,7 @@
 	ID     RequestID
 	Method string
 	Host   string
+	// Path is the canonical path (CanonicalPath), in which routes are matched. The target receives the path as the caller sent it.
 	Path   string
 	Caller Caller
 	// Idempotent is the value of the caller's header; absent if the caller sent none.
--- a/internal/core/fleet/tables.go
+++ b/internal/core/fleet/tables.go
@@ -10,7 +10,8 @@
 	Name string
 	// Host is the host name in the Host header, without the port; empty matches every host.
 	Host string
-	// PathPrefix matches whole segments at the start of the path.
+	// PathPrefix matches whole segments at the start of the path. With a slash at its end it matches only the paths below it, and
+	// otherwise also the path that equals it.
 	PathPrefix string
 	// Methods lists the HTTP methods; empty matches every method.
 	Methods []string
--- a/internal/core/routing/router.go
+++ b/internal/core/routing/router.go
@@ -15,7 +15,7 @@
 
 // Router finds the route of a request. It is built once for each revision of the tables.
 type Router struct {
-	// routes holds the routes by path prefix without a trailing slash, most specific first.
+	// routes holds the routes by canonical path prefix, most specific first.
 	routes map[string][]fleet.Route
 	// services holds the service of each pool.
 	services map[fleet.PoolName]string
@@ -25,7 +25,7 @@
 func New(tables fleet.Tables) Router {
 	routes := make(map[string][]fleet.Route, len(tables.Routes))
 	for _, route := range tables.Routes {
-		prefix := strings.TrimSuffix(route.PathPrefix, "/")
+		prefix := fleet.CanonicalPath(route.PathPrefix)
 		routes[prefix] = append(routes[prefix], route)
 	}
 	for _, samePrefix := range routes {
@@ -62,18 +62,23 @@
 
 // Match returns the matching route with the longest path prefix. If there are several, it returns the most specific one.
 func (r Router) Match(request fleet.Request) (fleet.Route, bool) {
-	for prefix := strings.TrimSuffix(request.Path, "/"); ; {
+	for prefix := request.Path; prefix != ""; prefix = shorterPrefix(prefix) {
 		for _, route := range r.routes[prefix] {
 			if matches(route, request) {
 				return route, true
 			}
 		}
-		slash := strings.LastIndexByte(prefix, '/')
-		if slash < 0 {
-			return fleet.Route{}, false
-		}
-		prefix = prefix[:slash]
 	}
+	return fleet.Route{}, false
+}
+
+// shorterPrefix returns the next shorter prefix of a path that a route may have: first without the slash at its end, then without
+// its last segment. After the slash of the root it returns "".
+func shorterPrefix(prefix string) string {
+	if trimmed, ok := strings.CutSuffix(prefix, "/"); ok {
+		return trimmed
+	}
+	return prefix[:strings.LastIndexByte(prefix, '/')+1]
 }
 
 func matches(route fleet.Route, request fleet.Request) bool {
--- a/internal/edge/caller/request.go
+++ b/internal/edge/caller/request.go
@@ -100,7 +100,7 @@
 	return fleet.Request{
 		Method:      r.Method,
 		Host:        host,
-		Path:        r.URL.Path,
+		Path:        fleet.CanonicalPath(r.URL.EscapedPath()),
 		Caller:      fleet.Caller(caller),
 		Parent:      fleet.RequestID(parent),
 		Idempotent:  idempotent,
--- a/internal/edge/caller/server_test.go
+++ b/internal/edge/caller/server_test.go
@@ -345,3 +345,15 @@
 	is.NoErr(err)
 	is.Equal(request.Parent, fleet.RequestID("r1"))
 }
+
+// TestPathOfRequest guards against a request that is routed by another path than the one that its target receives.
+func TestPathOfRequest(t *testing.T) {
+	for sent, want := range map[string]string{"/a/%62": "/a/b", "/a%2fb": "/a%2Fb", "/a/b/": "/a/b/"} {
+		t.Run(sent, func(t *testing.T) {
+			is := is.New(t)
+			request, err := decodeRequest(httptest.NewRequest(http.MethodGet, sent, nil), nil)
+			is.NoErr(err)
+			is.Equal(request.Path, want)
+		})
+	}
+}
--- a/internal/edge/tablesfile/check.go
+++ b/internal/edge/tablesfile/check.go
@@ -48,7 +48,7 @@
 			methods = []string{"any method"}
 		}
 		for _, m := range methods {
-			key := matchKey{strings.ToLower(r.Host), strings.TrimSuffix(r.PathPrefix, "/"), m}
+			key := matchKey{strings.ToLower(r.Host), fleet.CanonicalPath(r.PathPrefix), m}
 			if other, taken := routeNames[key]; taken {
 				problems = append(problems, entry.position.Problem("matches the same requests (%s) as route %q", m, other)...)
 			}
