core/admission: a withdrawal leaves a tombstone also if the target is not registered

Cause: TargetWithdrew did nothing for a target that was not registered, after missed heartbeats or a restart of the node, while the withdrawal was acknowledged. A late heartbeat then registered the target again.

The tombstone covers every process that had started by the withdrawal, since the process is not known. It is published like the others, so that it survives a restart.

--- a/internal/core/admission/heartbeat.go
+++ b/internal/core/admission/heartbeat.go
@@ -86,16 +86,11 @@
 	return l
 }
 
-// TargetWithdrew removes the target that has withdrawn.
+// TargetWithdrew removes the target that has withdrawn. Its late heartbeats are ignored even if the target is not registered: after
+// missed heartbeats or a restart of this node, the first heartbeat to arrive may have been sent before the withdrawal.
 func (s State) TargetWithdrew(now time.Time, name string) (State, []effect.Effect) {
 	id := fleet.NewTargetID(s.self, name)
-	l, ok := s.targets.Get(id)
-	if !ok {
-		return s, nil
-	}
-	s.tombstones = s.tombstones.With(id, tombstone{
-		instance: l.heartbeat.Instance, started: l.heartbeat.Started, at: now,
-	})
+	s.tombstones = s.tombstones.With(id, s.withdrawalTombstone(now, id))
 	return s.removeTarget(now, id, fleet.Draining, "target withdrew")
 }
 
@@ -110,6 +105,9 @@
 func (s State) Tick(ctx Context) (State, []effect.Effect) {
 	paused := s.pausedFor(ctx.Now)
 	s.lastTick = ctx.Now
+	if s.firstTick.IsZero() {
+		s.firstTick = ctx.Now
+	}
 	var effects []effect.Effect
 	for id, l := range s.targets.All() {
 		var more []effect.Effect
@@ -176,7 +174,7 @@
 // withoutExpired drops expired tombstones, crash checks and crash records.
 func (s State) withoutExpired(now time.Time) State {
 	for id, t := range s.tombstones.All() {
-		if now.Sub(t.at) >= s.tombstoneLifetime(t) {
+		if now.Sub(t.at) >= s.tombstoneLifetime(t.started) {
 			s.tombstones = s.tombstones.Without(id)
 		}
 	}
--- a/internal/core/admission/state.go
+++ b/internal/core/admission/state.go
@@ -41,6 +41,7 @@
 	pendingCrashChecks fleet.Map[fleet.AttemptID, pendingCrashCheck]
 	// lastTicket is the ticket of the last attempt that was queued.
 	lastTicket uint64
+	firstTick  time.Time
 	lastTick   time.Time
 	draining   bool
 	// parentsNamed is true if a target on this host has named the parent of a child request.
--- a/internal/core/admission/tombstone.go
+++ b/internal/core/admission/tombstone.go
@@ -11,24 +11,58 @@
 // set back before it restarts, its heartbeats are ignored for this time.
 const maxHeartbeatDelay = 30 * time.Second
 
-// tombstone marks a target process that is draining, has withdrawn or has lost its address to another target.
+// tombstone marks a target process that is draining, has withdrawn or has lost its address to another target, and the processes of
+// the same target that started earlier.
 type tombstone struct {
+	// instance is the last process that is known; empty if a target has withdrawn that is not registered.
 	instance string
-	// started is the start time of the process; zero if the target does not report it.
+	// started is the start time of the process, or the time of the withdrawal; zero if the target does not report start times.
 	started time.Time
 	at      time.Time
 }
 
-// tombstoneLifetime returns the time for which a tombstone is kept. If the heartbeats of a process have no start time and
-// sequence number, its tombstone lasts only until heartbeats that were already on their way have arrived, so that the process can
-// return after it cancels its drain.
-func (s State) tombstoneLifetime(t tombstone) time.Duration {
-	if t.started.IsZero() {
+// withdrawalTombstone returns the tombstone of a target that withdraws. If the target is not registered, its process is not known,
+// and the tombstone covers every process that has started by now.
+func (s State) withdrawalTombstone(now time.Time, id fleet.TargetID) tombstone {
+	if l, registered := s.targets.Get(id); registered {
+		return tombstone{instance: l.heartbeat.Instance, started: l.heartbeat.Started, at: now}
+	}
+	earlier, _ := s.tombstones.Get(id)
+	t := tombstone{instance: earlier.instance, started: s.timeOfDay(now), at: now}
+	if earlier.started.After(t.started) {
+		t.started = earlier.started
+	}
+	return t
+}
+
+// timeOfDay returns the time of day in milliseconds, by a clock without the steps that the host's clock has made since the first
+// tick.
+func (s State) timeOfDay(now time.Time) time.Time {
+	if !s.firstTick.IsZero() {
+		now = s.firstTick.Add(now.Sub(s.firstTick))
+	}
+	return time.UnixMilli(now.UnixMilli())
+}
+
+// tombstoneLifetime returns the time for which a tombstone is kept, or for which it applies to the heartbeats of a process, given
+// the start time of either. Without start times and sequence numbers, it is only the time until heartbeats that were already on
+// their way have arrived, so that the process can return after it cancels its drain.
+func (s State) tombstoneLifetime(started time.Time) time.Duration {
+	if started.IsZero() {
 		return s.heartbeatTimeout()
 	}
 	return maxHeartbeatDelay
 }
 
+// hasLeft reports whether a tombstone covers the process of a heartbeat.
+func (s State) hasLeft(now time.Time, id fleet.TargetID, h fleet.Heartbeat) bool {
+	t, ok := s.tombstones.Get(id)
+	if !ok || now.Sub(t.at) >= min(s.tombstoneLifetime(t.started), s.tombstoneLifetime(h.Started)) {
+		return false
+	}
+	return h.Instance == t.instance && h.State == fleet.TargetReady || h.Started.Before(t.started)
+}
+
 // Tombstones returns the tombstones that this node must recover after a restart, in target id order.
 func (s State) Tombstones(now time.Time) []fleet.Tombstone {
 	var tombstones []fleet.Tombstone
@@ -48,7 +82,11 @@
 		if known, ok := s.tombstones.Get(restored.Target); ok && !known.started.Before(restored.Started) {
 			continue
 		}
-		s.tombstones = s.tombstones.With(restored.Target, tombstone{instance: restored.Instance, started: restored.Started, at: now})
+		t := tombstone{instance: restored.Instance, started: restored.Started, at: now}
+		if t.instance == "" {
+			t.at = t.started
+		}
+		s.tombstones = s.tombstones.With(restored.Target, t)
 		l, ok := s.targets.Get(restored.Target)
 		if !ok || !s.isStale(now, restored.Target, l.heartbeat) {
 			continue
@@ -63,10 +101,8 @@
 // isStale reports whether a heartbeat arrives out of order: after a later one of the same target, after its process has left or
 // been replaced, or after a heartbeat of another target that has taken over its address.
 func (s State) isStale(now time.Time, id fleet.TargetID, h fleet.Heartbeat) bool {
-	if t, ok := s.tombstones.Get(id); ok && now.Sub(t.at) < s.tombstoneLifetime(t) {
-		if h.Instance == t.instance && h.State == fleet.TargetReady || h.Started.Before(t.started) {
-			return true
-		}
+	if s.hasLeft(now, id, h) {
+		return true
 	}
 	if l, ok := s.targets.Get(id); ok && isOlder(h, l.heartbeat) {
 		return true
--- a/internal/core/admission/tombstone_test.go
+++ b/internal/core/admission/tombstone_test.go
@@ -110,3 +110,46 @@
 		h.tick()
 	}
 }
+
+// TestWithdrawalOfUnregisteredTarget guards against requests to a target that has left: its withdrawal was acknowledged while it was
+// not registered, and its late heartbeats then registered it.
+func TestWithdrawalOfUnregisteredTarget(t *testing.T) {
+	unregister := map[string]func(h *harness){
+		"after missed heartbeats": func(h *harness) {
+			h.receiveHeartbeat(heartbeatOf("a", h.now.Add(-time.Minute), 1, fleet.TargetReady))
+			h.advanceWithoutHeartbeats(5 * time.Second)
+		},
+		"after a drain and missed heartbeats": func(h *harness) {
+			h.receiveHeartbeat(heartbeatOf("a", h.now.Add(-time.Minute), 1, fleet.TargetDraining))
+			h.advanceWithoutHeartbeats(5 * time.Second)
+		},
+		"before the first heartbeat": func(h *harness) { h.tick() },
+		"before the first tick":      func(*harness) {},
+	}
+	for name, prepare := range unregister {
+		t.Run(name, func(t *testing.T) {
+			is, h := is.New(t), newHarness()
+			started := h.now.Add(-time.Minute)
+			prepare(h)
+			h.state, _ = h.state.TargetWithdrew(h.now, "a")
+			withdrawn := h.now
+			for sequence, state := range []fleet.TargetState{fleet.TargetReady, fleet.TargetReady, fleet.TargetDraining} {
+				h.receiveHeartbeat(heartbeatOf("a", started, uint64(sequence)+2, state))
+				h.assertTargets(is, map[fleet.TargetID]fleet.TargetState{})
+				h.advanceWithoutHeartbeats(6 * time.Second)
+			}
+			h.receiveHeartbeat(heartbeatOf("a", withdrawn.Add(3*time.Second), 1, fleet.TargetReady))
+			h.assertTargets(is, map[fleet.TargetID]fleet.TargetState{targetA: fleet.TargetReady})
+		})
+	}
+
+	t.Run("without start times", func(t *testing.T) {
+		is, h := is.New(t), newHarness()
+		h.state, _ = h.state.TargetWithdrew(h.now, "a")
+		h.heartbeat("i1", 4)
+		h.assertTargets(is, map[fleet.TargetID]fleet.TargetState{})
+		h.advanceWithoutHeartbeats(4 * time.Second)
+		h.heartbeat("i2", 4)
+		h.assertTargets(is, map[fleet.TargetID]fleet.TargetState{targetA: fleet.TargetReady})
+	})
+}
--- a/internal/core/node/tombstone_test.go
+++ b/internal/core/node/tombstone_test.go
@@ -135,6 +135,22 @@
 		}
 	}
 
+	for from, learned := range learn {
+		t.Run("withdraws while it is not registered, learned "+from, func(t *testing.T) {
+			is, p := is.New(t), newPair()
+			p.advance(2 * time.Second)
+			started := p.node.now.Add(-time.Minute).UnixMilli()
+			leave["withdraws"](p)
+			p.advance(time.Second)
+			p.restart()
+			learned(p)
+			p.heartbeat(started, 6, fleet.TargetReady)
+			p.assertReady(is, false)
+			p.heartbeat(p.node.now.UnixMilli(), 1, fleet.TargetReady)
+			p.assertReady(is, true)
+		})
+	}
+
 	t.Run("tombstone learned after the late heartbeat", func(t *testing.T) {
 		is, p := is.New(t), newPair()
 		p.heartbeat(started, 7, fleet.TargetReady)
