core/node: a leaving target is acknowledged once its tombstone is kept elsewhere

A node that was killed within the tick after it had answered 204 to a drain or a withdrawal forgot it, and a late heartbeat brought the target back after the restart.

Cause: the server for heartbeats answered as soon as it had posted the event. A restarted node reads its earlier record before it writes one with a new tombstone, which would replace it. No call is added.

Harness of the tombstone tests: the platform lists no records, where it gave no response before.

--- a/internal/core/effect/platform.go
+++ b/internal/core/effect/platform.go
@@ -34,7 +34,8 @@
 	Delay time.Duration
 }
 
-// RegisterMember writes this node's member record to the platform. No event follows unless the call fails.
+// RegisterMember writes this node's member record to the platform. Event: event.MemberRegistered or event.PlatformCallFailed, or
+// none if a newer record is written instead.
 type RegisterMember struct {
 	Member fleet.Member
 	// Delay is the time to wait before the call, so that many nodes do not call at once.
--- a/internal/core/event/platform.go
+++ b/internal/core/event/platform.go
@@ -34,6 +34,12 @@
 	Members []fleet.Member
 }
 
+// MemberRegistered is the result of effect.RegisterMember.
+type MemberRegistered struct {
+	// Sequence is the sequence number of the record that was written.
+	Sequence uint64
+}
+
 // PlatformCall is a kind of call to the platform.
 type PlatformCall string
 
@@ -55,4 +61,5 @@
 func (TablesDecoded) isBody()      {}
 func (TablesRejected) isBody()     {}
 func (MembersListed) isBody()      {}
+func (MemberRegistered) isBody()   {}
 func (PlatformCallFailed) isBody() {}
--- a/internal/core/event/target.go
+++ b/internal/core/event/target.go
@@ -2,14 +2,18 @@
 
 import "jayfold.dev/jayfold/internal/core/fleet"
 
-// HeartbeatReceived is posted when a target on this host sends a heartbeat.
+// HeartbeatReceived is posted when a target on this host sends a heartbeat. effect.AcknowledgeTarget replies to it.
 type HeartbeatReceived struct {
 	Heartbeat fleet.Heartbeat
+	// AckID distinguishes the calls that wait for an acknowledgement.
+	AckID uint64
 }
 
-// TargetWithdrew is posted when a target on this host asks to be removed.
+// TargetWithdrew is posted when a target on this host asks to be removed. effect.AcknowledgeTarget replies to it.
 type TargetWithdrew struct {
 	Name string
+	// AckID distinguishes the calls that wait for an acknowledgement.
+	AckID uint64
 }
 
 // AdmissionRequested is posted when an ingress asks to run an attempt on a target on this host.
--- a/internal/core/membership/own.go
+++ b/internal/core/membership/own.go
@@ -25,7 +25,8 @@
 	pending    fleet.Option[hostState]
 	lastChange time.Time
 	urgent     bool
-	// register is true if the record is to be written to the platform because it has a new tombstone.
+	// register is true if the record is to be written to the platform because it has a new tombstone. A node that has just started
+	// first reads its earlier record from the platform or a peer, since the write replaces it.
 	register bool
 }
 
@@ -54,7 +55,11 @@
 	s.own.pending = fleet.Option[hostState]{}
 	s.own.urgent = true
 	s.own.register = s.own.register || addsNew
-	return s.withOwnRecord(s.selfWith(host))
+	s = s.withOwnRecord(s.selfWith(host))
+	if addsNew {
+		s.kept.tombstoneSequence = s.Self().Sequence
+	}
+	return s
 }
 
 // addsTombstone reports whether changed has a tombstone that old lacks.
@@ -88,12 +93,12 @@
 		s.own.lastChange = now
 		s = s.withOwnRecord(s.selfWith(host))
 	}
-	if !s.own.urgent {
-		return s, nil
+	var effects []effect.Effect
+	if s.own.urgent {
+		s.own.urgent = false
+		s, effects = s.pingAll(s.selectPeers(urgentPeers, s.self))
 	}
-	s.own.urgent = false
-	s, effects := s.pingAll(s.selectPeers(urgentPeers, s.self))
-	if s.own.register {
+	if s.own.register && (s.seeds.read || s.sync.joined) {
 		s.own.register = false
 		effects = append(effects, effect.RegisterMember{Member: s.Self()})
 	}
--- a/internal/core/membership/probe.go
+++ b/internal/core/membership/probe.go
@@ -110,6 +110,7 @@
 func (s State) ping(to fleet.NodeID, address string) (State, effect.Effect) {
 	s.sequence++
 	s, records := s.takeGossip(to)
+	s.kept = s.kept.withPing(s.self, s.sequence, records)
 	return s, effect.SendMessage{To: to, Address: address, Message: message.Ping{Sequence: s.sequence, Members: records}}
 }
 
--- a/internal/core/membership/seed.go
+++ b/internal/core/membership/seed.go
@@ -36,7 +36,9 @@
 // seeds holds the schedule of calls to the platform and the nodes that it listed. These nodes are only pinged, since their
 // records on the platform may be stale.
 type seeds struct {
-	listed           []fleet.Member
+	listed []fleet.Member
+	// read is true once the platform has listed the records of nodes.
+	read             bool
 	nextList         time.Time
 	listDelay        time.Duration
 	nextRegistration time.Time
@@ -46,7 +48,7 @@
 
 // MembersListed handles the records read from the platform.
 func (s State) MembersListed(members []fleet.Member) State {
-	s.seeds.listed = members
+	s.seeds.listed, s.seeds.read = members, true
 	return s
 }
 
--- a/internal/core/membership/state.go
+++ b/internal/core/membership/state.go
@@ -54,6 +54,7 @@
 	deadMembers fleet.Map[fleet.NodeID, time.Time]
 	deadCursor  fleet.NodeID
 	own         ownRecord
+	kept        keptRecord
 	sync        syncState
 	seeds       seeds
 	started     time.Time
@@ -178,7 +179,7 @@
 	case message.Ping:
 		return s.pingReceived(now, envelope, m)
 	case message.Ack:
-		return s.ackReceived(now, m)
+		return s.recordAck(envelope, m).ackReceived(now, m)
 	case message.PingRequest:
 		return s.pingRequestReceived(now, envelope, m)
 	case message.SyncRequest:
--- a/internal/core/node/platform.go
+++ b/internal/core/node/platform.go
@@ -19,6 +19,9 @@
 		s, effects := s.restoreTombstones(ev, body.Members)
 		s.membership = new(s.membership.MembersListed(body.Members))
 		return s, effects
+	case event.MemberRegistered:
+		s.membership = new(s.membership.MemberRegistered(body.Sequence))
+		return s.completeAcks(ev.At)
 	case event.PlatformCallFailed:
 		if body.Call == event.CallRegisterMember {
 			s.membership = new(s.membership.RegistrationFailed(ev.At, ev.Random))
--- a/internal/core/node/sidecar.go
+++ b/internal/core/node/sidecar.go
@@ -213,13 +213,15 @@
 	}
 	s, more := s.recordCrash(ev, result.Crash)
 	effects = append(effects, more...)
-	return s.publishTargets(ev), s.completeReports(ev.At, effects)
+	s, reply := s.publishTargets(ev).acknowledge(ev.At, body.AckID, body.Heartbeat.State == fleet.TargetDraining)
+	return s, append(s.completeReports(ev.At, effects), reply...)
 }
 
 func (s State) targetWithdrew(ev event.Event, body event.TargetWithdrew) (State, []effect.Effect) {
 	next, effects := s.admission.TargetWithdrew(ev.At, body.Name)
 	s.admission = next
-	return s.publishTargets(ev), s.completeReports(ev.At, effects)
+	s, reply := s.publishTargets(ev).acknowledge(ev.At, body.AckID, true)
+	return s, append(s.completeReports(ev.At, effects), reply...)
 }
 
 // restoreTombstones restores the tombstones in member records of this node's earlier processes.
--- a/internal/core/node/state.go
+++ b/internal/core/node/state.go
@@ -39,6 +39,8 @@
 	quarantine quarantine.State
 	tables     *tables.State
 	shutdown   shutdown
+	// pendingAcks holds the calls of leaving targets that have no reply yet.
+	pendingAcks []pendingAck
 }
 
 // New returns the initial state of a node with the given member record.
--- a/internal/core/node/tick.go
+++ b/internal/core/node/tick.go
@@ -22,9 +22,10 @@
 	if s.shutdown.shouldDrainTargets(ev.At) {
 		s, leaving = s.drainTargets(ev)
 	}
+	s, acks := s.completeAcks(ev.At)
 	s.shutdown, stop = s.shutdown.tick(ev.At, s.attempts.InFlight()+s.admission.InFlight())
 	effects := append(attempts, s.completeReports(ev.At, admission)...)
-	for _, more := range [][]effect.Effect{ejection, suspicions, membership, orders, tables, leaving, stop} {
+	for _, more := range [][]effect.Effect{ejection, suspicions, membership, orders, tables, leaving, acks, stop} {
 		effects = append(effects, more...)
 	}
 	return s, effects
--- a/internal/core/node/tombstone_test.go
+++ b/internal/core/node/tombstone_test.go
@@ -17,6 +17,10 @@
 	node, peer *runner
 	// stored is the member record that the node last wrote to the platform.
 	stored fleet.Member
+	// platformDown and peerDown are true if calls to the platform, or messages to the peer, get no response.
+	platformDown, peerDown bool
+	// acks holds the results of the acknowledged and refused calls of targets.
+	acks map[uint64]bool
 }
 
 func memberRecord(node fleet.NodeID, incarnation fleet.Incarnation) fleet.Member {
@@ -29,7 +33,7 @@
 
 // newPair returns two nodes that have each other's member record.
 func newPair() *pair {
-	p := &pair{node: newRunner(memberRecord("n1", 1)), peer: newRunner(memberRecord("n2", 1))}
+	p := &pair{node: newRunner(memberRecord("n1", 1)), peer: newRunner(memberRecord("n2", 1)), acks: map[uint64]bool{}}
 	p.send(p.peer, "n1", message.Ping{Members: []fleet.Member{memberRecord("n1", 1)}})
 	p.send(p.node, "n2", message.Ping{Members: []fleet.Member{memberRecord("n2", 1)}})
 	return p
@@ -46,16 +50,26 @@
 	}}))
 }
 
-// deliver delivers the messages among the effects of the node or the peer, and stores the member record that the node writes to
-// the platform.
+// deliver delivers the messages among the effects of the node or the peer, and executes its calls to the platform, which lists no
+// records.
 func (p *pair) deliver(from *runner, effects []effect.Effect) {
 	for _, e := range effects {
 		switch e := e.(type) {
+		case effect.AcknowledgeTarget:
+			p.acks[e.AckID] = e.Accepted
+		case effect.ListMembers:
+			if !p.platformDown {
+				p.deliver(from, from.reduce(event.MembersListed{}))
+			}
 		case effect.RegisterMember:
-			if from == p.node {
+			if from == p.node && !p.platformDown {
 				p.stored = e.Member
+				p.deliver(from, from.reduce(event.MemberRegistered{Sequence: e.Member.Sequence}))
 			}
 		case effect.SendMessage:
+			if p.peerDown {
+				continue
+			}
 			to := p.node
 			if e.To == "n2" {
 				to = p.peer
--- a/internal/edge/platform/client.go
+++ b/internal/edge/platform/client.go
@@ -142,7 +142,7 @@
 		if err := c.register(ctx, e.Member, first); err != nil {
 			return callFailed(event.CallRegisterMember, err)
 		}
-		return nil
+		return event.MemberRegistered{Sequence: e.Member.Sequence}
 	})
 }
 
--- a/internal/edge/platform/client_test.go
+++ b/internal/edge/platform/client_test.go
@@ -263,6 +263,7 @@
 		h.client.RegisterMember(effect.RegisterMember{Member: member, Delay: 20 * time.Millisecond})
 		h.client.RegisterMember(effect.RegisterMember{Member: member.WithTargets(nil)})
 		h.client.Wait()
+		is.New(t).Equal(h.nextEvent(t), event.MemberRegistered{Sequence: 8})
 		h.client.ListMembers(effect.ListMembers{})
 		is.New(t).Equal(h.nextEvent(t), event.MembersListed{Members: []fleet.Member{member.WithTargets(nil)}})
 	})
@@ -274,6 +275,7 @@
 		}, Tombstones: []fleet.Tombstone{{Target: "n1/t0", Instance: "7", Started: time.UnixMilli(7).UTC()}}}
 		h.client.RegisterMember(effect.RegisterMember{Member: member})
 		h.client.Wait()
+		is.New(t).Equal(h.nextEvent(t), event.MemberRegistered{})
 		h.putObject(t, "members/n2", "nonsense")
 		h.client.ListMembers(effect.ListMembers{})
 		is.New(t).Equal(h.nextEvent(t), event.MembersListed{Members: []fleet.Member{member}})
--- a/internal/edge/target/server.go
+++ b/internal/edge/target/server.go
@@ -11,6 +11,7 @@
 
 	"github.com/gorilla/mux"
 
+	"jayfold.dev/jayfold/internal/core/effect"
 	"jayfold.dev/jayfold/internal/core/event"
 	"jayfold.dev/jayfold/internal/core/fleet"
 )
@@ -47,11 +48,12 @@
 	host   netip.Addr
 	seams  Seams
 	router *mux.Router
+	acks   *pendingAcks
 }
 
 // NewServer returns the handler for targets on the host with the given address.
 func NewServer(api HeartbeatAPI, host netip.Addr, seams Seams) *Server {
-	s := &Server{api: api, host: host, seams: seams, router: mux.NewRouter()}
+	s := &Server{api: api, host: host, seams: seams, router: mux.NewRouter(), acks: newPendingAcks()}
 	s.router.HandleFunc(api.Path, s.handleHeartbeat).Methods(http.MethodPut)
 	s.router.HandleFunc(api.Path, s.handleWithdrawal).Methods(http.MethodDelete)
 	return s
@@ -70,8 +72,7 @@
 		refuse(w, http.StatusUnprocessableEntity, strings.Join(problems, "; "))
 		return
 	}
-	s.seams.Post(event.HeartbeatReceived{Heartbeat: heartbeat})
-	w.WriteHeader(http.StatusNoContent)
+	s.reply(w, r, func(id uint64) event.Body { return event.HeartbeatReceived{Heartbeat: heartbeat, AckID: id} })
 }
 
 func (s *Server) handleWithdrawal(w http.ResponseWriter, r *http.Request) {
@@ -80,10 +81,32 @@
 		refuse(w, http.StatusUnprocessableEntity, strings.Join(problems, "; "))
 		return
 	}
-	s.seams.Post(event.TargetWithdrew{Name: name})
-	w.WriteHeader(http.StatusNoContent)
+	s.reply(w, r, func(id uint64) event.Body { return event.TargetWithdrew{Name: name, AckID: id} })
 }
 
+// reply posts the event of a call and responds once the call is acknowledged or refused.
+func (s *Server) reply(w http.ResponseWriter, r *http.Request, newEvent func(ackID uint64) event.Body) {
+	id, accepted := s.acks.add()
+	defer s.acks.remove(id)
+	s.seams.Post(newEvent(id))
+	timer := time.NewTimer(ackTimeout)
+	defer timer.Stop()
+	select {
+	case ok := <-accepted:
+		if ok {
+			w.WriteHeader(http.StatusNoContent)
+			return
+		}
+		refuse(w, http.StatusServiceUnavailable, "neither the platform nor another node has stored that the target leaves; call again")
+	case <-timer.C:
+		refuse(w, http.StatusServiceUnavailable, "the control loop did not reply within the timeout; call again")
+	case <-r.Context().Done():
+	}
+}
+
+// AcknowledgeTarget executes effect.AcknowledgeTarget. It does not block.
+func (s *Server) AcknowledgeTarget(e effect.AcknowledgeTarget) { s.acks.complete(e.AckID, e.Accepted) }
+
 func decodeErrorStatus(err error) int {
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
--- a/internal/edge/target/server_test.go
+++ b/internal/edge/target/server_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"jayfold.dev/jayfold/internal/core/effect"
 	"jayfold.dev/jayfold/internal/core/event"
 	"jayfold.dev/jayfold/internal/core/fleet"
 	"jayfold.dev/jayfold/internal/edge/target"
@@ -18,12 +19,23 @@
 const goodBody = `{"Pool":"catalogue","Address":"10.0.0.7:8080","Slots":4,"Connections":300,` +
 	`"State":"Ready","Instance":"i1","InFlight":2}`
 
-// serveRequest sends one request to a server on 10.0.0.7 and returns the response and the events that it posted.
+// serveRequest sends one request to a server on 10.0.0.7 and returns the response and the events that it posted. The call is
+// acknowledged at once.
 func serveRequest(method, path, body string) (*httptest.ResponseRecorder, []event.Body) {
+	return serveWithAck(method, path, body, func(s *target.Server) {
+		s.AcknowledgeTarget(effect.AcknowledgeTarget{AckID: 1, Accepted: true})
+	})
+}
+
+func serveWithAck(method, path, body string, acknowledge func(*target.Server)) (*httptest.ResponseRecorder, []event.Body) {
 	var posted []event.Body
-	server := target.NewServer(target.NewHeartbeatAPI(), netip.MustParseAddr("10.0.0.7"), target.Seams{
-		Now:       time.Now,
-		Post:      func(b event.Body) { posted = append(posted, b) },
+	var server *target.Server
+	server = target.NewServer(target.NewHeartbeatAPI(), netip.MustParseAddr("10.0.0.7"), target.Seams{
+		Now: time.Now,
+		Post: func(b event.Body) {
+			posted = append(posted, b)
+			acknowledge(server)
+		},
 		KnownPool: func(name fleet.PoolName) bool { return name == "catalogue" },
 	})
 	recorder := httptest.NewRecorder()
@@ -39,16 +51,31 @@
 		is.Equal(response.Code, http.StatusNoContent)
 		is.Equal(posted, []event.Body{event.HeartbeatReceived{Heartbeat: fleet.Heartbeat{
 			Name: "shop-1", Pool: "catalogue", Address: "10.0.0.7:8080", Slots: 4, Connections: 300, Instance: "i1", InFlight: 2,
-		}}})
+		}, AckID: 1}})
 	})
 	t.Run("withdrawal", func(t *testing.T) {
 		is := is.New(t)
 		response, posted := serveRequest(http.MethodDelete, "/v1/targets/shop-1", "")
 		is.Equal(response.Code, http.StatusNoContent)
-		is.Equal(posted, []event.Body{event.TargetWithdrew{Name: "shop-1"}})
+		is.Equal(posted, []event.Body{event.TargetWithdrew{Name: "shop-1", AckID: 1}})
 	})
 }
 
+// TestServerWaitsForAck guards against a response that promises a target that it gets no more requests, before the node can keep
+// that promise.
+func TestServerWaitsForAck(t *testing.T) {
+	for name, acknowledge := range map[string]func(*target.Server){
+		"refused":              func(s *target.Server) { s.AcknowledgeTarget(effect.AcknowledgeTarget{AckID: 1}) },
+		"reply to another one": func(s *target.Server) { s.AcknowledgeTarget(effect.AcknowledgeTarget{AckID: 2, Accepted: true}) },
+		"no reply":             func(*target.Server) {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			response, _ := serveWithAck(http.MethodDelete, "/v1/targets/shop-1", "", acknowledge)
+			is.New(t).Equal(response.Code, http.StatusServiceUnavailable)
+		})
+	}
+}
+
 // TestServerRefuses guards against adding a misconfigured target, or one on another host, to a pool.
 func TestServerRefuses(t *testing.T) {
 	replace := func(old, changed string) string { return strings.Replace(goodBody, old, changed, 1) }
--- a/internal/process/node/app.go
+++ b/internal/process/node/app.go
@@ -149,12 +149,13 @@
 // connect sets the fields of the dispatcher through which it executes effects and posts events.
 func connect(
 	d *dispatcher, loop *control.Loop, callers *caller.Server, sidecar *peer.Sidecar, messenger *peer.Messenger,
-	client *platform.Client, op *operator.Operator, filter *levelFilter,
+	targets *target.Server, client *platform.Client, op *operator.Operator, filter *levelFilter,
 ) {
 	d.post = loop.Post
 	d.callers = callers
 	d.sidecar = sidecar
 	d.messenger = messenger
+	d.targets = targets
 	d.platform = client
 	d.operator = op
 	d.log = filter
--- a/internal/process/node/dispatch.go
+++ b/internal/process/node/dispatch.go
@@ -12,6 +12,7 @@
 	"jayfold.dev/jayfold/internal/edge/operator"
 	"jayfold.dev/jayfold/internal/edge/peer"
 	"jayfold.dev/jayfold/internal/edge/platform"
+	"jayfold.dev/jayfold/internal/edge/target"
 )
 
 // dispatcher passes each effect to the edge that executes it. dispatch never blocks: what takes longer runs on its own goroutine.
@@ -19,6 +20,7 @@
 	callers   *caller.Server
 	sidecar   *peer.Sidecar
 	messenger *peer.Messenger
+	targets   *target.Server
 	platform  *platform.Client
 	operator  *operator.Operator
 	log       *levelFilter
@@ -49,6 +51,8 @@
 		d.messenger.Send(e)
 	case effect.ReplyStatus:
 		d.operator.ReplyStatus(e)
+	case effect.AcknowledgeTarget:
+		d.targets.AcknowledgeTarget(e)
 	case effect.WriteLog, effect.AddToCounter, effect.RecordRequest, effect.RecordAttempt:
 		d.operator.Observe(e)
 	default:
