edge/peer: a run holds no slot for an ingress that neither sends nor reads

Cause: the sidecar read the body of an attempt from the ingress without a limit while it held a slot. A suspended machine thus kept the slots of its queued orders one after the other.

A body now fails when no byte arrives for 0.5 s; up to 64 KiB are read before the target gets a byte, so that such an attempt has not run. The ingress loses its queue places.

--- a/internal/core/admission/refusal.go
+++ b/internal/core/admission/refusal.go
@@ -9,6 +9,7 @@
 
 // refusalDetails holds the problem detail for each cause of a refusal.
 var refusalDetails = map[fleet.Cause]string{
+	fleet.BodyStalled:      "the ingress does not send the bodies of its attempts",
 	fleet.Canceled:         "the attempt was canceled before it started",
 	fleet.DeadlinePassed:   "the deadline passed before the attempt started",
 	fleet.Draining:         "the target or its node is draining",
--- a/internal/core/admission/run.go
+++ b/internal/core/admission/run.go
@@ -89,6 +89,11 @@
 		}
 		s.targets = s.targets.With(run.Attempt.Target, l)
 	}
+	if problem, _ := outcome.Problem.Get(); problem.Cause == fleet.BodyStalled {
+		var refused []effect.Effect
+		s, refused = s.refuseQueuedFrom(ctx.Now, run.Attempt.Ingress)
+		effects = append(effects, refused...)
+	}
 	s, started := s.startQueued(ctx, run.Attempt.Target)
 	if outcome.CrashCheckPending {
 		s.pendingCrashChecks = s.pendingCrashChecks.With(id, pendingCrashCheck{run: run, outcome: outcome, at: ctx.Now})
--- a/internal/core/admission/state.go
+++ b/internal/core/admission/state.go
@@ -230,6 +230,22 @@
 	return s, effects
 }
 
+// refuseQueuedFrom refuses all queued attempts of an ingress that does not send a body. Each of them would otherwise hold a slot
+// until its own body stalls.
+func (s State) refuseQueuedFrom(now time.Time, ingress fleet.NodeID) (State, []effect.Effect) {
+	var effects []effect.Effect
+	for _, p := range s.queued.All() {
+		l, _ := s.targets.Get(p.target)
+		attempt, _ := l.queue.get(p.ticket)
+		if attempt.Ingress != ingress {
+			continue
+		}
+		s, _ = s.dequeue(l, attempt)
+		effects = append(effects, s.refuse(now, attempt, fleet.BodyStalled)...)
+	}
+	return s, effects
+}
+
 // AttemptCanceled cancels an attempt. A queued attempt is refused with the verdict NotRun. An attempt that has not arrived yet is
 // recorded as seen, so that it never starts.
 func (s State) AttemptCanceled(ctx Context, id fleet.AttemptID) (State, []effect.Effect) {
--- a/internal/core/fleet/problem.go
+++ b/internal/core/fleet/problem.go
@@ -27,6 +27,7 @@
 	Quarantined      Cause = "Quarantined"    // requests with this fingerprint crash targets
 	DeadlinePassed   Cause = "DeadlinePassed" // the deadline passed
 	Canceled         Cause = "Canceled"       // the caller disconnected
+	BodyStalled      Cause = "BodyStalled"    // the ingress did not send the body in time
 	Unreachable      Cause = "Unreachable"    // the node or the target cannot be connected to
 	Broken           Cause = "Broken"         // the connection broke before the response was complete
 	TargetCrashed    Cause = "TargetCrashed"  // the target's process died while the request ran
--- a/internal/core/fleet/request.go
+++ b/internal/core/fleet/request.go
@@ -32,6 +32,8 @@
 	// there are.
 	PoolSize int
 	Node     NodeID
+	// Ingress is the node that forwards the attempt. It is set when the attempt is sent.
+	Ingress NodeID
 	// Address is the forward address of the node on the target's host.
 	Address    string
 	Class      Class
@@ -69,6 +71,12 @@
 	return a
 }
 
+// WithIngress returns the attempt with the given ingress.
+func (a Attempt) WithIngress(ingress NodeID) Attempt {
+	a.Ingress = ingress
+	return a
+}
+
 // Outcome is the result of an attempt as seen by the process that waited for it.
 type Outcome struct {
 	// Status is the HTTP status of the response; 0 if there is none.
--- a/internal/edge/caller/refusal.go
+++ b/internal/edge/caller/refusal.go
@@ -38,6 +38,7 @@
 	fleet.Overloaded:     http.StatusServiceUnavailable,
 	fleet.Ejected:        http.StatusServiceUnavailable,
 	fleet.Draining:       http.StatusServiceUnavailable,
+	fleet.BodyStalled:    http.StatusServiceUnavailable,
 	fleet.UnknownTarget:  http.StatusServiceUnavailable,
 	fleet.Duplicate:      http.StatusBadGateway,
 	fleet.Quarantined:    http.StatusTooManyRequests,
--- a/internal/edge/peer/forward_fault_test.go
+++ b/internal/edge/peer/forward_fault_test.go
@@ -389,14 +389,14 @@
 		if node == "" || target == "" || pool == "" || max(len(node)+len(target)+1, len(pool)) > maxNameBytes {
 			return
 		}
-		wire := wireAttempt{From: fleet.NodeID(node)}
+		wire := wireAttempt{Attempt: fleet.Attempt{Ingress: fleet.NodeID(node)}}
 		wire.Attempt.ID, wire.Attempt.Pool = "r.1", fleet.PoolName(pool)
 		wire.Attempt.Target = fleet.NewTargetID(fleet.NodeID(node), target)
 		header := http.Header{}
 		encodeAttempt(header, wire, time.Unix(1_800_000_000, 0))
 		decoded, err := decodeAttempt(header, time.Unix(1_800_000_000, 0))
 		if err != nil || decoded.Attempt.Target != wire.Attempt.Target || decoded.Attempt.Pool != wire.Attempt.Pool ||
-			decoded.From != wire.From {
+			decoded.Attempt.Ingress != wire.Attempt.Ingress {
 			t.Fatalf("%+v became %+v (%v)", wire, decoded, err)
 		}
 	})
--- a/internal/edge/peer/forward_field_test.go
+++ b/internal/edge/peer/forward_field_test.go
@@ -32,16 +32,16 @@
 	t.Run("attempt", func(t *testing.T) {
 		is := is.New(t)
 		attempt := fleet.Attempt{
-			ID: "r.1", Target: "b/t", Pool: "p", PoolSize: 7, Node: "b", Class: fleet.Order, Idempotent: true, Priority: 3,
+			ID: "r.1", Target: "b/t", Pool: "p", PoolSize: 7, Node: "b", Ingress: "a", Class: fleet.Order, Idempotent: true, Priority: 3,
 			Probe: true, Trial: true, IsRetry: true, ParentRetried: true, BudgetCharged: true, Forced: true, Caller: "acme", Key: "k",
 			Deadline: now.Add(2 * time.Second), Goal: now.Add(time.Second), Baseline: time.Millisecond, Fingerprint: 5,
 		}
 		assertFieldsSet(t, attempt, "Address") // not encoded: the receiver knows its own address
 		h := http.Header{}
-		encodeAttempt(h, wireAttempt{Attempt: attempt, From: "a", Revision: 9}, now)
+		encodeAttempt(h, wireAttempt{Attempt: attempt, Revision: 9}, now)
 		got, err := decodeAttempt(h, now)
 		is.NoErr(err)
-		is.Equal(got, wireAttempt{Attempt: attempt, From: "a", Revision: 9})
+		is.Equal(got, wireAttempt{Attempt: attempt, Revision: 9})
 	})
 	t.Run("report", func(t *testing.T) {
 		is := is.New(t)
--- a/internal/edge/peer/forward_header.go
+++ b/internal/edge/peer/forward_header.go
@@ -45,7 +45,6 @@
 // wireAttempt is the content of the headers of a forwarded request.
 type wireAttempt struct {
 	Attempt  fleet.Attempt
-	From     fleet.NodeID
 	Revision fleet.Revision
 }
 
@@ -67,7 +66,7 @@
 		string(a.Target),
 		string(a.Pool),
 		strconv.Itoa(a.PoolSize),
-		string(wire.From),
+		string(a.Ingress),
 		a.Class.String(),
 		strconv.FormatBool(a.Idempotent),
 		strconv.Itoa(a.Priority),
@@ -124,6 +123,7 @@
 			Target:        fleet.TargetID(d.requiredName(targetFields[0])),
 			Pool:          fleet.PoolName(d.requiredName(targetFields[1])),
 			PoolSize:      int(min(d.number(targetFields[2], 10), maxPoolSize)),
+			Ingress:       fleet.NodeID(d.requiredName(targetFields[3])),
 			Class:         d.class(targetFields[4]),
 			Idempotent:    d.boolean(targetFields[5]),
 			Priority:      int(min(d.number(targetFields[6], 10), maxPriority)),
@@ -136,7 +136,6 @@
 			Caller:        fleet.Caller(d.optionalValue(headerCaller)),
 			Key:           fleet.IdempotencyKey(d.optionalValue(headerKey)),
 		},
-		From:     fleet.NodeID(d.requiredName(targetFields[3])),
 		Revision: fleet.Revision(d.number(targetFields[7], 10)),
 	}
 	if id := wire.Attempt.ID; id.Request() == "" || string(id.Request()) == string(id) {
--- a/internal/edge/peer/forward_run.go
+++ b/internal/edge/peer/forward_run.go
@@ -1,10 +1,12 @@
 package peer
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"jayfold.dev/jayfold/internal/core/effect"
@@ -18,6 +20,10 @@
 // errIngressGone is returned when a response can no longer be written to the ingress, which is not a failure of the target.
 var errIngressGone = errors.New("the connection to the ingress has ended")
 
+// releaseDelay is the time after the end of a run's context in which its handler can still post the outcome. A handler that
+// writes to an ingress which does not read is blocked until the connection fails.
+const releaseDelay = 250 * time.Millisecond
+
 // sidecarRun is the run of one attempt on a target.
 type sidecarRun struct {
 	seams   SidecarSeams
@@ -27,11 +33,42 @@
 	reports <-chan effect.AttachRunReport
 	// saveResponse caches the complete response of an order with an idempotency key.
 	saveResponse func()
+	// post posts the outcome of the run. Only the first call has an effect.
+	post func(fleet.Outcome)
+	// release ends the watch on ctx.
+	release func()
+}
+
+// newSidecarRun returns a run whose slot is freed at the latest when ctx ends, even if its handler is still blocked.
+func newSidecarRun(
+	ctx context.Context, seams SidecarSeams, run effect.StartRun, reports <-chan effect.AttachRunReport, saveResponse func(),
+) sidecarRun {
+	var once sync.Once
+	s := sidecarRun{seams: seams, run: run, ctx: ctx, started: seams.Now(), reports: reports, saveResponse: saveResponse}
+	s.post = func(outcome fleet.Outcome) {
+		once.Do(func() { seams.Post(event.RunFinished{Attempt: run.Attempt.ID, Outcome: outcome}) })
+	}
+	handlerDone := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		limit := time.NewTimer(releaseDelay)
+		defer limit.Stop()
+		select {
+		case <-handlerDone:
+		case <-limit.C:
+			problem := s.withContextCause(fleet.NewProblem(fleet.Canceled, fleet.MayHaveRun, "the ingress does not read the response"))
+			s.post(fleet.Outcome{Problem: fleet.Some(problem), Duration: seams.Now().Sub(s.started)})
+		}
+	})
+	s.release = func() {
+		stop()
+		close(handlerDone)
+	}
+	return s
 }
 
 // postOutcome posts the outcome of the run and returns the report for the response.
 func (s sidecarRun) postOutcome(outcome fleet.Outcome) fleet.Option[fleet.TargetReport] {
-	s.seams.Post(event.RunFinished{Attempt: s.run.Attempt.ID, Outcome: outcome})
+	s.post(outcome)
 	limit := time.NewTimer(reportTimeout)
 	defer limit.Stop()
 	select {
@@ -101,16 +138,52 @@
 		w.WriteHeader(response.StatusCode)
 		return
 	}
-	w.WriteHeader(response.StatusCode)
-	waited, err := s.copyBody(w, response.Body)
-	outcome.Duration += waited
+	held, complete, err := holdResponse(response)
+	outcome.Duration = s.seams.Now().Sub(s.started)
 	if err != nil {
 		s.abort(outcome, err)
 	}
+	if complete && s.run.Attempt.Key == "" {
+		// The run has ended, so that an ingress which does not read holds no slot.
+		s.writeComplete(w, response.StatusCode, held, s.postOutcome(outcome))
+		return
+	}
+	w.WriteHeader(response.StatusCode)
+	if _, err = w.Write(held); err != nil && len(held) > 0 {
+		s.abort(outcome, errIngressGone)
+	}
+	if !complete {
+		waited, err := s.copyBody(w, response.Body)
+		outcome.Duration += waited
+		if err != nil {
+			s.abort(outcome, err)
+		}
+	}
 	s.saveResponse()
 	s.markComplete(header, http.TrailerPrefix, s.postOutcome(outcome))
 }
 
+// holdResponse reads the start of a response, up to maxHeldBytes, and reports whether that is the whole body. The ingress holds as
+// much before it sends the first byte to its caller, so that this delays nothing.
+func holdResponse(response *http.Response) (held []byte, complete bool, err error) {
+	var buffer bytes.Buffer
+	buffer.Grow(int(min(max(response.ContentLength, 0), maxHeldBytes)) + bytes.MinRead)
+	_, err = buffer.ReadFrom(io.LimitReader(response.Body, maxHeldBytes+1))
+	return buffer.Bytes(), buffer.Len() <= maxHeldBytes, err
+}
+
+// writeComplete forwards a response of which the whole body is held.
+func (s sidecarRun) writeComplete(w http.ResponseWriter, status int, body []byte, report fleet.Option[fleet.TargetReport]) {
+	w.WriteHeader(status)
+	if len(body) > 0 {
+		// A status such as 204 allows no body, not even an empty one.
+		if _, err := w.Write(body); err != nil {
+			return
+		}
+	}
+	s.markComplete(w.Header(), http.TrailerPrefix, report)
+}
+
 // markComplete sets the report, if there is one, and the verdict, which marks a response as complete.
 func (s sidecarRun) markComplete(header http.Header, prefix string, report fleet.Option[fleet.TargetReport]) {
 	if known, ok := report.Get(); ok {
@@ -128,7 +201,7 @@
 	}
 	outcome.CrashCheckPending = s.targetMayHaveCrashed(problem)
 	outcome.Problem = fleet.Some(problem)
-	s.seams.Post(event.RunFinished{Attempt: s.run.Attempt.ID, Outcome: outcome})
+	s.post(outcome)
 	if outcome.CrashCheckPending {
 		go s.checkCrash()
 	}
--- a/internal/edge/peer/forward_sidecar.go
+++ b/internal/edge/peer/forward_sidecar.go
@@ -152,7 +152,7 @@
 		writeRefusal(w, http.StatusBadRequest, wire.Attempt.ID, problem)
 		return
 	}
-	s.seams.Post(event.PeerRevisionSeen{From: wire.From, Revision: wire.Revision})
+	s.seams.Post(event.PeerRevisionSeen{From: wire.Attempt.Ingress, Revision: wire.Revision})
 	effects, ok := s.register(wire.Attempt.ID)
 	if !ok {
 		problem := fleet.NewProblem(fleet.Duplicate, fleet.MayHaveRun, "an attempt with this id is already in progress")
@@ -218,15 +218,25 @@
 	done := make(chan struct{})
 	defer close(done)
 	go relayEffects(effects, cancel, reports, done)
+	body := newIngressBody(w, r, bodyStallTimeout)
 	w, saveResponse := s.recordKeyedResponse(w, run.Attempt)
-	running := sidecarRun{seams: s.seams, run: run, ctx: ctx, started: s.seams.Now(), reports: reports, saveResponse: saveResponse}
+	running := newSidecarRun(ctx, s.seams, run, reports, saveResponse)
+	defer running.release()
 	if ctx.Err() != nil {
 		running.writeProblem(w, fleet.NewProblem(fleet.Canceled, fleet.NotRun, "the attempt was canceled before it started"))
 		return
 	}
-	response, err := s.seams.Run(ctx, run, targetRequest(ctx, r, run.Attempt))
+	held, err := body.hold()
 	if err != nil {
-		running.writeProblem(w, running.withContextCause(problemOf(err)))
+		// Nothing was sent to the target.
+		running.writeProblem(w, running.withContextCause(body.withStall(problemOf(err).WithVerdict(fleet.NotRun))))
+		return
+	}
+	request := targetRequest(ctx, r, run.Attempt)
+	request.Body = held
+	response, err := s.seams.Run(ctx, run, request)
+	if err != nil {
+		running.writeProblem(w, running.withContextCause(body.withStall(problemOf(err))))
 		return
 	}
 	defer func() { _ = response.Body.Close() }()
--- a/internal/edge/peer/forwarder.go
+++ b/internal/edge/peer/forwarder.go
@@ -247,7 +247,7 @@
 		// The body is sent only once the target is ready for it: most probes are refused when the fleet is busy.
 		request.Header.Set("Expect", "100-continue")
 	}
-	wire := wireAttempt{Attempt: attempt, From: f.self, Revision: forward.Revision}
+	wire := wireAttempt{Attempt: attempt.WithIngress(f.self), Revision: forward.Revision}
 	encodeAttempt(request.Header, wire, f.seams.Now())
 	return request.WithContext(ctx)
 }
