process/node: a stop may take the whole grace that a reload has set

Cause: the time limit that fx gets for the stop was the grace of the start. The reducer, which ends a stop before the grace in force, needs no second limit; that of fx is now the longest grace that the settings allow.

--- a/internal/process/node/app.go
+++ b/internal/process/node/app.go
@@ -63,7 +63,8 @@
 	return fx.New(
 		fx.NopLogger,
 		fx.StartTimeout(startTimeout),
-		fx.StopTimeout(s.StopGrace),
+		// The reducer ends a stop before the grace in force, which a reload may have changed since the start.
+		fx.StopTimeout(settings.MaxStopGrace),
 		fx.Supply(s, seams, filter),
 		fx.Provide(
 			newDispatcher,
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -33,6 +33,9 @@
 	"jayfold.dev/jayfold/internal/edge/configfile"
 )
 
+// MaxStopGrace is the longest stop grace that the settings allow.
+const MaxStopGrace = 10 * time.Minute
+
 // Settings are the content of a settings file.
 type Settings struct {
 	// Path is the settings file; empty if the settings were not read from a file.
