core/node: a stopping node refuses requests that are complete after its listener has closed

Reported by other operators: requests taken late in the grace are passed on and cut at its end.

Cause: a request whose head had been read in time and whose body became complete later was passed on at any time.

--- a/internal/core/node/ingress.go
+++ b/internal/core/node/ingress.go
@@ -27,10 +27,13 @@
 	return ctx
 }
 
-// requestArrived refuses a request that arrives before the first tables, matches no route or is quarantined. It starts any other
-// request.
+// requestArrived refuses a request that arrives before the first tables, matches no route or is quarantined, or whose body is complete
+// only after the listener of a stopping node has closed: the node might end before the request. It starts any other request.
 func (s State) requestArrived(ev event.Event, body event.RequestArrived) (State, []effect.Effect) {
 	request := body.Request
+	if s.shutdown.drainingCallers {
+		return s, refuse(request, fleet.Draining, "the node is stopping and takes no more requests")
+	}
 	if s.Revision() == 0 {
 		return s, refuse(request, fleet.NoTables, "this node has no tables yet")
 	}
