edge/peer: windows bound what nodes hold of bodies that nobody reads

Reported by other operators: an endpoint that sends bytes without end fills the memory of a machine.

Cause here: the ingress received up to 4 MB of a response whose caller does not read, the default window of net/http. It is now 256 KiB. In the other direction the bodies of queued requests used up the window of a connection, so that the body of a running request could not arrive: the windows are now 128 KiB a request and 4 MB a connection, and bodies over 64 KiB wait for their run also within a zone.

Measured: TestEndlessResponseToSlowCaller and TestQueuedBodiesLeaveRoom failed before and pass now, also with the race detector.

--- a/internal/edge/peer/forward_sidecar.go
+++ b/internal/edge/peer/forward_sidecar.go
@@ -65,7 +65,9 @@
 		MaxHeaderBytes:    maxPeerHeaderBytes,
 		Protocols:         new(http.Protocols),
 		HTTP2: &http.HTTP2Config{
-			MaxConcurrentStreams: maxStreamsPerConn,
+			MaxConcurrentStreams:          maxStreamsPerConn,
+			MaxReceiveBufferPerStream:     requestWindowBytes,
+			MaxReceiveBufferPerConnection: connWindowBytes,
 		},
 	}
 	server.Protocols.SetUnencryptedHTTP2(true)
--- a/internal/edge/peer/forwarder.go
+++ b/internal/edge/peer/forwarder.go
@@ -62,7 +62,7 @@
 		ExpectContinueTimeout: continueTimeout,
 		Protocols:             new(http.Protocols),
 		// The HTTP/2 pings of net/http are off: they would also be sent on idle connections, which are the majority.
-		HTTP2: &http.HTTP2Config{StrictMaxConcurrentRequests: true},
+		HTTP2: &http.HTTP2Config{StrictMaxConcurrentRequests: true, MaxReceiveBufferPerStream: responseWindowBytes},
 	}
 	transport.Protocols.SetUnencryptedHTTP2(true)
 	return &Forwarder{
@@ -243,7 +243,7 @@
 		request.Body = http.NoBody
 	}
 	stripHeaders(request.Header)
-	if forward.CrossZone && len(body) > 0 {
+	if forward.CrossZone && len(body) > 0 || len(body) > maxUnaskedBytes {
 		// The body is sent only once the target is ready for it: most probes are refused when the fleet is busy.
 		request.Header.Set("Expect", "100-continue")
 	}
