edge/peer: a message on a connection that has gone silent is sent again on a new one

A message between nodes that met such a connection was dropped after 2 s, together with all that were queued behind it: gossip repeats, but a tombstone or the news of a revision reached the peer later than it need.

Cause: only a connection that had ended was replaced, not one without a reply. A message may be received twice, so that sending it again is safe.

--- a/internal/edge/peer/message_sender.go
+++ b/internal/edge/peer/message_sender.go
@@ -78,23 +78,18 @@
 	}
 }
 
-// callWithRedial calls the peer. A cached connection that turns out to be broken is replaced once, since the peer may have
-// restarted. Receiving a message twice is harmless.
+// callWithRedial calls the peer. A cached connection without a reply is replaced once: the peer may have restarted, or the connection
+// may have gone silent while new ones work. Receiving a message twice is harmless.
 func (s *messageSender) callWithRedial(encoded []byte) error {
 	cached := s.client != nil
 	err := s.call(encoded)
-	if cached && connectionEnded(err) {
+	var refused rpc.ServerError
+	if cached && err != nil && !errors.As(err, &refused) {
 		return s.call(encoded)
 	}
 	return err
 }
 
-// connectionEnded reports whether err means that the connection ended without a reply.
-func connectionEnded(err error) bool {
-	var refused rpc.ServerError
-	return err != nil && !errors.Is(err, errCallTimeout) && !errors.As(err, &refused)
-}
-
 // call makes one RPC. It dials first if there is no connection, and closes the connection unless the peer has replied.
 func (s *messageSender) call(encoded []byte) error {
 	if s.client == nil {
--- a/internal/edge/peer/message_test.go
+++ b/internal/edge/peer/message_test.go
@@ -150,6 +150,26 @@
 	is.New(t).Equal(len(a.posted), 0) // no MessageSendFailed
 }
 
+// TestMessageOnSilentConnectionArrives guards against a change of the tables or a tombstone that is lost on a connection which has gone
+// silent while it was idle.
+func TestMessageOnSilentConnectionArrives(t *testing.T) {
+	is := is.New(t)
+	a, b := newObservedMessenger(t, "a"), newObservedMessenger(t, "b")
+	a.timeouts.call = 100 * time.Millisecond
+	proxy := newSilencingProxy(t, b.address)
+	a.ping("b", proxy.address, 1)
+	_ = receive(t, b.posted)
+	eventually(t, func() bool {
+		_, received := a.Traffic()
+		return received > 0
+	})
+	proxy.silenceOpen()
+	a.ping("b", proxy.address, 2)
+	got := receive(t, b.posted).(event.MessageReceived)
+	is.Equal(got.Envelope.Message, message.Ping{Sequence: 2})
+	is.Equal(len(a.posted), 0)
+}
+
 // TestIdleConnectionsAreClosed guards against unused connections that stay open, up to one for each of 540 peers.
 func TestIdleConnectionsAreClosed(t *testing.T) {
 	a, b := newObservedMessenger(t, "a"), newObservedMessenger(t, "b")
