core/attempt: an order tests whether an unreachable node is back

Cause: only idempotent requests tested an unreachable node, and the service had none. An order may now test it a second after the backoff. It is sent only on a connection on which the node has responded, so that it has not run otherwise.

--- a/internal/core/attempt/state_test.go
+++ b/internal/core/attempt/state_test.go
@@ -347,6 +347,33 @@
 	is.True(tries >= 5 && tries <= 12) // About eight backoffs, doubled from 250 ms, fit into 60 s.
 }
 
+// TestOrdersTestUnreachableNodes guards against a node that is avoided for minutes after one failure, because its service has only
+// orders, and against orders that each spend an attempt on it.
+func TestOrdersTestUnreachableNodes(t *testing.T) {
+	is := is.New(t)
+	h := newHarness()
+	down := h.ctx.Now.Add(3 * time.Second)
+	tries, servedAt := 0, time.Time{}
+	for range 1000 {
+		h.ctx.Now = h.ctx.Now.Add(10 * time.Millisecond)
+		a := assertForwarded(t, h.arrive(false, ""))
+		switch {
+		case a.Node != "n0":
+			h.succeed(a)
+		case h.ctx.Now.Before(down):
+			tries++
+			assertForwarded(t, h.fail(a, fleet.Unreachable, fleet.NotRun))
+		case servedAt.IsZero():
+			servedAt = h.ctx.Now
+			h.succeed(a)
+		default:
+			h.succeed(a)
+		}
+	}
+	is.True(tries >= 2 && tries <= 4) // at 0, 1.25 and 2.75 s, with some jitter
+	is.True(!servedAt.IsZero() && servedAt.Before(down.Add(3*time.Second)))
+}
+
 // TestHomeTarget guards against requests with the same idempotency key that reach different targets, and against a request with a
 // key that is sent to another target because its home target is full.
 func TestHomeTarget(t *testing.T) {
--- a/internal/core/attempt/unreachable.go
+++ b/internal/core/attempt/unreachable.go
@@ -11,6 +11,9 @@
 	// time up to maxNodeBackoff.
 	firstNodeBackoff = 250 * time.Millisecond
 	maxNodeBackoff   = 30 * time.Second
+	// orderTestDelay is how long after the backoff an order may test a node. Idempotent requests, which cost less if the node is still
+	// unreachable, go first, but a service may have none.
+	orderTestDelay = time.Second
 	// maxBackoffDoublings is the number of doublings after which the backoff reaches maxNodeBackoff.
 	maxBackoffDoublings = 7
 	// nodeFailureLifetime is how long a failure is remembered after its backoff has ended.
@@ -73,14 +76,18 @@
 	return u
 }
 
-// avoids reports whether a node should get no request of the given kind. Only idempotent requests test whether an unreachable
-// node is reachable again.
+// avoids reports whether a node should get no request of the given kind. An order that tests a node is sent only on a connection on
+// which the node has responded, so that it has not run if the node is unreachable.
 func (u unreachableNodes) avoids(now time.Time, node fleet.NodeID, idempotent bool) bool {
 	if u.nodes.Len() == 0 {
 		return false
 	}
 	n, ok := u.nodes.Get(node)
-	return ok && (!idempotent || now.Before(n.avoidedUntil))
+	until := n.avoidedUntil
+	if !idempotent {
+		until = until.Add(orderTestDelay)
+	}
+	return ok && now.Before(until)
 }
 
 // AllNodesReachable reports whether no attempt has recently failed to reach a node.
