--- a/internal/edge/peer/forwarder.go
+++ b/internal/edge/peer/forwarder.go
@@ -233,6 +233,7 @@
 		Method: r.Method,
 		URL: &url.URL{
 			Scheme: "http", Host: attempt.Address, Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery,
+			ForceQuery: r.URL.ForceQuery,
 		},
 		Host:          r.Host,
 		Header:        r.Header.Clone(),
