core/admission: a process that takes no connection soon after one broke has died

Cause: the check for a crash dials once and takes a process whose port closes 70 ms after its connections for alive. Nothing later counted as a sign. A refused connection within 3 s of a broken one now does.

--- a/internal/core/admission/attempt_test.go
+++ b/internal/core/admission/attempt_test.go
@@ -117,6 +117,33 @@
 		finish(h, "a", broken)
 		assertCrash(is, h.heartbeat("i2", 3).Crash, true, 'a')
 	})
+	t.Run("process takes no connection soon after one broke", func(t *testing.T) {
+		is, h := is.New(t), newWarmHarness(3)
+		h.submit("a", fleet.Order)
+		h.submit("b", fleet.Order)
+		finish(h, "a", broken)
+		assertCrash(is, finish(h, "b", failed(fleet.Unreachable, fleet.NotRun, false)), true, 'a')
+	})
+	t.Run("process takes no connection long after one broke", func(t *testing.T) {
+		is, h := is.New(t), newWarmHarness(3)
+		h.submit("a", fleet.Order)
+		finish(h, "a", broken)
+		h.advance(4*time.Second, "i1", 3)
+		h.submit("b", fleet.Order)
+		_, crashed := finish(h, "b", failed(fleet.Unreachable, fleet.NotRun, false)).Get()
+		is.True(!crashed)
+	})
+	t.Run("draining process takes no connection after one broke", func(t *testing.T) {
+		is, h := is.New(t), newWarmHarness(3)
+		h.submit("a", fleet.Order)
+		h.submit("b", fleet.Order)
+		finish(h, "a", broken)
+		draining := newHeartbeat("i1", 3)
+		draining.State = fleet.TargetDraining
+		h.receiveHeartbeat(draining)
+		_, crashed := finish(h, "b", failed(fleet.Unreachable, fleet.NotRun, false)).Get()
+		is.True(!crashed)
+	})
 	t.Run("replacement of a draining process is no crash", func(t *testing.T) {
 		is, h := is.New(t), newWarmHarness(3)
 		h.submit("a", fleet.Order)
--- a/internal/core/admission/crash.go
+++ b/internal/core/admission/crash.go
@@ -44,8 +44,9 @@
 		s, effects := s.markUnreachable(ctx.Now, run.Attempt.Target, run.Instance)
 		return s, effects, fleet.Some(crash)
 	case outcome.TargetCrashed, failed && problem.Cause == fleet.Unreachable:
+		s, crash := s.unreachableAfterBreak(ctx.Now, run)
 		s, effects := s.markUnreachable(ctx.Now, run.Attempt.Target, run.Instance)
-		return s, effects, fleet.Option[Crash]{}
+		return s, effects, crash
 	case failed && problem.Cause == fleet.Broken:
 		return s.connectionBroke(ctx.Now, run)
 	default:
@@ -120,6 +121,23 @@
 	return s, nil, fleet.Option[Crash]{}
 }
 
+// unreachableAfterBreak records the death of a process that takes no connection although one of its connections broke recently. A process
+// that is ending may accept connections for longer than the check for a crash waits.
+func (s State) unreachableAfterBreak(now time.Time, run Run) (State, fleet.Option[Crash]) {
+	id := run.Attempt.Target
+	c, known := s.crashes.Get(id)
+	if !known || c.instance != run.Instance || c.died || now.Sub(c.at) > brokenRunWindow {
+		return s, fleet.Option[Crash]{}
+	}
+	if l, _ := s.targets.Get(id); l.heartbeat.State == fleet.TargetDraining {
+		return s, fleet.Option[Crash]{}
+	}
+	// The run itself has not reached the process.
+	s.running = s.running.Without(run.Attempt.ID)
+	s, crash := s.processDied(now, id, run.Instance)
+	return s, fleet.Some(crash)
+}
+
 // markUnreachable marks a target as unreachable until its next heartbeat and refuses the attempts in its queue.
 func (s State) markUnreachable(now time.Time, id fleet.TargetID, instance string) (State, []effect.Effect) {
 	l, ok := s.targets.Get(id)
