--- a/internal/core/node/ack.go
+++ b/internal/core/node/ack.go
@@ -51,6 +51,12 @@
 			continue
 		}
 		effects = append(effects, effect.AcknowledgeTarget{AckID: ack.id, Accepted: kept})
+		if !kept {
+			effects = append(effects, effect.WriteLog{
+				Level: effect.Warn, Component: "admission", Message: "target leaves, but only this node knows",
+				Fields: []effect.LogField{{Name: "Waited", Value: waited}},
+			})
+		}
 	}
 	s.pendingAcks = pending
 	return s, effects
