--- a/internal/core/membership/kept.go
+++ b/internal/core/membership/kept.go
@@ -64,8 +64,8 @@
 // TombstoneSequence returns the sequence number of the first version of this node's own record that has its newest tombstone.
 func (s State) TombstoneSequence() uint64 { return s.kept.tombstoneSequence }
 
-// KeptOnPlatform and KeptAtPeer report whether the platform or a peer has this version of the node's own record or a newer one.
+// KeptOnPlatform reports whether the platform has this version of the node's own record or a newer one.
 func (s State) KeptOnPlatform(sequence uint64) bool { return s.kept.onPlatform >= sequence }
 
-// KeptAtPeer is described at KeptOnPlatform.
+// KeptAtPeer reports whether any peer has this version of the node's own record or a newer one.
 func (s State) KeptAtPeer(sequence uint64) bool { return s.kept.atPeer >= sequence }
