--- a/internal/core/admission/tombstone.go
+++ b/internal/core/admission/tombstone.go
@@ -84,6 +84,7 @@
 		}
 		t := tombstone{instance: restored.Instance, started: restored.Started, at: now}
 		if t.instance == "" {
+			// It covers processes of any start up to the withdrawal, and must not last longer than their heartbeats may be delayed.
 			t.at = t.started
 		}
 		s.tombstones = s.tombstones.With(restored.Target, t)
--- a/internal/edge/target/doc.go
+++ b/internal/edge/target/doc.go
@@ -7,6 +7,7 @@
 //		Now: time.Now, Post: loop.Post, KnownPool: knownPool,
 //	})
 //	go http.Serve(listener, server)
+//	server.AcknowledgeTarget(e) // executes effect.AcknowledgeTarget; never blocks
 //
 //	client := target.NewClient(target.NewProtocol(), target.NewDial(), time.Now)
 //	response, err := client.Run(ctx, run, request)
