tablesfile, platform: an unknown word or an odd entry costs only itself

An entry of more than 100,000 arrays and objects even ended the process: reading the absent value of an entry that did not parse asked for the line of a position that it did not have.

Change: an unknown route type or class is that of requests that run at most once; upload is known as one of these. A route whose destination cannot be read keeps its match and refuses its requests, since without it a route with a shorter prefix would take them. Pools, limits and routes that cannot be read cost only themselves. Lists that are no lists, and a missing version, still reject the revision. Each revision logs the parts that were not understood once, counts them in tables_unread, passes them on to peers and shows them in jayfold status. Files of operators are checked as strictly as before.

--- a/internal/core/effect/status.go
+++ b/internal/core/effect/status.go
@@ -15,12 +15,14 @@
 	Revision          fleet.Revision
 	NewestRevision    fleet.Revision
 	PlatformReachable bool
-	Draining          bool
-	InFlight          int
-	Services          []ServiceStatus
-	Targets           []TargetStatus
-	Members           []fleet.Member
-	Quarantined       []QuarantineStatus
+	// Unread has a text for each part of the revision in force that this node cannot read.
+	Unread      []string
+	Draining    bool
+	InFlight    int
+	Services    []ServiceStatus
+	Targets     []TargetStatus
+	Members     []fleet.Member
+	Quarantined []QuarantineStatus
 }
 
 // ServiceStatus is the state of a pool as seen by this node.
--- a/internal/core/fleet/tables.go
+++ b/internal/core/fleet/tables.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 )
 
@@ -37,6 +38,15 @@
 	Weight int
 }
 
+// WithoutPool returns a route that matches the same requests and refuses them all. It takes the place of a route whose destination
+// cannot be read: without it, a route with a shorter prefix would send its requests elsewhere.
+func (r Route) WithoutPool() Route {
+	return Route{
+		Name: r.Name, Host: r.Host, PathPrefix: r.PathPrefix, Methods: r.Methods,
+		Class: Order, Idempotent: Some(false), Deadline: r.Deadline,
+	}
+}
+
 // Pools returns the pools to which the route may send requests.
 func (r Route) Pools() []PoolName {
 	if len(r.Split) == 0 {
@@ -68,6 +78,9 @@
 	Pools  Map[PoolName, Pool]
 	// Limits restricts what callers may send. A zero field leaves the node's setting in force.
 	Limits Limits
+	// Unread has a text for each entry or word of the revision that this node cannot read, such as a field with a value of another
+	// type or a word of a later version. The requests of such an entry are refused or run at most once; all other entries hold.
+	Unread []string
 }
 
 // Limits restricts the size of a caller's requests and the time that a caller may take.
@@ -96,6 +109,12 @@
 // Pool returns the pool with the given name.
 func (t Tables) Pool(name PoolName) (Pool, bool) { return t.Pools.Get(name) }
 
+// WithUnread returns the tables with one more text about an entry that this node cannot read.
+func (t Tables) WithUnread(text string) Tables {
+	t.Unread = append(slices.Clip(t.Unread), text)
+	return t
+}
+
 // WithRevision returns the tables with the given revision number.
 func (t Tables) WithRevision(r Revision) Tables {
 	t.Revision = r
--- a/internal/core/tables/logging.go
+++ b/internal/core/tables/logging.go
@@ -50,6 +50,21 @@
 		effect.LogField{Name: "SeenFor", Value: now.Sub(s.newestSince).Round(time.Millisecond)})
 }
 
+// unreadReports returns a log line and a count if this node cannot read a part of the revision that has just come into force.
+func (s State) unreadReports() []effect.Effect {
+	unread := s.current.Unread
+	if len(unread) == 0 {
+		return nil
+	}
+	return []effect.Effect{
+		log(effect.Warn, "a part of the revision cannot be read",
+			effect.LogField{Name: "Revision", Value: s.current.Revision},
+			effect.LogField{Name: "Count", Value: len(unread)},
+			effect.LogField{Name: "First", Value: unread[0]}),
+		effect.AddToCounter{Name: "tables_unread", Delta: int64(len(unread))},
+	}
+}
+
 // logLateRevision returns one log line for each newest revision that is known for lateAfter and not in force.
 func (s State) logLateRevision(now time.Time) (State, []effect.Effect) {
 	if s.newestRevision <= max(s.current.Revision, s.lateLogged) || now.Sub(s.newestSince) < lateAfter {
--- a/internal/core/tables/logging_test.go
+++ b/internal/core/tables/logging_test.go
@@ -1,6 +1,7 @@
 package tables_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -71,3 +72,18 @@
 		}
 	})
 }
+
+// TestUnreadPartsAreReported guards against a revision of which a node understands only a part, without a line that says so.
+func TestUnreadPartsAreReported(t *testing.T) {
+	is := is.New(t)
+	revision := fleet.Tables{Revision: 7}.WithUnread(`route "a" has the unknown type "stream"`).WithUnread("Limits: want an object")
+	state, effects := tables.New().TablesDecoded(start, revision, routing.Router{}, nil)
+	assertLine(t, effects, "a part of the revision cannot be read",
+		map[string]any{"Revision": fleet.Revision(7), "Count": 2, "First": `route "a" has the unknown type "stream"`})
+	is.True(slices.ContainsFunc(effects, func(e effect.Effect) bool {
+		counter, ok := e.(effect.AddToCounter)
+		return ok && counter.Name == "tables_unread" && counter.Delta == 2
+	}))
+	_, effects = state.TablesDecoded(start, revision, routing.Router{}, nil)
+	is.Equal(len(effects), 0) // once for each revision
+}
--- a/internal/core/tables/state.go
+++ b/internal/core/tables/state.go
@@ -99,7 +99,7 @@
 	s.router = router
 	s = s.withNewest(now, t.Revision).withoutOutdatedHolders()
 	s, fetching := s.startFetch(now)
-	return s, append(fetching, s.inForceLog(now, source))
+	return s, append(append(fetching, s.inForceLog(now, source)), s.unreadReports()...)
 }
 
 // TablesRejected handles a revision from a peer or the platform that cannot be decoded or is invalid.
--- a/internal/edge/configfile/object.go
+++ b/internal/edge/configfile/object.go
@@ -58,6 +58,9 @@
 			return field.read(v.child(path, member.Value))
 		}
 	}
+	if v.ignoresUnknown {
+		return nil
+	}
 	return v.child(path, member.Name).Problem("unknown field; want %s", fieldNames(fields))
 }
 
--- a/internal/edge/configfile/value.go
+++ b/internal/edge/configfile/value.go
@@ -12,7 +12,7 @@
 //	)...)
 //	return s, problems.Err()
 //
-// Unknown, duplicate and missing fields are problems.
+// Unknown, duplicate and missing fields are problems; Value.WithUnknownIgnored accepts unknown ones.
 package configfile
 
 import (
@@ -32,6 +32,15 @@
 type Value struct {
 	Position
 	node hujson.Value
+	// ignoresUnknown is true if unknown fields are no problems.
+	ignoresUnknown bool
+}
+
+// WithUnknownIgnored returns the value without problems for unknown fields in it and in the values below it. It is meant for content
+// that a program of a later version may have written.
+func (v Value) WithUnknownIgnored() Value {
+	v.ignoresUnknown = true
+	return v
 }
 
 // Position is the position of a value in a file. It does not reference the parsed value, so that the value can be freed.
@@ -82,8 +91,11 @@
 	return p
 }
 
-// Problem returns a list of one problem at the position.
+// Problem returns a list of one problem at the position. An absent value has no position.
 func (p Position) Problem(format string, args ...any) Problems {
+	if len(p.lineOffsets) == 0 {
+		return Problems{{File: p.file, Field: p.field, Detail: fmt.Sprintf(format, args...)}}
+	}
 	line, found := slices.BinarySearch(p.lineOffsets, p.offset)
 	if found {
 		line++
@@ -103,7 +115,7 @@
 // child returns a Value for a node inside v. field is its path in the file.
 func (v Value) child(field string, node hujson.Value) Value {
 	position := Position{file: v.file, lineOffsets: v.lineOffsets, offset: node.StartOffset, field: field}
-	return Value{Position: position, node: node}
+	return Value{Position: position, node: node, ignoresUnknown: v.ignoresUnknown}
 }
 
 // literal returns the value if it is a literal of one of the given kinds, such as "tf" for the hujson kinds of true and false.
--- a/internal/edge/operator/operator_test.go
+++ b/internal/edge/operator/operator_test.go
@@ -27,6 +27,7 @@
 		Node:           "n1",
 		Revision:       7,
 		NewestRevision: 8,
+		Unread:         []string{`route "a" has the unknown type "stream"`},
 		Services:       []effect.ServiceStatus{{Service: "inventory", Pool: "stock", Floor: 3, Known: 3, InService: 2}},
 		Targets:        []effect.TargetStatus{{Target: ejected, Judged: 40, Bad: 21, Score: 14.5, Baseline: 30 * time.Millisecond}},
 		Members:        []fleet.Member{{Node: "n1", Targets: []fleet.Target{ejected}}, {Node: "n2", Targets: []fleet.Target{draining}}},
@@ -65,13 +66,14 @@
 	}
 }
 
-// TestStatusShowsProblems guards against a status text that omits ejected or draining targets, pools below their floor or
-// quarantined requests.
+// TestStatusShowsProblems guards against a status text that omits ejected or draining targets, pools below their floor,
+// quarantined requests or parts of the tables that the node cannot read.
 func TestStatusShowsProblems(t *testing.T) {
 	_, _, address := newTestOperator(t, sampleStatus())
 	text := printStatus(t, address, false)
 	assertContains(t, text, "7 here, 8 newest seen", "below the floor", "21 of 40 requests bad, score 14.5, baseline 30ms",
 		"DRAINING", "n2/t1", "0000000000000abc")
+	assertContains(t, text, `1 unread: route "a" has the unknown type "stream"`)
 	assertContains(t, printStatus(t, address, true), `"Bad": 21`, `"NewestRevision": 8`, `"Status": "Alive"`)
 }
 
--- a/internal/edge/operator/status.go
+++ b/internal/edge/operator/status.go
@@ -15,12 +15,14 @@
 	Revision         uint64
 	NewestRevision   uint64
 	Platform         string
-	Draining         bool
-	InFlight         int
-	Services         []service
-	Targets          []target
-	Quarantined      []quarantined
-	Members          []member
+	// Unread lists the parts of the revision that the node cannot read.
+	Unread      []string `json:",omitempty"`
+	Draining    bool
+	InFlight    int
+	Services    []service
+	Targets     []target
+	Quarantined []quarantined
+	Members     []member
 }
 
 type service struct {
@@ -84,6 +86,7 @@
 		Revision:         uint64(s.Revision),
 		NewestRevision:   uint64(s.NewestRevision),
 		Platform:         platformStatus[s.PlatformReachable],
+		Unread:           s.Unread,
 		Draining:         s.Draining,
 		InFlight:         s.InFlight,
 		Services:         translateAll(s.Services, newService),
--- a/internal/edge/operator/status_text.go
+++ b/internal/edge/operator/status_text.go
@@ -82,12 +82,20 @@
 		counts[m.Status]++
 	}
 	fmt.Fprintf(b, "Node      %s in %s, %s, %d in flight\n", s.Node, s.AvailabilityZone, state, s.InFlight)
-	fmt.Fprintf(b, "Revision  %d here, %d newest seen, platform %s\n",
-		s.Revision, s.NewestRevision, strings.ToLower(s.Platform))
+	fmt.Fprintf(b, "Revision  %d here, %d newest seen, platform %s%s\n",
+		s.Revision, s.NewestRevision, strings.ToLower(s.Platform), s.unreadText())
 	fmt.Fprintf(b, "Members   %d alive, %d suspect, %d leaving, %d dead\n",
 		counts["Alive"], counts["Suspect"], counts["Leaving"], counts["Dead"])
 }
 
+// unreadText tells how many parts of the revision the node cannot read, with the first of them.
+func (s status) unreadText() string {
+	if len(s.Unread) == 0 {
+		return ""
+	}
+	return fmt.Sprintf(", %d unread: %s", len(s.Unread), s.Unread[0])
+}
+
 // targetRow is a table row for an ejected or draining target of the fleet.
 type targetRow struct {
 	name, pool, node, detail string
--- a/internal/edge/tablesfile/check.go
+++ b/internal/edge/tablesfile/check.go
@@ -1,87 +1,98 @@
 package tablesfile
 
 import (
+	"slices"
 	"strings"
 
 	"jayfold.dev/jayfold/internal/core/fleet"
 	"jayfold.dev/jayfold/internal/edge/configfile"
 )
 
-// check returns the problems that involve more than one entry or field.
+// check returns returns the problems that involve more than one entry or field.
 func (d *draft) check() configfile.Problems {
-	problems := d.checkRouteNames()
-	problems = append(problems, d.checkOverlaps()...)
 	pools, poolProblems := d.checkPoolNames()
-	if !d.poolsInvalid {
-		problems = append(problems, d.checkReferences(pools)...)
-	}
-	return append(problems, poolProblems...)
+	return append(d.checkRoutes(pools).all(), poolProblems.all()...)
 }
 
-func (d *draft) checkRouteNames() configfile.Problems {
-	var problems configfile.Problems
-	seen := map[string]bool{}
-	for _, entry := range d.routes {
-		name := entry.route.Name
-		if name != "" && seen[name] {
-			problems = append(problems, entry.namePosition.Problem("another route is called %q", name)...)
+// problemsByEntry holds the problems of each entry of a table, by the index of the entry.
+type problemsByEntry []configfile.Problems
+
+// all returns the problems of all entries.
+func (p problemsByEntry) all() configfile.Problems { return slices.Concat(p...) }
+
+// checkRoutes returns the problems of each route that involve other entries.
+func (d *draft) checkRoutes(pools fleet.Set[fleet.PoolName]) problemsByEntry {
+	problems := make(problemsByEntry, len(d.routes))
+	names, matched := map[string]bool{}, map[matchKey]string{}
+	for i, entry := range d.routes {
+		found := append(checkRouteName(entry, names), checkOverlap(entry, matched)...)
+		if !d.poolsInvalid {
+			found = append(found, checkReferences(entry, pools)...)
 		}
-		seen[name] = true
+		problems[i] = found
 	}
 	return problems
 }
 
-// checkOverlaps returns a problem for each route that has the same host and path prefix as an earlier one, if both list the same
-// method or both list none. With such routes the order in the table would matter. If only one of them lists methods, it takes
-// precedence for these methods.
-func (d *draft) checkOverlaps() configfile.Problems {
-	type matchKey struct{ host, prefix, method string }
+// checkRouteName returns a problem if an earlier route has the same name. It adds the name to seen.
+func checkRouteName(entry routeEntry, seen map[string]bool) configfile.Problems {
+	name := entry.route.Name
+	if name != "" && seen[name] {
+		return entry.namePosition.Problem("another route is called %q", name)
+	}
+	seen[name] = true
+	return nil
+}
+
+// matchKey is what two routes must not have in common.
+type matchKey struct{ host, prefix, method string }
+
+// checkOverlap returns a problem if a route has the same host and path prefix as an earlier one and both list the same method or both
+// list none. With such routes the order in the table would matter. If only one of them lists methods, it takes precedence for these
+// methods. The route is added to matched, which holds the names of the routes.
+func checkOverlap(entry routeEntry, matched map[matchKey]string) configfile.Problems {
+	r := entry.route
+	if r.PathPrefix == "" {
+		return nil
+	}
+	methods := r.Methods
+	if len(methods) == 0 {
+		methods = []string{"any method"}
+	}
 	var problems configfile.Problems
-	routeNames := map[matchKey]string{}
-	for _, entry := range d.routes {
-		r := entry.route
-		if r.PathPrefix == "" {
-			continue
-		}
-		methods := r.Methods
-		if len(methods) == 0 {
-			methods = []string{"any method"}
-		}
-		for _, m := range methods {
-			key := matchKey{strings.ToLower(r.Host), fleet.CanonicalPath(r.PathPrefix), m}
-			if other, taken := routeNames[key]; taken {
-				problems = append(problems, entry.position.Problem("matches the same requests (%s) as route %q", m, other)...)
-			}
-			routeNames[key] = r.Name
+	for _, m := range methods {
+		key := matchKey{strings.ToLower(r.Host), fleet.CanonicalPath(r.PathPrefix), m}
+		if other, taken := matched[key]; taken {
+			problems = append(problems, entry.position.Problem("matches the same requests (%s) as route %q", m, other)...)
 		}
+		matched[key] = r.Name
 	}
 	return problems
 }
 
-func (d *draft) checkPoolNames() (fleet.Set[fleet.PoolName], configfile.Problems) {
-	var problems configfile.Problems
+// checkPoolNames returns the names of the pools, and the problems of pools with the name of an earlier one.
+func (d *draft) checkPoolNames() (fleet.Set[fleet.PoolName], problemsByEntry) {
+	problems := make(problemsByEntry, len(d.pools))
 	var names fleet.Set[fleet.PoolName]
-	for _, entry := range d.pools {
+	for i, entry := range d.pools {
 		name := entry.pool.Name
 		if name != "" && names.Has(name) {
-			problems = append(problems, entry.namePosition.Problem("another pool is called %q", name)...)
+			problems[i] = entry.namePosition.Problem("another pool is called %q", name)
 		}
 		names = names.With(name)
 	}
 	return names, problems
 }
 
-func (d *draft) checkReferences(pools fleet.Set[fleet.PoolName]) configfile.Problems {
+// checkReferences returns the problems of a route that names no existing pool or has unusable weights.
+func checkReferences(entry routeEntry, pools fleet.Set[fleet.PoolName]) configfile.Problems {
 	var problems configfile.Problems
-	for _, entry := range d.routes {
-		for _, name := range entry.route.Pools() {
-			if name != "" && !pools.Has(name) {
-				problems = append(problems, entry.poolPosition.Problem("no pool is called %q", name)...)
-			}
+	for _, name := range entry.route.Pools() {
+		if name != "" && !pools.Has(name) {
+			problems = append(problems, entry.poolPosition.Problem("no pool is called %q", name)...)
 		}
-		problems = append(problems, checkWeights(entry)...)
 	}
-	return problems
+	return append(problems, checkWeights(entry)...)
 }
 
 // checkWeights returns the problems of a split that lists a pool twice or in which every weight is 0.
--- a/internal/edge/tablesfile/encode.go
+++ b/internal/edge/tablesfile/encode.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"jayfold.dev/jayfold/internal/core/fleet"
-	"jayfold.dev/jayfold/internal/edge/configfile"
 )
 
 // maxDecodedBytes bounds the decompressed size of the encoded form. The design size needs about 0.8 MB.
@@ -34,6 +33,7 @@
 	Routes   []wireRoute
 	Pools    []wirePool
 	Limits   *wireLimits `json:",omitempty"`
+	Unread   []string    `json:",omitempty"`
 }
 
 type wireLimits struct {
@@ -75,7 +75,13 @@
 func Encode(t fleet.Tables) []byte {
 	var out bytes.Buffer
 	w := gzip.NewWriter(&out)
-	wire := wireTables{Revision: t.Revision, Routes: wireRoutes(t), Pools: wirePools(t), Limits: newWireLimits(t.Limits)}
+	wire := wireTables{
+		Revision: t.Revision,
+		Routes:   wireRoutes(t),
+		Pools:    wirePools(t),
+		Limits:   newWireLimits(t.Limits),
+		Unread:   t.Unread,
+	}
 	// Neither step can fail: writes to a buffer succeed, and every value of the wire types can be encoded.
 	_ = json.NewEncoder(w).Encode(wire)
 	_ = w.Close()
@@ -142,7 +148,9 @@
 	return pools
 }
 
-// Decode decodes and validates the encoded form of a revision.
+// Decode decodes the encoded form of a revision. A program of a later version, or a platform with a format of its own, may have
+// written it, so that unknown fields are ignored and an entry that is not valid costs only itself: Tables.Unread has a text about it.
+// The error says that no part of the content can be used.
 func Decode(revision fleet.Revision, content []byte) (fleet.Tables, error) {
 	if len(content) >= largeContentBytes {
 		gcPercentMu.Lock()
@@ -160,19 +168,7 @@
 	if raw.Revision != revision || revision == 0 {
 		return fleet.Tables{}, fmt.Errorf("the content is revision %d; want %d", raw.Revision, revision)
 	}
-	var d draft
-	file := fmt.Sprintf("revision %d", revision)
-	problems := readEntries(file, "Routes", raw.Routes, d.readRoute)
-	problems = append(problems, readEntries(file, "Pools", raw.Pools, d.readPool)...)
-	if raw.Limits != nil {
-		value, parseProblems := configfile.ParseField(file, "Limits", raw.Limits)
-		problems = append(append(problems, parseProblems...), d.readLimits(value)...)
-	}
-	problems = append(problems, d.check()...)
-	if err := problems.Err(); err != nil {
-		return fleet.Tables{}, err
-	}
-	return d.tables().WithRevision(revision), nil
+	return raw.tables(), nil
 }
 
 // rawTables is the encoded form before its entries are read.
@@ -181,17 +177,7 @@
 	Routes   []json.RawMessage
 	Pools    []json.RawMessage
 	Limits   json.RawMessage
-}
-
-// readEntries reads the entries of a table one at a time. Parsing all of them at once would take half of a node's memory.
-func readEntries(file, table string, entries []json.RawMessage, read configfile.Reader) configfile.Problems {
-	var problems configfile.Problems
-	for i, entry := range entries {
-		value, parseProblems := configfile.ParseField(file, fmt.Sprintf("%s[%d]", table, i), entry)
-		problems = append(problems, parseProblems...)
-		problems = append(problems, read(value)...)
-	}
-	return problems
+	Unread   []string
 }
 
 func decompress(content []byte) ([]byte, error) {
--- a/internal/edge/tablesfile/entry.go
+++ b/internal/edge/tablesfile/entry.go
@@ -48,7 +48,7 @@
 		configfile.Optional("Split", configfile.RecordPosition(&entry.poolPosition, configfile.Array(
 			func(v configfile.Value) configfile.Problems { return readShare(v, r) },
 		))),
-		configfile.Optional("Class", configfile.Parsed(&r.Class, fleet.ParseClass)),
+		configfile.Optional("Class", d.readClass(r)),
 		configfile.Optional("Idempotent", configfile.Bool(func(b bool) { r.Idempotent = fleet.Some(b) })),
 		configfile.Required("Deadline", configfile.Duration(&r.Deadline, minDeadline, maxDeadline)),
 		configfile.Optional("Goal", configfile.Duration(&r.Goal, minDeadline, maxDeadline)),
@@ -58,6 +58,9 @@
 	if problems == nil && (r.Pool == "") == (len(r.Split) == 0) {
 		problems = v.Problem("want either Pool or Split")
 	}
+	if d.acceptsUnknown && r.Class == fleet.Order && r.Idempotent.Or(false) {
+		r.Idempotent = fleet.Some(false)
+	}
 	if r.Class == fleet.Order && r.Idempotent.Or(false) {
 		problems = append(problems, v.Problem("Idempotent is true and Class is Order; an order runs at most once")...)
 	}
--- a/internal/edge/tablesfile/parse.go
+++ b/internal/edge/tablesfile/parse.go
@@ -10,8 +10,8 @@
 //	content := tablesfile.Encode(tables.WithRevision(8))
 //	tables, err = tablesfile.Decode(8, content)
 //
-// Both formats are validated by the same rules. An error about the entries is of type configfile.Problems and lists every
-// problem.
+// Both formats are validated by the same rules. Parse rejects files with any problem; its error is of type configfile.Problems and
+// lists every problem. Decode sets aside the entries with problems, so that the others hold.
 package tablesfile
 
 import (
@@ -49,6 +49,10 @@
 	routes []routeEntry
 	pools  []poolEntry
 	limits fleet.Limits
+	// acceptsUnknown is true if an unknown word has a meaning instead of a problem. unread has a text for each such word and for each
+	// entry that was set aside.
+	acceptsUnknown bool
+	unread         []string
 	// poolsInvalid is true if the pools file could not be parsed, so that no route can be checked against it.
 	poolsInvalid bool
 }
@@ -66,14 +70,18 @@
 	namePosition configfile.Position
 }
 
-// tables returns the tables of the entries, which must have been validated.
+// tables returns the tables of the entries. Those without a path prefix or a name, which no valid entry lacks, are left out.
 func (d *draft) tables() fleet.Tables {
 	t := fleet.Tables{Limits: d.limits}
 	for _, entry := range d.routes {
-		t.Routes = append(t.Routes, entry.route)
+		if entry.route.PathPrefix != "" {
+			t.Routes = append(t.Routes, entry.route)
+		}
 	}
 	for _, entry := range d.pools {
-		t.Pools = t.Pools.With(entry.pool.Name, entry.pool)
+		if entry.pool.Name != "" {
+			t.Pools = t.Pools.With(entry.pool.Name, entry.pool)
+		}
 	}
 	return t
 }
