core/node: a request is internal because a run on this host made it

Cause: platform took an idempotent route with a priority below 2 for the calls of targets.

It is internal if it is idempotent and names a request that runs on this host. Route priorities only order requests.

--- a/internal/core/admission/child.go
+++ b/internal/core/admission/child.go
@@ -34,6 +34,9 @@
 	return s, float64(random%parentDraws) < s.retryShare(now)*parentDraws
 }
 
+// Runs reports whether an attempt of the request runs on this host.
+func (s State) Runs(id fleet.RequestID) bool { return len(s.runsOf(id)) > 0 }
+
 // ChildRequestFailed records that a child request of a request running on this host has failed. A server error or a missed
 // deadline of the parent request is then no evidence about its target.
 func (s State) ChildRequestFailed(parent fleet.RequestID) State {
--- a/internal/core/node/ingress.go
+++ b/internal/core/node/ingress.go
@@ -46,6 +46,7 @@
 	}
 	s.splitter, route.Pool = s.splitter.NextPool(route, ev.Random)
 	idempotent := routing.IsIdempotent(route, request)
+	route.Class = s.classOf(route, request, idempotent)
 	child := admission.ChildRequest{Parent: request.Parent, Internal: route.Class == fleet.Internal}
 	s.admission, request.ParentRetried = s.admission.ParentRetried(ev.At, child, ev.Random)
 	next, effects := s.attempts.RequestArrived(s.attemptContext(ev), request, route, idempotent)
@@ -53,6 +54,15 @@
 	return s, effects
 }
 
+// classOf returns the class of a request. An idempotent request is internal if a target on this host made it while it was serving
+// another one, whatever its route says: the run waits for the response.
+func (s State) classOf(route fleet.Route, request fleet.Request, idempotent bool) fleet.Class {
+	if idempotent && s.admission.Runs(request.Parent) {
+		return fleet.Internal
+	}
+	return route.Class
+}
+
 func refuse(request fleet.Request, cause fleet.Cause, detail string) []effect.Effect {
 	return []effect.Effect{effect.RefuseRequest{
 		Request: request.ID,
