process, edge: an unexpected error in one step or goroutine no longer ends the process

Cause: nothing recovered a panic. One in the reducer, in an effect, in a message of a peer, in a call to the platform or in the goroutine of one attempt ended the node with all its requests.

A call to the platform that panics counts as failed, a run whose handler fails frees its slot, and a sender that fails is replaced.

Stack overflows and concurrent map writes still end it.

--- a/internal/core/fleet/problem.go
+++ b/internal/core/fleet/problem.go
@@ -33,6 +33,7 @@
 	TargetCrashed    Cause = "TargetCrashed"  // the target's process died while the request ran
 	TargetFailed     Cause = "TargetFailed"   // the target returned a server error
 	KeyConflict      Cause = "KeyConflict"    // another request uses the idempotency key, or the order may have run before
+	InternalError    Cause = "InternalError"  // this node failed unexpectedly
 )
 
 // Problem is the error of a request or an attempt. Verdict tells whether the request may have run.
--- a/internal/edge/caller/exchange.go
+++ b/internal/edge/caller/exchange.go
@@ -95,7 +95,11 @@
 func (x *exchange) startAttempt(forward effect.ForwardAttempt) {
 	ctx, cancel := context.WithCancel(context.WithoutCancel(x.incoming.Context()))
 	x.cancels[forward.Attempt.ID] = cancel
-	go x.forwardAttempt(ctx, forward)
+	seams := x.server.seams
+	seams.Recovery.Go("forward attempt", func() { x.forwardAttempt(ctx, forward) }, func() {
+		problem := fleet.NewProblem(fleet.InternalError, fleet.MayHaveRun, "forwarding the attempt failed")
+		seams.Post(event.AttemptFinished{Attempt: forward.Attempt.ID, Outcome: fleet.Outcome{Problem: fleet.Some(problem)}})
+	})
 }
 
 func (x *exchange) cancelAttempt(id fleet.AttemptID) {
--- a/internal/edge/caller/server.go
+++ b/internal/edge/caller/server.go
@@ -29,6 +29,7 @@
 	"jayfold.dev/jayfold/internal/core/effect"
 	"jayfold.dev/jayfold/internal/core/event"
 	"jayfold.dev/jayfold/internal/core/fleet"
+	"jayfold.dev/jayfold/internal/edge/recovery"
 )
 
 const (
@@ -63,6 +64,8 @@
 	// complete once the body has ended. Errors are of type fleet.Problem.
 	Forward func(ctx context.Context, forward effect.ForwardAttempt, r *http.Request, body []byte) (
 		*http.Response, func() fleet.Option[fleet.TargetReport], error)
+	// Recovery contains panics of attempts; nil contains none.
+	Recovery *recovery.Boundary
 }
 
 // Server accepts the requests of callers.
--- a/internal/edge/operator/handler.go
+++ b/internal/edge/operator/handler.go
@@ -63,7 +63,7 @@
 	defer cancel()
 	id, reply := o.newQuery()
 	defer o.removeQuery(id)
-	go o.seams.Post(event.StatusRequested{QueryID: id})
+	o.seams.Recovery.Go("request status", func() { o.seams.Post(event.StatusRequested{QueryID: id}) }, nil)
 	select {
 	case s := <-reply:
 		return s, nil
--- a/internal/edge/operator/operator.go
+++ b/internal/edge/operator/operator.go
@@ -24,6 +24,7 @@
 
 	"jayfold.dev/jayfold/internal/core/effect"
 	"jayfold.dev/jayfold/internal/core/event"
+	"jayfold.dev/jayfold/internal/edge/recovery"
 )
 
 // Seams are the external dependencies of an Operator.
@@ -35,6 +36,8 @@
 	Exporter Exporter
 	// Now is the clock for limiting repeated log lines; nil means time.Now.
 	Now func() time.Time
+	// Recovery contains panics of log writers and exporters; nil contains none.
+	Recovery *recovery.Boundary
 }
 
 // Operator executes the effects for the log and the metrics, and serves operators.
@@ -62,10 +65,15 @@
 		logger:  newRateLimitedLogger(&log.Logger{Handler: seams.Log, Level: log.DebugLevel}),
 		replies: make(map[uint64]chan effect.NodeStatus),
 	}
-	o.logQueue, o.metricsQueue = newQueue(o.writeLog), newQueue(o.recordMetric)
+	o.logQueue, o.metricsQueue = newQueue(o.contained(o.writeLog)), newQueue(o.contained(o.recordMetric))
 	return o
 }
 
+// contained returns a function that executes an effect and contains its panics.
+func (o *Operator) contained(execute func(effect.Effect)) func(effect.Effect) {
+	return func(e effect.Effect) { o.seams.Recovery.DoOn(e, func() { execute(e) }) }
+}
+
 // Observe queues an effect for the log or the metrics. It never blocks: if the queue is full, the effect is dropped and counted.
 // It may be called from any goroutine.
 func (o *Operator) Observe(e effect.Effect) {
--- a/internal/edge/peer/forward_run.go
+++ b/internal/edge/peer/forward_run.go
@@ -49,7 +49,7 @@
 		once.Do(func() { seams.Post(event.RunFinished{Attempt: run.Attempt.ID, Outcome: outcome}) })
 	}
 	handlerDone := make(chan struct{})
-	stop := context.AfterFunc(ctx, func() {
+	stop := context.AfterFunc(ctx, seams.Recovery.Func("release slot", func() {
 		limit := time.NewTimer(releaseDelay)
 		defer limit.Stop()
 		select {
@@ -58,10 +58,13 @@
 			problem := s.withContextCause(fleet.NewProblem(fleet.Canceled, fleet.MayHaveRun, "the ingress does not read the response"))
 			s.post(fleet.Outcome{Problem: fleet.Some(problem), Duration: seams.Now().Sub(s.started)})
 		}
-	})
+	}))
 	s.release = func() {
 		stop()
 		close(handlerDone)
+		// Every other end of the handler has posted an outcome before.
+		problem := fleet.NewProblem(fleet.InternalError, fleet.MayHaveRun, "the handler of the run failed")
+		s.post(fleet.Outcome{Problem: fleet.Some(problem), Duration: seams.Now().Sub(s.started)})
 	}
 	return s
 }
@@ -110,7 +113,7 @@
 	pending := s.targetMayHaveCrashed(problem)
 	outcome := fleet.Outcome{Problem: fleet.Some(problem), Duration: duration, CrashCheckPending: pending}
 	if pending {
-		defer func() { go s.checkCrash() }()
+		defer s.seams.Recovery.Go("check crash", s.checkCrash, nil)
 	}
 	if report, ok := s.postOutcome(outcome).Get(); ok {
 		encodeReport(w.Header(), "", report)
--- a/internal/edge/peer/forward_sidecar.go
+++ b/internal/edge/peer/forward_sidecar.go
@@ -9,6 +9,7 @@
 	"jayfold.dev/jayfold/internal/core/effect"
 	"jayfold.dev/jayfold/internal/core/event"
 	"jayfold.dev/jayfold/internal/core/fleet"
+	"jayfold.dev/jayfold/internal/edge/recovery"
 )
 
 const (
@@ -37,6 +38,8 @@
 	Run func(ctx context.Context, run effect.StartRun, r *http.Request) (*http.Response, error)
 	// Crashed reports whether the process at a target's address has died.
 	Crashed func(ctx context.Context, address string) bool
+	// Recovery contains panics of the tasks beside a run; nil contains none.
+	Recovery *recovery.Boundary
 }
 
 // Sidecar runs the attempts that nodes, including its own, forward to the targets on this host.
@@ -81,7 +84,9 @@
 	}
 	// The attempt's handler has returned, so nothing was sent to the target. The slot must be freed.
 	problem := fleet.NewProblem(fleet.Canceled, fleet.NotRun, "the attempt was canceled before it started")
-	go s.seams.Post(event.RunFinished{Attempt: e.Attempt.ID, Outcome: fleet.Outcome{Problem: fleet.Some(problem)}})
+	s.seams.Recovery.Go("end run", func() {
+		s.seams.Post(event.RunFinished{Attempt: e.Attempt.ID, Outcome: fleet.Outcome{Problem: fleet.Some(problem)}})
+	}, nil)
 }
 
 // RefuseAttempt executes effect.RefuseAttempt. It does not block.
@@ -219,7 +224,7 @@
 	reports := make(chan effect.AttachRunReport, 1)
 	done := make(chan struct{})
 	defer close(done)
-	go relayEffects(effects, cancel, reports, done)
+	s.seams.Recovery.Go("relay effects", func() { relayEffects(effects, cancel, reports, done) }, cancel)
 	body := newIngressBody(w, r, bodyStallTimeout)
 	w, saveResponse := s.recordKeyedResponse(w, run.Attempt)
 	running := newSidecarRun(ctx, s.seams, run, reports, saveResponse)
--- a/internal/edge/peer/forwarder.go
+++ b/internal/edge/peer/forwarder.go
@@ -16,6 +16,7 @@
 	"jayfold.dev/jayfold/internal/core/effect"
 	"jayfold.dev/jayfold/internal/core/event"
 	"jayfold.dev/jayfold/internal/core/fleet"
+	"jayfold.dev/jayfold/internal/edge/recovery"
 )
 
 const (
@@ -36,6 +37,8 @@
 	Post func(event.Body)
 	// Dial opens a TCP connection. If it is nil, net.Dialer is used.
 	Dial dialFunc
+	// Recovery contains panics of timers; nil contains none.
+	Recovery *recovery.Boundary
 }
 
 // Forwarder sends attempts to the sidecars of all nodes, including its own.
@@ -88,7 +91,7 @@
 		return nil, noReport, err
 	}
 	streamCtx, cancelStream := context.WithDeadline(context.WithoutCancel(ctx), attempt.Deadline.Add(deadlineGrace))
-	stopCancel := context.AfterFunc(ctx, func() { f.cancelAttempt(c, attempt, cancelStream) })
+	stopCancel := context.AfterFunc(ctx, f.seams.Recovery.Func("cancel attempt", func() { f.cancelAttempt(c, attempt, cancelStream) }))
 	stopMonitor := f.monitor(streamCtx, c, attempt.Address)
 	endStream := func() {
 		stopCancel()
@@ -185,7 +188,7 @@
 	}
 	mu.Lock()
 	defer mu.Unlock()
-	timer = time.AfterFunc(f.verifyInterval, check)
+	timer = time.AfterFunc(f.verifyInterval, f.seams.Recovery.Func("verify connection", check))
 	return func() {
 		mu.Lock()
 		defer mu.Unlock()
--- a/internal/edge/peer/message.go
+++ b/internal/edge/peer/message.go
@@ -9,6 +9,7 @@
 	"jayfold.dev/jayfold/internal/core/effect"
 	"jayfold.dev/jayfold/internal/core/event"
 	"jayfold.dev/jayfold/internal/core/fleet"
+	"jayfold.dev/jayfold/internal/edge/recovery"
 )
 
 const (
@@ -30,6 +31,8 @@
 	Observe func(effect.Effect)
 	// Dial opens a connection. If it is nil, net.DialTimeout is used.
 	Dial func(network, address string, timeout time.Duration) (net.Conn, error)
+	// Recovery contains panics of messages and connections; nil contains none.
+	Recovery *recovery.Boundary
 }
 
 // timeouts are the timeouts of an outbound connection.
@@ -87,7 +90,7 @@
 	if !ok {
 		s = &messageSender{messenger: m, address: send.Address, queue: make(chan effect.SendMessage, peerQueueLength)}
 		m.senders[send.Address] = s
-		go s.run()
+		m.seams.Recovery.Go("send messages", s.run, func() { m.remove(s) })
 	}
 	select {
 	case s.queue <- send:
@@ -137,6 +140,13 @@
 	return true
 }
 
+// remove removes a sender that has failed, so that the next message starts a new one.
+func (m *Messenger) remove(s *messageSender) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.senders, s.address)
+}
+
 func (m *Messenger) count(name, cause string) {
 	m.seams.Observe(effect.AddToCounter{Name: name, Labels: []effect.Label{{Name: "cause", Value: cause}}, Delta: 1})
 }
--- a/internal/edge/peer/message_server.go
+++ b/internal/edge/peer/message_server.go
@@ -18,6 +18,8 @@
 	framingLimit = 4 << 10
 )
 
+var errDeliveryFailed = errors.New("peer: the delivery failed with an internal error")
+
 // Serve receives messages from peers until the listener is closed.
 func (m *Messenger) Serve(listener net.Listener) error {
 	server := rpc.NewServer()
@@ -37,10 +39,10 @@
 			_ = conn.Close()
 			continue
 		}
-		go func() {
+		m.seams.Recovery.Go("serve peer", func() {
 			defer m.removeInbound(conn)
 			server.ServeConn(newInboundConn(countingConn{conn, &m.sent, &m.received}))
-		}()
+		}, nil)
 	}
 }
 
@@ -68,6 +70,13 @@
 // Deliver decodes a message and posts it as an event. It replies before the event has been handled.
 func (s *nodeService) Deliver(in []byte, out *[]byte) error {
 	*out = []byte{}
+	err := errDeliveryFailed
+	// net/rpc runs this method on a goroutine of its own.
+	s.messenger.seams.Recovery.Do("deliver message", func() { err = s.deliver(in) })
+	return err
+}
+
+func (s *nodeService) deliver(in []byte) error {
 	envelope, err := decode(in)
 	if err != nil {
 		s.messenger.count("peer_messages_refused", "Undecodable")
--- a/internal/edge/peer/message_test.go
+++ b/internal/edge/peer/message_test.go
@@ -16,6 +16,7 @@
 	"jayfold.dev/jayfold/internal/core/event"
 	"jayfold.dev/jayfold/internal/core/fleet"
 	"jayfold.dev/jayfold/internal/core/message"
+	"jayfold.dev/jayfold/internal/edge/recovery"
 )
 
 // testTimeout bounds the wait for an expected event.
@@ -349,3 +350,18 @@
 		is.New(t).Equal(same, envelope)
 	})
 }
+
+// TestPanicInAMessageIsContained guards against a message that ends the process of its receiver.
+func TestPanicInAMessageIsContained(t *testing.T) {
+	is := is.New(t)
+	boundary := recovery.New(recovery.Seams{Now: time.Now, Observe: func(effect.Effect) {}})
+	m := NewMessenger(fleet.Member{Node: "b"}, MessengerSeams{
+		Observe:  func(effect.Effect) {},
+		Post:     func(event.Body) { panic("simulated") },
+		Recovery: boundary,
+	})
+	encoded, err := encode(message.Envelope{From: "a", Address: "a", Message: message.Ping{}})
+	is.NoErr(err)
+	var out []byte
+	is.True((&nodeService{messenger: m}).Deliver(encoded, &out) != nil)
+}
--- a/internal/edge/platform/claim.go
+++ b/internal/edge/platform/claim.go
@@ -32,7 +32,8 @@
 
 // ClaimOrder executes effect.ClaimOrder.
 func (c *Client) ClaimOrder(e effect.ClaimOrder) {
-	c.start(0, func(ctx context.Context) event.Body {
+	failed := event.OrderClaimFinished{Attempt: e.Attempt, Result: fleet.ClaimFailed}
+	c.start(0, failed, func(ctx context.Context) event.Body {
 		ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 		defer cancel()
 		return event.OrderClaimFinished{Attempt: e.Attempt, Result: c.claim(ctx, e)}
@@ -42,16 +43,17 @@
 // ReleaseOrderClaim executes effect.ReleaseOrderClaim. A claim whose release fails stays on the platform, and other nodes
 // refuse the order.
 func (c *Client) ReleaseOrderClaim(e effect.ReleaseOrderClaim) {
-	c.calls.Go(func() {
+	c.start(0, nil, func(context.Context) event.Body {
 		found, claim, err := c.readClaim(c.ctx, e.ClaimName)
 		if err != nil || found.Version == 0 || claim.Attempt != string(e.Attempt) {
-			return
+			return nil
 		}
 		if err := c.store.Delete(c.ctx, claimKey(e.ClaimName), ifVersion(found.Version)); err != nil {
 			c.observe(effect.WriteLog{Level: effect.Warn, Component: "orders", Message: "claim not released", Fields: []effect.LogField{
 				{Name: "Error", Value: err.Error()},
 			}})
 		}
+		return nil
 	})
 }
 
--- a/internal/edge/platform/client.go
+++ b/internal/edge/platform/client.go
@@ -26,6 +26,7 @@
 	"jayfold.dev/jayfold/internal/core/event"
 	"jayfold.dev/jayfold/internal/core/fleet"
 	"jayfold.dev/jayfold/internal/core/routing"
+	"jayfold.dev/jayfold/internal/edge/recovery"
 	"jayfold.dev/jayfold/internal/edge/tablesfile"
 )
 
@@ -38,6 +39,8 @@
 	// Observe accepts log lines about values that do not decode and claims that could not be released. It must not block; nil
 	// discards the lines.
 	Observe func(effect.Effect)
+	// Recovery contains panics of calls; nil contains none.
+	Recovery *recovery.Boundary
 }
 
 // Client calls the platform.
@@ -47,6 +50,7 @@
 	processID  string
 	post       func(event.Body)
 	observe    func(effect.Effect)
+	recovery   *recovery.Boundary
 	ctx        context.Context
 	cancel     context.CancelFunc
 	calls      sync.WaitGroup
@@ -82,7 +86,7 @@
 
 // WatchHead executes effect.WatchHead.
 func (c *Client) WatchHead(e effect.WatchHead) {
-	c.start(0, func(ctx context.Context) event.Body {
+	c.start(0, callFailed(event.CallWatchHead, errCallPanicked), func(ctx context.Context) event.Body {
 		found, err := c.store.Watch(ctx, HeadKey, e.Version, WatchOptions{Wait: e.Wait, MayBeStale: e.MayBeStale})
 		if err != nil {
 			return callFailed(event.CallWatchHead, err)
@@ -100,7 +104,7 @@
 
 // FetchTables executes effect.FetchTables.
 func (c *Client) FetchTables(e effect.FetchTables) {
-	c.start(0, func(ctx context.Context) event.Body {
+	c.start(0, callFailed(event.CallFetchTables, errCallPanicked), func(ctx context.Context) event.Body {
 		content, err := c.readContent(ctx, wireHead{Revision: e.Head.Revision, Chunks: e.Head.Chunks, Content: e.Head.Content})
 		var corrupt CorruptTables
 		if errors.As(err, &corrupt) {
@@ -119,7 +123,7 @@
 
 // ListMembers executes effect.ListMembers. Records that do not decode are logged and skipped.
 func (c *Client) ListMembers(e effect.ListMembers) {
-	c.start(e.Delay, func(ctx context.Context) event.Body {
+	c.start(e.Delay, callFailed(event.CallListMembers, errCallPanicked), func(ctx context.Context) event.Body {
 		listed, err := c.store.List(ctx, memberPrefix)
 		if err != nil {
 			return callFailed(event.CallListMembers, err)
@@ -131,7 +135,7 @@
 // RegisterMember executes effect.RegisterMember. Records are written one after another, and a record is skipped if a newer
 // one has been sent.
 func (c *Client) RegisterMember(e effect.RegisterMember) {
-	c.start(e.Delay, func(ctx context.Context) event.Body {
+	c.start(e.Delay, callFailed(event.CallRegisterMember, errCallPanicked), func(ctx context.Context) event.Body {
 		c.registerMu.Lock()
 		defer c.registerMu.Unlock()
 		if c.lastRegistered.Supersedes(e.Member) {
@@ -158,18 +162,24 @@
 	return c.store.Put(ctx, key, value, Condition{})
 }
 
-// start makes a call in its own goroutine after a delay and posts the returned event, unless it is nil.
-func (c *Client) start(delay time.Duration, call func(context.Context) event.Body) {
+// start makes a call in its own goroutine after a delay and posts the returned event, unless it is nil. It posts failed if the call
+// panics, since the node makes no other call of its kind before it has heard of this one.
+func (c *Client) start(delay time.Duration, failed event.Body, call func(context.Context) event.Body) {
 	c.calls.Go(func() {
 		if !sleep(c.ctx, delay) {
 			return
 		}
-		if body := call(c.ctx); body != nil && c.ctx.Err() == nil {
+		body := failed
+		c.recovery.Do("call the platform", func() { body = call(c.ctx) })
+		if body != nil && c.ctx.Err() == nil {
 			c.post(body)
 		}
 	})
 }
 
+// errCallPanicked is the error of a call that panicked.
+var errCallPanicked = errors.New("the call failed with an internal error")
+
 // sleep waits for d and returns true, or returns false as soon as ctx is canceled.
 func sleep(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
--- a/internal/edge/target/client.go
+++ b/internal/edge/target/client.go
@@ -13,6 +13,7 @@
 
 	"jayfold.dev/jayfold/internal/core/effect"
 	"jayfold.dev/jayfold/internal/core/fleet"
+	"jayfold.dev/jayfold/internal/edge/recovery"
 )
 
 const (
@@ -45,13 +46,15 @@
 	protocol  Protocol
 	dial      Dial
 	now       func() time.Time
+	recovery  *recovery.Boundary
 	mu        sync.Mutex
 	endpoints map[endpointKey]*endpoint
 }
 
-// NewClient returns a client without connections.
-func NewClient(protocol Protocol, dial Dial, now func() time.Time) *Client {
-	return &Client{protocol: protocol, dial: dial, now: now, endpoints: map[endpointKey]*endpoint{}}
+// NewClient returns a client without connections. The boundary contains panics of the goroutines that write requests; nil contains
+// none.
+func NewClient(protocol Protocol, dial Dial, now func() time.Time, boundary *recovery.Boundary) *Client {
+	return &Client{protocol: protocol, dial: dial, now: now, recovery: boundary, endpoints: map[endpointKey]*endpoint{}}
 }
 
 // Run sends the request to the target and returns its response, whose body must be closed. Canceling ctx cancels the run.
@@ -67,7 +70,7 @@
 		cancel()
 		return nil, problemOf(err, fleet.NotRun)
 	}
-	e := newExchange(ctx, cancel, conn)
+	e := newExchange(ctx, cancel, conn, c.recovery)
 	isMismatched := func(r *http.Response, reused bool) bool { return c.protocol.IsMismatched(run, r, reused) }
 	response, err := e.roundTrip(c.outgoingRequest(ctx, run, request), isMismatched)
 	if err != nil {
--- a/internal/edge/target/client_test.go
+++ b/internal/edge/target/client_test.go
@@ -22,7 +22,7 @@
 )
 
 func newClient() *target.Client {
-	return target.NewClient(target.NewProtocol(), target.NewDial(), time.Now)
+	return target.NewClient(target.NewProtocol(), target.NewDial(), time.Now, nil)
 }
 
 // newRun returns the effect that starts a run on the target at the address.
--- a/internal/edge/target/doc.go
+++ b/internal/edge/target/doc.go
@@ -9,7 +9,7 @@
 //	go http.Serve(listener, server)
 //	server.AcknowledgeTarget(e) // executes effect.AcknowledgeTarget; never blocks
 //
-//	client := target.NewClient(target.NewProtocol(), target.NewDial(), time.Now)
+//	client := target.NewClient(target.NewProtocol(), target.NewDial(), time.Now, nil)
 //	response, err := client.Run(ctx, run, request)
 //
 // Every error of Run and of reading the response body, other than io.EOF, is a fleet.Problem. Its verdict is NotRun only if
--- a/internal/edge/target/exchange.go
+++ b/internal/edge/target/exchange.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"jayfold.dev/jayfold/internal/core/fleet"
+	"jayfold.dev/jayfold/internal/edge/recovery"
 )
 
 const (
@@ -32,6 +33,8 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	conn   *conn
+	// recovery contains panics of the goroutine that writes the request.
+	recovery *recovery.Boundary
 	// stopCloseOnDone stops the function that closes the connection when ctx is done. It returns false if that function
 	// has already started.
 	stopCloseOnDone func() bool
@@ -42,9 +45,9 @@
 	ended    atomic.Bool
 }
 
-func newExchange(ctx context.Context, cancel context.CancelFunc, c *conn) *exchange {
-	e := &exchange{ctx: ctx, cancel: cancel, conn: c}
-	e.stopCloseOnDone = context.AfterFunc(ctx, func() { _ = c.Close() })
+func newExchange(ctx context.Context, cancel context.CancelFunc, c *conn, boundary *recovery.Boundary) *exchange {
+	e := &exchange{ctx: ctx, cancel: cancel, conn: c, recovery: boundary}
+	e.stopCloseOnDone = context.AfterFunc(ctx, boundary.Func("close connection", func() { _ = c.Close() }))
 	return e
 }
 
@@ -57,7 +60,7 @@
 	if request.ContentLength >= 0 && request.ContentLength <= maxBufferedBodyBytes {
 		e.write(request)
 	} else {
-		go e.write(request)
+		e.recovery.Go("write request", func() { e.write(request) }, func() { _ = e.conn.Close() })
 	}
 	for range maxMismatchedResponses {
 		response, err := e.readResponse(request)
--- a/internal/process/node/app.go
+++ b/internal/process/node/app.go
@@ -19,6 +19,7 @@
 	"github.com/apex/log"
 	"go.uber.org/fx"
 
+	"jayfold.dev/jayfold/internal/core/effect"
 	"jayfold.dev/jayfold/internal/core/event"
 	"jayfold.dev/jayfold/internal/core/fleet"
 	"jayfold.dev/jayfold/internal/core/node"
@@ -26,6 +27,7 @@
 	"jayfold.dev/jayfold/internal/edge/operator"
 	"jayfold.dev/jayfold/internal/edge/peer"
 	"jayfold.dev/jayfold/internal/edge/platform"
+	"jayfold.dev/jayfold/internal/edge/recovery"
 	"jayfold.dev/jayfold/internal/edge/target"
 	"jayfold.dev/jayfold/internal/process/control"
 	"jayfold.dev/jayfold/internal/process/settings"
@@ -68,6 +70,7 @@
 		fx.Supply(s, seams, filter),
 		fx.Provide(
 			newDispatcher,
+			newBoundary,
 			newLoop,
 			newCallers,
 			newForwarder,
@@ -84,16 +87,24 @@
 }
 
 // newLoop returns the control loop. The incarnation of the node is its start time, in Unix milliseconds.
-func newLoop(s settings.Settings, d *dispatcher) *control.Loop {
+func newLoop(s settings.Settings, d *dispatcher, boundary *recovery.Boundary) *control.Loop {
 	incarnation := fleet.Incarnation(time.Now().UnixMilli())
 	return control.New(node.New(s.Member(incarnation), s.Reloadable()), control.Seams{
 		Now:      time.Now,
 		Random:   rand.Uint64,
 		Dispatch: d.dispatch,
+		Recovery: boundary,
 	})
 }
 
-func newCallers(s settings.Settings, seams Seams, loop *control.Loop, forwarder *peer.Forwarder) *caller.Server {
+// newBoundary returns the boundary of all tasks of the node. The operator is connected before the first task runs.
+func newBoundary(d *dispatcher) *recovery.Boundary {
+	return recovery.New(recovery.Seams{Now: time.Now, Observe: func(e effect.Effect) { d.operator.Observe(e) }})
+}
+
+func newCallers(
+	s settings.Settings, seams Seams, loop *control.Loop, forwarder *peer.Forwarder, boundary *recovery.Boundary,
+) *caller.Server {
 	settings := caller.Settings{
 		Protocol: seams.Callers, Limits: s.Reloadable().Limits, BodyTimeout: s.Limits.BodyTimeout,
 		BufferedBytes: s.Limits.MaxBufferedBytes,
@@ -103,41 +114,44 @@
 		NewRequestID: caller.RandomRequestID,
 		Post:         loop.Post,
 		Forward:      forwarder.Forward,
+		Recovery:     boundary,
 	})
 }
 
-func newForwarder(s settings.Settings, loop *control.Loop) *peer.Forwarder {
-	return peer.NewForwarder(s.Node, peer.ForwarderSeams{Now: time.Now, Post: loop.Post})
+func newForwarder(s settings.Settings, loop *control.Loop, boundary *recovery.Boundary) *peer.Forwarder {
+	return peer.NewForwarder(s.Node, peer.ForwarderSeams{Now: time.Now, Post: loop.Post, Recovery: boundary})
 }
 
-func newSidecar(loop *control.Loop, client *target.Client) *peer.Sidecar {
+func newSidecar(loop *control.Loop, client *target.Client, boundary *recovery.Boundary) *peer.Sidecar {
 	return peer.NewSidecar(peer.SidecarSeams{
-		Now:     time.Now,
-		Post:    loop.Post,
-		Run:     client.Run,
-		Crashed: client.Crashed,
+		Now:      time.Now,
+		Post:     loop.Post,
+		Run:      client.Run,
+		Crashed:  client.Crashed,
+		Recovery: boundary,
 	})
 }
 
-func newMessenger(s settings.Settings, loop *control.Loop, op *operator.Operator) *peer.Messenger {
-	return peer.NewMessenger(s.Member(0), peer.MessengerSeams{Post: loop.Post, Observe: op.Observe})
+func newMessenger(s settings.Settings, loop *control.Loop, op *operator.Operator, boundary *recovery.Boundary) *peer.Messenger {
+	return peer.NewMessenger(s.Member(0), peer.MessengerSeams{Post: loop.Post, Observe: op.Observe, Recovery: boundary})
 }
 
 func newTargetServer(s settings.Settings, seams Seams, loop *control.Loop, d *dispatcher) *target.Server {
 	return target.NewServer(seams.Heartbeats, s.Host, target.Seams{Now: time.Now, Post: loop.Post, KnownPool: d.knownPool})
 }
 
-func newTargetClient(seams Seams) *target.Client {
-	return target.NewClient(seams.Targets, target.NewDial(), time.Now)
+func newTargetClient(seams Seams, boundary *recovery.Boundary) *target.Client {
+	return target.NewClient(seams.Targets, target.NewDial(), time.Now, boundary)
 }
 
-func newPlatformClient(seams Seams, loop *control.Loop, op *operator.Operator) *platform.Client {
-	return platform.New(platform.Seams{Store: seams.Store, Post: loop.Post, Observe: op.Observe})
+func newPlatformClient(seams Seams, loop *control.Loop, op *operator.Operator, boundary *recovery.Boundary) *platform.Client {
+	return platform.New(platform.Seams{Store: seams.Store, Post: loop.Post, Observe: op.Observe, Recovery: boundary})
 }
 
-func newOperator(seams Seams, loop *control.Loop) *operator.Operator {
+func newOperator(seams Seams, loop *control.Loop, boundary *recovery.Boundary) *operator.Operator {
 	return operator.New(operator.Seams{
 		Post:     loop.Post,
+		Recovery: boundary,
 		Log:      seams.Log,
 		Exporter: operator.NewPrometheus(),
 	})
@@ -150,8 +164,9 @@
 // connect sets the fields of the dispatcher through which it executes effects and posts events.
 func connect(
 	d *dispatcher, loop *control.Loop, callers *caller.Server, sidecar *peer.Sidecar, messenger *peer.Messenger,
-	targets *target.Server, client *platform.Client, op *operator.Operator, filter *levelFilter,
+	targets *target.Server, client *platform.Client, op *operator.Operator, filter *levelFilter, boundary *recovery.Boundary,
 ) {
+	d.recovery = boundary
 	d.post = loop.Post
 	d.callers = callers
 	d.sidecar = sidecar
--- a/internal/process/node/dispatch.go
+++ b/internal/process/node/dispatch.go
@@ -12,6 +12,7 @@
 	"jayfold.dev/jayfold/internal/edge/operator"
 	"jayfold.dev/jayfold/internal/edge/peer"
 	"jayfold.dev/jayfold/internal/edge/platform"
+	"jayfold.dev/jayfold/internal/edge/recovery"
 	"jayfold.dev/jayfold/internal/edge/target"
 )
 
@@ -25,6 +26,7 @@
 	operator  *operator.Operator
 	log       *levelFilter
 	post      func(event.Body)
+	recovery  *recovery.Boundary
 	tables    atomic.Pointer[fleet.Tables]
 	stopped   chan struct{}
 }
@@ -44,7 +46,7 @@
 	case effect.SetReadiness:
 		d.callers.SetReadiness(e)
 	case effect.DrainCallers:
-		go d.drainCallers()
+		d.recovery.Go("drain callers", d.drainCallers, nil)
 	case effect.StopProcess:
 		close(d.stopped)
 	case effect.SendMessage:
@@ -92,7 +94,9 @@
 	case effect.FetchTables:
 		d.platform.FetchTables(e)
 	case effect.DecodeTables:
-		go decodeTables(e, d.post)
+		d.recovery.Go("decode tables", func() { decodeTables(e, d.post) }, func() {
+			d.post(event.TablesRejected{Revision: e.Revision, Detail: "decoding failed with an internal error"})
+		})
 	case effect.ListMembers:
 		d.platform.ListMembers(e)
 	case effect.ClaimOrder:
--- a/internal/process/node/serve.go
+++ b/internal/process/node/serve.go
@@ -14,6 +14,7 @@
 	"jayfold.dev/jayfold/internal/edge/operator"
 	"jayfold.dev/jayfold/internal/edge/peer"
 	"jayfold.dev/jayfold/internal/edge/platform"
+	"jayfold.dev/jayfold/internal/edge/recovery"
 	"jayfold.dev/jayfold/internal/edge/target"
 	"jayfold.dev/jayfold/internal/process/control"
 	"jayfold.dev/jayfold/internal/process/settings"
@@ -41,6 +42,7 @@
 	Platform  *platform.Client
 	Operator  *operator.Operator
 	Watcher   *settings.Watcher
+	Recovery  *recovery.Boundary
 }
 
 // listener is an address and the function that serves its connections.
@@ -76,7 +78,7 @@
 			}
 			s.Operator.Observe(lifecycleLine(effect.Info, "started", s.Settings))
 			go s.Loop.Run(ctx)
-			go s.Watcher.Run(ctx)
+			s.Recovery.Go("watch settings", func() { s.Watcher.Run(ctx) }, nil)
 			return nil
 		},
 		OnStop: func(stop context.Context) error {
