edge/peer: an order outlasts the silence of the node that runs it

Cause: an ingress closed the connection to a node that did not respond for 0.4 s while a request waited on it. Orders in flight there ended with 502 (may have run) although the node was only suspended or cut off for a short time, and so did all other requests on the connection.

Change: a silent connection takes no new request. An idempotent request on it gives up its own stream and may run elsewhere; any other request waits for the response until its deadline.

--- a/internal/edge/peer/forward_conn.go
+++ b/internal/edge/peer/forward_conn.go
@@ -189,14 +189,8 @@
 	return c, nil
 }
 
-// drop removes and closes a connection on which the peer does not respond.
-func (p *connPool) drop(address string, silent *forwardConn) {
-	silent.close()
-	p.remove(address, silent)
-}
-
 // retire removes a connection on which the peer did not respond in time. The requests on it continue, since a busy node may
-// only be slow; their monitor closes the connection if the peer does not respond at all.
+// only be slow; their monitor gives up those that can run elsewhere if the peer does not respond at all.
 func (p *connPool) retire(address string, slow *forwardConn) {
 	p.remove(address, slow)
 	slow.retire()
--- a/internal/edge/peer/forwarder.go
+++ b/internal/edge/peer/forwarder.go
@@ -92,7 +92,7 @@
 	}
 	streamCtx, cancelStream := context.WithDeadline(context.WithoutCancel(ctx), attempt.Deadline.Add(deadlineGrace))
 	stopCancel := context.AfterFunc(ctx, f.seams.Recovery.Func("cancel attempt", func() { f.cancelAttempt(c, attempt, cancelStream) }))
-	stopMonitor := f.monitor(streamCtx, c, attempt.Address)
+	stopMonitor := f.monitor(streamCtx, c, attempt, cancelStream)
 	endStream := func() {
 		stopCancel()
 		stopMonitor()
@@ -165,9 +165,11 @@
 	return fleet.NewProblem(fleet.Unreachable, fleet.NotRun, err.Error())
 }
 
-// monitor verifies a connection periodically while a request waits on it, and closes it if the peer does not respond, so that
-// the request does not wait until its deadline. It returns a function that stops the monitoring.
-func (f *Forwarder) monitor(ctx context.Context, c *forwardConn, address string) func() {
+// monitor verifies a connection periodically while a request waits on it. If the peer does not respond, no new request is sent on the
+// connection, and an idempotent request gives up its stream, so that it can run elsewhere before its deadline. Any other request goes
+// on waiting: the peer may only be suspended, and its response is the only one that the request can get. monitor returns a function
+// that stops the monitoring.
+func (f *Forwarder) monitor(ctx context.Context, c *forwardConn, attempt fleet.Attempt, cancelStream context.CancelFunc) func() {
 	var timer *time.Timer
 	var mu sync.Mutex
 	stopped := false
@@ -175,8 +177,11 @@
 		if f.seams.Now().Sub(c.lastResponse()) >= f.verifyInterval {
 			verifyCtx, cancel := context.WithTimeout(ctx, f.verifyInterval)
 			defer cancel()
-			if f.sendControl(verifyCtx, c, address, headerVerify, string(f.self)) != nil && ctx.Err() == nil {
-				f.conns.drop(address, c)
+			if f.sendControl(verifyCtx, c, attempt.Address, headerVerify, string(f.self)) != nil && ctx.Err() == nil {
+				f.conns.retire(attempt.Address, c)
+				if attempt.Idempotent {
+					cancelStream()
+				}
 				return
 			}
 		}
