core/health: a target whose runs are silent gets no orders

A failure showed only when the deadlines of the hung requests passed, mostly after the hang.

Ruled out: cancelling silent orders, since an endpoint's silence is no reason to end an answer sooner.

Change: runs in flight are evidence. A run that is silent for longer than such runs usually take (the larger of the target's and the pool's p95) makes its target Silent, alone or together with others, unless a run that started later has succeeded or it waits for a child request. A silent target takes trials, and any request if no other target is left, since it may only be slow. A canceled run that was overdue counts like a server error.

--- a/internal/core/admission/child.go
+++ b/internal/core/admission/child.go
@@ -34,15 +34,31 @@
 	return s, float64(random%parentDraws) < s.retryShare(now)*parentDraws
 }
 
-// Runs reports whether an attempt of the request runs on this host.
-func (s State) Runs(id fleet.RequestID) bool { return len(s.runsOf(id)) > 0 }
+// HasRunOf reports whether an attempt of the request runs on this host.
+func (s State) HasRunOf(id fleet.RequestID) bool { return len(s.runsOf(id)) > 0 }
 
-// ChildRequestFailed records that a child request of a request running on this host has failed. A server error or a missed
-// deadline of the parent request is then no evidence about its target.
-func (s State) ChildRequestFailed(parent fleet.RequestID) State {
-	for _, run := range s.runsOf(parent) {
-		run.ChildRequestFailed = true
-		s.running = s.running.With(run.Attempt.ID, run)
+// ChildRequestSeen records that a child request of a request running on this host has arrived.
+func (s State) ChildRequestSeen(now time.Time, parent fleet.RequestID) State {
+	return s.withRunsOf(parent, func(run Run) Run {
+		run.LastSign = now
+		return run
+	})
+}
+
+// ChildRequestEnded records the end of a child request of a request running on this host. If it has failed, a server error or a missed
+// deadline of the parent request is no evidence about its target.
+func (s State) ChildRequestEnded(now time.Time, parent fleet.RequestID, failed bool) State {
+	return s.withRunsOf(parent, func(run Run) Run {
+		run.LastSign = now
+		run.ChildRequestFailed = run.ChildRequestFailed || failed
+		return run
+	})
+}
+
+// withRunsOf returns the state with every run of a request's attempts on this host changed.
+func (s State) withRunsOf(id fleet.RequestID, change func(Run) Run) State {
+	for _, run := range s.runsOf(id) {
+		s.running = s.running.With(run.Attempt.ID, change(run))
 	}
 	return s
 }
--- a/internal/core/admission/run.go
+++ b/internal/core/admission/run.go
@@ -11,6 +11,9 @@
 type Run struct {
 	Attempt fleet.Attempt
 	Started time.Time
+	// LastSign is the last time at which the target showed that it works on the run: the start, a child request or the response to
+	// one.
+	LastSign time.Time
 	// Instance identifies the target's process.
 	Instance string
 	// ChildRequestFailed is true if a child request that the target made to serve the attempt has failed.
@@ -32,6 +35,7 @@
 	s.running = s.running.With(attempt.ID, Run{
 		Attempt:  attempt,
 		Started:  ctx.Now,
+		LastSign: ctx.Now,
 		Instance: l.heartbeat.Instance,
 	})
 	s.seen = s.seen.with(ctx.Now, attempt.ID, true)
--- a/internal/core/admission/state.go
+++ b/internal/core/admission/state.go
@@ -15,6 +15,7 @@
 package admission
 
 import (
+	"iter"
 	"time"
 
 	"jayfold.dev/jayfold/internal/core/effect"
@@ -157,11 +158,11 @@
 //     whether it has run. Such an order therefore runs only if the target may take a trial request now. Otherwise it is refused
 //     and can be retried.
 //   - If the pool sheds some of its requests, a request that is shed has not run and is retried on another target. Any request
-//     that finds no healthy target may therefore be forced on a shedding one.
+//     that finds no healthy target may therefore be forced on a shedding one, and on a silent one, which may only be slow.
 func healthAllows(ctx Context, attempt fleet.Attempt) bool {
 	health := ctx.Health(attempt.Target)
 	switch {
-	case health == fleet.Healthy, attempt.Forced && (attempt.Idempotent || health == fleet.Shedding):
+	case health == fleet.Healthy, attempt.Forced && (attempt.Idempotent || health == fleet.Shedding || health == fleet.Silent):
 		return true
 	default:
 		return (attempt.Forced || attempt.Trial) && ctx.AllowsTrial(attempt.Target)
@@ -308,5 +309,16 @@
 // Running returns the run of an attempt that is in progress on a target on this host.
 func (s State) Running(id fleet.AttemptID) (Run, bool) { return s.running.Get(id) }
 
+// Runs lists the runs in progress on the targets on this host.
+func (s State) Runs() iter.Seq[Run] {
+	return func(yield func(Run) bool) {
+		for _, run := range s.running.All() {
+			if !yield(run) {
+				return
+			}
+		}
+	}
+}
+
 // InFlight returns the number of runs in progress on the targets on this host.
 func (s State) InFlight() int { return s.running.Len() }
--- a/internal/core/attempt/defer.go
+++ b/internal/core/attempt/defer.go
@@ -68,8 +68,8 @@
 }
 
 // mayBreakAttempt reports whether an attempt is forced on a target that may break it. A target that only sheds requests either
-// responds or refuses immediately.
+// responds or refuses immediately, and one that is silent may only be slow, as all targets of the pool may be.
 func (s State) mayBreakAttempt(req activeRequest, chosen placement) bool {
-	sheds := s.pool(req.template.Pool).target(chosen.candidate.Target.ID).health == fleet.Shedding
-	return chosen.mode == forced && !sheds
+	health := s.pool(req.template.Pool).target(chosen.candidate.Target.ID).health
+	return chosen.mode == forced && health != fleet.Shedding && health != fleet.Silent
 }
--- a/internal/core/attempt/picker.go
+++ b/internal/core/attempt/picker.go
@@ -8,9 +8,6 @@
 	// crossZoneCost is added to the load of a target in another availability zone, in requests per slot, when the target of a
 	// forced attempt is selected. Waiting behind half a request per slot takes longer than the 3 ms round trip between zones.
 	crossZoneCost = 0.5
-	// faultyCost is added to the load of a target that is not shedding, in requests per slot, when the target of a forced attempt
-	// is selected, so that shedding targets are preferred to faulty ones. A queue holds four requests per slot.
-	faultyCost = 4
 	// fullUtilization is the number of requests per slot of a target without a free slot.
 	fullUtilization = 1
 	// maxDraws bounds the random draws for an eligible target. After that all targets are checked.
@@ -20,6 +17,11 @@
 	indexBufferSize = 128
 )
 
+// suspectCosts are added to the load of a suspect target, in requests per slot, when the target of a forced attempt is selected, so that
+// shedding targets are preferred to silent ones and these to faulty ones. A queue holds four requests per slot. A target that counts
+// as healthy here is one whose last refusal is out of date.
+var suspectCosts = map[fleet.Health]float64{fleet.Healthy: 4, fleet.Shedding: 0, fleet.Silent: 2, fleet.Faulty: 4}
+
 // randomSequence is a SplitMix64 random number generator. Its value is the state of the generator.
 type randomSequence uint64
 
--- a/internal/core/attempt/placement.go
+++ b/internal/core/attempt/placement.go
@@ -216,9 +216,7 @@
 	if p.candidates[i].AvailabilityZone != p.state.zone {
 		cost += crossZoneCost
 	}
-	if v.health != fleet.Shedding {
-		cost += faultyCost
-	}
+	cost += suspectCosts[v.health]
 	return cost
 }
 
--- a/internal/core/fleet/health.go
+++ b/internal/core/fleet/health.go
@@ -11,12 +11,15 @@
 	Healthy Health = iota
 	// Shedding targets have recently refused requests although they had free slots. They respond to the requests that they accept.
 	Shedding
+	// Silent targets work on requests for longer than usual: they hang or are slow. They take only trial requests and, if no healthy
+	// target takes the request, forced attempts.
+	Silent
 	// Faulty targets have recently dropped requests or returned errors. They take only trial requests and, if no healthy target
 	// takes the request, forced attempts.
 	Faulty
 )
 
-var healthNames = [...]string{Healthy: "Healthy", Shedding: "Shedding", Faulty: "Faulty"}
+var healthNames = [...]string{Healthy: "Healthy", Shedding: "Shedding", Silent: "Silent", Faulty: "Faulty"}
 
 // String returns the name used in messages between nodes and in logs.
 func (h Health) String() string {
@@ -33,5 +36,5 @@
 			return Health(h), nil
 		}
 	}
-	return Healthy, fmt.Errorf("unknown health %q: want Healthy, Shedding or Faulty", name)
+	return Healthy, fmt.Errorf("unknown health %q: want Healthy, Shedding, Silent or Faulty", name)
 }
--- a/internal/core/health/record.go
+++ b/internal/core/health/record.go
@@ -9,6 +9,10 @@
 // record is the recent history of one target.
 type record struct {
 	failing, shedding suspicion
+	// silence is the evidence of the runs in flight.
+	silence float64
+	// lastSuccessStarted is the latest start of a run that has succeeded.
+	lastSuccessStarted time.Time
 	// trialDelay is the delay between trial requests, nextTrial the earliest time of the next one.
 	trialDelay time.Duration
 	nextTrial  time.Time
@@ -41,6 +45,8 @@
 	switch {
 	case r.failing.isSuspect:
 		return fleet.Faulty
+	case r.isSilent():
+		return fleet.Silent
 	case r.shedding.isSuspect:
 		return fleet.Shedding
 	default:
@@ -70,6 +76,9 @@
 func (r record) withRun(now time.Time, attempt fleet.AttemptID, e Evidence, duration time.Duration) record {
 	t, _ := r.trials.Get(attempt)
 	r.trials = r.trials.Without(attempt)
+	if started := now.Add(-duration); e == Succeeded && started.After(r.lastSuccessStarted) {
+		r.lastSuccessStarted = started
+	}
 	switch {
 	case t.counted && e == Succeeded:
 		return r
@@ -82,8 +91,11 @@
 }
 
 // withSurvivedTrials returns the record with a success for each trial request in flight that has run clearly longer than the
-// failures before it.
+// failures before it. A run in flight shows nothing about a target that hangs.
 func (r record) withSurvivedTrials(now time.Time) record {
+	if r.health() == fleet.Silent {
+		return r
+	}
 	survival := max(survivalFactor*r.slowestFailure, minSurvival)
 	for attempt, t := range r.trials.All() {
 		if t.counted || now.Sub(t.started) < survival {
--- a/internal/core/health/state.go
+++ b/internal/core/health/state.go
@@ -6,14 +6,15 @@
 // time and with a growing delay between them until one succeeds. When no healthy target takes a request, the request can be
 // forced on a faulty one, in place of a trial request if it is not idempotent. A target that only sheds requests is shedding. It
 // is used after the others, but when no other target is left, it takes as many requests as it accepts, since a shed request has
-// not run. The judgement is local and needs no lease. A wrong one costs one more attempt of a request on another target and ends
+// not run. A silent target is one whose runs in flight take longer than usual; it is treated like a faulty one, but takes any request if
+// no other target is left, since it may only be slow. The judgement is local and needs no lease. A wrong one costs one more attempt of a request on another target and ends
 // with the next successes. A target that keeps failing is ejected, which needs in-service leases.
 //
 // # Usage
 //
 //	state = state.RunStarted(now, target, attempt)
 //	state = state.RunFinished(now, target, attempt, health.Broken, duration)
-//	state = state.Tick(now)
+//	state = state.Tick(now, flights)
 //	if state.Health(target) == fleet.Faulty && !state.AllowsTrial(now, target) { ... }
 package health
 
@@ -32,6 +33,8 @@
 	None Evidence = iota
 	// Succeeded is a response without a server error.
 	Succeeded
+	// Overdue is a run that was canceled after it had taken longer than such runs usually do.
+	Overdue
 	// Shed is a request that the target shed without running it, although it had a free slot.
 	Shed
 	// ServerError is a server error or a missed deadline, which may be the fault of another service that the target called.
@@ -45,6 +48,7 @@
 // and responds with a server error to 10% while a service that it calls fails.
 var evidenceWeights = map[Evidence]float64{
 	Succeeded:   -0.9, // ln(0.4 / 0.985)
+	Overdue:     1.8,  // as for ServerError
 	Shed:        1.8,  // as for ServerError
 	ServerError: 1.8,  // ln(0.6 / 0.1)
 	Broken:      3.7,  // ln(0.6 / 0.015)
@@ -111,21 +115,29 @@
 func (s State) RunFinished(
 	now time.Time, id fleet.TargetID, attempt fleet.AttemptID, e Evidence, duration time.Duration,
 ) State {
-	r, known := s.records.Get(id)
-	if e == None && r.health() == fleet.Healthy || !known && e == Succeeded {
+	r, _ := s.records.Get(id)
+	if e == None && r.health() == fleet.Healthy {
 		return s
 	}
 	s.records = s.records.With(id, r.withRun(now, attempt, e, duration))
 	return s
 }
 
-// Tick counts trial requests in flight as successes once they have outlasted the failures before them.
-func (s State) Tick(now time.Time) State {
+// Tick judges the runs in flight: their silence by target, and trial requests, which count as successes once they have outlasted the
+// failures before them. flights holds the runs that have been silent for MinSilence or longer.
+func (s State) Tick(now time.Time, flights map[fleet.TargetID][]Flight) State {
 	for id, r := range s.records.All() {
-		if r.trials.Len() == 0 {
-			continue
+		if r.trials.Len() > 0 {
+			r = r.withSurvivedTrials(now)
+			s.records = s.records.With(id, r)
+		}
+		if r.silence > 0 && len(flights[id]) == 0 {
+			s.records = s.records.With(id, r.withSilence(now, nil))
 		}
-		s.records = s.records.With(id, r.withSurvivedTrials(now))
+	}
+	for id, silent := range flights {
+		r, _ := s.records.Get(id)
+		s.records = s.records.With(id, r.withSilence(now, silent))
 	}
 	return s
 }
--- a/internal/core/health/state_test.go
+++ b/internal/core/health/state_test.go
@@ -116,7 +116,7 @@
 	survived := func(failedAfter, ran time.Duration) health.State {
 		s := health.State{}.RunFinished(start, target, "r.1", health.Broken, failedAfter)
 		s = s.RunStarted(start, target, "r.2").RunStarted(start, target, "r.3")
-		return s.Tick(start.Add(ran))
+		return s.Tick(start.Add(ran), nil)
 	}
 	t.Run("two trial requests that outlast quick failures clear the target", func(t *testing.T) {
 		is.New(t).True(!isFaulty(survived(2*time.Millisecond, 100*time.Millisecond)))
@@ -126,7 +126,7 @@
 	})
 	t.Run("a trial request does not count again when it ends", func(t *testing.T) {
 		s := health.State{}.RunFinished(start, target, "r.1", health.Broken, time.Millisecond)
-		s = s.RunStarted(start, target, "r.2").Tick(start.Add(time.Second))
+		s = s.RunStarted(start, target, "r.2").Tick(start.Add(time.Second), nil)
 		s = s.RunFinished(start.Add(time.Second), target, "r.2", health.Succeeded, time.Second)
 		is.New(t).True(isFaulty(s))
 	})
--- a/internal/core/node/evidence_test.go
+++ b/internal/core/node/evidence_test.go
@@ -30,10 +30,16 @@
 		})
 	}
 	r.reduce(event.TablesDecoded{Tables: tables, Router: routing.New(tables)})
+	r.heartbeat()
+	return r
+}
+
+// heartbeat sends a heartbeat of the target.
+func (r *runner) heartbeat() {
 	r.reduce(event.HeartbeatReceived{Heartbeat: fleet.Heartbeat{
 		Name: "t", Pool: "shop", Address: "127.0.0.1:8000", Slots: 4, Connections: 10, Instance: "1", Started: time.Unix(1, 0),
+		Sequence: uint64(r.now.UnixNano()),
 	}})
-	return r
 }
 
 // childRequest makes a child request of parent to the pool stock and returns its attempt.
--- a/internal/core/node/ingress.go
+++ b/internal/core/node/ingress.go
@@ -48,6 +48,7 @@
 	idempotent := routing.IsIdempotent(route, request)
 	route.Class = s.classOf(route, request, idempotent)
 	child := admission.ChildRequest{Parent: request.Parent, Internal: route.Class == fleet.Internal}
+	s.admission = s.admission.ChildRequestSeen(ev.At, request.Parent)
 	s.admission, request.ParentRetried = s.admission.ParentRetried(ev.At, child, ev.Random)
 	next, effects := s.attempts.RequestArrived(s.attemptContext(ev), request, route, idempotent)
 	s.attempts = next
@@ -57,7 +58,7 @@
 // classOf returns the class of a request. An idempotent request is internal if a target on this host made it while it was serving
 // another one, whatever its route says: the run waits for the response.
 func (s State) classOf(route fleet.Route, request fleet.Request, idempotent bool) fleet.Class {
-	if idempotent && s.admission.Runs(request.Parent) {
+	if idempotent && s.admission.HasRunOf(request.Parent) {
 		return fleet.Internal
 	}
 	return route.Class
--- a/internal/core/node/sidecar.go
+++ b/internal/core/node/sidecar.go
@@ -93,7 +93,7 @@
 	}
 	run := finished.Run
 	s.ejection = s.ejection.TrialFinished(run.Attempt.Target)
-	s.health = s.health.RunFinished(ev.At, run.Attempt.Target, body.Attempt, s.evidenceOf(run, body.Outcome), ev.At.Sub(run.Started))
+	s.health = s.health.RunFinished(ev.At, run.Attempt.Target, body.Attempt, s.evidenceOf(ev.At, run, body.Outcome), ev.At.Sub(run.Started))
 	if body.Outcome.Verdict() == fleet.Ran {
 		s.quarantine = s.quarantine.RequestSucceeded(ev.At, run.Attempt.Fingerprint)
 	} else {
--- a/internal/core/node/state.go
+++ b/internal/core/node/state.go
@@ -62,7 +62,7 @@
 func (s State) Reduce(ev event.Event) (State, []effect.Effect) {
 	next, effects := s.dispatch(ev)
 	next, effects = next.recordRefusedOrders(effects)
-	next = next.recordRunStarts(ev.At, effects).recordFailedChildren(effects)
+	next = next.recordRunStarts(ev.At, effects).recordEndedChildren(ev.At, effects)
 	effects = s.appendMetrics(ev, effects)
 	effects = s.appendLogLines(ev, next, next.setSenderFields(effects))
 	return next, effects
--- a/internal/core/node/tick.go
+++ b/internal/core/node/tick.go
@@ -12,7 +12,7 @@
 	var attempts, admission, ejection, orders, leaving, stop []effect.Effect
 	s.attempts, attempts = s.attempts.Tick(s.attemptContext(ev))
 	s.admission, admission = s.admission.Tick(s.admissionContext(ev))
-	s.health = s.health.Tick(ev.At)
+	s.health = s.health.Tick(ev.At, s.silentFlights(ev.At))
 	s.ejection, ejection = s.ejection.Tick(s.ejectionContext(ev))
 	s, suspicions := s.tickQuarantine(ev)
 	s = s.publishTargets(ev)
--- a/internal/edge/peer/forward_field.go
+++ b/internal/edge/peer/forward_field.go
@@ -102,7 +102,8 @@
 func (d *headerDecoder) health(f field) fleet.Health {
 	health, err := fleet.ParseHealth(f.value)
 	if err != nil {
-		d.fail(f, "want Healthy, Shedding or Faulty")
+		// A node of a later version may know other ways to be unhealthy.
+		return fleet.Faulty
 	}
 	return health
 }
