core/attempt: the hedged attempt of a running request may wait in a queue

Cause: in a full pool of which some targets hang, a lookup that one of them holds never got a second target: hedged attempts were only probes, and the slots that become free go to queued requests.

Change: if the attempt in flight runs and does not itself wait in a queue, its hedged attempt may take a queue position that leaves time to run before the deadline.

Tests: a subtest of TestSlowAttemptsAreKept, red before; the subtest for an attempt that waits itself is unchanged and passes.

--- a/internal/core/attempt/placement.go
+++ b/internal/core/attempt/placement.go
@@ -46,7 +46,7 @@
 	queueWait time.Duration
 }
 
-// pick returns the placement of a request's next attempt. The order of its steps covers six situations:
+// pick returns the placement of a request's next attempt. The order of its steps covers seven situations:
 //
 //   - Light load with occasional failures of targets: a free target of the own availability zone is asked, and the next
 //     one as soon as it refuses. Another zone is asked only if no target of the own zone takes the request.
@@ -62,14 +62,15 @@
 //     order is forced only on a shedding target.
 //   - A pool that sheds as a whole: after a few refusals by shedding targets the request is forced on one of them. In a
 //     large pool it would otherwise reach its limit of refusals before it is forced on any target.
+//   - A full pool of which some targets hang: a request that one of them holds finds no free slot elsewhere, since the slots that
+//     become free go to queued requests. Its hedged attempt therefore waits in a queue as well.
 func (p *picker) pick() (placement, bool) {
 	steps := []func() (int, mode){
 		p.homeTarget, p.sheddingTarget, p.ownZoneProbe, p.ownZoneQueueByGoal, p.crossZoneProbe, p.chargeableTarget,
 		p.crossZoneQueueByGoal, p.ownZoneQueueByDeadline, p.crossZoneQueueByDeadline, p.unprobedTarget, p.suspectTarget,
 	}
 	if len(p.request.inFlight) > 0 {
-		// A hedged attempt is useful only if it starts without waiting in a queue.
-		steps = []func() (int, mode){p.ownZoneProbe, p.crossZoneProbe}
+		steps = []func() (int, mode){p.ownZoneProbe, p.crossZoneProbe, p.ownZoneQueueForHedge, p.crossZoneQueueForHedge}
 	}
 	for _, step := range steps {
 		if i, m := step(); i >= 0 {
@@ -155,6 +156,20 @@
 	return p.queueTarget(false, p.request.template.Deadline), waiting
 }
 
+// ownZoneQueueForHedge returns the target of the own zone with the shortest queue, if a hedged attempt that waits there can end before
+// the deadline. It returns none while the attempt in flight waits in a queue itself: a second position is of little use.
+func (p *picker) ownZoneQueueForHedge() (int, mode) { return p.queueForHedge(true), waiting }
+
+// crossZoneQueueForHedge is ownZoneQueueForHedge for the other zones.
+func (p *picker) crossZoneQueueForHedge() (int, mode) { return p.queueForHedge(false), waiting }
+
+func (p *picker) queueForHedge(ownZone bool) int {
+	if p.request.inFlight[0].mode == waiting {
+		return -1
+	}
+	return p.queueTarget(ownZone, p.request.template.Deadline.Add(-p.baselineDuration()))
+}
+
 // unprobedTarget returns an eligible target that was not probed because it is known to be full or maxProbes was reached.
 func (p *picker) unprobedTarget() (int, mode) {
 	var buffer [indexBufferSize]int32
--- a/internal/core/attempt/state_test.go
+++ b/internal/core/attempt/state_test.go
@@ -251,6 +251,20 @@
 		}
 		assertRelayed(t, h.succeed(queued), queued.ID)
 	})
+	t.Run("a hedged attempt of a request that runs waits in a queue that is short enough", func(t *testing.T) {
+		is := is.New(t)
+		h := newHarness()
+		h.learnBaseline(t)
+		hung := assertForwarded(t, h.arrive(true, ""))
+		effects := h.tick(40 * time.Millisecond)
+		for assertForwarded(t, effects).Probe {
+			effects = h.refuseAsFull(assertForwarded(t, effects), 100*time.Millisecond)
+		}
+		hedged := assertForwarded(t, effects)
+		is.True(hedged.Target != hung.Target)
+		is.True(hedged.IsRetry)
+		assertRelayed(t, h.succeed(hedged), hedged.ID)
+	})
 	t.Run("a queued attempt is not hedged before its expected wait is over", func(t *testing.T) {
 		is := is.New(t)
 		h := newHarness()
