core/health: a silent target keeps its idempotent requests, and silence counts from the usual time on

Change: only requests that may run once at most avoid a silent target, since the others can still be hedged. A single run must outlast twice the usual time, two runs the usual time. A hedged attempt waits in queues of its own zone only.

--- a/internal/core/admission/state.go
+++ b/internal/core/admission/state.go
@@ -158,11 +158,15 @@
 //     whether it has run. Such an order therefore runs only if the target may take a trial request now. Otherwise it is refused
 //     and can be retried.
 //   - If the pool sheds some of its requests, a request that is shed has not run and is retried on another target. Any request
-//     that finds no healthy target may therefore be forced on a shedding one, and on a silent one, which may only be slow.
+//     that finds no healthy target may therefore be forced on a shedding one.
+//   - A silent target may only be slow. It takes idempotent requests, which can still run elsewhere, and any other one if no healthy
+//     target is left.
 func healthAllows(ctx Context, attempt fleet.Attempt) bool {
 	health := ctx.Health(attempt.Target)
 	switch {
-	case health == fleet.Healthy, attempt.Forced && (attempt.Idempotent || health == fleet.Shedding || health == fleet.Silent):
+	case health == fleet.Healthy, health == fleet.Silent && attempt.Idempotent:
+		return true
+	case attempt.Forced && (attempt.Idempotent || health == fleet.Shedding || health == fleet.Silent):
 		return true
 	default:
 		return (attempt.Forced || attempt.Trial) && ctx.AllowsTrial(attempt.Target)
--- a/internal/core/admission/state_test.go
+++ b/internal/core/admission/state_test.go
@@ -547,6 +547,9 @@
 		"forced order on a faulty target as a trial":     {forcedOrder, fleet.Faulty, true, true},
 		"forced order on a faulty target between trials": {forcedOrder, fleet.Faulty, false, false},
 		"order on a shedding target":                     {order, fleet.Shedding, true, false},
+		"order on a silent target":                       {order, fleet.Silent, true, false},
+		"forced order on a silent target":                {forcedOrder, fleet.Silent, false, true},
+		"lookup on a silent target":                      {trial, fleet.Silent, false, true},
 		"forced order on a shedding target":              {forcedOrder, fleet.Shedding, false, true},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/core/attempt/picker.go
+++ b/internal/core/attempt/picker.go
@@ -126,12 +126,18 @@
 	if !p.untried(i) || candidate.Target.Ejected && !p.request.template.Idempotent {
 		return false
 	}
-	if p.ctx.Now.Before(v.refusedUntil) || p.ctx.Now.Before(v.suspectUntil) {
+	if p.ctx.Now.Before(v.refusedUntil) || p.avoids(v) {
 		return false
 	}
 	return !p.state.unreachable.avoids(p.ctx.Now, candidate.Node, p.request.template.Idempotent)
 }
 
+// avoids reports whether the request should not go to a target because of its health. A silent target may only be slow, and an idempotent
+// request can still run elsewhere.
+func (p *picker) avoids(v *targetView) bool {
+	return p.ctx.Now.Before(v.suspectUntil) && !(v.health == fleet.Silent && p.request.template.Idempotent)
+}
+
 // utilization returns the requests per slot on a target before the request is sent to it.
 func (p *picker) utilization(i int, v *targetView) float64 {
 	target := &p.candidates[i].Target
--- a/internal/core/attempt/placement.go
+++ b/internal/core/attempt/placement.go
@@ -63,14 +63,14 @@
 //   - A pool that sheds as a whole: after a few refusals by shedding targets the request is forced on one of them. In a
 //     large pool it would otherwise reach its limit of refusals before it is forced on any target.
 //   - A full pool of which some targets hang: a request that one of them holds finds no free slot elsewhere, since the slots that
-//     become free go to queued requests. Its hedged attempt therefore waits in a queue as well.
+//     become free go to queued requests. Its hedged attempt therefore waits in a queue of the own zone as well.
 func (p *picker) pick() (placement, bool) {
 	steps := []func() (int, mode){
 		p.homeTarget, p.sheddingTarget, p.ownZoneProbe, p.ownZoneQueueByGoal, p.crossZoneProbe, p.chargeableTarget,
 		p.crossZoneQueueByGoal, p.ownZoneQueueByDeadline, p.crossZoneQueueByDeadline, p.unprobedTarget, p.suspectTarget,
 	}
 	if len(p.request.inFlight) > 0 {
-		steps = []func() (int, mode){p.ownZoneProbe, p.crossZoneProbe, p.ownZoneQueueForHedge, p.crossZoneQueueForHedge}
+		steps = []func() (int, mode){p.ownZoneProbe, p.crossZoneProbe, p.ownZoneQueueForHedge}
 	}
 	for _, step := range steps {
 		if i, m := step(); i >= 0 {
@@ -158,16 +158,11 @@
 
 // ownZoneQueueForHedge returns the target of the own zone with the shortest queue, if a hedged attempt that waits there can end before
 // the deadline. It returns none while the attempt in flight waits in a queue itself: a second position is of little use.
-func (p *picker) ownZoneQueueForHedge() (int, mode) { return p.queueForHedge(true), waiting }
-
-// crossZoneQueueForHedge is ownZoneQueueForHedge for the other zones.
-func (p *picker) crossZoneQueueForHedge() (int, mode) { return p.queueForHedge(false), waiting }
-
-func (p *picker) queueForHedge(ownZone bool) int {
+func (p *picker) ownZoneQueueForHedge() (int, mode) {
 	if p.request.inFlight[0].mode == waiting {
-		return -1
+		return -1, waiting
 	}
-	return p.queueTarget(ownZone, p.request.template.Deadline.Add(-p.baselineDuration()))
+	return p.queueTarget(true, p.request.template.Deadline.Add(-p.baselineDuration())), waiting
 }
 
 // unprobedTarget returns an eligible target that was not probed because it is known to be full or maxProbes was reached.
--- a/internal/core/attempt/state_test.go
+++ b/internal/core/attempt/state_test.go
@@ -505,6 +505,24 @@
 		is.True(order.Forced)
 		is.Equal(order.Target, first.Target)
 	})
+	t.Run("a silent target gets lookups and no orders", func(t *testing.T) {
+		is, h := is.New(t), newHarness()
+		first := assertForwarded(t, h.arrive(true, ""))
+		silent := report(first.Target, 20*time.Millisecond)
+		silent.Health = fleet.Silent
+		h.finish(first, fleet.Outcome{Status: 200}, fleet.Some(silent))
+		lookups, orders := 0, 0
+		for range 40 {
+			if a := assertForwarded(t, h.arrive(true, "")); a.Target == first.Target {
+				lookups++
+			}
+			if a := assertForwarded(t, h.arrive(false, "")); a.Target == first.Target {
+				orders++
+			}
+		}
+		is.True(lookups > 0)
+		is.Equal(orders, 0)
+	})
 	t.Run("an order goes to a shedding target also while healthy ones are full", func(t *testing.T) {
 		is, h := is.New(t), newHarness()
 		effects := h.refuseAsFull(assertForwarded(t, h.arrive(false, "")), time.Minute)
--- a/internal/core/fleet/health.go
+++ b/internal/core/fleet/health.go
@@ -11,7 +11,7 @@
 	Healthy Health = iota
 	// Shedding targets have recently refused requests although they had free slots. They respond to the requests that they accept.
 	Shedding
-	// Silent targets work on requests for longer than usual: they hang or are slow. They take only trial requests and, if no healthy
+	// Silent targets work on requests for longer than usual: they hang or are slow. They take idempotent requests and, if no healthy
 	// target takes the request, forced attempts.
 	Silent
 	// Faulty targets have recently dropped requests or returned errors. They take only trial requests and, if no healthy target
--- a/internal/core/health/silence.go
+++ b/internal/core/health/silence.go
@@ -16,12 +16,12 @@
 }
 
 // silenceWeights holds the log-likelihood ratios of a run that is silent for a multiple of its usual time: hanging against healthy. A
-// hanging target is taken to hang 60% of its requests. Of the runs of a healthy one, a quarter outlasts the first multiple, one in
-// twenty the second and about one in a hundred the third, whatever the spread of their durations is.
+// hanging target is taken to hang 60% of its requests. A target that is nearly full or has just started is slower than usual: one in
+// ten runs of such a one outlasts the usual time, one in thirty 1.5 times and one in a hundred twice that time.
 var silenceWeights = []struct{ multiple, weight float64 }{
-	{1.5, 4.1},  // ln(0.6 / 0.01)
-	{1, 2.5},    // ln(0.62 / 0.05)
-	{0.75, 1.0}, // ln(0.7 / 0.25)
+	{2, 4.1},   // ln(0.6 / 0.01)
+	{1.5, 3.0}, // ln(0.61 / 0.03)
+	{1, 1.9},   // ln(0.64 / 0.1)
 }
 
 // MinSilence returns the shortest silence of a run that is evidence about its target, given its usual time.
--- a/internal/core/health/state.go
+++ b/internal/core/health/state.go
@@ -6,8 +6,8 @@
 // time and with a growing delay between them until one succeeds. When no healthy target takes a request, the request can be
 // forced on a faulty one, in place of a trial request if it is not idempotent. A target that only sheds requests is shedding. It
 // is used after the others, but when no other target is left, it takes as many requests as it accepts, since a shed request has
-// not run. A silent target is one whose runs in flight take longer than usual; it is treated like a faulty one, but takes any request if
-// no other target is left, since it may only be slow. The judgement is local and needs no lease. A wrong one costs one more attempt of a request on another target and ends
+// not run. A silent target is one whose runs in flight take longer than usual; it takes idempotent
+// requests, and any request if no other target is left, since it may only be slow. The judgement is local and needs no lease. A wrong one costs one more attempt of a request on another target and ends
 // with the next successes. A target that keeps failing is ejected, which needs in-service leases.
 //
 // # Usage
--- a/internal/core/node/logging.go
+++ b/internal/core/node/logging.go
@@ -129,7 +129,7 @@
 var healthMessages = map[fleet.Health]string{
 	fleet.Healthy:  "target trusted again",
 	fleet.Shedding: "target sheds requests, asked after others",
-	fleet.Silent:   "target silent, takes only trials",
+	fleet.Silent:   "target silent, takes idempotent requests",
 	fleet.Faulty:   "target suspect, takes only trials",
 }
 
