core/node: a run of which nothing was sent is no evidence about its target

Cause: a body that stalled until the deadline, or was lost with its ingress, before anything was sent to the target ended with DeadlinePassed or Broken (NotRun).

Change: these outcomes are no evidence. Refused connections and shed requests stay evidence.

Tests: TestUnsentRunsAreNoEvidence was red in its first two cases.

--- a/internal/core/admission/state_test.go
+++ b/internal/core/admission/state_test.go
@@ -530,6 +530,10 @@
 		a.Forced = true
 		return a
 	}
+	lookup := func(a fleet.Attempt) fleet.Attempt {
+		a.Idempotent = true
+		return a
+	}
 	forcedLookup := func(a fleet.Attempt) fleet.Attempt {
 		a.Forced, a.Idempotent = true, true
 		return a
@@ -549,7 +553,7 @@
 		"order on a shedding target":                     {order, fleet.Shedding, true, false},
 		"order on a silent target":                       {order, fleet.Silent, true, false},
 		"forced order on a silent target":                {forcedOrder, fleet.Silent, false, true},
-		"lookup on a silent target":                      {trial, fleet.Silent, false, true},
+		"lookup on a silent target":                      {lookup, fleet.Silent, false, true},
 		"forced order on a shedding target":              {forcedOrder, fleet.Shedding, false, true},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/core/node/evidence.go
+++ b/internal/core/node/evidence.go
@@ -26,7 +26,7 @@
 	switch {
 	case !failed:
 		return health.Succeeded
-	case s.failedByChild(run, outcome):
+	case s.failedByChild(run, outcome), notSent(problem):
 		return health.None
 	case problem.Cause == fleet.Canceled && s.flightOf(now, run).IsOverdue() && !s.attempts.HasChild(run.Attempt.ID.Request()):
 		return health.Overdue
@@ -35,6 +35,12 @@
 	}
 }
 
+// notSent reports whether a run ended before anything was sent to its target, because its body stalled, its ingress was lost or its
+// deadline passed. Such a run is no evidence about the target. A target that refuses connections or requests is evidence.
+func notSent(problem fleet.Problem) bool {
+	return problem.Verdict == fleet.NotRun && (problem.Cause == fleet.DeadlinePassed || problem.Cause == fleet.Broken)
+}
+
 // failedByChild reports whether a run failed or timed out because of a child request of its target. Such runs are no
 // evidence, so that an overload of one pool does not spread. Otherwise the targets that call the pool would count as failing
 // and be taken out of service when their slots are needed most.
--- a/internal/core/node/evidence_test.go
+++ b/internal/core/node/evidence_test.go
@@ -123,3 +123,29 @@
 		})
 	}
 }
+
+// TestUnsentRunsAreNoEvidence guards against targets that are avoided because the body of a request stalled until its deadline, or was
+// lost with its ingress, before anything was sent to them.
+func TestUnsentRunsAreNoEvidence(t *testing.T) {
+	for name, c := range map[string]struct {
+		problem fleet.Problem
+		want    fleet.Health
+	}{
+		"the body stalled until the deadline": {fleet.NewProblem(fleet.DeadlinePassed, fleet.NotRun, "simulated"), fleet.Healthy},
+		"the ingress was lost":                {fleet.NewProblem(fleet.Broken, fleet.NotRun, "simulated"), fleet.Healthy},
+		"the target did not respond":          {fleet.NewProblem(fleet.DeadlinePassed, fleet.MayHaveRun, "simulated"), fleet.Faulty},
+		"the target refuses connections":      {fleet.NewProblem(fleet.Unreachable, fleet.NotRun, "simulated"), fleet.Faulty},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is, r := is.New(t), newParentNode()
+			for i := range 3 {
+				attempt := fleet.NewAttemptID(fleet.RequestID(fmt.Sprint("r", i)), 1)
+				r.reduce(event.AdmissionRequested{Attempt: fleet.Attempt{
+					ID: attempt, Target: "n1/t", Pool: "shop", Idempotent: true, Deadline: r.now.Add(time.Second),
+				}})
+				r.reduce(event.RunFinished{Attempt: attempt, Outcome: fleet.Outcome{Problem: fleet.Some(c.problem)}})
+			}
+			is.Equal(r.state.health.Health("n1/t"), c.want)
+		})
+	}
+}
--- a/internal/core/node/sidecar.go
+++ b/internal/core/node/sidecar.go
@@ -164,13 +164,13 @@
 // firstServerError is the lowest HTTP status that counts as a failure of the target.
 const firstServerError = 500
 
-// detectOutlier passes a run to the outlier detector and acts on the judgement. Runs of quarantined requests and runs that
-// failed because of a child request or of their ingress are no evidence about the target.
+// detectOutlier passes a run to the outlier detector and acts on the judgement. Runs of quarantined requests, runs that failed
+// because of a child request or of their ingress, and runs of which nothing was sent are no evidence about the target.
 func (s State) detectOutlier(ev event.Event, run admission.Run, outcome fleet.Outcome) (State, []effect.Effect) {
 	problem, failed := outcome.Problem.Get()
 	canceled := problem.Cause == fleet.Canceled
 	if s.quarantine.Suspects().Quarantined(ev.At, run.Attempt.Fingerprint) || s.failedByChild(run, outcome) ||
-		problem.Cause == fleet.BodyStalled {
+		problem.Cause == fleet.BodyStalled || notSent(problem) {
 		return s, nil
 	}
 	pool, _ := s.tables.Current().Pool(run.Attempt.Pool)
