edge/target: a second copy of a response reaches no other caller

Cause: with jayfold's own protocol a response was taken for that of the request which was in progress on its connection. A target that sent a response once more, late, on a kept connection answered the next caller with it. The users' platform has ids in all responses.

Change: a response that names another request in Jayfold-Request is skipped. A connection is kept only after a response that names its request; without a name a second copy cannot be told from the next response.

Tests: TestSecondCopyOfAResponse was red in both cases ("to r0 != to r1"). The stand-in target of the lab and two stand-ins in tests that are about kept connections now send the header back; their checks are unchanged.

Result: go test ./internal/edge/target ./internal/lab/target ./platform pass.

--- a/internal/edge/target/client.go
+++ b/internal/edge/target/client.go
@@ -72,6 +72,7 @@
 	}
 	e := newExchange(ctx, cancel, conn, c.recovery)
 	isMismatched := func(r *http.Response, reused bool) bool { return c.protocol.IsMismatched(run, r, reused) }
+	e.isIdentified = c.protocol.IsIdentified
 	response, err := e.roundTrip(c.outgoingRequest(ctx, run, request), isMismatched)
 	if err != nil {
 		return nil, problemOf(err, e.abort())
--- a/internal/edge/target/client_test.go
+++ b/internal/edge/target/client_test.go
@@ -99,7 +99,7 @@
 					if runs.Add(1); !first {
 						return
 					}
-					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nJayfold-Request: r1\r\nContent-Length: 2\r\n\r\nok")
 				}
 			})
 			client := newClient()
@@ -172,7 +172,8 @@
 func TestClientBoundsConnections(t *testing.T) {
 	is := is.New(t)
 	var opened atomic.Int64
-	server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Jayfold-Request", r.Header.Get("Jayfold-Request"))
 		time.Sleep(time.Millisecond)
 	}))
 	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
--- a/internal/edge/target/exchange.go
+++ b/internal/edge/target/exchange.go
@@ -38,6 +38,8 @@
 	// stopCloseOnDone stops the function that closes the connection when ctx is done. It returns false if that function
 	// has already started.
 	stopCloseOnDone func() bool
+	// isIdentified reports whether a response names its request.
+	isIdentified func(response *http.Response) bool
 	// wroteAny is true if a write of the request to the connection has begun.
 	wroteAny atomic.Bool
 	// wroteAll is true if the whole request has been written.
@@ -196,7 +198,7 @@
 // reusable reports whether the connection can be used for another request after this response. A target that responded before
 // it had read the whole request would read the rest of it as the next request.
 func (b *responseBody) reusable() bool {
-	return !b.response.Close && b.exchange.wroteAll.Load() && b.exchange.conn.reader.Buffered() == 0
+	return !b.response.Close && b.exchange.isIdentified(b.response) && b.exchange.wroteAll.Load() && b.exchange.conn.reader.Buffered() == 0
 }
 
 // Close implements io.Closer. It closes the connection unless the response has been read to its end.
--- a/internal/edge/target/protocol.go
+++ b/internal/edge/target/protocol.go
@@ -16,6 +16,9 @@
 	// IsMismatched reports whether a response belongs to a request other than the one that was sent for the run. reused is true if
 	// the connection has carried another response before, which a faulty target may write once more.
 	IsMismatched func(run effect.StartRun, response *http.Response, reused bool) bool
+	// IsIdentified reports whether a response names the request that it belongs to. A connection is kept only after such a response: on
+	// a kept one, a second copy of a response without a name would be taken for that of the next request.
+	IsIdentified func(response *http.Response) bool
 	// CheckResponse returns the problem of a response that must not be passed on, such as one from a target that sheds the
 	// request. The connection is closed after such a response.
 	CheckResponse func(run effect.StartRun, response *http.Response) fleet.Option[fleet.Problem]
@@ -25,7 +28,8 @@
 func NewProtocol() Protocol {
 	return Protocol{
 		SetHeaders:   setHeaders,
-		IsMismatched: func(effect.StartRun, *http.Response, bool) bool { return false },
+		IsMismatched: isMismatched,
+		IsIdentified: func(response *http.Response) bool { return response.Header.Get(headerRequest) != "" },
 		CheckResponse: func(effect.StartRun, *http.Response) fleet.Option[fleet.Problem] {
 			return fleet.Option[fleet.Problem]{}
 		},
@@ -40,6 +44,16 @@
 	headerPrefix  = "Jayfold-"
 )
 
+// isMismatched reports whether a response names another request. Targets that name requests do so in every response, so that one
+// without a name on a kept connection is not the response to this request either.
+func isMismatched(run effect.StartRun, response *http.Response, reused bool) bool {
+	id := response.Header.Get(headerRequest)
+	if id == "" {
+		return reused
+	}
+	return id != string(run.Attempt.ID.Request())
+}
+
 func setHeaders(header http.Header, run effect.StartRun, remaining time.Duration) {
 	if run.Attempt.Caller != "" {
 		header.Set(headerCaller, string(run.Attempt.Caller))
--- a/internal/lab/target/serve.go
+++ b/internal/lab/target/serve.go
@@ -135,6 +135,7 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.Header().Set(headerRequest, r.Header.Get(headerRequest))
 	w.WriteHeader(status)
 	_, _ = w.Write(body)
 }
