--- a/internal/core/attempt/picker.go
+++ b/internal/core/attempt/picker.go
@@ -135,7 +135,10 @@
 // avoids reports whether the request should not go to a target because of its health. A silent target may only be slow, and an idempotent
 // request can still run elsewhere.
 func (p *picker) avoids(v *targetView) bool {
-	return p.ctx.Now.Before(v.suspectUntil) && !(v.health == fleet.Silent && p.request.template.Idempotent)
+	if v.health == fleet.Silent && p.request.template.Idempotent {
+		return false
+	}
+	return p.ctx.Now.Before(v.suspectUntil)
 }
 
 // utilization returns the requests per slot on a target before the request is sent to it.
