lab/platform: the stand-in can come back from an older copy

Cause: the users' store may be away for a moment and come back from a copy some seconds old.

Change: PUT /admin/restore with an age replaces the data by the copy of that age and counts it in the header Epoch of all responses. Versions are given out again; pending watches stay, as on connections that outlive a restoration.

--- a/internal/lab/platform/event.go
+++ b/internal/lab/platform/event.go
@@ -57,6 +57,9 @@
 // faultsSet is posted when the faults are replaced.
 type faultsSet struct{ faults Faults }
 
+// restored is posted when the data is replaced by a copy.
+type restored struct{ age time.Duration }
+
 // result is the effect of the reducer: it ends an API call.
 type result struct {
 	id       uint64
@@ -68,6 +71,7 @@
 
 type response struct {
 	status  int
+	epoch   uint64
 	version uint64
 	value   []byte
 	list    []listEntry
--- a/internal/lab/platform/handler.go
+++ b/internal/lab/platform/handler.go
@@ -36,6 +36,11 @@
 	Delay         string
 }
 
+// wireRestore is the body of /admin/restore. Age is a Go duration string.
+type wireRestore struct {
+	Age string
+}
+
 // wireCounters is the response body of /admin/counters.
 type wireCounters struct {
 	Reads   int
@@ -52,6 +57,7 @@
 	router.HandleFunc("/v1/objects/{key:.+}", s.handlePut).Methods(http.MethodPut)
 	router.HandleFunc("/v1/objects/{key:.+}", s.handleDelete).Methods(http.MethodDelete)
 	router.HandleFunc("/admin/faults", s.handleFaults).Methods(http.MethodGet, http.MethodPut)
+	router.HandleFunc("/admin/restore", s.handleRestore).Methods(http.MethodPut)
 	router.HandleFunc("/admin/counters", s.handleCounters).Methods(http.MethodGet)
 	return router
 }
@@ -131,6 +137,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	res := outcome.response
+	w.Header().Set("Epoch", strconv.FormatUint(res.epoch, 10))
 	if res.version > 0 {
 		w.Header().Set("ETag", strconv.Quote(strconv.FormatUint(res.version, 10)))
 	}
@@ -178,6 +185,17 @@
 	writeJSON(w, wireFaults{f.Outage, f.Silent, f.LoseResponses, f.Delay.String()})
 }
 
+func (s *Server) handleRestore(w http.ResponseWriter, r *http.Request) {
+	var wire wireRestore
+	err := json.NewDecoder(r.Body).Decode(&wire)
+	age, ageErr := time.ParseDuration(wire.Age)
+	if err := errors.Join(err, ageErr); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.Restore(age)
+}
+
 func (w wireFaults) faults() (Faults, error) {
 	f := Faults{Outage: w.Outage, Silent: w.Silent, LoseResponses: w.LoseResponses}
 	if w.Delay == "" {
--- a/internal/lab/platform/server.go
+++ b/internal/lab/platform/server.go
@@ -59,6 +59,11 @@
 	s.post(input{body: faultsSet{faults: f}})
 }
 
+// Restore replaces the data by a copy of the given age. Later writes are lost, and their versions are given out again.
+func (s *Server) Restore(age time.Duration) {
+	s.post(input{body: restored{age: age}})
+}
+
 // Counters returns the counters. They are zero if the server has ended.
 func (s *Server) Counters() Counters { return s.snapshot().counters }
 
--- a/internal/lab/platform/server_test.go
+++ b/internal/lab/platform/server_test.go
@@ -5,7 +5,9 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,11 +18,28 @@
 
 // start starts a server with a constant clock and returns it with its URL.
 func start(t *testing.T, limits platform.Limits) (*platform.Server, string) {
+	t.Helper()
+	now := time.Now()
+	return startAt(t, limits, func() time.Time { return now })
+}
+
+// clock is a clock that a test advances.
+type clock struct{ ns atomic.Int64 }
+
+func newClock() *clock { return &clock{} }
+
+// Now returns the time.
+func (c *clock) Now() time.Time { return time.Unix(0, c.ns.Load()) }
+
+// Advance adds d to the time.
+func (c *clock) Advance(d time.Duration) { c.ns.Add(int64(d)) }
+
+// startAt starts a server with a clock and returns it with its URL.
+func startAt(t *testing.T, limits platform.Limits, now func() time.Time) (*platform.Server, string) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
-	now := time.Now()
-	server := platform.New(limits, func() time.Time { return now })
+	server := platform.New(limits, now)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- server.Serve(ctx, listener) }()
@@ -35,6 +54,7 @@
 type result struct {
 	status int
 	etag   string
+	epoch  string
 	body   string
 	err    error
 }
@@ -54,7 +74,7 @@
 	}
 	defer func() { _ = res.Body.Close() }()
 	content, err := io.ReadAll(res.Body)
-	return result{status: res.StatusCode, etag: res.Header.Get("ETag"), body: string(content), err: err}
+	return result{status: res.StatusCode, etag: res.Header.Get("ETag"), epoch: res.Header.Get("Epoch"), body: string(content), err: err}
 }
 
 func assertResult(t *testing.T, got result, status int, etag, body string) {
@@ -130,3 +150,26 @@
 	assertResult(t, call(ctx, "PUT", base+"/admin/faults", `{"Outrage": true}`), 400, "", "")
 	is.New(t).Equal(server.Counters(), platform.Counters{Reads: 4, Writes: 3, Limited: 2, Lost: 1})
 }
+
+// TestRestore guards against a stand-in that loses more than the writes since the copy, keeps some of them, or doesn't count the
+// restoration.
+func TestRestore(t *testing.T) {
+	clock := newClock()
+	server, base := startAt(t, platform.Limits{}, clock.Now)
+	ctx, one := t.Context(), base+"/v1/objects/one"
+	for version, value := range []string{"a", "b", "c"} {
+		assertResult(t, call(ctx, "PUT", one, value), 200, strconv.Quote(strconv.Itoa(version+1)), "")
+		clock.Advance(time.Second)
+	}
+	assertResult(t, call(ctx, "GET", one, ""), 200, `"3"`, "c")
+	server.Restore(1500 * time.Millisecond)
+	assertResult(t, call(ctx, "GET", one, ""), 200, `"2"`, "b")
+	assertResult(t, call(ctx, "PUT", one, "other", "If-Match", `"2"`), 200, `"3"`, "")
+	server.Restore(time.Second)
+	assertResult(t, call(ctx, "GET", one, ""), 200, `"2"`, "b")
+	server.Restore(0)
+	assertResult(t, call(ctx, "GET", one, ""), 200, `"2"`, "b")
+	assertResult(t, call(ctx, "PUT", base+"/admin/restore", `{"Age": "1h"}`), 200, "", "")
+	assertResult(t, call(ctx, "GET", one, ""), 404, "", "")
+	is.New(t).Equal(call(ctx, "GET", one, "").epoch, "5")
+}
--- a/internal/lab/platform/state.go
+++ b/internal/lab/platform/state.go
@@ -6,9 +6,11 @@
 //	server := platform.New(platform.Limits{ReadsPerSecond: 2000, WritesPerSecond: 500}, time.Now)
 //	go server.Serve(ctx, listener)
 //	server.SetFaults(platform.Faults{Outage: true})
+//	server.Restore(4 * time.Second) // back to the data of 4 s ago
 //	calls := server.Counters().Reads
 //
-// Other processes set the faults with PUT /admin/faults and read the counters with GET /admin/counters.
+// Other processes set the faults with PUT /admin/faults, restore a copy with PUT /admin/restore and read the counters with GET
+// /admin/counters. Each response has the number of restorations so far, plus one, in the header Epoch.
 package platform
 
 import (
@@ -20,9 +22,11 @@
 
 // state is the state of the stand-in. It is immutable.
 type state struct {
-	// version is the version of the latest write. It counts the writes to all objects.
-	version  uint64
-	objects  fleet.Map[string, object]
+	data
+	// epoch counts the restorations of the data, from 1 on.
+	epoch uint64
+	// earlier holds the data before each of the last writes, by its version.
+	earlier  fleet.Map[uint64, datedData]
 	watches  fleet.Map[uint64, watch]
 	faults   Faults
 	reads    bucket
@@ -30,6 +34,22 @@
 	counters Counters
 }
 
+// data is what a restoration replaces.
+type data struct {
+	// version is the version of the latest write. It counts the writes to all objects.
+	version uint64
+	objects fleet.Map[string, object]
+}
+
+// datedData is the data until a write.
+type datedData struct {
+	data
+	until time.Time
+}
+
+// maxEarlier bounds the number of writes that a restoration can undo.
+const maxEarlier = 4096
+
 type object struct {
 	value   []byte
 	version uint64
@@ -72,7 +92,7 @@
 }
 
 func newState(limits Limits) state {
-	return state{reads: newBucket(limits.ReadsPerSecond), writes: newBucket(limits.WritesPerSecond)}
+	return state{epoch: 1, reads: newBucket(limits.ReadsPerSecond), writes: newBucket(limits.WritesPerSecond)}
 }
 
 // reduce returns the state after an event and the results of the calls that it ends.
@@ -84,6 +104,8 @@
 		return s.waitEnded(body)
 	case faultsSet:
 		return s.faultsSet(body)
+	case restored:
+		return s.restored(ev.at, body), nil
 	default:
 		return s, nil
 	}
@@ -103,7 +125,27 @@
 	case len(c.value) > maxValueBytes:
 		return s, s.respond(c.id, response{status: statusTooLarge})
 	}
-	return operations[c.operation](s, c)
+	before := s.data
+	s, results := operations[c.operation](s, c)
+	if s.version != before.version {
+		s.earlier = s.earlier.With(before.version, datedData{data: before, until: at}).Without(before.version - maxEarlier)
+	}
+	return s, results
+}
+
+// restored replaces the data by a copy of the given age. Pending watches stay, as they do on connections that outlive a restoration.
+func (s state) restored(at time.Time, r restored) state {
+	s.epoch++
+	lost := false
+	for version, copied := range s.earlier.All() {
+		if !lost && copied.until.After(at.Add(-r.age)) {
+			s.data, lost = copied.data, true
+		}
+		if lost {
+			s.earlier = s.earlier.Without(version)
+		}
+	}
+	return s
 }
 
 // admit counts the call and reports whether its rate limit refuses it.
@@ -232,5 +274,6 @@
 }
 
 func (s state) respond(id uint64, r response) []result {
+	r.epoch = s.epoch
 	return []result{{id: id, response: r, delay: s.faults.Delay}}
 }
