core/epoch, edge/platform, platform: the epoch of the platform's data is read, logged, counted and shown

Change: every result and error of a call has the epoch of its response; the client reports a change of it as event.EpochSeen; core/epoch decides which epoch is current. A line "platform: the platform came back from a copy" has both epochs and versions, the counter platform_epochs counts it, the status page shows it. "platform found again" has the version before and after. No decision uses the epoch yet. A missing header, or one that isn't a number, is an unknown epoch.

--- a/internal/core/effect/platform.go
+++ b/internal/core/effect/platform.go
@@ -6,10 +6,10 @@
 	"jayfold.dev/jayfold/internal/core/fleet"
 )
 
-// WatchHead waits until the version of the platform's head object differs from Version. Event: event.HeadRead
+// WatchHead waits until the platform's head object differs from the one at a position. Event: event.HeadRead
 // or event.PlatformCallFailed.
 type WatchHead struct {
-	Version uint64
+	From fleet.Position
 	// Wait is the time after which the platform returns if nothing has changed.
 	Wait time.Duration
 	// MayBeStale allows a response from a copy of the data that may be seconds old, which costs the platform less.
--- a/internal/core/effect/status.go
+++ b/internal/core/effect/status.go
@@ -15,6 +15,8 @@
 	Revision          fleet.Revision
 	NewestRevision    fleet.Revision
 	PlatformReachable bool
+	// Epoch is that of the platform's data; 0 if it is unknown.
+	Epoch fleet.Epoch
 	// Unread has a text for each part of the revision in force that this node cannot read.
 	Unread      []string
 	Draining    bool
--- a/internal/core/event/platform.go
+++ b/internal/core/event/platform.go
@@ -9,8 +9,18 @@
 type HeadRead struct {
 	// Head has revision 0 if Version has not changed or if no tables have ever been applied.
 	Head fleet.TablesHead
-	// Version is the version of the head object on the platform.
+	// Position is that of the head object on the platform, from which the next watch continues.
+	Position fleet.Position
+}
+
+// EpochSeen tells the epoch of an answer of the platform. It is posted when that epoch isn't the one of the previous answer, before
+// the result of the call.
+type EpochSeen struct {
+	Epoch fleet.Epoch
+	// Version is the version that the answer shows, if it is the result of effect.WatchHead.
 	Version uint64
+	// MayBeStale is true if the answer may come from a copy.
+	MayBeStale bool
 }
 
 // TablesDecoded is the result of effect.FetchTables and effect.DecodeTables for a valid revision.
@@ -38,6 +48,8 @@
 type MemberRegistered struct {
 	// Sequence is the sequence number of the record that was written.
 	Sequence uint64
+	// Epoch is that of the platform's data with the record.
+	Epoch fleet.Epoch
 }
 
 // PlatformCall is a kind of call to the platform.
@@ -58,6 +70,7 @@
 }
 
 func (HeadRead) isBody()           {}
+func (EpochSeen) isBody()          {}
 func (TablesDecoded) isBody()      {}
 func (TablesRejected) isBody()     {}
 func (MembersListed) isBody()      {}
--- /dev/null
+++ b/internal/core/node/epoch.go
@@ -0,0 +1,35 @@
+package node
+
+import (
+	"jayfold.dev/jayfold/internal/core/effect"
+	"jayfold.dev/jayfold/internal/core/event"
+	"jayfold.dev/jayfold/internal/core/fleet"
+)
+
+// epochSeen handles the epoch of an answer of the platform.
+func (s State) epochSeen(ev event.Event, body event.EpochSeen) (State, []effect.Effect) {
+	before := s.epoch.Current()
+	next, changed := s.epoch.AnswerSeen(ev.At, body.Epoch, body.MayBeStale)
+	s.epoch = next
+	if !changed {
+		return s, nil
+	}
+	return s.epochChanged(before, effect.LogField{Name: "Version", Value: body.Version})
+}
+
+// epochChanged handles a new current epoch. The field tells how the node has learned of it.
+func (s State) epochChanged(before fleet.Epoch, learned effect.LogField) (State, []effect.Effect) {
+	if before == 0 {
+		// This node has nothing from an earlier epoch.
+		return s, nil
+	}
+	return s, []effect.Effect{
+		effect.WriteLog{Level: effect.Warn, Component: "platform", Message: "the platform came back from a copy", Fields: []effect.LogField{
+			{Name: "Epoch", Value: uint64(s.epoch.Current())},
+			{Name: "Before", Value: uint64(before)},
+			learned,
+			{Name: "VersionBefore", Value: s.tables.Position().Version},
+		}},
+		effect.AddToCounter{Name: "platform_epochs", Delta: 1},
+	}
+}
--- a/internal/core/node/platform.go
+++ b/internal/core/node/platform.go
@@ -9,8 +9,10 @@
 // dispatchPlatform passes the result of a call to the platform to the component that made the call.
 func (s State) dispatchPlatform(ev event.Event) (State, []effect.Effect) {
 	switch body := ev.Body.(type) {
+	case event.EpochSeen:
+		return s.epochSeen(ev, body)
 	case event.HeadRead:
-		return s.withTables(s.tables.HeadRead(ev.At, ev.Random, s.tablesFleet(), body.Head, body.Version))
+		return s.withTables(s.tables.HeadRead(ev.At, ev.Random, s.tablesFleet(), body.Head, body.Position))
 	case event.TablesDecoded:
 		return s.tablesDecoded(ev, body)
 	case event.TablesRejected:
--- a/internal/core/node/state.go
+++ b/internal/core/node/state.go
@@ -15,6 +15,7 @@
 	"jayfold.dev/jayfold/internal/core/detection"
 	"jayfold.dev/jayfold/internal/core/effect"
 	"jayfold.dev/jayfold/internal/core/ejection"
+	"jayfold.dev/jayfold/internal/core/epoch"
 	"jayfold.dev/jayfold/internal/core/event"
 	"jayfold.dev/jayfold/internal/core/fleet"
 	"jayfold.dev/jayfold/internal/core/health"
@@ -38,6 +39,7 @@
 	orders     orders.State
 	quarantine quarantine.State
 	tables     *tables.State
+	epoch      epoch.State
 	shutdown   shutdown
 	// pendingAcks holds the calls of leaving targets that have no reply yet.
 	pendingAcks []pendingAck
@@ -54,6 +56,7 @@
 		orders:     orders.New(self.Node),
 		quarantine: quarantine.New(),
 		tables:     new(tables.New()),
+		epoch:      epoch.New(),
 		shutdown:   shutdown{grace: settings.StopGrace},
 	}
 }
--- a/internal/core/node/status.go
+++ b/internal/core/node/status.go
@@ -17,6 +17,7 @@
 		Revision:          s.Revision(),
 		NewestRevision:    s.tables.NewestRevision(),
 		PlatformReachable: s.tables.PlatformReachable(),
+		Epoch:             s.epoch.Current(),
 		Unread:            s.tables.Current().Unread,
 		Draining:          s.shutdown.inProgress(),
 		InFlight:          s.attempts.InFlight() + s.admission.InFlight(),
--- a/internal/core/tables/logging_test.go
+++ b/internal/core/tables/logging_test.go
@@ -41,9 +41,9 @@
 		return effects
 	}
 	read := func(watcher bool) tables.State {
-		s, _ := watching().HeadRead(start, 0, tables.Fleet{Members: 24, IsWatcher: watcher}, fleet.TablesHead{}, 8)
+		s, _ := watching().HeadRead(start, 0, tables.Fleet{Members: 24, IsWatcher: watcher}, fleet.TablesHead{}, fleet.Position{Version: 8})
 		s, _ = s.Tick(start.Add(time.Second), 0)
-		s, _ = s.HeadRead(start.Add(time.Second), 0, tables.Fleet{Members: 24}, fleet.TablesHead{Revision: 7, Content: []byte{1}}, 9)
+		s, _ = s.HeadRead(start.Add(time.Second), 0, tables.Fleet{Members: 24}, fleet.TablesHead{Revision: 7, Content: []byte{1}}, fleet.Position{Version: 9})
 		return s
 	}
 	t.Run("from the platform", func(t *testing.T) {
--- a/internal/core/tables/platform.go
+++ b/internal/core/tables/platform.go
@@ -13,8 +13,8 @@
 	running bool
 	// due is the start time of the next watch; zero if it starts at once.
 	due time.Time
-	// version is the version of the head object as last read.
-	version uint64
+	// position is that of the head object as last read.
+	position fleet.Position
 	// failures counts consecutive failed calls.
 	failures int
 	// wait and mayBeStale are the parameters Wait and MayBeStale of the next effect.WatchHead.
@@ -63,7 +63,7 @@
 		return s, nil
 	}
 	s.watch.running = true
-	return s, []effect.Effect{effect.WatchHead{Version: s.watch.version, Wait: s.watch.wait, MayBeStale: s.watch.mayBeStale}}
+	return s, []effect.Effect{effect.WatchHead{From: s.watch.position, Wait: s.watch.wait, MayBeStale: s.watch.mayBeStale}}
 }
 
 // startFetch starts to read the newest revision from the platform if that is due. It lets a pending request to a peer finish
@@ -82,15 +82,15 @@
 
 // HeadRead handles the result of a watch. The head has revision 0 if it has not changed or does not exist.
 func (s State) HeadRead(
-	now time.Time, random uint64, f Fleet, head fleet.TablesHead, version uint64,
+	now time.Time, random uint64, f Fleet, head fleet.TablesHead, position fleet.Position,
 ) (State, []effect.Effect) {
-	effects := s.recoveryLog()
+	effects := s.recoveryLog(position)
 	s.platformReachable = true
 	fetchDelay := s.fetchDelay(random, f.Members)
 	fromCopy := s.watch.mayBeStale
 	s.watch = watch{
 		due:        now.Add(rewatchDelay(random, f.Members)),
-		version:    version,
+		position:   position,
 		wait:       watchWait(random, f),
 		mayBeStale: !f.IsWatcher,
 	}
@@ -119,12 +119,15 @@
 	return s, append(append(effects, asking...), fetching...)
 }
 
-// recoveryLog returns a log line if the platform was unreachable before.
-func (s State) recoveryLog() []effect.Effect {
+// recoveryLog returns a log line if the platform was unreachable before. A version that is lower than before shows that the platform has
+// come back from a copy.
+func (s State) recoveryLog(found fleet.Position) []effect.Effect {
 	if s.watch.failures == 0 {
 		return nil
 	}
-	return []effect.Effect{log(effect.Info, "platform found again")}
+	return []effect.Effect{log(effect.Info, "platform found again",
+		effect.LogField{Name: "Version", Value: found.Version},
+		effect.LogField{Name: "VersionBefore", Value: s.watch.position.Version})}
 }
 
 // PlatformCallFailed handles a failed call to the platform. Calls that do not concern the tables are ignored.
--- a/internal/core/tables/simulation_test.go
+++ b/internal/core/tables/simulation_test.go
@@ -120,7 +120,7 @@
 			sim.reads++
 		}
 		sim.waiting[i] = e
-		if sim.outage || uint64(sim.visibleHead(e.MayBeStale)) > e.Version {
+		if sim.outage || uint64(sim.visibleHead(e.MayBeStale)) > e.From.Version {
 			sim.endWatch(i)
 		}
 	case effect.FetchTables:
@@ -153,14 +153,14 @@
 func (sim *simulation) respondToWatch(i int, head fleet.Revision) {
 	sim.post(i, false, func(s tables.State) (tables.State, []effect.Effect) {
 		sim.watches[i]--
-		return s.HeadRead(sim.now, sim.random(), sim.fleet(i), fleet.TablesHead{Revision: head}, uint64(head))
+		return s.HeadRead(sim.now, sim.random(), sim.fleet(i), fleet.TablesHead{Revision: head}, fleet.Position{Version: uint64(head)})
 	})
 }
 
 // endWatches responds to the waiting watches for which the head has changed or the platform fails.
 func (sim *simulation) endWatches() {
 	for i := range sim.nodes {
-		if waiting, ok := sim.waiting[i]; ok && (sim.outage || uint64(sim.visibleHead(waiting.MayBeStale)) > waiting.Version) {
+		if waiting, ok := sim.waiting[i]; ok && (sim.outage || uint64(sim.visibleHead(waiting.MayBeStale)) > waiting.From.Version) {
 			sim.endWatch(i)
 		}
 	}
--- a/internal/core/tables/state.go
+++ b/internal/core/tables/state.go
@@ -72,6 +72,9 @@
 	return r > s.current.Revision && (!s.watch.mayBeStale || s.peerRequest.decoding == r)
 }
 
+// Position returns the position of the last answer of the platform.
+func (s State) Position() fleet.Position { return s.watch.position }
+
 // PlatformReachable reports whether no watch or fetch has failed since the last successful watch. It is false before the first
 // one.
 func (s State) PlatformReachable() bool { return s.platformReachable }
--- a/internal/core/tables/state_test.go
+++ b/internal/core/tables/state_test.go
@@ -113,20 +113,20 @@
 
 	t.Run("an older revision on the platform changes nothing", func(t *testing.T) {
 		s, _ := watching().TablesDecoded(start, fleet.Tables{Revision: 8}, routing.Router{}, nil)
-		s, effects := s.HeadRead(start, 0, tables.Fleet{Members: 3, IsWatcher: true}, fleet.TablesHead{Revision: 7}, 9)
+		s, effects := s.HeadRead(start, 0, tables.Fleet{Members: 3, IsWatcher: true}, fleet.TablesHead{Revision: 7}, fleet.Position{Version: 9})
 		is.New(t).Equal(len(effects), 1) // the log line
 		is.New(t).Equal(s.Current().Revision, fleet.Revision(8))
 	})
 
 	t.Run("a revision received from a peer is not read from the platform", func(t *testing.T) {
 		s, _ := watching().TablesDecoded(start, fleet.Tables{Revision: 6}, routing.Router{}, nil)
-		s, effects := s.HeadRead(start, 1<<63, tables.Fleet{Members: 540, IsWatcher: true}, fleet.TablesHead{Revision: 7}, 9)
+		s, effects := s.HeadRead(start, 1<<63, tables.Fleet{Members: 540, IsWatcher: true}, fleet.TablesHead{Revision: 7}, fleet.Position{Version: 9})
 		is.New(t).Equal(len(effects), 0)
 		s, effects = s.PeerRevisionSeen(start, "a", "address", 7)
 		assertSentTo(t, effects, "a")
 		s, _ = s.TablesDecoded(start, fleet.Tables{Revision: 7}, routing.Router{}, nil)
 		_, effects = s.Tick(start.Add(time.Minute), 0)
-		is.New(t).Equal(effects, []effect.Effect{effect.WatchHead{Version: 9, Wait: 3 * time.Second}})
+		is.New(t).Equal(effects, []effect.Effect{effect.WatchHead{From: fleet.Position{Version: 9}, Wait: 3 * time.Second}})
 	})
 
 	// All watches start together after a change. If they also ended together, a lost response would go unnoticed for a whole wait.
@@ -156,7 +156,7 @@
 func assertWatch(t *testing.T, f tables.Fleet, random uint64, wait time.Duration) {
 	t.Helper()
 	is := is.New(t)
-	s, _ := watching().HeadRead(start, random, f, fleet.TablesHead{}, 9)
+	s, _ := watching().HeadRead(start, random, f, fleet.TablesHead{}, fleet.Position{Version: 9})
 	_, effects := s.Tick(start.Add(time.Minute), 0)
 	is.Equal(len(effects), 1)
 	watch, ok := effects[0].(effect.WatchHead)
@@ -169,7 +169,7 @@
 // against pings from every node to its peers when the copy shows the change to all of them at once.
 func TestShouldNotifyPeers(t *testing.T) {
 	read := func(watcher bool) tables.State {
-		s, _ := watching().HeadRead(start, 0, tables.Fleet{Members: 24, IsWatcher: watcher}, fleet.TablesHead{}, 9)
+		s, _ := watching().HeadRead(start, 0, tables.Fleet{Members: 24, IsWatcher: watcher}, fleet.TablesHead{}, fleet.Position{Version: 9})
 		return s
 	}
 	fromPeer := func() tables.State {
--- a/internal/edge/operator/status.go
+++ b/internal/edge/operator/status.go
@@ -15,6 +15,8 @@
 	Revision         uint64
 	NewestRevision   uint64
 	Platform         string
+	// Epoch is that of the platform's data; 0 if the platform doesn't tell.
+	Epoch uint64
 	// Unread lists the parts of the revision that the node cannot read.
 	Unread      []string `json:",omitempty"`
 	Draining    bool
@@ -86,6 +88,7 @@
 		Revision:         uint64(s.Revision),
 		NewestRevision:   uint64(s.NewestRevision),
 		Platform:         platformStatus[s.PlatformReachable],
+		Epoch:            uint64(s.Epoch),
 		Unread:           s.Unread,
 		Draining:         s.Draining,
 		InFlight:         s.InFlight,
--- a/internal/edge/operator/status_text.go
+++ b/internal/edge/operator/status_text.go
@@ -82,12 +82,20 @@
 		counts[m.Status]++
 	}
 	fmt.Fprintf(b, "Node      %s in %s, %s, %d in flight\n", s.Node, s.AvailabilityZone, state, s.InFlight)
-	fmt.Fprintf(b, "Revision  %d here, %d newest seen, platform %s%s\n",
-		s.Revision, s.NewestRevision, strings.ToLower(s.Platform), s.unreadText())
+	fmt.Fprintf(b, "Revision  %d here, %d newest seen, platform %s%s%s\n",
+		s.Revision, s.NewestRevision, strings.ToLower(s.Platform), s.epochText(), s.unreadText())
 	fmt.Fprintf(b, "Members   %d alive, %d suspect, %d leaving, %d dead\n",
 		counts["Alive"], counts["Suspect"], counts["Leaving"], counts["Dead"])
 }
 
+// epochText tells the epoch of the platform's data if it is known.
+func (s status) epochText() string {
+	if s.Epoch == 0 {
+		return ""
+	}
+	return fmt.Sprintf(" in epoch %d", s.Epoch)
+}
+
 // unreadText tells how many parts of the revision the node cannot read, with the first of them.
 func (s status) unreadText() string {
 	if len(s.Unread) == 0 {
--- a/internal/edge/platform/claim.go
+++ b/internal/edge/platform/claim.go
@@ -48,7 +48,7 @@
 		if err != nil || found.Version == 0 || claim.Attempt != string(e.Attempt) {
 			return nil
 		}
-		if err := c.store.Delete(c.ctx, claimKey(e.ClaimName), ifVersion(found.Version)); err != nil {
+		if _, err := c.store.Delete(c.ctx, claimKey(e.ClaimName), ifVersion(found.Version)); err != nil {
 			c.observe(effect.WriteLog{Level: effect.Warn, Component: "orders", Message: "claim not released", Fields: []effect.LogField{
 				{Name: "Error", Value: err.Error()},
 			}})
@@ -63,7 +63,7 @@
 	value, _ := json.Marshal(wireClaim{Order: e.ClaimName, Process: c.processID, Attempt: string(e.Attempt)})
 	version := uint64(0)
 	for range maxClaimTries {
-		err := c.store.Put(ctx, claimKey(e.ClaimName), value, ifVersion(version))
+		_, err := c.store.Put(ctx, claimKey(e.ClaimName), value, ifVersion(version))
 		if err == nil {
 			return fleet.ClaimCreated
 		}
--- a/internal/edge/platform/client.go
+++ b/internal/edge/platform/client.go
@@ -9,7 +9,7 @@
 //		Observe: op.Observe,
 //	})
 //	defer client.Close()
-//	client.WatchHead(effect.WatchHead{Version: 7})
+//	client.WatchHead(effect.WatchHead{From: fleet.Position{Version: 7}})
 //
 // The methods named for effects do not block; the result is posted as the event that the effect names, if there is one. Every
 // call has a timeout.
@@ -20,6 +20,7 @@
 	"crypto/rand"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"jayfold.dev/jayfold/internal/core/effect"
@@ -57,6 +58,8 @@
 	registerMu sync.Mutex
 	// lastRegistered is the newest record of this node that was sent to the platform, guarded by registerMu.
 	lastRegistered fleet.Member
+	// lastEpoch is the epoch of the last answer.
+	lastEpoch atomic.Uint64
 }
 
 // New returns a client. Close cancels its calls.
@@ -65,14 +68,15 @@
 		s.Observe = func(effect.Effect) {}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Client{
-		store:     withTimeouts(s.Store),
+	c := &Client{
 		processID: rand.Text(),
 		post:      s.Post,
 		observe:   s.Observe,
 		ctx:       ctx,
 		cancel:    cancel,
 	}
+	c.store = c.withEpochs(withTimeouts(s.Store))
+	return c
 }
 
 // Close cancels all calls and waits for them to return. Canceled calls post no events.
@@ -87,18 +91,18 @@
 // WatchHead executes effect.WatchHead.
 func (c *Client) WatchHead(e effect.WatchHead) {
 	c.start(0, callFailed(event.CallWatchHead, errCallPanicked), func(ctx context.Context) event.Body {
-		found, err := c.store.Watch(ctx, HeadKey, e.Version, WatchOptions{Wait: e.Wait, MayBeStale: e.MayBeStale})
+		found, err := c.store.Watch(ctx, HeadKey, e.From, WatchOptions{Wait: e.Wait, MayBeStale: e.MayBeStale})
 		if err != nil {
 			return callFailed(event.CallWatchHead, err)
 		}
-		if found.Version == e.Version || len(found.Value) == 0 {
-			return event.HeadRead{Version: found.Version}
+		if found.position() == e.From || len(found.Value) == 0 {
+			return event.HeadRead{Position: found.position()}
 		}
 		head, err := decodeHead(found.Value)
 		if err != nil {
 			return callFailed(event.CallWatchHead, err)
 		}
-		return event.HeadRead{Head: head.tablesHead(), Version: found.Version}
+		return event.HeadRead{Head: head.tablesHead(), Position: found.position()}
 	})
 }
 
@@ -128,7 +132,7 @@
 		if err != nil {
 			return callFailed(event.CallListMembers, err)
 		}
-		return event.MembersListed{Members: c.decodeMembers(listed)}
+		return event.MembersListed{Members: c.decodeMembers(listed.Objects)}
 	})
 }
 
@@ -143,20 +147,21 @@
 		}
 		first := c.lastRegistered.Node == ""
 		c.lastRegistered = e.Member
-		if err := c.register(ctx, e.Member, first); err != nil {
+		epoch, err := c.register(ctx, e.Member, first)
+		if err != nil {
 			return callFailed(event.CallRegisterMember, err)
 		}
-		return event.MemberRegistered{Sequence: e.Member.Sequence}
+		return event.MemberRegistered{Sequence: e.Member.Sequence, Epoch: epoch}
 	})
 }
 
 // register writes a member record. The first write of a process first tries to create the record, since some platforms have a
 // separate call for that; a record of an earlier process is replaced.
-func (c *Client) register(ctx context.Context, m fleet.Member, first bool) error {
+func (c *Client) register(ctx context.Context, m fleet.Member, first bool) (fleet.Epoch, error) {
 	key, value := memberPrefix+string(m.Node), encodeMember(m)
 	if first {
-		if err := c.store.Put(ctx, key, value, ifVersion(0)); !errors.Is(err, ErrConflict) {
-			return err
+		if epoch, err := c.store.Put(ctx, key, value, ifVersion(0)); !errors.Is(err, ErrConflict) {
+			return epoch, err
 		}
 	}
 	return c.store.Put(ctx, key, value, Condition{})
--- a/internal/edge/platform/client_test.go
+++ b/internal/edge/platform/client_test.go
@@ -26,7 +26,9 @@
 	baseURL string
 	client  *platform.Client
 	events  chan event.Body
-	logged  chan effect.Effect
+	// epochs receives the events about epochs instead of events.
+	epochs chan event.EpochSeen
+	logged chan effect.Effect
 }
 
 func newHarness(t *testing.T) harness {
@@ -40,6 +42,7 @@
 		server:  lab.New(lab.Limits{}, time.Now),
 		baseURL: "http://" + listener.Addr().String(),
 		events:  make(chan event.Body, 16),
+		epochs:  make(chan event.EpochSeen, 16),
 		logged:  make(chan effect.Effect, 16),
 	}
 	served := make(chan error, 1)
@@ -69,8 +72,14 @@
 
 func (h harness) newClient(tr http.RoundTripper) *platform.Client {
 	return platform.New(platform.Seams{
-		Store:   platform.NewStore(h.baseURL, &http.Client{Transport: tr}),
-		Post:    func(body event.Body) { h.events <- body },
+		Store: platform.NewStore(h.baseURL, &http.Client{Transport: tr}),
+		Post: func(body event.Body) {
+			if seen, ok := body.(event.EpochSeen); ok {
+				h.epochs <- seen
+				return
+			}
+			h.events <- body
+		},
 		Observe: func(e effect.Effect) { h.logged <- e },
 	})
 }
@@ -263,7 +272,7 @@
 		h.client.RegisterMember(effect.RegisterMember{Member: member, Delay: 20 * time.Millisecond})
 		h.client.RegisterMember(effect.RegisterMember{Member: member.WithTargets(nil)})
 		h.client.Wait()
-		is.New(t).Equal(h.nextEvent(t), event.MemberRegistered{Sequence: 8})
+		is.New(t).Equal(h.nextEvent(t), event.MemberRegistered{Sequence: 8, Epoch: 1})
 		h.client.ListMembers(effect.ListMembers{})
 		is.New(t).Equal(h.nextEvent(t), event.MembersListed{Members: []fleet.Member{member.WithTargets(nil)}})
 	})
@@ -275,7 +284,7 @@
 		}, Tombstones: []fleet.Tombstone{{Target: "n1/t0", Instance: "7", Started: time.UnixMilli(7).UTC()}}}
 		h.client.RegisterMember(effect.RegisterMember{Member: member})
 		h.client.Wait()
-		is.New(t).Equal(h.nextEvent(t), event.MemberRegistered{})
+		is.New(t).Equal(h.nextEvent(t), event.MemberRegistered{Epoch: 1})
 		h.putObject(t, "members/n2", "nonsense")
 		h.client.ListMembers(effect.ListMembers{})
 		is.New(t).Equal(h.nextEvent(t), event.MembersListed{Members: []fleet.Member{member}})
--- a/internal/edge/platform/member.go
+++ b/internal/edge/platform/member.go
@@ -189,7 +189,7 @@
 		return nil, err
 	}
 	counts := map[fleet.PoolName]int{}
-	for _, m := range c.decodeMembers(listed) {
+	for _, m := range c.decodeMembers(listed.Objects) {
 		for _, t := range m.Targets {
 			counts[t.Pool]++
 		}
--- a/internal/edge/platform/objectapi.go
+++ b/internal/edge/platform/objectapi.go
@@ -12,6 +12,8 @@
 	"net/url"
 	"strconv"
 	"strings"
+
+	"jayfold.dev/jayfold/internal/core/fleet"
 )
 
 const (
@@ -21,6 +23,9 @@
 	maxListBytes = 8 << 20
 )
 
+// epochHeader is the header of a response with the epoch of the platform's data. A platform that doesn't send it tells no epoch.
+const epochHeader = "Epoch"
+
 // NewStore returns a Store that calls jayfold's own object API. base is the URL of the platform without a path.
 func NewStore(base string, client *http.Client) Store {
 	o := objectAPI{base: strings.TrimSuffix(base, "/"), http: client}
@@ -61,8 +66,8 @@
 }
 
 // watch waits until the object has another version. If nothing changes it returns the object with its version, but no value.
-func (o objectAPI) watch(ctx context.Context, key string, version uint64, options WatchOptions) (Object, error) {
-	query := fmt.Sprintf("?after=%d&wait=%s", version, options.Wait)
+func (o objectAPI) watch(ctx context.Context, key string, from fleet.Position, options WatchOptions) (Object, error) {
+	query := fmt.Sprintf("?after=%d&wait=%s", from.Version, options.Wait)
 	if options.MayBeStale {
 		query += "&stale=1"
 	}
@@ -76,15 +81,15 @@
 	}
 	switch r.status {
 	case http.StatusNotFound:
-		return Object{Key: key}, nil
+		return Object{Key: key, Epoch: r.epoch}, nil
 	case http.StatusOK, http.StatusNotModified:
 		version, err := r.version()
 		if err != nil {
-			return Object{}, CallError{Call: "GET " + key, Err: err}
+			return Object{}, CallError{Call: "GET " + key, Epoch: r.epoch, Err: err}
 		}
-		return Object{Key: key, Version: version, Value: r.body}, nil
+		return Object{Key: key, Epoch: r.epoch, Version: version, Value: r.body}, nil
 	default:
-		return Object{}, CallError{Call: "GET " + key, Err: r.statusError()}
+		return Object{}, CallError{Call: "GET " + key, Epoch: r.epoch, Err: r.statusError()}
 	}
 }
 
@@ -93,6 +98,7 @@
 	status     int
 	statusText string
 	etag       string
+	epoch      fleet.Epoch
 	body       []byte
 }
 
@@ -112,46 +118,46 @@
 	return errors.New("the platform responded with status " + r.statusText)
 }
 
-func (o objectAPI) list(ctx context.Context, prefix string) ([]Object, error) {
+func (o objectAPI) list(ctx context.Context, prefix string) (List, error) {
 	r, err := o.do(ctx, http.MethodGet, "?prefix="+url.QueryEscape(prefix), nil, Condition{}, maxListBytes)
 	if err != nil {
-		return nil, err
+		return List{}, err
 	}
 	if r.status != http.StatusOK {
-		return nil, CallError{Call: "GET " + prefix + "*", Err: r.statusError()}
+		return List{}, CallError{Call: "GET " + prefix + "*", Epoch: r.epoch, Err: r.statusError()}
 	}
 	var wire wireList
 	if err := json.Unmarshal(r.body, &wire); err != nil {
-		return nil, CallError{Call: "GET " + prefix + "*", Err: fmt.Errorf("the list does not decode: %w", err)}
+		return List{}, CallError{Call: "GET " + prefix + "*", Epoch: r.epoch, Err: fmt.Errorf("the list does not decode: %w", err)}
 	}
-	listed := make([]Object, 0, len(wire.Objects))
+	listed := List{Epoch: r.epoch, Objects: make([]Object, 0, len(wire.Objects))}
 	for _, w := range wire.Objects {
-		listed = append(listed, Object{Key: w.Key, Version: w.Version, Value: w.Value})
+		listed.Objects = append(listed.Objects, Object{Key: w.Key, Epoch: r.epoch, Version: w.Version, Value: w.Value})
 	}
 	return listed, nil
 }
 
-func (o objectAPI) put(ctx context.Context, key string, value []byte, c Condition) error {
+func (o objectAPI) put(ctx context.Context, key string, value []byte, c Condition) (fleet.Epoch, error) {
 	return o.write(ctx, http.MethodPut, key, value, c)
 }
 
-func (o objectAPI) delete(ctx context.Context, key string, c Condition) error {
+func (o objectAPI) delete(ctx context.Context, key string, c Condition) (fleet.Epoch, error) {
 	return o.write(ctx, http.MethodDelete, key, nil, c)
 }
 
-func (o objectAPI) write(ctx context.Context, method, key string, value []byte, c Condition) error {
+func (o objectAPI) write(ctx context.Context, method, key string, value []byte, c Condition) (fleet.Epoch, error) {
 	r, err := o.do(ctx, method, "/"+escape(key), value, c, maxObjectBytes)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	switch status := r.status; {
 	case status < http.StatusMultipleChoices, status == http.StatusNotFound && method == http.MethodDelete:
-		return nil
+		return r.epoch, nil
 	case status == http.StatusPreconditionFailed:
-		return CallError{Call: method + " " + key, Err: ErrConflict}
+		return 0, CallError{Call: method + " " + key, Epoch: r.epoch, Err: ErrConflict}
 	default:
 		unknown := status >= http.StatusInternalServerError
-		return CallError{Call: method + " " + key, OutcomeUnknown: unknown, Err: r.statusError()}
+		return 0, CallError{Call: method + " " + key, OutcomeUnknown: unknown, Epoch: r.epoch, Err: r.statusError()}
 	}
 }
 
@@ -182,7 +188,18 @@
 	if err != nil {
 		return response{}, CallError{Call: call, OutcomeUnknown: write, Err: err}
 	}
-	return response{status: res.StatusCode, statusText: res.Status, etag: res.Header.Get("ETag"), body: body}, nil
+	return response{
+		status: res.StatusCode, statusText: res.Status, etag: res.Header.Get("ETag"), epoch: ParseEpoch(res.Header.Get(epochHeader)), body: body,
+	}, nil
+}
+
+// ParseEpoch returns the epoch in a header of a response; 0 if the header is missing or is not a number.
+func ParseEpoch(header string) fleet.Epoch {
+	epoch, err := strconv.ParseUint(header, 10, 64)
+	if err != nil {
+		return 0
+	}
+	return fleet.Epoch(epoch)
 }
 
 // isDialError reports whether err comes from a failed dial, so that nothing was sent.
--- a/internal/edge/platform/stale_chunks.go
+++ b/internal/edge/platform/stale_chunks.go
@@ -48,7 +48,7 @@
 func (c *Client) deleteChunks(ctx context.Context, stale []Object) {
 	for _, chunk := range stale {
 		if chunk.Version > 0 {
-			_ = c.store.Delete(ctx, chunk.Key, ifVersion(chunk.Version))
+			_, _ = c.store.Delete(ctx, chunk.Key, ifVersion(chunk.Version))
 		}
 	}
 }
--- a/internal/edge/platform/store.go
+++ b/internal/edge/platform/store.go
@@ -4,33 +4,46 @@
 	"context"
 	"errors"
 	"time"
+
+	"jayfold.dev/jayfold/internal/core/fleet"
 )
 
 // Store is a set of functions that call one object API. For every API the Client decides which calls to make, when to retry
-// them and what a response means. Errors are of type CallError.
+// them and what a response means. Errors are of type CallError. Results and errors have the epoch of the platform's data at the
+// response; it is 0 if the API doesn't tell or there was no response.
 type Store struct {
 	// Get reads an object. One that does not exist has version 0.
 	Get func(ctx context.Context, key string) (Object, error)
-	// Watch waits until an object differs from the given version, which comes from an earlier read of the same key. If
+	// Watch waits until an object differs from the given position, which comes from an earlier read of the same key. If
 	// nothing changes it returns the object without its value, but with the version for the next watch.
-	Watch func(ctx context.Context, key string, version uint64, options WatchOptions) (Object, error)
+	Watch func(ctx context.Context, key string, from fleet.Position, options WatchOptions) (Object, error)
 	// List reads all objects whose keys begin with a prefix.
-	List func(ctx context.Context, prefix string) ([]Object, error)
+	List func(ctx context.Context, prefix string) (List, error)
 	// Put writes an object and Delete deletes it if the condition holds; otherwise the CallError wraps ErrConflict. Deleting
 	// an object that does not exist is not an error.
-	Put    func(ctx context.Context, key string, value []byte, c Condition) error
-	Delete func(ctx context.Context, key string, c Condition) error
+	Put    func(ctx context.Context, key string, value []byte, c Condition) (fleet.Epoch, error)
+	Delete func(ctx context.Context, key string, c Condition) (fleet.Epoch, error)
 }
 
 // Object is an object of the platform. Version 0 is that of an object that does not exist.
 type Object struct {
 	Key     string
+	Epoch   fleet.Epoch
 	Version uint64
 	Value   []byte
 	// Err is the reason why an object of a list could not be read. Its other fields may then be missing.
 	Err error
 }
 
+// position returns the position of the object for the next watch.
+func (o Object) position() fleet.Position { return fleet.Position{Epoch: o.Epoch, Version: o.Version} }
+
+// List is the result of Store.List.
+type List struct {
+	Epoch   fleet.Epoch
+	Objects []Object
+}
+
 // WatchOptions are the options of Store.Watch.
 type WatchOptions struct {
 	// Wait is the time after which the platform returns if nothing has changed.
@@ -58,7 +71,9 @@
 	Call string
 	// OutcomeUnknown is true if the call was a write that may have taken effect.
 	OutcomeUnknown bool
-	Err            error
+	// Epoch is that of the response, if there was one.
+	Epoch fleet.Epoch
+	Err   error
 }
 
 // Error implements error.
@@ -82,22 +97,22 @@
 			defer cancel()
 			return s.Get(ctx, key)
 		},
-		Watch: func(ctx context.Context, key string, version uint64, options WatchOptions) (Object, error) {
+		Watch: func(ctx context.Context, key string, from fleet.Position, options WatchOptions) (Object, error) {
 			ctx, cancel := context.WithTimeout(ctx, options.Wait+watchTimeoutMargin)
 			defer cancel()
-			return s.Watch(ctx, key, version, options)
+			return s.Watch(ctx, key, from, options)
 		},
-		List: func(ctx context.Context, prefix string) ([]Object, error) {
+		List: func(ctx context.Context, prefix string) (List, error) {
 			ctx, cancel := context.WithTimeout(ctx, callTimeout)
 			defer cancel()
 			return s.List(ctx, prefix)
 		},
-		Put: func(ctx context.Context, key string, value []byte, c Condition) error {
+		Put: func(ctx context.Context, key string, value []byte, c Condition) (fleet.Epoch, error) {
 			ctx, cancel := context.WithTimeout(ctx, callTimeout)
 			defer cancel()
 			return s.Put(ctx, key, value, c)
 		},
-		Delete: func(ctx context.Context, key string, c Condition) error {
+		Delete: func(ctx context.Context, key string, c Condition) (fleet.Epoch, error) {
 			ctx, cancel := context.WithTimeout(ctx, callTimeout)
 			defer cancel()
 			return s.Delete(ctx, key, c)
--- a/internal/edge/platform/tables.go
+++ b/internal/edge/platform/tables.go
@@ -125,7 +125,7 @@
 	value, _ := json.Marshal(head)
 	var err error
 	for range maxWriteTries {
-		err = c.store.Put(ctx, HeadKey, value, ifVersion(version))
+		_, err = c.store.Put(ctx, HeadKey, value, ifVersion(version))
 		if err == nil {
 			return head.Revision, nil
 		}
@@ -164,7 +164,7 @@
 func (c *Client) writeChunk(ctx context.Context, name string, chunk []byte) error {
 	var err error
 	for range maxWriteTries {
-		if err = c.store.Put(ctx, chunkPrefix+name, chunk, Condition{}); !outcomeUnknown(err) {
+		if _, err = c.store.Put(ctx, chunkPrefix+name, chunk, Condition{}); !outcomeUnknown(err) {
 			return err
 		}
 	}
