core/tables, edge/platform: a watch doesn't outlive the epoch of its position

Callers saw requests on a confirmed route refused with 404 by all nodes, until the next change.

Cause: after the platform has come back from a copy, versions are given out again. A node went on watching from its version of before; once the platform had passed it, no 410 came, and a change at a lower version was never reported. All nodes have about the same version, so that no peer knew better.

Change: a position is a version with its epoch. The result of a watch in another epoch has no version, and the next watch reads the object. When core/epoch sees a new epoch, from whatever call, the running watch is replaced by a read of the platform's own data, spread over the fleet like the watches after a change; a head of the earlier epoch that is not in force is forgotten. Late answers and copies of an earlier epoch give no position.

It works whatever the versions are, since they are compared only within one epoch.

--- a/internal/core/event/platform.go
+++ b/internal/core/event/platform.go
@@ -13,8 +13,8 @@
 	Position fleet.Position
 }
 
-// EpochSeen tells the epoch of an answer of the platform. It is posted when that epoch isn't the one of the previous answer, before
-// the result of the call.
+// EpochSeen tells the epoch of an answer of the platform, if it is known. It is posted before the result of effect.WatchHead, and before
+// that of any other call whose answer has another epoch than the one before.
 type EpochSeen struct {
 	Epoch fleet.Epoch
 	// Version is the version that the answer shows, if it is the result of effect.WatchHead.
--- a/internal/core/node/platform.go
+++ b/internal/core/node/platform.go
@@ -35,7 +35,7 @@
 }
 
 func (s State) tablesFleet() tables.Fleet {
-	return tables.Fleet{Members: s.membership.Len(), IsWatcher: s.membership.IsWatcher()}
+	return tables.Fleet{Members: s.membership.Len(), IsWatcher: s.membership.IsWatcher(), Epoch: s.epoch.Current()}
 }
 
 // tablesDecoded brings a revision into force and passes it to the edges.
--- a/internal/core/tables/platform.go
+++ b/internal/core/tables/platform.go
@@ -29,6 +29,8 @@
 	// IsWatcher is true if this node is one of the few in its zone that watch the platform's own data. The others watch a copy,
 	// which costs less, and learn of a change from a watcher if the copy lags.
 	IsWatcher bool
+	// Epoch is the current epoch of the platform's data; 0 if it is unknown.
+	Epoch fleet.Epoch
 }
 
 // fetch is the state of the call that reads a revision from the platform, of which at most one runs at a time.
@@ -87,13 +89,22 @@
 	effects := s.recoveryLog(position)
 	s.platformReachable = true
 	fetchDelay := s.fetchDelay(random, f.Members)
-	fromCopy := s.watch.mayBeStale
+	fromCopy, earlier := s.watch.mayBeStale, s.watch.position
 	s.watch = watch{
 		due:        now.Add(rewatchDelay(random, f.Members)),
 		position:   position,
 		wait:       watchWait(random, f),
 		mayBeStale: !f.IsWatcher,
 	}
+	if position.Epoch.Differs(f.Epoch) {
+		// The answer is late, or the copy still is of an earlier epoch. Its position is of no use, and the copy would answer like that
+		// again.
+		s.watch.position, s.watch.mayBeStale = earlier, false
+		if earlier.Version == 0 {
+			// The next watch doesn't wait at the platform.
+			s.watch.due = now.Add(retryDelay(random, 1))
+		}
+	}
 	if head.Revision == 0 {
 		return s, effects
 	}
@@ -119,6 +130,18 @@
 	return s, append(append(effects, asking...), fetching...)
 }
 
+// EpochChanged handles a new epoch of the platform's data. The watch starts again, from a read of the platform's own data, since the
+// platform no longer has the position of the running one. A revision that was read in an earlier epoch and is not in force may be lost.
+func (s State) EpochChanged(now time.Time, random uint64, f Fleet) State {
+	s.watch = watch{due: now.Add(rewatchDelay(random, f.Members)), wait: watchWait(random, f), failures: s.watch.failures}
+	s.fetch = fetch{running: s.fetch.running}
+	s.newestRevision, s.newestSince = s.current.Revision, now
+	for _, h := range s.holders.All() {
+		s = s.withNewest(now, h.revision)
+	}
+	return s
+}
+
 // recoveryLog returns a log line if the platform was unreachable before. A version that is lower than before shows that the platform has
 // come back from a copy.
 func (s State) recoveryLog(found fleet.Position) []effect.Effect {
--- a/internal/edge/platform/client.go
+++ b/internal/edge/platform/client.go
@@ -58,6 +58,8 @@
 	registerMu sync.Mutex
 	// lastRegistered is the newest record of this node that was sent to the platform, guarded by registerMu.
 	lastRegistered fleet.Member
+	// cancelWatch cancels the last watch of the head.
+	cancelWatch atomic.Pointer[context.CancelFunc]
 	// lastEpoch is the epoch of the last answer.
 	lastEpoch atomic.Uint64
 }
@@ -88,9 +90,13 @@
 // Wait waits for the pending calls.
 func (c *Client) Wait() { c.calls.Wait() }
 
-// WatchHead executes effect.WatchHead.
+// WatchHead executes effect.WatchHead. It cancels a watch that still runs, which then posts no event.
 func (c *Client) WatchHead(e effect.WatchHead) {
-	c.start(0, callFailed(event.CallWatchHead, errCallPanicked), func(ctx context.Context) event.Body {
+	ctx, cancel := context.WithCancel(c.ctx)
+	if running := c.cancelWatch.Swap(&cancel); running != nil {
+		(*running)()
+	}
+	c.startWithin(ctx, 0, callFailed(event.CallWatchHead, errCallPanicked), func(ctx context.Context) event.Body {
 		found, err := c.store.Watch(ctx, HeadKey, e.From, WatchOptions{Wait: e.Wait, MayBeStale: e.MayBeStale})
 		if err != nil {
 			return callFailed(event.CallWatchHead, err)
@@ -170,13 +176,18 @@
 // start makes a call in its own goroutine after a delay and posts the returned event, unless it is nil. It posts failed if the call
 // panics, since the node makes no other call of its kind before it has heard of this one.
 func (c *Client) start(delay time.Duration, failed event.Body, call func(context.Context) event.Body) {
+	c.startWithin(c.ctx, delay, failed, call)
+}
+
+// startWithin is start with a context for the call. The call posts nothing once the context is canceled.
+func (c *Client) startWithin(ctx context.Context, delay time.Duration, failed event.Body, call func(context.Context) event.Body) {
 	c.calls.Go(func() {
-		if !sleep(c.ctx, delay) {
+		if !sleep(ctx, delay) {
 			return
 		}
 		body := failed
-		c.recovery.Do("call the platform", func() { body = call(c.ctx) })
-		if body != nil && c.ctx.Err() == nil {
+		c.recovery.Do("call the platform", func() { body = call(ctx) })
+		if body != nil && ctx.Err() == nil {
 			c.post(body)
 		}
 	})
--- a/internal/edge/platform/epoch_test.go
+++ b/internal/edge/platform/epoch_test.go
@@ -77,3 +77,38 @@
 		})
 	}
 }
+
+// TestWatchOfAnotherEpoch guards against a watch that continues from a version of an earlier epoch and so misses the changes before
+// it, and against two watches at a time.
+func TestWatchOfAnotherEpoch(t *testing.T) {
+	ctx := t.Context()
+	newHarnessWithTables := func(t *testing.T) (harness, fleet.Position) {
+		t.Helper()
+		h := newHarness(t)
+		_, err := h.client.ApplyTables(ctx, tablesWithPool("shop"), 0, "c1")
+		is.New(t).NoErr(err)
+		h.client.WatchHead(effect.WatchHead{})
+		read, ok := h.nextEvent(t).(event.HeadRead)
+		is.New(t).True(ok)
+		return h, read.Position
+	}
+	t.Run("its result has no version to continue from", func(t *testing.T) {
+		is := is.New(t)
+		h, position := newHarnessWithTables(t)
+		is.Equal(position.Epoch, fleet.Epoch(1))
+		h.server.Restore(0)
+		h.client.WatchHead(effect.WatchHead{From: position, Wait: 10 * time.Millisecond})
+		is.Equal(h.nextEvent(t), event.HeadRead{Position: fleet.Position{Epoch: 2}})
+	})
+	t.Run("a watch that is replaced posts nothing", func(t *testing.T) {
+		is := is.New(t)
+		h, position := newHarnessWithTables(t)
+		h.client.WatchHead(effect.WatchHead{From: position, Wait: time.Minute})
+		h.client.WatchHead(effect.WatchHead{})
+		read, ok := h.nextEvent(t).(event.HeadRead)
+		is.True(ok)
+		is.Equal(read.Head.Revision, fleet.Revision(1))
+		h.client.Close()
+		is.Equal(len(h.events), 0)
+	})
+}
--- a/internal/edge/platform/store.go
+++ b/internal/edge/platform/store.go
@@ -15,7 +15,8 @@
 	// Get reads an object. One that does not exist has version 0.
 	Get func(ctx context.Context, key string) (Object, error)
 	// Watch waits until an object differs from the given position, which comes from an earlier read of the same key. If
-	// nothing changes it returns the object without its value, but with the version for the next watch.
+	// nothing changes it returns the object without its value, but with the version for the next watch. From version 0 it
+	// reads the object.
 	Watch func(ctx context.Context, key string, from fleet.Position, options WatchOptions) (Object, error)
 	// List reads all objects whose keys begin with a prefix.
 	List func(ctx context.Context, prefix string) (List, error)
