edge/platform: panics of calls are contained, as the seam says

Cause: New did not take over Seams.Recovery, so that a panic in a call to the platform ended the process.

Change: the field is set.

Result: TestPanicInACallIsContained ended the test process before and passes now.

--- a/internal/edge/platform/client.go
+++ b/internal/edge/platform/client.go
@@ -74,6 +74,7 @@
 		processID: rand.Text(),
 		post:      s.Post,
 		observe:   s.Observe,
+		recovery:  s.Recovery,
 		ctx:       ctx,
 		cancel:    cancel,
 	}
