core/node: nodes tell each other the epoch of the platform's data

Callers of some nodes would see a confirmed change late: a watch that waits on a connection which has outlived the restoration of the platform shows the new epoch only when it ends, after up to 30 s, and a node that can't reach the platform never.

Cause: only an answer of the platform told a node that its position was of an earlier epoch.

Change: Ping and Ack carry the sender's epoch. A node that hears of a new one treats it like an answer's, and a node that adopts an epoch pings peers of its zone at once, as it does for a revision.

--- a/internal/core/message/message.go
+++ b/internal/core/message/message.go
@@ -32,17 +32,33 @@
 // Ping asks a peer for an Ack and carries recently changed member records.
 type Ping struct {
 	Sequence uint64
-	Members  []fleet.Member
+	// Epoch is the current epoch of the platform's data for the sender; 0 if it is unknown.
+	Epoch   fleet.Epoch
+	Members []fleet.Member
+}
+
+// WithEpoch returns the message with the sender's epoch.
+func (m Ping) WithEpoch(e fleet.Epoch) Ping {
+	m.Epoch = e
+	return m
 }
 
 // Ack is the reply to a Ping or a PingRequest.
 type Ack struct {
 	Sequence uint64
+	// Epoch is the current epoch of the platform's data for the sender; 0 if it is unknown.
+	Epoch fleet.Epoch
 	// Subject is the node that was probed.
 	Subject fleet.NodeID
 	Members []fleet.Member
 }
 
+// WithEpoch returns the message with the sender's epoch.
+func (m Ack) WithEpoch(e fleet.Epoch) Ack {
+	m.Epoch = e
+	return m
+}
+
 // PingRequest asks a peer to probe Subject on behalf of the sender.
 type PingRequest struct {
 	Sequence uint64
--- a/internal/core/node/messages.go
+++ b/internal/core/node/messages.go
@@ -14,7 +14,8 @@
 	}
 	// A new node may not have the sender's member record yet, so the address comes from the envelope.
 	s, effects := s.withTables(s.tables.PeerRevisionSeen(ev.At, envelope.From, envelope.Address, envelope.Revision))
-	var more []effect.Effect
+	s, more := s.peerEpochSeen(ev, envelope)
+	effects = append(effects, more...)
 	switch body := envelope.Message.(type) {
 	case message.TablesRequest, message.TablesContent:
 		s, more = s.withTables(s.tables.MessageReceived(ev.At, envelope))
--- a/internal/core/node/state.go
+++ b/internal/core/node/state.go
@@ -71,13 +71,14 @@
 	return next, effects
 }
 
-// setSenderFields sets this node's incarnation and tables revision in all effects that go to another node.
+// setSenderFields sets this node's incarnation, tables revision and epoch in all effects that go to another node.
 func (s State) setSenderFields(effects []effect.Effect) []effect.Effect {
 	for i, e := range effects {
 		switch e := e.(type) {
 		case effect.SendMessage:
 			e.Incarnation = s.Self().Incarnation
 			e.Revision = s.Revision()
+			e.Message = withEpoch(e.Message, s.epoch.Current())
 			effects[i] = e
 		case effect.ForwardAttempt:
 			e.Revision = s.Revision()
--- a/internal/edge/peer/message_member.go
+++ b/internal/edge/peer/message_member.go
@@ -56,13 +56,16 @@
 	Status      uint8
 }
 
+// wirePing and the other messages are encoded as maps, whose unknown fields an older version ignores. Arrays can't be extended.
 type wirePing struct {
 	Sequence uint64
+	Epoch    uint64       `msgpack:",omitempty"`
 	Members  []wireMember `msgpack:",omitempty"`
 }
 
 type wireAck struct {
 	Sequence uint64
+	Epoch    uint64 `msgpack:",omitempty"`
 	Subject  string
 	Members  []wireMember `msgpack:",omitempty"`
 }
@@ -177,21 +180,25 @@
 }
 
 func pingToWire(m message.Ping) wirePing {
-	return wirePing{Sequence: m.Sequence, Members: convertAll(m.Members, memberToWire)}
+	return wirePing{Sequence: m.Sequence, Epoch: uint64(m.Epoch), Members: convertAll(m.Members, memberToWire)}
 }
 
 func pingFromWire(w wirePing) (message.Ping, error) {
 	members, err := convertAllChecked(w.Members, memberFromWire)
-	return message.Ping{Sequence: w.Sequence, Members: members}, err
+	return message.Ping{Sequence: w.Sequence, Epoch: fleet.Epoch(w.Epoch), Members: members}, err
 }
 
 func ackToWire(m message.Ack) wireAck {
-	return wireAck{Sequence: m.Sequence, Subject: string(m.Subject), Members: convertAll(m.Members, memberToWire)}
+	return wireAck{
+		Sequence: m.Sequence, Epoch: uint64(m.Epoch), Subject: string(m.Subject), Members: convertAll(m.Members, memberToWire),
+	}
 }
 
 func ackFromWire(w wireAck) (message.Ack, error) {
 	members, err := convertAllChecked(w.Members, memberFromWire)
-	return message.Ack{Sequence: w.Sequence, Subject: fleet.NodeID(w.Subject), Members: members}, err
+	return message.Ack{
+		Sequence: w.Sequence, Epoch: fleet.Epoch(w.Epoch), Subject: fleet.NodeID(w.Subject), Members: members,
+	}, err
 }
 
 func pingRequestToWire(m message.PingRequest) wirePingRequest {
