core/membership: a node writes its record again after the platform has lost it

Callers would have had requests sent to a target that had left: the platform loses the tombstone with the copy that it comes back from, and a node that restarts with the whole fleet doesn't learn of it. A node that starts would find no record of others for up to five minutes.

Cause: a record counted as kept once the platform had acknowledged it, and was written again only every five minutes.

Change: what the platform keeps holds in the epoch of its answer.

--- a/internal/core/membership/kept.go
+++ b/internal/core/membership/kept.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"jayfold.dev/jayfold/internal/core/fleet"
 	"jayfold.dev/jayfold/internal/core/message"
@@ -15,7 +16,8 @@
 type keptRecord struct {
 	// tombstoneSequence is the sequence number of the first version with the newest tombstone.
 	tombstoneSequence uint64
-	// onPlatform and atPeer are the sequence numbers of the newest versions that the platform and any peer have confirmed.
+	// onPlatform and atPeer are the sequence numbers of the newest versions that the platform, in the current epoch of its data, and any
+	// peer have confirmed.
 	onPlatform, atPeer uint64
 	// carried holds the sequence number of the own record in each recent ping, by the sequence number of the ping.
 	carried fleet.Map[uint64, uint64]
@@ -46,6 +48,18 @@
 	return k
 }
 
+// EpochChanged handles a new epoch of the platform's data, which may lack this node's record or have an older version of it. The record is
+// written again: at once if it has tombstones, since a restarted node learns of them there, and otherwise spread over the fleet.
+func (s State) EpochChanged(now time.Time) State {
+	s.kept.onPlatform = 0
+	if len(s.Self().Tombstones) > 0 {
+		s.own.register = true
+		return s
+	}
+	s.seeds.nextRegistration = now
+	return s
+}
+
 // MemberRegistered records that the platform has a version of this node's own record.
 func (s State) MemberRegistered(sequence uint64) State {
 	s.kept.onPlatform = max(s.kept.onPlatform, sequence)
--- a/internal/core/node/epoch.go
+++ b/internal/core/node/epoch.go
@@ -62,7 +62,7 @@
 	}
 	versionBefore := s.tables.Position().Version
 	s.tables = new(s.tables.EpochChanged(ev.At, ev.Random, s.tablesFleet()))
-	s, notifying := s.withMembership(s.membership.NotifyZonePeers())
+	s, notifying := s.withMembership(s.membership.EpochChanged(ev.At).NotifyZonePeers())
 	return s, append(notifying,
 		effect.WriteLog{Level: effect.Warn, Component: "platform", Message: "the platform came back from a copy", Fields: []effect.LogField{
 			{Name: "Epoch", Value: uint64(s.epoch.Current())},
--- a/internal/core/node/platform.go
+++ b/internal/core/node/platform.go
@@ -22,6 +22,10 @@
 		s.membership = new(s.membership.MembersListed(body.Members))
 		return s, effects
 	case event.MemberRegistered:
+		if s.epoch.Current().Differs(body.Epoch) {
+			// The platform has lost the record since, and it is written again.
+			return s, nil
+		}
 		s.membership = new(s.membership.MemberRegistered(body.Sequence))
 		return s.completeAcks(ev.At)
 	case event.PlatformCallFailed:
--- a/internal/core/node/tombstone_test.go
+++ b/internal/core/node/tombstone_test.go
@@ -17,6 +17,8 @@
 	node, peer *runner
 	// stored is the member record that the node last wrote to the platform.
 	stored fleet.Member
+	// epoch is that of the platform's data.
+	epoch fleet.Epoch
 	// platformDown and peerDown are true if calls to the platform, or messages to the peer, get no response.
 	platformDown, peerDown bool
 	// acks holds the results of the acknowledged and refused calls of targets.
@@ -64,7 +66,7 @@
 		case effect.RegisterMember:
 			if from == p.node && !p.platformDown {
 				p.stored = e.Member
-				p.deliver(from, from.reduce(event.MemberRegistered{Sequence: e.Member.Sequence}))
+				p.deliver(from, from.reduce(event.MemberRegistered{Sequence: e.Member.Sequence, Epoch: p.epoch}))
 			}
 		case effect.SendMessage:
 			if p.peerDown {
