edge/platform: a condition of a write holds only in the epoch of its version

Operators could have lost an acknowledged change: one that was made for a revision which the platform has lost replaces another change that got the same version. A change whose chunks the platform lost between their write and that of the head was accepted incomplete.

Cause: conditions compared versions of two epochs, and a watch took the same version of another epoch for no change.

Change: a condition and a watch carry the epoch of their version (header If-Epoch, parameter epoch; a platform that doesn't know them ignores them). A change of the tables during which the platform comes back from a copy is made again from the start. The conflict of a change for a lost revision says so. The users' platform has no such condition; nodes write nothing there under a version.

Evidence: without the header and the parameter TestConditionOfAnotherEpoch (put, delete, watch) and TestChangeDuringRestoration fail.

--- a/internal/edge/platform/claim.go
+++ b/internal/edge/platform/claim.go
@@ -48,7 +48,7 @@
 		if err != nil || found.Version == 0 || claim.Attempt != string(e.Attempt) {
 			return nil
 		}
-		if _, err := c.store.Delete(c.ctx, claimKey(e.ClaimName), ifVersion(found.Version)); err != nil {
+		if _, err := c.store.Delete(c.ctx, claimKey(e.ClaimName), IfUnchanged(found)); err != nil {
 			c.observe(effect.WriteLog{Level: effect.Warn, Component: "orders", Message: "claim not released", Fields: []effect.LogField{
 				{Name: "Error", Value: err.Error()},
 			}})
@@ -61,9 +61,9 @@
 // response the object is read back before it is written again.
 func (c *Client) claim(ctx context.Context, e effect.ClaimOrder) fleet.ClaimResult {
 	value, _ := json.Marshal(wireClaim{Order: e.ClaimName, Process: c.processID, Attempt: string(e.Attempt)})
-	version := uint64(0)
+	var known Object
 	for range maxClaimTries {
-		_, err := c.store.Put(ctx, claimKey(e.ClaimName), value, ifVersion(version))
+		_, err := c.store.Put(ctx, claimKey(e.ClaimName), value, IfUnchanged(known))
 		if err == nil {
 			return fleet.ClaimCreated
 		}
@@ -82,7 +82,7 @@
 		case found.Version != 0 && claim.Process != c.processID:
 			return fleet.ClaimExists
 		}
-		version = found.Version
+		known = found
 	}
 	return fleet.ClaimFailed
 }
--- a/internal/edge/platform/client.go
+++ b/internal/edge/platform/client.go
@@ -167,7 +167,7 @@
 func (c *Client) register(ctx context.Context, m fleet.Member, first bool) (fleet.Epoch, error) {
 	key, value := memberPrefix+string(m.Node), encodeMember(m)
 	if first {
-		if epoch, err := c.store.Put(ctx, key, value, ifVersion(0)); !errors.Is(err, ErrConflict) {
+		if epoch, err := c.store.Put(ctx, key, value, ifAbsent); !errors.Is(err, ErrConflict) {
 			return epoch, err
 		}
 	}
--- a/internal/edge/platform/epoch_test.go
+++ b/internal/edge/platform/epoch_test.go
@@ -1,8 +1,10 @@
 package platform_test
 
 import (
+	"errors"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -112,3 +114,87 @@
 		is.Equal(len(h.events), 0)
 	})
 }
+
+// assertPool checks that the newest tables on the platform have one pool, of the given name.
+func assertPool(t *testing.T, h harness, pool fleet.PoolName) {
+	t.Helper()
+	is := is.New(t)
+	read, err := h.client.ReadTables(t.Context())
+	is.NoErr(err)
+	_, found := read.Pool(pool)
+	is.True(found)
+}
+
+// TestConditionOfAnotherEpoch guards against a conditional write that takes effect although the platform has come back from a copy and
+// given the version out again, for other content.
+func TestConditionOfAnotherEpoch(t *testing.T) {
+	setUp := func(t *testing.T) (harness, platform.Store, platform.Object) {
+		t.Helper()
+		h := newHarness(t)
+		h.putObject(t, "key", "one")
+		store := platform.NewStore(h.baseURL, &http.Client{})
+		found, err := store.Get(t.Context(), "key")
+		is.New(t).NoErr(err)
+		h.server.Restore(time.Hour)
+		h.putObject(t, "key", "other")
+		now, err := store.Get(t.Context(), "key")
+		is.New(t).NoErr(err)
+		is.New(t).Equal(now.Version, found.Version)
+		return h, store, found
+	}
+	t.Run("put", func(t *testing.T) {
+		_, store, found := setUp(t)
+		_, err := store.Put(t.Context(), "key", []byte("two"), platform.IfUnchanged(found))
+		is.New(t).True(errors.Is(err, platform.ErrConflict))
+	})
+	t.Run("delete", func(t *testing.T) {
+		_, store, found := setUp(t)
+		_, err := store.Delete(t.Context(), "key", platform.IfUnchanged(found))
+		is.New(t).True(errors.Is(err, platform.ErrConflict))
+	})
+	t.Run("watch", func(t *testing.T) {
+		is := is.New(t)
+		_, store, found := setUp(t)
+		from := fleet.Position{Epoch: found.Epoch, Version: found.Version}
+		started := time.Now()
+		changed, err := store.Watch(t.Context(), "key", from, platform.WatchOptions{Wait: 10 * time.Second})
+		is.NoErr(err)
+		is.Equal(changed.Epoch, fleet.Epoch(2))
+		is.True(time.Since(started) < 5*time.Second)
+	})
+	t.Run("change of the tables", func(t *testing.T) {
+		is, h := is.New(t), newHarness(t)
+		ctx := t.Context()
+		_, err := h.client.ApplyTables(ctx, tablesWithPool("one"), 0, "c1")
+		is.NoErr(err)
+		_, err = h.client.ApplyTables(ctx, tablesWithPool("two"), 1, "c2")
+		is.NoErr(err)
+		// The writer has read the head when the platform comes back from a copy without its revision.
+		h.server.Restore(time.Hour)
+		_, err = h.client.ApplyTables(ctx, tablesWithPool("three"), 2, "c3")
+		var conflict platform.RevisionConflict
+		is.True(errors.As(err, &conflict))
+		is.Equal(conflict.Found, fleet.Revision(0))
+	})
+}
+
+// TestChangeDuringRestoration guards against a change of the tables that is reported as accepted and is incomplete, since the platform has
+// lost its chunks, or that is refused although no other change was made.
+func TestChangeDuringRestoration(t *testing.T) {
+	is, h := is.New(t), newHarness(t)
+	_, err := h.client.ApplyTables(t.Context(), tablesWithPool("one"), 0, "c1")
+	is.NoErr(err)
+	time.Sleep(20 * time.Millisecond)
+	copied := time.Now()
+	writer := h.newClient(roundTripFunc(func(r *http.Request) (*http.Response, error) {
+		if r.Method == http.MethodPut && strings.HasSuffix(r.URL.Path, platform.HeadKey) && r.Header.Get("If-Match") != "" && copied.Before(time.Now()) {
+			h.server.Restore(time.Since(copied))
+			copied = time.Now().Add(time.Hour)
+		}
+		return http.DefaultTransport.RoundTrip(r)
+	}))
+	defer writer.Close()
+	_, err = writer.ApplyTables(t.Context(), tablesWithPool("two"), 1, "c2")
+	is.NoErr(err)
+	assertPool(t, h, "two")
+}
--- a/internal/edge/platform/objectapi.go
+++ b/internal/edge/platform/objectapi.go
@@ -23,8 +23,12 @@
 	maxListBytes = 8 << 20
 )
 
-// epochHeader is the header of a response with the epoch of the platform's data. A platform that doesn't send it tells no epoch.
-const epochHeader = "Epoch"
+const (
+	// epochHeader is the header of a response with the epoch of the platform's data. A platform that doesn't send it tells no epoch.
+	epochHeader = "Epoch"
+	// conditionEpochHeader is the header of a request whose condition holds only in the given epoch.
+	conditionEpochHeader = "If-Epoch"
+)
 
 // NewStore returns a Store that calls jayfold's own object API. base is the URL of the platform without a path.
 func NewStore(base string, client *http.Client) Store {
@@ -68,6 +72,9 @@
 // watch waits until the object has another version. If nothing changes it returns the object with its version, but no value.
 func (o objectAPI) watch(ctx context.Context, key string, from fleet.Position, options WatchOptions) (Object, error) {
 	query := fmt.Sprintf("?after=%d&wait=%s", from.Version, options.Wait)
+	if from.Epoch != 0 {
+		query += fmt.Sprintf("&epoch=%d", from.Epoch)
+	}
 	if options.MayBeStale {
 		query += "&stale=1"
 	}
@@ -175,6 +182,9 @@
 	if name, value := c.header(); name != "" {
 		req.Header.Set(name, value)
 	}
+	if c.Epoch != 0 {
+		req.Header.Set(conditionEpochHeader, strconv.FormatUint(uint64(c.Epoch), 10))
+	}
 	write := method != http.MethodGet
 	res, err := o.http.Do(req)
 	if err != nil {
--- a/internal/edge/platform/stale_chunks.go
+++ b/internal/edge/platform/stale_chunks.go
@@ -37,7 +37,7 @@
 		}
 		chunk, err := c.store.Get(ctx, chunkPrefix+name)
 		if err != nil || chunk.Version > 0 {
-			found = append(found, Object{Key: chunkPrefix + name, Version: chunk.Version})
+			found = append(found, Object{Key: chunkPrefix + name, Epoch: chunk.Epoch, Version: chunk.Version})
 		}
 	}
 	return found
@@ -48,7 +48,7 @@
 func (c *Client) deleteChunks(ctx context.Context, stale []Object) {
 	for _, chunk := range stale {
 		if chunk.Version > 0 {
-			_, _ = c.store.Delete(ctx, chunk.Key, ifVersion(chunk.Version))
+			_, _ = c.store.Delete(ctx, chunk.Key, IfUnchanged(chunk))
 		}
 	}
 }
--- a/internal/edge/platform/store.go
+++ b/internal/edge/platform/store.go
@@ -58,10 +58,20 @@
 	// Set is true if there is a condition: the object must have Version, or must not exist if Version is 0.
 	Set     bool
 	Version uint64
+	// Epoch is that of Version. The condition doesn't hold in another epoch, in which the platform may have given the version out again.
+	Epoch fleet.Epoch
 }
 
-// ifVersion returns the condition that the object has the given version, or does not exist if the version is 0.
-func ifVersion(version uint64) Condition { return Condition{Set: true, Version: version} }
+// ifAbsent is the condition that an object does not exist.
+var ifAbsent = Condition{Set: true}
+
+// IfUnchanged returns the condition that an object has the version with which it was read, or still does not exist.
+func IfUnchanged(o Object) Condition {
+	if o.Version == 0 {
+		return ifAbsent
+	}
+	return Condition{Set: true, Version: o.Version, Epoch: o.Epoch}
+}
 
 // ErrConflict is the cause of a CallError when the condition of a write did not hold.
 var ErrConflict = errors.New("the object has changed")
--- a/internal/edge/platform/tables.go
+++ b/internal/edge/platform/tables.go
@@ -29,6 +29,10 @@
 
 // Error implements error.
 func (c RevisionConflict) Error() string {
+	if c.Found < c.Expected {
+		return fmt.Sprintf("revision %d, for which the change was made, is not on the platform, which has come back from a copy with "+
+			"revision %d", c.Expected, c.Found)
+	}
 	return fmt.Sprintf("another change was applied first: revision %d is on the platform, and the change was made "+
 		"for revision %d", c.Found, c.Expected)
 }
@@ -48,6 +52,8 @@
 // Unwrap returns the cause.
 func (c CorruptTables) Unwrap() error { return c.Err }
 
+var errRestored = errors.New("the platform came back from an older copy during the change")
+
 var errChunkMissing = errors.New("the chunk does not exist")
 
 // ReadTables reads the newest revision; its number is 0 if there is none. The error is CorruptTables if the tables do not
@@ -73,11 +79,25 @@
 
 // ApplyTables writes tables as the revision after expected and returns the new revision. The change id must be unique. If
 // another change was applied first the error is RevisionConflict, and the head is unchanged. A head that does not decode is
-// replaced.
+// replaced. If the platform comes back from a copy during the change, which may then lack its chunks, the change is made again.
 func (c *Client) ApplyTables(
 	ctx context.Context, tables fleet.Tables, expected fleet.Revision, changeID string,
 ) (fleet.Revision, error) {
-	head, version, err := c.readHead(ctx)
+	var revision fleet.Revision
+	err := errRestored
+	for range maxWriteTries {
+		revision, err = c.applyOnce(ctx, tables, expected, changeID)
+		if !errors.Is(err, errRestored) {
+			break
+		}
+	}
+	return revision, err
+}
+
+func (c *Client) applyOnce(
+	ctx context.Context, tables fleet.Tables, expected fleet.Revision, changeID string,
+) (fleet.Revision, error) {
+	head, read, err := c.readHead(ctx)
 	var corrupt CorruptTables
 	if errors.As(err, &corrupt) {
 		head = wireHead{Revision: expected}
@@ -96,7 +116,7 @@
 		return 0, err
 	}
 	next, stale := c.findStaleChunks(ctx, head, head.next(names, changeID))
-	revision, err := c.writeHead(ctx, next, version)
+	revision, err := c.writeHead(ctx, next, read)
 	if err != nil {
 		return 0, err
 	}
@@ -104,42 +124,46 @@
 	return revision, nil
 }
 
-// readHead returns the head and its version, which is 0 if there is none. The version is valid also when the error is
+// readHead returns the head and its object, whose version is 0 if there is none. The object is valid also when the error is
 // CorruptTables.
-func (c *Client) readHead(ctx context.Context) (wireHead, uint64, error) {
+func (c *Client) readHead(ctx context.Context) (wireHead, Object, error) {
 	found, err := c.store.Get(ctx, HeadKey)
 	if err != nil || found.Version == 0 {
-		return wireHead{}, 0, err
+		return wireHead{}, found, err
 	}
 	head, err := decodeHead(found.Value)
 	if err != nil {
-		return wireHead{}, found.Version, CorruptTables{Err: err}
+		return wireHead{}, found, CorruptTables{Err: err}
 	}
-	return head, found.Version, nil
+	return head, found, nil
 }
 
-// writeHead replaces the given version of the head. After a conflict or an unknown outcome it reads the head back and
-// writes again only if the head still has that version. The condition on the version keeps a write from taking effect twice.
-func (c *Client) writeHead(ctx context.Context, head wireHead, version uint64) (fleet.Revision, error) {
+// writeHead replaces the head that was read. After a conflict or an unknown outcome it reads the head back and
+// writes again only if the head is still the same. The condition on the version keeps a write from taking effect twice. The error is
+// errRestored if the platform has come back from a copy meanwhile.
+func (c *Client) writeHead(ctx context.Context, head wireHead, read Object) (fleet.Revision, error) {
 	// Every value of the wire types can be encoded.
 	value, _ := json.Marshal(head)
 	var err error
 	for range maxWriteTries {
-		_, err = c.store.Put(ctx, HeadKey, value, ifVersion(version))
+		_, err = c.store.Put(ctx, HeadKey, value, IfUnchanged(read))
 		if err == nil {
 			return head.Revision, nil
 		}
 		if !needsReadBack(err) {
 			return 0, err
 		}
-		found, foundVersion, readErr := c.readHead(ctx)
+		found, now, readErr := c.readHead(ctx)
 		if readErr != nil {
 			return 0, fmt.Errorf("it is not known whether change %s took effect: %w", head.ChangeID, errors.Join(err, readErr))
 		}
 		if revision, done := found.revisionOf(head.ChangeID); done {
 			return revision, nil
 		}
-		if foundVersion != version {
+		if now.Epoch.Differs(read.Epoch) {
+			return 0, errRestored
+		}
+		if now.Version != read.Version {
 			return 0, RevisionConflict{Expected: head.Revision - 1, Found: found.Revision}
 		}
 	}
--- a/internal/lab/platform/event.go
+++ b/internal/lab/platform/event.go
@@ -49,6 +49,8 @@
 	// isWatch is true if a get waits until the version of the object differs from after.
 	isWatch bool
 	after   uint64
+	// epoch is the epoch of ifMatch or after; 0 is any.
+	epoch uint64
 }
 
 // waitEnded is posted when the wait of a watch has timed out, or when a call has ended or its caller has disconnected.
--- a/internal/lab/platform/handler.go
+++ b/internal/lab/platform/handler.go
@@ -83,6 +83,12 @@
 		http.Error(w, "wait: want a duration of at most "+maxWait.String(), http.StatusBadRequest)
 		return
 	}
+	if epoch := query.Get("epoch"); epoch != "" {
+		if c.epoch, err = strconv.ParseUint(epoch, 10, 64); err != nil {
+			http.Error(w, "epoch: want a number", http.StatusBadRequest)
+			return
+		}
+	}
 	c.isWatch, c.after = true, after
 	s.handleCall(w, r, c, wait)
 }
@@ -127,6 +133,12 @@
 		return c, errors.New("if-none-match: want *")
 	}
 	c.ifAbsent = none == "*"
+	if epoch := r.Header.Get("If-Epoch"); epoch != "" {
+		var err error
+		if c.epoch, err = strconv.ParseUint(epoch, 10, 64); err != nil {
+			return c, errors.New("if-epoch: want a number")
+		}
+	}
 	return c, nil
 }
 
--- a/internal/lab/platform/state.go
+++ b/internal/lab/platform/state.go
@@ -173,7 +173,7 @@
 
 func (s state) get(c callArrived) (state, []result) {
 	found, ok := s.objects.Get(c.key)
-	if c.isWatch && found.version == c.after {
+	if c.isWatch && found.version == c.after && s.isIn(c.epoch) {
 		s.watches = s.watches.With(c.id, watch{key: c.key, after: c.after})
 		return s, nil
 	}
@@ -221,9 +221,12 @@
 	if version, conditional := c.ifMatch.Get(); conditional && found.version != version {
 		return false
 	}
-	return !c.ifAbsent || !ok
+	return (!c.ifAbsent || !ok) && s.isIn(c.epoch)
 }
 
+// isIn reports whether the data is of an epoch; 0 is any.
+func (s state) isIn(epoch uint64) bool { return epoch == 0 || epoch == s.epoch }
+
 // respondToWrite responds to a write that took effect and to the watches of its object.
 func (s state) respondToWrite(c callArrived) (state, []result) {
 	results := s.respond(c.id, response{status: statusOK, version: s.version})
