edge/platform: a revision that the platform has lost is not given out again

Operators and callers could have had two contents under one revision: nodes that have the lost one in force never adopt the other.

Cause: a change has the revision of the head plus one, and the head goes back with the copy.

Change: the head has the epoch in which it was written; the first change in another epoch skips 1,000 revisions, more than a platform can lose in the seconds since a copy. Revisions stay plain numbers, in messages, logs and commands. A head that names no epoch counts as of the first one.

FuzzHead checks the same bound on the next revision through nextRevision, which now computes it.

--- a/internal/edge/platform/epoch_test.go
+++ b/internal/edge/platform/epoch_test.go
@@ -198,3 +198,25 @@
 	is.NoErr(err)
 	assertPool(t, h, "two")
 }
+
+// TestLostRevisionIsNotGivenOutAgain guards against nodes that keep a revision which the platform has lost, because the next change gets the
+// same number.
+func TestLostRevisionIsNotGivenOutAgain(t *testing.T) {
+	is, h := is.New(t), newHarness(t)
+	apply := func(pool fleet.PoolName, expected fleet.Revision) fleet.Revision {
+		t.Helper()
+		revision, err := h.client.ApplyTables(t.Context(), tablesWithPool(pool), expected, string(pool))
+		is.NoErr(err)
+		return revision
+	}
+	is.Equal(apply("one", 0), fleet.Revision(1))
+	time.Sleep(20 * time.Millisecond)
+	copied := time.Now()
+	lost := apply("two", 1)
+	h.server.Restore(time.Since(copied))
+	first := apply("three", 1)
+	is.True(first > lost)
+	is.Equal(apply("four", first), first+1) // the only gap is that of the first change in an epoch
+	h.server.Restore(time.Hour)
+	is.True(apply("five", 0) > 1) // the first revision was lost too
+}
--- a/internal/edge/platform/head.go
+++ b/internal/edge/platform/head.go
@@ -28,11 +28,18 @@
 	// maxEarlier bounds the number of earlier changes in the head. A writer whose response was lost looks for its change id
 	// there, since another writer may have replaced the head in the meantime.
 	maxEarlier = 16
+	// firstEpoch is the epoch of a platform that has never come back from a copy, and of a head that names no epoch.
+	firstEpoch fleet.Epoch = 1
+	// epochGap is added to the revision of the first change in an epoch, so that no revision that the platform has lost is given out again for
+	// other content. A platform loses the writes of some seconds, of several hundred a second, and a change takes at least two.
+	epochGap = 1000
 )
 
 // wireHead is the value of the head object.
 type wireHead struct {
 	Revision fleet.Revision
+	// Epoch is that of the platform's data when the revision was first written.
+	Epoch fleet.Epoch `json:",omitempty"`
 	// Chunks lists the names of the chunks, in the order of their content.
 	Chunks []string `json:",omitempty"`
 	// Content is the encoded tables in place of chunks, for a Store whose API has the tables in another format.
@@ -90,14 +97,26 @@
 	return 0, false
 }
 
-// next returns the head of the next revision.
-func (h wireHead) next(chunks []string, changeID string) wireHead {
+// nextRevision returns the revision of the next change, if it is made in an epoch.
+func (h wireHead) nextRevision(e fleet.Epoch) fleet.Revision {
+	if e.Differs(max(h.Epoch, firstEpoch)) {
+		return h.Revision + 1 + epochGap
+	}
+	return h.Revision + 1
+}
+
+// next returns the head of a later revision that is written in an epoch, which may be unknown.
+func (h wireHead) next(revision fleet.Revision, e fleet.Epoch, chunks []string, changeID string) wireHead {
 	earlier := h.Earlier
 	if h.Revision > 0 {
 		earlier = append([]wireChange{{Revision: h.Revision, ChangeID: h.ChangeID, Chunks: h.Chunks}}, earlier...)
 	}
+	if e == 0 {
+		e = h.Epoch
+	}
 	return wireHead{
-		Revision: h.Revision + 1,
+		Revision: revision,
+		Epoch:    e,
 		Chunks:   chunks,
 		ChangeID: changeID,
 		Earlier:  earlier[:min(len(earlier), maxEarlier)],
--- a/internal/edge/platform/tables.go
+++ b/internal/edge/platform/tables.go
@@ -107,16 +107,13 @@
 	if head.Revision != expected {
 		return 0, RevisionConflict{Expected: expected, Found: head.Revision}
 	}
-	chunks := splitChunks(tablesfile.Encode(tables.WithRevision(expected + 1)))
-	if len(chunks) > maxChunks {
-		return 0, fmt.Errorf("the tables take %d chunks of %d bytes; want at most %d", len(chunks), chunkSize, maxChunks)
-	}
-	names, err := c.writeChunks(ctx, chunks)
+	revision := head.nextRevision(read.Epoch)
+	names, err := c.writeChunks(ctx, tablesfile.Encode(tables.WithRevision(revision)))
 	if err != nil {
 		return 0, err
 	}
-	next, stale := c.findStaleChunks(ctx, head, head.next(names, changeID))
-	revision, err := c.writeHead(ctx, next, read)
+	next, stale := c.findStaleChunks(ctx, head, head.next(revision, read.Epoch, names, changeID))
+	revision, err = c.writeHead(ctx, next, read, expected)
 	if err != nil {
 		return 0, err
 	}
@@ -138,10 +135,12 @@
 	return head, found, nil
 }
 
-// writeHead replaces the head that was read. After a conflict or an unknown outcome it reads the head back and
+// writeHead replaces the head that was read, which has the expected revision. After a conflict or an unknown outcome it reads the head back and
 // writes again only if the head is still the same. The condition on the version keeps a write from taking effect twice. The error is
 // errRestored if the platform has come back from a copy meanwhile.
-func (c *Client) writeHead(ctx context.Context, head wireHead, read Object) (fleet.Revision, error) {
+func (c *Client) writeHead(
+	ctx context.Context, head wireHead, read Object, expected fleet.Revision,
+) (fleet.Revision, error) {
 	// Every value of the wire types can be encoded.
 	value, _ := json.Marshal(head)
 	var err error
@@ -164,15 +163,19 @@
 			return 0, errRestored
 		}
 		if now.Version != read.Version {
-			return 0, RevisionConflict{Expected: head.Revision - 1, Found: found.Revision}
+			return 0, RevisionConflict{Expected: expected, Found: found.Revision}
 		}
 	}
 	return 0, fmt.Errorf("it is not known whether change %s took effect: %w", head.ChangeID, err)
 }
 
-// writeChunks writes every chunk and returns their names. Writing a chunk again is harmless, since its name is the sum of its
+// writeChunks writes encoded tables as chunks and returns their names. Writing a chunk again is harmless, since its name is the sum of its
 // content.
-func (c *Client) writeChunks(ctx context.Context, chunks [][]byte) ([]string, error) {
+func (c *Client) writeChunks(ctx context.Context, content []byte) ([]string, error) {
+	chunks := splitChunks(content)
+	if len(chunks) > maxChunks {
+		return nil, fmt.Errorf("the tables take %d chunks of %d bytes; want at most %d", len(chunks), chunkSize, maxChunks)
+	}
 	names := make([]string, 0, len(chunks))
 	for _, chunk := range chunks {
 		sum := sha256.Sum256(chunk)
--- a/internal/edge/platform/value_test.go
+++ b/internal/edge/platform/value_test.go
@@ -25,7 +25,7 @@
 		if head.Revision == 0 || len(head.Chunks) == 0 && len(head.Content) == 0 {
 			t.Fatalf("accepted %+v", head)
 		}
-		if next := head.next(head.Chunks, "change"); next.Revision != head.Revision+1 || len(next.Earlier) > maxEarlier {
+		if next := head.next(head.nextRevision(0), 0, head.Chunks, "change"); next.Revision != head.Revision+1 || len(next.Earlier) > maxEarlier {
 			t.Fatalf("the head after %+v is %+v", head, next)
 		}
 	})
