core/tables, edge/platform: nodes write a revision again that the platform has lost

Operators could have seen an accepted change vanish: nodes that run keep it, but nodes that start later come up with the copy's revision when no peer reaches them, and the next change is made on top of the older tables.

Cause: a node that saw an older head on the platform only logged it.

Change: a node that reads an older head from the platform's own data writes its revision again, under the version of that head, after a delay that lets few nodes of a fleet do this. The first write wins; an operator's change that comes before it stays. Tables in the format of another program, as on the users' platform, are written by that program and left alone.

Evidence: TestLostRevisionIsWrittenAgain and TestRestoreTables; there was no such call before.

--- a/internal/core/effect/platform.go
+++ b/internal/core/effect/platform.go
@@ -22,6 +22,13 @@
 	Head fleet.TablesHead
 }
 
+// RestoreTables writes a revision to the platform again that it has accepted and lost, unless it has the revision or a newer one. Event:
+// event.PlatformCallFailed, or none.
+type RestoreTables struct {
+	Revision fleet.Revision
+	Content  []byte
+}
+
 // DecodeTables decodes and validates a revision that a peer sent. Event: event.TablesDecoded or event.TablesRejected.
 type DecodeTables struct {
 	Revision fleet.Revision
@@ -44,6 +51,7 @@
 
 func (WatchHead) isEffect()      {}
 func (FetchTables) isEffect()    {}
+func (RestoreTables) isEffect()  {}
 func (DecodeTables) isEffect()   {}
 func (ListMembers) isEffect()    {}
 func (RegisterMember) isEffect() {}
--- a/internal/core/event/platform.go
+++ b/internal/core/event/platform.go
@@ -61,6 +61,7 @@
 	CallFetchTables    PlatformCall = "FetchTables"
 	CallListMembers    PlatformCall = "ListMembers"
 	CallRegisterMember PlatformCall = "RegisterMember"
+	CallRestoreTables  PlatformCall = "RestoreTables"
 )
 
 // PlatformCallFailed is posted when a call to the platform fails.
--- a/internal/core/tables/delay.go
+++ b/internal/core/tables/delay.go
@@ -52,14 +52,18 @@
 	return scale(min(maxRewatchDelay, rewatchDelayPerMember*time.Duration(members)), lowFraction(random))
 }
 
-// fetchDelay returns the delay before this node reads a new revision from the platform. Its probability density grows
-// exponentially from the shortest to the longest delay, by a factor of about the size of the fleet: a few nodes draw a short
-// delay and read the platform, and the others have the revision from a peer before their delay ends. There is no delay
-// without tables or after an outage.
+// fetchDelay returns the delay before this node reads a new revision from the platform. A few nodes draw a short delay and read the
+// platform, and the others have the revision from a peer before their delay ends. There is no delay without tables or after an outage.
 func (s State) fetchDelay(random uint64, members int) time.Duration {
 	if s.current.Revision == 0 || s.watch.failures >= failuresWithoutFetchDelay {
 		return 0
 	}
+	return spreadDelay(random, members)
+}
+
+// spreadDelay returns a delay before a call to the platform that few nodes of a fleet need to make. Its probability density grows
+// exponentially from the shortest to the longest delay, by a factor of about the size of the fleet.
+func spreadDelay(random uint64, members int) time.Duration {
 	longest := min(maxFetchDelay, fetchDelayPerMember*time.Duration(members))
 	// With this growth about one node draws a delay from the first 1/growth of the range, whatever the size of the fleet.
 	growth := math.Log(float64(members) + math.E)
--- a/internal/core/tables/epoch_test.go
+++ b/internal/core/tables/epoch_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"jayfold.dev/jayfold/internal/core/effect"
+	"jayfold.dev/jayfold/internal/core/event"
 	"jayfold.dev/jayfold/internal/core/fleet"
 	"jayfold.dev/jayfold/internal/core/routing"
 	"jayfold.dev/jayfold/internal/core/tables"
@@ -88,3 +89,63 @@
 		is.Equal(len(effects), 1)
 	})
 }
+
+// restorations returns the effects that write a revision to the platform again.
+func restorations(effects []effect.Effect) []effect.RestoreTables {
+	var found []effect.RestoreTables
+	for _, e := range effects {
+		if e, ok := e.(effect.RestoreTables); ok {
+			found = append(found, e)
+		}
+	}
+	return found
+}
+
+// TestLostRevisionIsWrittenAgain guards against a revision that was accepted, is in force on some nodes, and stays lost for nodes that
+// start later.
+func TestLostRevisionIsWrittenAgain(t *testing.T) {
+	later := start.Add(10 * time.Second)
+	inForce := func(revision fleet.Revision) tables.State {
+		s, _ := watching().TablesDecoded(start, fleet.Tables{Revision: revision}, routing.Router{}, []byte("content"))
+		return s.EpochChanged(start, 0, inEpoch(2))
+	}
+	read := func(s tables.State, head fleet.TablesHead) tables.State {
+		s, _ = s.HeadRead(start, 0, inEpoch(2), head, fleet.Position{Epoch: 2, Version: 23})
+		return s
+	}
+	for name, c := range map[string]struct {
+		head fleet.TablesHead
+		want int
+	}{
+		"the platform has an older revision":       {head: fleet.TablesHead{Revision: 6}, want: 1},
+		"the platform has the revision":            {head: fleet.TablesHead{Revision: 7}},
+		"the platform has a newer one":             {head: fleet.TablesHead{Revision: 1008}},
+		"another program writes the tables":        {head: fleet.TablesHead{Revision: 6, Content: []byte("x")}},
+		"the platform shows nothing of the tables": {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s, effects := read(inForce(7), c.head).Tick(later, 0)
+			is.Equal(len(restorations(effects)), c.want)
+			_, effects = s.Tick(later, 0)
+			is.Equal(len(restorations(effects)), 0)
+		})
+	}
+	t.Run("a copy that lags shows no loss", func(t *testing.T) {
+		s := watchingAt(t, fleet.Position{Epoch: 2, Version: 23})
+		s, _ = s.TablesDecoded(start, fleet.Tables{Revision: 7}, routing.Router{}, nil)
+		_, effects := read(s, fleet.TablesHead{Revision: 6}).Tick(later, 0)
+		is.New(t).Equal(len(restorations(effects)), 0)
+	})
+	t.Run("another node was first", func(t *testing.T) {
+		s := read(inForce(7), fleet.TablesHead{Revision: 6})
+		_, effects := read(s, fleet.TablesHead{Revision: 7}).Tick(later, 0)
+		is.New(t).Equal(len(restorations(effects)), 0)
+	})
+	t.Run("a failed write is repeated", func(t *testing.T) {
+		s, _ := read(inForce(7), fleet.TablesHead{Revision: 6}).Tick(later, 0)
+		s, _ = s.PlatformCallFailed(later, 0, event.CallRestoreTables, "timeout")
+		_, effects := s.Tick(later.Add(2*time.Second), 0)
+		is.New(t).Equal(restorations(effects), []effect.RestoreTables{{Revision: 7, Content: []byte("content")}})
+	})
+}
--- a/internal/core/tables/platform.go
+++ b/internal/core/tables/platform.go
@@ -110,9 +110,11 @@
 	}
 	s = s.withNewest(now, head.Revision)
 	if head.Revision < s.current.Revision {
+		s = s.withOlderHead(now, random, f, head, fromCopy)
 		return s, append(effects, log(effect.Warn, "the platform has an older revision",
 			effect.LogField{Name: "Revision", Value: head.Revision}, effect.LogField{Name: "InForce", Value: s.current.Revision}))
 	}
+	s.restoreDue = time.Time{}
 	if head.Revision > s.fetch.head.Revision {
 		s.fetch.head = head
 		s.fetch.fromCopy = fromCopy
@@ -172,6 +174,10 @@
 		s.fetch.due = now.Add(retryDelay(random, s.fetch.failures))
 		effects = append(effects, log(effect.Warn, "reading a revision from the platform failed",
 			effect.LogField{Name: "Revision", Value: s.fetch.head.Revision}, effect.LogField{Name: "Error", Value: detail}))
+	case event.CallRestoreTables:
+		s.restoreDue = now.Add(retryDelay(random, 1))
+		effects = append(effects, log(effect.Warn, "writing a revision to the platform again failed",
+			effect.LogField{Name: "Revision", Value: s.current.Revision}, effect.LogField{Name: "Error", Value: detail}))
 	}
 	return s, effects
 }
--- a/internal/core/tables/state.go
+++ b/internal/core/tables/state.go
@@ -39,6 +39,8 @@
 	fetch       fetch
 	holders     fleet.Map[fleet.NodeID, holder]
 	peerRequest peerRequest
+	// restoreDue is the time at which the revision in force is written to the platform again; zero if the platform has it.
+	restoreDue time.Time
 	// nextPeerRequest is the earliest time of the next request to a peer.
 	nextPeerRequest time.Time
 	// platformReachable is true if no watch or fetch has failed since the last successful watch.
@@ -84,8 +86,9 @@
 	s, watching := s.startWatch(now)
 	s, asking := s.requestFromAny(now, random)
 	s, fetching := s.startFetch(now)
+	s, restoring := s.startRestore(now)
 	s, late := s.logLateRevision(now)
-	return s, slices.Concat(watching, asking, fetching, late)
+	return s, slices.Concat(watching, asking, fetching, restoring, late)
 }
 
 // TablesDecoded brings a revision into force if it is newer than the current one. The router is built from t.
--- a/internal/edge/platform/epoch_test.go
+++ b/internal/edge/platform/epoch_test.go
@@ -220,3 +220,61 @@
 	h.server.Restore(time.Hour)
 	is.True(apply("five", 0) > 1) // the first revision was lost too
 }
+
+// TestRestoreTables guards against a lost revision that a node doesn't write again as it was, or writes over a newer one.
+func TestRestoreTables(t *testing.T) {
+	// lose returns a platform that has lost revision 2, and its content.
+	lose := func(t *testing.T) (harness, []byte) {
+		t.Helper()
+		is, h := is.New(t), newHarness(t)
+		_, err := h.client.ApplyTables(t.Context(), tablesWithPool("one"), 0, "c1")
+		is.NoErr(err)
+		time.Sleep(20 * time.Millisecond)
+		copied := time.Now()
+		_, err = h.client.ApplyTables(t.Context(), tablesWithPool("two"), 1, "c2")
+		is.NoErr(err)
+		h.client.WatchHead(effect.WatchHead{})
+		read, ok := h.nextEvent(t).(event.HeadRead)
+		is.True(ok)
+		h.client.FetchTables(effect.FetchTables{Head: read.Head})
+		decoded, ok := h.nextEvent(t).(event.TablesDecoded)
+		is.True(ok)
+		h.server.Restore(time.Since(copied))
+		assertPool(t, h, "one")
+		return h, decoded.Content
+	}
+	restore := func(h harness, content []byte) {
+		h.client.RestoreTables(effect.RestoreTables{Revision: 2, Content: content})
+		h.client.Wait()
+	}
+	t.Run("the revision is written again, by one node", func(t *testing.T) {
+		is := is.New(t)
+		h, content := lose(t)
+		restore(h, content)
+		restore(h.otherProcess(t), content)
+		assertPool(t, h, "two")
+		read, err := h.client.ReadTables(t.Context())
+		is.NoErr(err)
+		is.Equal(read.Revision, fleet.Revision(2))
+		is.Equal(len(h.events), 0)
+		revision, err := h.client.ApplyTables(t.Context(), tablesWithPool("three"), 2, "c3")
+		is.NoErr(err)
+		is.True(revision > 3) // the platform may have lost revision 3 as well
+	})
+	t.Run("a newer revision stays", func(t *testing.T) {
+		h, content := lose(t)
+		_, err := h.client.ApplyTables(t.Context(), tablesWithPool("three"), 1, "c3")
+		is.New(t).NoErr(err)
+		restore(h, content)
+		assertPool(t, h, "three")
+	})
+	t.Run("a failure is reported", func(t *testing.T) {
+		is := is.New(t)
+		h, content := lose(t)
+		h.server.SetFaults(lab.Faults{Outage: true})
+		restore(h, content)
+		failed, ok := h.nextEvent(t).(event.PlatformCallFailed)
+		is.True(ok)
+		is.Equal(failed.Call, event.CallRestoreTables)
+	})
+}
--- a/internal/process/node/dispatch.go
+++ b/internal/process/node/dispatch.go
@@ -97,6 +97,8 @@
 		d.recovery.Go("decode tables", func() { decodeTables(e, d.post) }, func() {
 			d.post(event.TablesRejected{Revision: e.Revision, Detail: "decoding failed with an internal error"})
 		})
+	case effect.RestoreTables:
+		d.platform.RestoreTables(e)
 	case effect.ListMembers:
 		d.platform.ListMembers(e)
 	case effect.ClaimOrder:
