core/orders: claims that the platform has lost are written again, and prove nothing meanwhile

A caller who sends an order again could have had it run twice: the platform has lost the claim of the first run, and a new home target of the key creates its own.

Cause: a claim that could be created was a proof that no other node had run the order, although the platform can come back from a copy without the claim; a node believed its own claims to be there for ever.

For Retention after it, an order whose claim could be created runs only where it would run without one, as in an outage. A claim answered in an earlier epoch counts as lost. A claim that was released and is back with the copy only makes other nodes refuse the order, as MayHaveRun.

--- a/internal/core/event/orders.go
+++ b/internal/core/event/orders.go
@@ -6,6 +6,8 @@
 type OrderClaimFinished struct {
 	Attempt fleet.AttemptID
 	Result  fleet.ClaimResult
+	// Epoch is that of the platform's data with the claim; 0 if it is unknown.
+	Epoch fleet.Epoch
 }
 
 func (OrderClaimFinished) isBody() {}
--- a/internal/core/node/epoch.go
+++ b/internal/core/node/epoch.go
@@ -62,6 +62,8 @@
 	}
 	versionBefore := s.tables.Position().Version
 	s.tables = new(s.tables.EpochChanged(ev.At, ev.Random, s.tablesFleet()))
+	next, claims := s.orders.EpochChanged(ev.At, s.membership.Len())
+	s.orders = next
 	s, notifying := s.withMembership(s.membership.EpochChanged(ev.At).NotifyZonePeers())
 	return s, append(notifying,
 		effect.WriteLog{Level: effect.Warn, Component: "platform", Message: "the platform came back from a copy", Fields: []effect.LogField{
@@ -69,6 +71,7 @@
 			{Name: "Before", Value: uint64(before)},
 			learned,
 			{Name: "VersionBefore", Value: versionBefore},
+			{Name: "ClaimsWrittenAgain", Value: claims},
 		}},
 		effect.AddToCounter{Name: "platform_epochs", Delta: 1})
 }
--- a/internal/core/node/orders.go
+++ b/internal/core/node/orders.go
@@ -17,7 +17,7 @@
 }
 
 func (s State) orderClaimFinished(ev event.Event, body event.OrderClaimFinished) (State, []effect.Effect) {
-	next, decision := s.orders.ClaimFinished(ev.At, body.Attempt, body.Result)
+	next, decision := s.orders.ClaimFinished(ev.At, body.Attempt, body.Result, s.epoch.Current().Differs(body.Epoch))
 	s.orders = next
 	return s.applyOrderDecision(ev, decision)
 }
--- a/internal/core/orders/admission.go
+++ b/internal/core/orders/admission.go
@@ -1,6 +1,7 @@
 package orders
 
 import (
+	"slices"
 	"time"
 
 	"jayfold.dev/jayfold/internal/core/effect"
@@ -56,17 +57,28 @@
 	return s.withRecord(name, r), admit(attempt)
 }
 
-// ClaimFinished continues with an order after the result of its claim.
-func (s State) ClaimFinished(now time.Time, id fleet.AttemptID, result fleet.ClaimResult) (State, Decision) {
+// ClaimFinished continues with an order after the result of its claim. lost is true if the platform has come back from an older copy since the
+// result.
+func (s State) ClaimFinished(now time.Time, id fleet.AttemptID, result fleet.ClaimResult, lost bool) (State, Decision) {
 	name, ok := s.pendingClaims.Get(id)
 	if !ok {
-		return s, Decision{}
+		s, effects := s.rewriteFinished(id, result, lost)
+		return s, effectsOnly(effects...)
 	}
 	s.pendingClaims = s.pendingClaims.Without(id)
 	r, _ := s.records.Get(name)
 	switch result {
 	case fleet.ClaimCreated:
+		if !s.provesNotRun(now, r.attempt) {
+			s.records = s.records.Without(name)
+			refused := refuse(r.attempt, fleet.MayHaveRun, "the platform has lost claims, and another target may have run the order")
+			refused.Effects = append(refused.Effects, effect.ReleaseOrderClaim{ClaimName: name, Attempt: id})
+			return s, refused
+		}
 		r.claimed = true
+		if lost {
+			s.lost.names = append(slices.Clip(s.lost.names), name)
+		}
 		return s.admitOrder(name, r, r.attempt)
 	case fleet.ClaimExists:
 		r.state = unknown
--- a/internal/core/orders/state.go
+++ b/internal/core/orders/state.go
@@ -6,7 +6,7 @@
 //
 //	state := orders.New(self)
 //	state, decision := state.AttemptArrived(now, attempt)
-//	state, decision = state.ClaimFinished(now, attemptID, fleet.ClaimCreated)
+//	state, decision = state.ClaimFinished(now, attemptID, fleet.ClaimCreated, false)
 //	state, effects := state.RunFinished(attemptID, outcome)
 //
 // A decision contains the attempt to pass on to admission, if there is one.
@@ -19,8 +19,12 @@
 // or the claim budget is spent, runs only on a target that has been present for Retention and has a higher home score than all
 // other targets present within that time. Other targets refuse it with the verdict MayHaveRun.
 //
+// A platform that comes back from an older copy of its data loses claims. The nodes that hold them write them again. For Retention after
+// it, an order that was claimed runs only where it would run without a claim.
+//
 // There is no guarantee for orders resent after Retention, for orders without a key, or if a partition hides from the home
-// node a target that has run the order without a claim.
+// node a target that has run the order without a claim, nor on a node that has started after the platform came back from a copy, for an
+// order whose claim was lost with the node that held it.
 package orders
 
 import (
@@ -47,6 +51,7 @@
 	// pools holds the histories of the pools that have targets on this host.
 	pools  fleet.Map[fleet.PoolName, poolHistory]
 	budget claimBudget
+	lost   lostClaims
 	// lastSweep is the time of the last scan for expired records.
 	lastSweep time.Time
 }
--- a/internal/core/orders/state_test.go
+++ b/internal/core/orders/state_test.go
@@ -38,7 +38,7 @@
 	is.Helper()
 	s, decision := New("n").AttemptArrived(start, order("a.1", "club"))
 	is.Equal(decision.Effects, []effect.Effect{effect.ClaimOrder{ClaimName: "club/k", Attempt: "a.1"}})
-	s, decision = s.ClaimFinished(start, "a.1", fleet.ClaimCreated)
+	s, decision = s.ClaimFinished(start, "a.1", fleet.ClaimCreated, false)
 	assertAdmitted(is, decision, "a.1")
 	return s
 }
@@ -72,7 +72,7 @@
 	t.Run("claimed by another node", func(t *testing.T) {
 		is := is.New(t)
 		s, _ := New("n").AttemptArrived(start, order("a.1", "club"))
-		_, decision := s.ClaimFinished(start, "a.1", fleet.ClaimExists)
+		_, decision := s.ClaimFinished(start, "a.1", fleet.ClaimExists, false)
 		assertRefused(is, decision, fleet.MayHaveRun)
 	})
 	t.Run("with another body", func(t *testing.T) {
@@ -114,7 +114,7 @@
 		s, _ := New("n").Tick(start, directory(before), local)
 		s, _ = s.Tick(now, directory(after), local)
 		s, _ = s.AttemptArrived(now, order("a.1", "club"))
-		return s.ClaimFinished(now, "a.1", fleet.ClaimFailed)
+		return s.ClaimFinished(now, "a.1", fleet.ClaimFailed, false)
 	}
 	alone := []fleet.TargetID{"n/t"}
 	withHigherScore := []fleet.TargetID{"n/t", targetScoringAbove("n/t")}
--- a/internal/edge/platform/claim.go
+++ b/internal/edge/platform/claim.go
@@ -36,7 +36,8 @@
 	c.start(0, failed, func(ctx context.Context) event.Body {
 		ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 		defer cancel()
-		return event.OrderClaimFinished{Attempt: e.Attempt, Result: c.claim(ctx, e)}
+		result, epoch := c.claim(ctx, e)
+		return event.OrderClaimFinished{Attempt: e.Attempt, Result: result, Epoch: epoch}
 	})
 }
 
@@ -58,33 +59,33 @@
 }
 
 // claim creates the claim object, or replaces one that this process created for an attempt that did not run. After a lost
-// response the object is read back before it is written again.
-func (c *Client) claim(ctx context.Context, e effect.ClaimOrder) fleet.ClaimResult {
+// response the object is read back before it is written again. The epoch is that of a created claim.
+func (c *Client) claim(ctx context.Context, e effect.ClaimOrder) (fleet.ClaimResult, fleet.Epoch) {
 	value, _ := json.Marshal(wireClaim{Order: e.ClaimName, Process: c.processID, Attempt: string(e.Attempt)})
 	var known Object
 	for range maxClaimTries {
-		_, err := c.store.Put(ctx, claimKey(e.ClaimName), value, IfUnchanged(known))
+		epoch, err := c.store.Put(ctx, claimKey(e.ClaimName), value, IfUnchanged(known))
 		if err == nil {
-			return fleet.ClaimCreated
+			return fleet.ClaimCreated, epoch
 		}
 		if !needsReadBack(err) {
-			return fleet.ClaimFailed
+			return fleet.ClaimFailed, 0
 		}
 		found, claim, readErr := c.readClaim(ctx, e.ClaimName)
 		switch {
 		case readErr != nil && errors.Is(err, ErrConflict):
 			// The object exists, but its owner cannot be read, so the order must not run.
-			return fleet.ClaimExists
+			return fleet.ClaimExists, 0
 		case readErr != nil:
-			return fleet.ClaimFailed
+			return fleet.ClaimFailed, 0
 		case found.Version != 0 && claim.Attempt == string(e.Attempt):
-			return fleet.ClaimCreated
+			return fleet.ClaimCreated, found.Epoch
 		case found.Version != 0 && claim.Process != c.processID:
-			return fleet.ClaimExists
+			return fleet.ClaimExists, 0
 		}
 		known = found
 	}
-	return fleet.ClaimFailed
+	return fleet.ClaimFailed, 0
 }
 
 // needsReadBack reports whether the object must be read to learn its value after a write failed with err.
