--- a/internal/edge/platform/objectapi.go
+++ b/internal/edge/platform/objectapi.go
@@ -199,12 +199,12 @@
 		return response{}, CallError{Call: call, OutcomeUnknown: write, Err: err}
 	}
 	return response{
-		status: res.StatusCode, statusText: res.Status, etag: res.Header.Get("ETag"), epoch: ParseEpoch(res.Header.Get(epochHeader)), body: body,
+		status: res.StatusCode, statusText: res.Status, etag: res.Header.Get("ETag"), epoch: parseEpoch(res.Header.Get(epochHeader)), body: body,
 	}, nil
 }
 
-// ParseEpoch returns the epoch in a header of a response; 0 if the header is missing or is not a number.
-func ParseEpoch(header string) fleet.Epoch {
+// parseEpoch returns the epoch in a header of a response; 0 if the header is missing or is not a number.
+func parseEpoch(header string) fleet.Epoch {
 	epoch, err := strconv.ParseUint(header, 10, 64)
 	if err != nil {
 		return 0
