core/node: a starting node asks a peer before it believes a restored platform

Callers of a node that restarts while the platform has come back from a copy would be served by an older revision than before, until the node hears a peer.

Cause: the first revision that a node reads comes into force at once, whoever else knows a newer one.

Change: in an epoch after the first one, a starting node holds the first revision from the platform back until a peer has been heard that has no newer one, the platform lists nobody to ask, or 0.7 s have passed. On a platform that has never come back from a copy, and on one that tells no epoch, nothing changes.

Evidence: TestFirstTablesAfterRestoration; before, revision 6 came into force at once in all its cases.

--- a/internal/core/fleet/epoch.go
+++ b/internal/core/fleet/epoch.go
@@ -5,6 +5,9 @@
 // tell.
 type Epoch uint64
 
+// FirstEpoch is the epoch of a platform that has never come back from a copy.
+const FirstEpoch Epoch = 1
+
 // Differs reports whether two epochs are known and not the same, so that versions of one say nothing about the other.
 func (e Epoch) Differs(other Epoch) bool { return e != 0 && other != 0 && e != other }
 
--- a/internal/core/membership/seed.go
+++ b/internal/core/membership/seed.go
@@ -52,6 +52,11 @@
 	return s
 }
 
+// KnowsOthers reports whether this node knows, or is listed with, a routable node other than itself.
+func (s State) KnowsOthers(listed []fleet.Member) bool {
+	return len(s.selectPeers(1, s.self)) > 0 || len(s.absentNodes(listed)) > 0
+}
+
 // discover calls the platform when a call is due, and contacts nodes that it listed.
 func (s State) discover(now time.Time, random uint64) (State, []effect.Effect) {
 	var effects []effect.Effect
--- a/internal/core/node/messages.go
+++ b/internal/core/node/messages.go
@@ -28,7 +28,9 @@
 	default:
 		s, more = s.withMembership(s.membership.MessageReceived(ev.At, envelope))
 	}
-	return s, append(effects, more...)
+	s.firstTables.asked = true
+	s, first := s.releaseFirstTables(ev)
+	return s, append(append(effects, more...), first...)
 }
 
 // syncReplyReceived also restores tombstones from records of this node's earlier processes, which peers send after a restart.
--- a/internal/core/node/platform.go
+++ b/internal/core/node/platform.go
@@ -3,6 +3,7 @@
 import (
 	"jayfold.dev/jayfold/internal/core/effect"
 	"jayfold.dev/jayfold/internal/core/event"
+	"jayfold.dev/jayfold/internal/core/fleet"
 	"jayfold.dev/jayfold/internal/core/tables"
 )
 
@@ -20,7 +21,11 @@
 	case event.MembersListed:
 		s, effects := s.restoreTombstones(ev, body.Members)
 		s.membership = new(s.membership.MembersListed(body.Members))
-		return s, effects
+		if !s.membership.KnowsOthers(body.Members) {
+			s.firstTables.asked = true
+		}
+		s, more := s.releaseFirstTables(ev)
+		return s, append(effects, more...)
 	case event.MemberRegistered:
 		if s.epoch.Current().Differs(body.Epoch) {
 			// The platform has lost the record since, and it is written again.
@@ -44,6 +49,10 @@
 
 // tablesDecoded brings a revision into force and passes it to the edges.
 func (s State) tablesDecoded(ev event.Event, body event.TablesDecoded) (State, []effect.Effect) {
+	if s.holdsFirstTables(body.Tables.Revision) {
+		s.firstTables = firstTables{held: fleet.Some(body), until: ev.At.Add(firstTablesWait)}
+		return s, nil
+	}
 	before, shouldNotify := s.Revision(), s.tables.ShouldNotifyPeers(body.Tables.Revision)
 	s, effects := s.withTables(s.tables.TablesDecoded(ev.At, body.Tables, body.Router, body.Content))
 	if s.Revision() != before {
--- a/internal/core/node/state.go
+++ b/internal/core/node/state.go
@@ -29,18 +29,19 @@
 // State is the state of one node. It is immutable, and so are the values behind its pointers. A step, which is one call of
 // Reduce, copies the state several times, so large components that rarely change are stored as pointers.
 type State struct {
-	splitter   routing.Splitter
-	attempts   attempt.State
-	admission  admission.State
-	detection  detection.State
-	health     health.State
-	ejection   ejection.State
-	membership *membership.State
-	orders     orders.State
-	quarantine quarantine.State
-	tables     *tables.State
-	epoch      epoch.State
-	shutdown   shutdown
+	splitter    routing.Splitter
+	attempts    attempt.State
+	admission   admission.State
+	detection   detection.State
+	health      health.State
+	ejection    ejection.State
+	membership  *membership.State
+	orders      orders.State
+	quarantine  quarantine.State
+	tables      *tables.State
+	epoch       epoch.State
+	firstTables firstTables
+	shutdown    shutdown
 	// pendingAcks holds the calls of leaving targets that have no reply yet.
 	pendingAcks []pendingAck
 }
--- a/internal/core/node/tick.go
+++ b/internal/core/node/tick.go
@@ -19,13 +19,14 @@
 	s, membership := s.withMembership(s.membership.Tick(ev.At, ev.Random))
 	s.orders, orders = s.orders.Tick(ev.At, s.membership.Directory(), s.membership.Self().Targets)
 	s, tables := s.withTables(s.tables.Tick(ev.At, ev.Random))
+	s, first := s.releaseFirstTables(ev)
 	if s.shutdown.shouldDrainTargets(ev.At) {
 		s, leaving = s.drainTargets(ev)
 	}
 	s, acks := s.completeAcks(ev.At)
 	s.shutdown, stop = s.shutdown.tick(ev.At, s.attempts.InFlight()+s.admission.InFlight())
 	effects := append(attempts, s.completeReports(ev.At, admission)...)
-	for _, more := range [][]effect.Effect{ejection, suspicions, membership, orders, tables, leaving, acks, stop} {
+	for _, more := range [][]effect.Effect{ejection, suspicions, membership, orders, tables, first, leaving, acks, stop} {
 		effects = append(effects, more...)
 	}
 	return s, effects
--- a/internal/core/tables/state.go
+++ b/internal/core/tables/state.go
@@ -77,6 +77,9 @@
 // Position returns the position of the last answer of the platform.
 func (s State) Position() fleet.Position { return s.watch.position }
 
+// IsFromPeer reports whether a revision that is being decoded was sent by a peer.
+func (s State) IsFromPeer(r fleet.Revision) bool { return s.peerRequest.decoding == r }
+
 // PlatformReachable reports whether no watch or fetch has failed since the last successful watch. It is false before the first
 // one.
 func (s State) PlatformReachable() bool { return s.platformReachable }
--- a/internal/edge/platform/head.go
+++ b/internal/edge/platform/head.go
@@ -28,8 +28,6 @@
 	// maxEarlier bounds the number of earlier changes in the head. A writer whose response was lost looks for its change id
 	// there, since another writer may have replaced the head in the meantime.
 	maxEarlier = 16
-	// firstEpoch is the epoch of a platform that has never come back from a copy, and of a head that names no epoch.
-	firstEpoch fleet.Epoch = 1
 	// epochGap is added to the revision of the first change in an epoch, so that no revision that the platform has lost is given out again for
 	// other content. A platform loses the writes of some seconds, of several hundred a second, and a change takes at least two.
 	epochGap = 1000
@@ -97,9 +95,9 @@
 	return 0, false
 }
 
-// nextRevision returns the revision of the next change, if it is made in an epoch.
+// nextRevision returns the revision of the next change, if it is made in an epoch. A head that names no epoch counts as of the first one.
 func (h wireHead) nextRevision(e fleet.Epoch) fleet.Revision {
-	if e.Differs(max(h.Epoch, firstEpoch)) {
+	if e.Differs(max(h.Epoch, fleet.FirstEpoch)) {
 		return h.Revision + 1 + epochGap
 	}
 	return h.Revision + 1
