--- a/internal/edge/platform/head.go
+++ b/internal/edge/platform/head.go
@@ -28,8 +28,9 @@
 	// maxEarlier bounds the number of earlier changes in the head. A writer whose response was lost looks for its change id
 	// there, since another writer may have replaced the head in the meantime.
 	maxEarlier = 16
-	// epochGap is added to the revision of the first change in an epoch, so that no revision that the platform has lost is given out again for
-	// other content. A platform loses the writes of some seconds, of several hundred a second, and a change takes at least two.
+	// epochGap is added to the revision of the first change in an epoch, for each epoch since that of the head, so that no revision that the
+	// platform has lost is given out again for other content. A platform loses the writes of some seconds, of several hundred a second,
+	// and a change takes at least two.
 	epochGap = 1000
 )
 
@@ -97,10 +98,15 @@
 
 // nextRevision returns the revision of the next change, if it is made in an epoch. A head that names no epoch counts as of the first one.
 func (h wireHead) nextRevision(e fleet.Epoch) fleet.Revision {
-	if e.Differs(max(h.Epoch, fleet.FirstEpoch)) {
-		return h.Revision + 1 + epochGap
+	next, written := h.Revision+1, max(h.Epoch, fleet.FirstEpoch)
+	switch {
+	case e > written:
+		return next + epochGap*fleet.Revision(e-written)
+	case e.Differs(written):
+		return next + epochGap
+	default:
+		return next
 	}
-	return h.Revision + 1
 }
 
 // next returns the head of a later revision that is written in an epoch, which may be unknown.
