lab/soak: the platform comes back from a copy

Cause: the soak didn't play a restoration of the platform.

Change: a run has restorations of the platform, up to 30 s apart: it responds with 503 for a time and comes back from a copy of 2 s before that, and the operator writes the tables again. They are drawn with random numbers of their own, so that each seed keeps its other faults.

--- a/internal/lab/soak/checker.go
+++ b/internal/lab/soak/checker.go
@@ -63,7 +63,7 @@
 }
 
 // affectsAllNodes holds the kinds of faults that affect how every node reads the tables.
-var affectsAllNodes = map[Kind]bool{Outage: true, SilentPlatform: true, SlowPlatform: true, LostResponses: true}
+var affectsAllNodes = map[Kind]bool{Outage: true, SilentPlatform: true, SlowPlatform: true, LostResponses: true, RestoredStore: true}
 
 // unrelatedToTables holds the kinds of faults that do not affect how a node reads the tables.
 var unrelatedToTables = map[Kind]bool{
--- a/internal/lab/soak/fault.go
+++ b/internal/lab/soak/fault.go
@@ -21,6 +21,9 @@
 // linkDelay is the delay of a delayed link. It exceeds the round-trip timeout of the nodes.
 const linkDelay = 250 * time.Millisecond
 
+// copyLead is the time between the copy from which the platform comes back and the start of its outage.
+const copyLead = 2 * time.Second
+
 // lostResponses is the number of writes whose responses the platform loses.
 const lostResponses = 3
 
@@ -93,7 +96,7 @@
 		n.platform.Silence()
 	case CutPlatform:
 		n.platform.Set(link.Condition{Cut: link.Both})
-	case Outage:
+	case Outage, RestoredStore:
 		s.setPlatformFaults(ctx, `{"Outage": true, "Delay": "0s"}`)
 	case SilentPlatform:
 		s.setPlatformFaults(ctx, `{"Silent": true, "Delay": "0s"}`)
@@ -128,6 +131,11 @@
 		n.platform.Set(link.Condition{})
 	case Outage, SilentPlatform, SlowPlatform, LostResponses:
 		s.setPlatformFaults(ctx, `{"Delay": "0s"}`)
+	case RestoredStore:
+		s.put(ctx, "http://"+s.platformAddress+"/admin/restore", fmt.Appendf(nil, `{"Age": "%s"}`, copyLead+step.Duration))
+		s.setPlatformFaults(ctx, `{"Delay": "0s"}`)
+		// The operator writes again what the platform may have lost.
+		_ = s.applyTables(ctx)
 	}
 }
 
@@ -147,15 +155,15 @@
 func (s *site) setTargetFaults(ctx context.Context, t *target, faults labtarget.Faults) {
 	body, err := json.Marshal(faults)
 	s.logError(err)
-	s.putFaults(ctx, "http://"+t.address+"/admin/faults", body)
+	s.put(ctx, "http://"+t.address+"/admin/faults", body)
 }
 
 // setPlatformFaults sets the faults of the platform to those in a JSON object.
 func (s *site) setPlatformFaults(ctx context.Context, faults string) {
-	s.putFaults(ctx, "http://"+s.platformAddress+"/admin/faults", []byte(faults))
+	s.put(ctx, "http://"+s.platformAddress+"/admin/faults", []byte(faults))
 }
 
-func (s *site) putFaults(ctx context.Context, url string, body []byte) {
+func (s *site) put(ctx context.Context, url string, body []byte) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodPut, url, bytes.NewReader(body))
 	if err != nil {
 		s.logError(err)
--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -13,25 +13,26 @@
 
 // The kinds of faults.
 const (
-	KillNode       Kind = "kill node"     // SIGKILL; restarted at the end
-	StopNode       Kind = "stop node"     // SIGTERM; restarted at the end
-	PauseNode      Kind = "pause node"    // SIGSTOP until the end
-	Reload         Kind = "reload"        // SIGHUP
-	KillTarget     Kind = "kill target"   // SIGKILL; restarted at the end
-	StopTarget     Kind = "stop target"   // SIGTERM; restarted at the end
-	PauseTarget    Kind = "pause target"  // SIGSTOP until the end
-	FailTarget     Kind = "fail target"   // most requests fail
-	SlowTarget     Kind = "slow target"   // requests take longer
-	DelayLink      Kind = "delay link"    // bytes on the links to a node are delayed
-	CutLink        Kind = "cut link"      // bytes of one direction are held back
-	ResetLink      Kind = "reset link"    // open connections to a node are reset
-	SilenceLink    Kind = "silence link"  // open connections to a node carry no more bytes
-	CutPlatform    Kind = "cut platform"  // a node cannot reach the platform
-	Outage         Kind = "outage"        // the platform responds with 503
-	SilentPlatform Kind = "silent store"  // the platform does not respond
-	SlowPlatform   Kind = "slow store"    // the platform responds late
-	LostResponses  Kind = "lost answers"  // writes to the platform take effect without a response
-	ChangeTables   Kind = "change tables" // another revision is published
+	KillNode       Kind = "kill node"      // SIGKILL; restarted at the end
+	StopNode       Kind = "stop node"      // SIGTERM; restarted at the end
+	PauseNode      Kind = "pause node"     // SIGSTOP until the end
+	Reload         Kind = "reload"         // SIGHUP
+	KillTarget     Kind = "kill target"    // SIGKILL; restarted at the end
+	StopTarget     Kind = "stop target"    // SIGTERM; restarted at the end
+	PauseTarget    Kind = "pause target"   // SIGSTOP until the end
+	FailTarget     Kind = "fail target"    // most requests fail
+	SlowTarget     Kind = "slow target"    // requests take longer
+	DelayLink      Kind = "delay link"     // bytes on the links to a node are delayed
+	CutLink        Kind = "cut link"       // bytes of one direction are held back
+	ResetLink      Kind = "reset link"     // open connections to a node are reset
+	SilenceLink    Kind = "silence link"   // open connections to a node carry no more bytes
+	CutPlatform    Kind = "cut platform"   // a node cannot reach the platform
+	Outage         Kind = "outage"         // the platform responds with 503
+	SilentPlatform Kind = "silent store"   // the platform does not respond
+	SlowPlatform   Kind = "slow store"     // the platform responds late
+	LostResponses  Kind = "lost answers"   // writes to the platform take effect without a response
+	RestoredStore  Kind = "restored store" // the platform responds with 503, and comes back from a copy of before
+	ChangeTables   Kind = "change tables"  // another revision is published
 )
 
 // weights are the relative frequencies of the kinds.
@@ -67,6 +68,8 @@
 	// the state of its previous incarnation in the fleet; after four seconds, the fleet has declared the node dead.
 	minFaultDuration = 500 * time.Millisecond
 	maxFaultDuration = 4 * time.Second
+	// maxRestorationGap bounds the time from the start of the run, or from the end of a restoration of the platform, to the next one.
+	maxRestorationGap = 30 * time.Second
 )
 
 // NewPlan draws the faults of a run from the seed and returns them in the order of their starts.
@@ -93,10 +96,27 @@
 			}
 		}
 	}
+	plan = append(plan, restorations(seed, duration)...)
 	slices.SortStableFunc(plan, func(a, b Step) int { return cmp.Compare(a.Start, b.Start) })
 	return plan
 }
 
+// restorations draws the restorations of the platform. They have random numbers of their own, so that a seed keeps its other faults.
+func restorations(seed uint64, duration time.Duration) []Step {
+	random := rand.New(rand.NewPCG(seed, ^seed))
+	var plan []Step
+	for at := time.Duration(0); ; {
+		step := Step{
+			Start: at + time.Duration(random.Int64N(int64(maxRestorationGap))), Kind: RestoredStore, Node: 1, Target: 1,
+			Duration: minFaultDuration + time.Duration(random.Int64N(int64(maxFaultDuration-minFaultDuration))),
+		}
+		if at = step.Start + step.Duration; at >= duration {
+			return plan
+		}
+		plan = append(plan, step)
+	}
+}
+
 // gracefulNode is the node that is only ever stopped gracefully, so that it must respond to every request that it has read.
 const gracefulNode = 1
 
--- a/internal/lab/soak/plan_test.go
+++ b/internal/lab/soak/plan_test.go
@@ -27,7 +27,7 @@
 				overlaps++
 			}
 		}
-		is.Equal(len(drawn), len(weights))
+		is.Equal(len(drawn), len(weights)+1) // and the restorations
 		is.True(overlaps > len(plan)/2)
 	})
 }
