core: the calls after a restoration stay within the rates of the platform

Cause: claims were written again from the moment on at which all nodes write their member records, so that a large fleet would exceed the several hundred writes a second of its platform.

Change: claims follow 2 s later.

--- a/internal/core/orders/restore.go
+++ b/internal/core/orders/restore.go
@@ -8,9 +8,14 @@
 	"jayfold.dev/jayfold/internal/core/fleet"
 )
 
-// rewriteDelayPerMember times the size of the fleet is the time between two claims that a node writes again, so that the fleet writes 200 a
-// second.
-const rewriteDelayPerMember = 5 * time.Millisecond
+const (
+	// rewriteLead is the time before the first claim is written again. The member records, of which 540 nodes write 360 a second, come
+	// first.
+	rewriteLead = 2 * time.Second
+	// rewriteDelayPerMember times the size of the fleet is the time between two claims that a node writes again, so that the fleet writes
+	// 200 a second.
+	rewriteDelayPerMember = 5 * time.Millisecond
+)
 
 // lostClaims holds the claims that the platform may have lost when it came back from a copy, and that are not written again yet.
 type lostClaims struct {
@@ -28,8 +33,11 @@
 // EpochChanged handles a new epoch of the platform's data in a fleet with the given number of members. It returns the number of claims that
 // will be written again, those of the orders that were sent last first.
 func (s State) EpochChanged(now time.Time, members int) (State, int) {
-	interval := rewriteDelayPerMember * time.Duration(members)
-	s.lost = lostClaims{next: now.Add(interval), interval: interval, distrustedUntil: now.Add(Retention)}
+	s.lost = lostClaims{
+		next:            now.Add(rewriteLead),
+		interval:        rewriteDelayPerMember * time.Duration(members),
+		distrustedUntil: now.Add(Retention),
+	}
 	for name, r := range s.records.All() {
 		if r.claimed {
 			s.lost.names = append(s.lost.names, name)
--- a/internal/core/orders/restore_test.go
+++ b/internal/core/orders/restore_test.go
@@ -29,7 +29,7 @@
 		s, count := stateWithRunningOrder(is).EpochChanged(start, 540)
 		is.Equal(count, 1)
 		s, effects := s.Tick(start.Add(time.Second), fleet.Directory{}, nil)
-		is.Equal(len(claims(effects)), 0) // a large fleet writes its claims one after the other
+		is.Equal(len(claims(effects)), 0) // the member records come first
 		return s.Tick(start.Add(3*time.Second), fleet.Directory{}, nil)
 	}
 	t.Run("once", func(t *testing.T) {
@@ -68,10 +68,13 @@
 		s := stateWithRunningOrder(is)
 		s, _ = s.AttemptArrived(start.Add(time.Second), order("b.1", "clinic"))
 		s, _ = s.ClaimFinished(start, "b.1", fleet.ClaimCreated, false)
-		s, _ = s.EpochChanged(start, 1)
-		s, first := s.Tick(start.Add(time.Second), fleet.Directory{}, nil)
-		_, second := s.Tick(start.Add(2*time.Second), fleet.Directory{}, nil)
-		is.Equal(append(claims(first), claims(second)...), []string{"clinic/k", "club/k"})
+		s, _ = s.EpochChanged(start, 540)
+		s, first := s.Tick(start.Add(2*time.Second), fleet.Directory{}, nil)
+		s, tooEarly := s.Tick(start.Add(4*time.Second), fleet.Directory{}, nil)
+		_, second := s.Tick(start.Add(5*time.Second), fleet.Directory{}, nil)
+		is.Equal(claims(first), []string{"clinic/k"})
+		is.Equal(len(claims(tooEarly)), 0) // a large fleet spreads its claims
+		is.Equal(claims(second), []string{"club/k"})
 	})
 }
 
