core/node: changes of the tables don't extend the wait of a starting node

Cause: each revision that a starting node read from a restored platform began the wait for a peer anew, so that a series of changes kept the node from serving.

Change: the wait counts from the first one.

Evidence: TestFirstTablesAfterRestoration, no peer answers while the tables change, failed before (no revision in force) and passes.

--- a/internal/core/node/first_tables.go
+++ b/internal/core/node/first_tables.go
@@ -22,6 +22,15 @@
 	asked bool
 }
 
+// withHeld returns the state with a revision that is held back. A newer one doesn't extend the wait.
+func (f firstTables) withHeld(now time.Time, body event.TablesDecoded) firstTables {
+	if f.until.IsZero() {
+		f.until = now.Add(firstTablesWait)
+	}
+	f.held = fleet.Some(body)
+	return f
+}
+
 // holdsFirstTables reports whether a revision from the platform must wait for the word of a peer.
 func (s State) holdsFirstTables(revision fleet.Revision) bool {
 	return s.Revision() == 0 && s.epoch.Current() > fleet.FirstEpoch && !s.firstTables.asked && !s.tables.IsFromPeer(revision)
--- a/internal/core/node/first_tables_test.go
+++ b/internal/core/node/first_tables_test.go
@@ -72,6 +72,15 @@
 		r.now = r.now.Add(200 * time.Millisecond)
 		assertFirstTables(is, r, r.reduce(event.Tick{}), 6, true)
 	})
+	t.Run("no peer answers while the tables change", func(t *testing.T) {
+		is := is.New(t)
+		r, _ := startedOn(2)
+		for range 2 {
+			r.now = r.now.Add(400 * time.Millisecond)
+			r.reduce(event.TablesDecoded{Tables: fleet.Tables{Revision: 8}})
+		}
+		assertFirstTables(is, r, r.reduce(event.Tick{}), 8, true)
+	})
 	for name, e := range map[string]fleet.Epoch{"a platform that never came back from a copy": 1, "an unknown epoch": 0} {
 		t.Run(name, func(t *testing.T) {
 			r, effects := startedOn(e)
--- a/internal/core/node/platform.go
+++ b/internal/core/node/platform.go
@@ -3,7 +3,6 @@
 import (
 	"jayfold.dev/jayfold/internal/core/effect"
 	"jayfold.dev/jayfold/internal/core/event"
-	"jayfold.dev/jayfold/internal/core/fleet"
 	"jayfold.dev/jayfold/internal/core/tables"
 )
 
@@ -50,7 +49,7 @@
 // tablesDecoded brings a revision into force and passes it to the edges.
 func (s State) tablesDecoded(ev event.Event, body event.TablesDecoded) (State, []effect.Effect) {
 	if s.holdsFirstTables(body.Tables.Revision) {
-		s.firstTables = firstTables{held: fleet.Some(body), until: ev.At.Add(firstTablesWait)}
+		s.firstTables = s.firstTables.withHeld(ev.At, body)
 		return s, nil
 	}
 	before, shouldNotify := s.Revision(), s.tables.ShouldNotifyPeers(body.Tables.Revision)
--- a/internal/edge/platform/epoch_test.go
+++ b/internal/edge/platform/epoch_test.go
@@ -217,7 +217,7 @@
 	first := apply("three", 1)
 	is.True(first > lost)
 	is.Equal(apply("four", first), first+1) // the only gap is that of the first change in an epoch
-	h.server.Restore(time.Since(copied)) // the change before was the first one in its epoch
+	h.server.Restore(time.Since(copied))    // the change before was the first one in its epoch
 	is.True(apply("five", 1) > first+1)
 	h.server.Restore(time.Hour)
 	is.True(apply("six", 0) > 1) // the first revision was lost too
