--- a/internal/core/orders/expiry.go
+++ b/internal/core/orders/expiry.go
@@ -10,8 +10,8 @@
 // sweepInterval is the interval between scans for expired records.
 const sweepInterval = 10 * time.Second
 
-// Tick updates the histories of the pools that have targets on this host, and writes a lost claim again. It drops the records of ended orders that have not
-// been sent for Retention and releases their claims.
+// Tick updates the histories of the pools that have targets on this host, and writes a lost claim again. It drops the records of ended
+// orders that have not been sent for Retention and releases their claims.
 func (s State) Tick(now time.Time, directory fleet.Directory, local []fleet.Target) (State, []effect.Effect) {
 	s = s.withDirectory(now, directory, local)
 	s, effects := s.rewriteClaim(now)
