core/tables: no watch uses a copy just after the platform has come back from one

Callers of most nodes could have missed a confirmed change all the same: a copy that lags may tell the new epoch with its response while its data, and the position that it gives, are of the epoch before.

Change: for 10 s after a change of the epoch, longer than a copy lags, all watches go to the platform's own data. That is one or two watches a node.

Evidence: the subtest of TestWatchAfterRestoration fails without it.

--- a/internal/core/tables/delay.go
+++ b/internal/core/tables/delay.go
@@ -24,6 +24,8 @@
 	// maxStaleWatchWait bounds the wait of a watch that may be stale. A node that replaces a watcher of its zone does so only
 	// when its current watch ends.
 	maxStaleWatchWait = 10 * time.Second
+	// copyLag is the time for which a copy that may lag can still have the data of an earlier epoch, whatever epoch it tells.
+	copyLag = 10 * time.Second
 	// initialRetryDelay and maxRetryDelay bound the delay after a failed call, which doubles with each failure. With a maximum
 	// of 10 s, 540 nodes make 54 to 108 calls per second during an outage, and a change made right after the outage is in force
 	// within 6 s: the first nodes read it at once and their peers request it from them. With 30 s it takes 6.5 s.
--- a/internal/core/tables/epoch_test.go
+++ b/internal/core/tables/epoch_test.go
@@ -71,6 +71,19 @@
 		_, effects = s.Tick(later.Add(2*time.Second), 0)
 		assertWatchFrom(t, effects, fleet.Position{Epoch: 2, Version: 24}, true)
 	})
+	t.Run("a copy that tells the new epoch with the data of the one before is not asked", func(t *testing.T) {
+		s := watchingAt(t, fleet.Position{Epoch: 1, Version: 40}).EpochChanged(later, 0, inEpoch(2))
+		for _, c := range []struct {
+			after      time.Duration
+			mayBeStale bool
+		}{{time.Second, false}, {9 * time.Second, false}, {10 * time.Second, true}} {
+			at := later.Add(c.after)
+			s, _ = s.HeadRead(at, 0, inEpoch(2), fleet.TablesHead{}, fleet.Position{Epoch: 2, Version: 23})
+			var effects []effect.Effect
+			s, effects = s.Tick(at, 0)
+			assertWatchFrom(t, effects, fleet.Position{Epoch: 2, Version: 23}, c.mayBeStale)
+		}
+	})
 	t.Run("an unknown epoch gives a position", func(t *testing.T) {
 		s := watchingAt(t, fleet.Position{Epoch: 2, Version: 23})
 		s, _ = s.HeadRead(later, 0, inEpoch(2), fleet.TablesHead{}, fleet.Position{Version: 25})
--- a/internal/core/tables/platform.go
+++ b/internal/core/tables/platform.go
@@ -94,7 +94,7 @@
 		due:        now.Add(rewatchDelay(random, f.Members)),
 		position:   position,
 		wait:       watchWait(random, f),
-		mayBeStale: !f.IsWatcher,
+		mayBeStale: !f.IsWatcher && !now.Before(s.noCopyUntil),
 	}
 	if position.Epoch.Differs(f.Epoch) {
 		// The answer is late, or the copy still is of an earlier epoch. Its position is of no use, and the copy would answer like that
@@ -136,6 +136,7 @@
 // platform no longer has the position of the running one. A revision that was read in an earlier epoch and is not in force may be lost.
 func (s State) EpochChanged(now time.Time, random uint64, f Fleet) State {
 	s.watch = watch{due: now.Add(rewatchDelay(random, f.Members)), wait: watchWait(random, f), failures: s.watch.failures}
+	s.noCopyUntil = now.Add(copyLag)
 	s.fetch = fetch{running: s.fetch.running}
 	s.newestRevision, s.newestSince = s.current.Revision, now
 	for _, h := range s.holders.All() {
