core, edge, platform, docs: the usual terms for a restored platform

Cause: texts said that the platform "comes back from a copy" and spoke of the "word" of a peer; the usual term is a restoration.

No behaviour changes.

--- a/internal/core/epoch/state.go
+++ b/internal/core/epoch/state.go
@@ -51,8 +51,8 @@
 	}
 }
 
-// PeerSeen handles the epoch in a message of another node and reports whether the current epoch has changed. A peer's word counts only
-// for an epoch that is new to this node, so that nodes don't take turns between two after the platform has gone back.
+// PeerSeen handles the epoch in a message of another node and reports whether the current epoch has changed. A peer's epoch counts only
+// if it is new to this node, so that nodes don't take turns between two after the platform has gone back.
 func (s State) PeerSeen(now time.Time, e fleet.Epoch) (State, bool) {
 	if e <= s.highest {
 		return s, false
--- a/internal/core/fleet/epoch.go
+++ b/internal/core/fleet/epoch.go
@@ -1,11 +1,11 @@
 package fleet
 
-// Epoch numbers the histories of the platform's data. It rises by one each time the platform comes back from an older copy of its
+// Epoch numbers the histories of the platform's data. It rises by one each time the platform is restored from an older copy of its
 // data, which loses the latest writes and gives their versions out again. 0 is an unknown epoch, that of a platform that doesn't
 // tell.
 type Epoch uint64
 
-// FirstEpoch is the epoch of a platform that has never come back from a copy.
+// FirstEpoch is the epoch of a platform that has never been restored.
 const FirstEpoch Epoch = 1
 
 // Differs reports whether two epochs are known and not the same, so that versions of one say nothing about the other.
--- a/internal/core/node/epoch.go
+++ b/internal/core/node/epoch.go
@@ -66,7 +66,7 @@
 	s.orders = next
 	s, notifying := s.withMembership(s.membership.EpochChanged(ev.At).NotifyZonePeers())
 	return s, append(notifying,
-		effect.WriteLog{Level: effect.Warn, Component: "platform", Message: "the platform came back from a copy", Fields: []effect.LogField{
+		effect.WriteLog{Level: effect.Warn, Component: "platform", Message: "the platform was restored from a copy", Fields: []effect.LogField{
 			{Name: "Epoch", Value: uint64(s.epoch.Current())},
 			{Name: "Before", Value: uint64(before)},
 			learned,
--- a/internal/core/node/epoch_calls_test.go
+++ b/internal/core/node/epoch_calls_test.go
@@ -32,7 +32,7 @@
 }
 
 // callsAfterRestoration returns the calls that members nodes make within 20 s after all of them have noticed at the same moment that the
-// platform came back from a copy. Each call is answered at once.
+// platform was restored from a copy. Each call is answered at once.
 func callsAfterRestoration(members int) platformCalls {
 	start := time.Unix(1_800_000_000, 0)
 	s := New(memberRecord("n000", 1), DefaultSettings())
@@ -77,7 +77,7 @@
 }
 
 // TestCallsAfterRestoration guards against a fleet that exceeds the rates of the platform when all nodes notice at the same moment that it
-// came back from a copy. The platform of the design size accepts 2,000 reads and 400 writes a second.
+// was restored from a copy. The platform of the design size accepts 2,000 reads and 400 writes a second.
 func TestCallsAfterRestoration(t *testing.T) {
 	for _, members := range []int{351, 540} {
 		t.Run(fmt.Sprint(members), func(t *testing.T) {
--- a/internal/core/node/epoch_record_test.go
+++ b/internal/core/node/epoch_record_test.go
@@ -68,7 +68,7 @@
 	})
 }
 
-// TestAckNeedsTheCurrentEpoch guards against an acknowledgement of a leaving target on the word of a platform that has lost the tombstone
+// TestAckNeedsTheCurrentEpoch guards against an acknowledgement of a leaving target for a platform that has lost the tombstone
 // since.
 func TestAckNeedsTheCurrentEpoch(t *testing.T) {
 	for name, late := range map[string]bool{"the write is answered late": true, "the write was answered before": false} {
--- a/internal/core/node/epoch_test.go
+++ b/internal/core/node/epoch_test.go
@@ -48,7 +48,7 @@
 	is.Equal(effectsOf[effect.AddToCounter](effects), []effect.AddToCounter{{Name: "platform_epochs", Delta: 1}})
 	lines := effectsOf[effect.WriteLog](effects)
 	is.Equal(len(lines), 1)
-	is.Equal(lines[0].Message, "the platform came back from a copy")
+	is.Equal(lines[0].Message, "the platform was restored from a copy")
 	is.Equal(lines[0].Fields[:4], []effect.LogField{
 		{Name: "Epoch", Value: uint64(2)}, {Name: "Before", Value: uint64(1)},
 		{Name: "Version", Value: uint64(23)}, {Name: "VersionBefore", Value: uint64(40)},
@@ -65,7 +65,7 @@
 }
 
 // TestEpochFromPeer guards against a node that goes on waiting for changes at a version of an earlier epoch, although another node
-// knows that the platform has come back from a copy.
+// knows that the platform has been restored from a copy.
 func TestEpochFromPeer(t *testing.T) {
 	for name, m := range map[string]message.Message{
 		"ping": message.Ping{Epoch: 2, Members: []fleet.Member{{Node: "n2", AvailabilityZone: "z1", PeerAddress: "10.0.0.2:7000", Incarnation: 1}}},
--- a/internal/core/node/first_tables.go
+++ b/internal/core/node/first_tables.go
@@ -12,7 +12,7 @@
 // members within half a second of its start, and a peer answers within milliseconds.
 const firstTablesWait = 700 * time.Millisecond
 
-// firstTables is the first revision that a starting node has read from a platform that has come back from a copy at some time. It may be
+// firstTables is the first revision that a starting node has read from a platform that has been restored from a copy at some time. It may be
 // older than the one that was in force here before, which peers know.
 type firstTables struct {
 	held fleet.Option[event.TablesDecoded]
@@ -31,7 +31,7 @@
 	return f
 }
 
-// holdsFirstTables reports whether a revision from the platform must wait for the word of a peer.
+// holdsFirstTables reports whether a revision from the platform must wait until a peer has been heard.
 func (s State) holdsFirstTables(revision fleet.Revision) bool {
 	return s.Revision() == 0 && s.epoch.Current() > fleet.FirstEpoch && !s.firstTables.asked && !s.tables.IsFromPeer(revision)
 }
--- a/internal/core/node/first_tables_test.go
+++ b/internal/core/node/first_tables_test.go
@@ -38,11 +38,11 @@
 	is.Equal(found, ready)
 }
 
-// TestFirstTablesAfterRestoration guards against a node that restarts while the platform has come back from a copy, and serves requests by
+// TestFirstTablesAfterRestoration guards against a node that restarts while the platform has been restored from a copy, and serves requests by
 // a revision that is older than the one that its peers have in force.
 func TestFirstTablesAfterRestoration(t *testing.T) {
 	others := []fleet.Member{memberRecord("n2", 1)}
-	t.Run("a peer knows better", func(t *testing.T) {
+	t.Run("a peer has a newer revision", func(t *testing.T) {
 		is := is.New(t)
 		r, effects := startedOn(2)
 		assertFirstTables(is, r, effects, 0, false)
@@ -81,7 +81,7 @@
 		}
 		assertFirstTables(is, r, r.reduce(event.Tick{}), 8, true)
 	})
-	for name, e := range map[string]fleet.Epoch{"a platform that never came back from a copy": 1, "an unknown epoch": 0} {
+	for name, e := range map[string]fleet.Epoch{"a platform that was never restored": 1, "an unknown epoch": 0} {
 		t.Run(name, func(t *testing.T) {
 			r, effects := startedOn(e)
 			assertFirstTables(is.New(t), r, effects, 6, true)
--- a/internal/core/orders/admission.go
+++ b/internal/core/orders/admission.go
@@ -57,7 +57,7 @@
 	return s.withRecord(name, r), admit(attempt)
 }
 
-// ClaimFinished continues with an order after the result of its claim. lost is true if the platform has come back from an older copy since the
+// ClaimFinished continues with an order after the result of its claim. lost is true if the platform has been restored from an older copy since the
 // result.
 func (s State) ClaimFinished(now time.Time, id fleet.AttemptID, result fleet.ClaimResult, lost bool) (State, Decision) {
 	name, ok := s.pendingClaims.Get(id)
@@ -69,7 +69,7 @@
 	r, _ := s.records.Get(name)
 	switch result {
 	case fleet.ClaimCreated:
-		if !s.provesNotRun(now, r.attempt) {
+		if !s.claimProvesFirstRun(now, r.attempt) {
 			s.records = s.records.Without(name)
 			refused := refuse(r.attempt, fleet.MayHaveRun, "the platform has lost claims, and another target may have run the order")
 			refused.Effects = append(refused.Effects, effect.ReleaseOrderClaim{ClaimName: name, Attempt: id})
--- a/internal/core/orders/restore.go
+++ b/internal/core/orders/restore.go
@@ -17,7 +17,7 @@
 	rewriteDelayPerMember = 5 * time.Millisecond
 )
 
-// lostClaims holds the claims that the platform may have lost when it came back from a copy, and that are not written again yet.
+// lostClaims holds the claims that the platform may have lost when it was restored from a copy, and that are not written again yet.
 type lostClaims struct {
 	// names holds the names of the claims, the one to be written next at the end.
 	names []string
@@ -87,8 +87,8 @@
 	return s, nil
 }
 
-// provesNotRun reports whether a claim that was created for an attempt proves that no other node has run the order.
-func (s State) provesNotRun(now time.Time, attempt fleet.Attempt) bool {
+// claimProvesFirstRun reports whether a claim that was created for an attempt proves that no other node has run the order.
+func (s State) claimProvesFirstRun(now time.Time, attempt fleet.Attempt) bool {
 	history, _ := s.pools.Get(attempt.Pool)
 	return !now.Before(s.lost.distrustedUntil) || history.isOnlyHome(now, attempt)
 }
--- a/internal/core/orders/restore_test.go
+++ b/internal/core/orders/restore_test.go
@@ -24,7 +24,7 @@
 // TestLostClaimIsWrittenAgain guards against an order that runs a second time on a new home target, since the platform has lost the claim of
 // the first run.
 func TestLostClaimIsWrittenAgain(t *testing.T) {
-	// restored returns a state with a claimed order, after the platform has come back from a copy, and the effects of the next tick.
+	// restored returns a state with a claimed order, after the platform has been restored from a copy, and the effects of the next tick.
 	restored := func(is *is.I) (State, []effect.Effect) {
 		s, count := stateWithRunningOrder(is).EpochChanged(start, 540)
 		is.Equal(count, 1)
@@ -78,7 +78,7 @@
 	})
 }
 
-// TestClaimAfterRestoration guards against an order that runs on the word of a claim, although the platform may have lost that of an earlier
+// TestClaimAfterRestoration guards against an order that runs because it could be claimed, although the platform may have lost that of an earlier
 // run, and against a restoration that stops all orders.
 func TestClaimAfterRestoration(t *testing.T) {
 	local := []fleet.Target{{ID: "n/t", Pool: "p"}}
--- a/internal/core/orders/state.go
+++ b/internal/core/orders/state.go
@@ -19,11 +19,11 @@
 // or the claim budget is spent, runs only on a target that has been present for Retention and has a higher home score than all
 // other targets present within that time. Other targets refuse it with the verdict MayHaveRun.
 //
-// A platform that comes back from an older copy of its data loses claims. The nodes that hold them write them again. For Retention after
+// A platform that is restored from an older copy of its data loses claims. The nodes that hold them write them again. For Retention after
 // it, an order that was claimed runs only where it would run without a claim.
 //
 // There is no guarantee for orders resent after Retention, for orders without a key, or if a partition hides from the home
-// node a target that has run the order without a claim, nor on a node that has started after the platform came back from a copy, for an
+// node a target that has run the order without a claim, nor on a node that has started after the platform was restored from a copy, for an
 // order whose claim was lost with the node that held it.
 package orders
 
--- a/internal/core/tables/delay.go
+++ b/internal/core/tables/delay.go
@@ -21,7 +21,7 @@
 	watchWaitPerMember = time.Second
 	minWatchWait       = 3 * time.Second
 	maxWatchWait       = 30 * time.Second
-	// waitAfterFailure is the wait of a watch after a failed one. The platform may have come back from a copy meanwhile, which only a
+	// waitAfterFailure is the wait of a watch after a failed one. The platform may have been restored from a copy meanwhile, which only a
 	// response shows.
 	waitAfterFailure = 100 * time.Millisecond
 	// maxStaleWatchWait bounds the wait of a watch that may be stale. A node that replaces a watcher of its zone does so only
--- a/internal/core/tables/epoch_test.go
+++ b/internal/core/tables/epoch_test.go
@@ -40,7 +40,7 @@
 	is.Equal(started[0].MayBeStale, mayBeStale)
 }
 
-// TestWatchAfterRestoration guards against a node that misses changes after the platform has come back from a copy, since it watches
+// TestWatchAfterRestoration guards against a node that misses changes after the platform has been restored from a copy, since it watches
 // from a version of another epoch or on a copy of one.
 func TestWatchAfterRestoration(t *testing.T) {
 	later := start.Add(2 * time.Second)
--- a/internal/core/tables/platform.go
+++ b/internal/core/tables/platform.go
@@ -146,7 +146,7 @@
 }
 
 // recoveryLog returns a log line if the platform was unreachable before. A version that is lower than before shows that the platform has
-// come back from a copy.
+// been restored from a copy.
 func (s State) recoveryLog(found fleet.Position) []effect.Effect {
 	if s.watch.failures == 0 {
 		return nil
--- a/internal/core/tables/propagation_test.go
+++ b/internal/core/tables/propagation_test.go
@@ -86,7 +86,7 @@
 	})
 
 	for name, outage := range map[string]time.Duration{
-		"a change made as the platform comes back from a copy":            1500 * time.Millisecond,
+		"a change made as the platform is restored from a copy":           1500 * time.Millisecond,
 		"a change after a restoration that the connections have outlived": 0,
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/core/tables/simulation_test.go
+++ b/internal/core/tables/simulation_test.go
@@ -207,7 +207,7 @@
 	return s.EpochChanged(sim.now, sim.random(), sim.fleet(i))
 }
 
-// restore takes versions back, as a platform does that comes back from a copy. The operator writes the newest revision and a further one,
+// restore takes versions back, as a platform does that is restored from a copy. The operator writes the newest revision and a further one,
 // and others write more than was taken back.
 func (sim *simulation) restore(versions uint64) {
 	sim.epoch++
--- a/internal/core/tables/state.go
+++ b/internal/core/tables/state.go
@@ -41,7 +41,7 @@
 	peerRequest peerRequest
 	// restoreDue is the time at which the revision in force is written to the platform again; zero if the platform has it.
 	restoreDue time.Time
-	// noCopyUntil is the time until which watches don't use the copy, after the platform has come back from an older one.
+	// noCopyUntil is the time until which watches don't use the copy, after the platform has been restored from an older one.
 	noCopyUntil time.Time
 	// nextPeerRequest is the earliest time of the next request to a peer.
 	nextPeerRequest time.Time
--- a/internal/edge/platform/epoch.go
+++ b/internal/edge/platform/epoch.go
@@ -22,7 +22,7 @@
 			c.postEpoch(event.EpochSeen{
 				Epoch: max(found.Epoch, epochOf(err)), Version: found.Version, MayBeStale: options.MayBeStale,
 			})
-			return found.continued(from), err
+			return found.resultFrom(from), err
 		},
 		List: func(ctx context.Context, prefix string) (List, error) {
 			listed, err := s.List(ctx, prefix)
@@ -42,10 +42,10 @@
 	}
 }
 
-// continued returns the result of a watch from a position. A result of another epoch doesn't continue the position: changes between the two
+// resultFrom returns the result of a watch from a position. A result of another epoch doesn't continue the position: changes between the two
 // are missing from it. It becomes one without a version, after which the object must be read. A result without an epoch is taken for one
 // of the same epoch.
-func (o Object) continued(from fleet.Position) Object {
+func (o Object) resultFrom(from fleet.Position) Object {
 	if o.Epoch.Differs(from.Epoch) {
 		return Object{Key: o.Key, Epoch: o.Epoch}
 	}
--- a/internal/edge/platform/epoch_test.go
+++ b/internal/edge/platform/epoch_test.go
@@ -29,7 +29,7 @@
 	}
 }
 
-// TestEpochIsReported guards against a node that doesn't notice that the platform has come back from a copy: a new epoch is reported
+// TestEpochIsReported guards against a node that doesn't notice that the platform has been restored from a copy: a new epoch is reported
 // once, whatever call shows it first, and before the result of the call.
 func TestEpochIsReported(t *testing.T) {
 	for name, call := range map[string]func(harness){
@@ -58,7 +58,7 @@
 	}
 }
 
-// TestUnknownEpoch guards against calls that fail because the platform tells no epoch, as an older one does, or one that isn't a
+// TestUnknownEpoch guards against calls that fail because the platform reports no epoch, as an older one does, or one that isn't a
 // number.
 func TestUnknownEpoch(t *testing.T) {
 	for name, header := range map[string]string{"missing": "", "no number": "new", "too large": "99999999999999999999999"} {
@@ -125,7 +125,7 @@
 	is.True(found)
 }
 
-// TestConditionOfAnotherEpoch guards against a conditional write that takes effect although the platform has come back from a copy and
+// TestConditionOfAnotherEpoch guards against a conditional write that takes effect although the platform has been restored from a copy and
 // given the version out again, for other content.
 func TestConditionOfAnotherEpoch(t *testing.T) {
 	setUp := func(t *testing.T) (harness, platform.Store, platform.Object) {
@@ -169,7 +169,7 @@
 		is.NoErr(err)
 		_, err = h.client.ApplyTables(ctx, tablesWithPool("two"), 1, "c2")
 		is.NoErr(err)
-		// The writer has read the head when the platform comes back from a copy without its revision.
+		// The writer has read the head when the platform is restored from a copy without its revision.
 		h.server.Restore(time.Hour)
 		_, err = h.client.ApplyTables(ctx, tablesWithPool("three"), 2, "c3")
 		var conflict platform.RevisionConflict
--- a/internal/edge/platform/objectapi.go
+++ b/internal/edge/platform/objectapi.go
@@ -24,7 +24,7 @@
 )
 
 const (
-	// epochHeader is the header of a response with the epoch of the platform's data. A platform that doesn't send it tells no epoch.
+	// epochHeader is the header of a response with the epoch of the platform's data. A platform that doesn't send it reports no epoch.
 	epochHeader = "Epoch"
 	// conditionEpochHeader is the header of a request whose condition holds only in the given epoch.
 	conditionEpochHeader = "If-Epoch"
--- a/internal/edge/platform/tables.go
+++ b/internal/edge/platform/tables.go
@@ -30,7 +30,7 @@
 // Error implements error.
 func (c RevisionConflict) Error() string {
 	if c.Found < c.Expected {
-		return fmt.Sprintf("revision %d, for which the change was made, is not on the platform, which has come back from a copy with "+
+		return fmt.Sprintf("revision %d, for which the change was made, is not on the platform, which has been restored from a copy with "+
 			"revision %d", c.Expected, c.Found)
 	}
 	return fmt.Sprintf("another change was applied first: revision %d is on the platform, and the change was made "+
@@ -52,7 +52,7 @@
 // Unwrap returns the cause.
 func (c CorruptTables) Unwrap() error { return c.Err }
 
-var errRestored = errors.New("the platform came back from an older copy during the change")
+var errRestored = errors.New("the platform was restored from an older copy during the change")
 
 var errChunkMissing = errors.New("the chunk does not exist")
 
@@ -79,7 +79,7 @@
 
 // ApplyTables writes tables as the revision after expected and returns the new revision. The change id must be unique. If
 // another change was applied first the error is RevisionConflict, and the head is unchanged. A head that does not decode is
-// replaced. If the platform comes back from a copy during the change, which may then lack its chunks, the change is made again.
+// replaced. If the platform is restored from a copy during the change, which may then lack its chunks, the change is made again.
 func (c *Client) ApplyTables(
 	ctx context.Context, tables fleet.Tables, expected fleet.Revision, changeID string,
 ) (fleet.Revision, error) {
@@ -137,7 +137,7 @@
 
 // writeHead replaces the head that was read, which has the expected revision. After a conflict or an unknown outcome it reads the head back and
 // writes again only if the head is still the same. The condition on the version keeps a write from taking effect twice. The error is
-// errRestored if the platform has come back from a copy meanwhile.
+// errRestored if the platform has been restored from a copy meanwhile.
 func (c *Client) writeHead(
 	ctx context.Context, head wireHead, read Object, expected fleet.Revision,
 ) (fleet.Revision, error) {
--- a/internal/lab/soak/fault.go
+++ b/internal/lab/soak/fault.go
@@ -21,7 +21,7 @@
 // linkDelay is the delay of a delayed link. It exceeds the round-trip timeout of the nodes.
 const linkDelay = 250 * time.Millisecond
 
-// copyLead is the time between the copy from which the platform comes back and the start of its outage.
+// copyLead is the time between the copy from which the platform is restored and the start of its outage.
 const copyLead = 2 * time.Second
 
 // lostResponses is the number of writes whose responses the platform loses.
--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -31,7 +31,7 @@
 	SilentPlatform Kind = "silent store"   // the platform does not respond
 	SlowPlatform   Kind = "slow store"     // the platform responds late
 	LostResponses  Kind = "lost answers"   // writes to the platform take effect without a response
-	RestoredStore  Kind = "restored store" // the platform responds with 503, and comes back from a copy of before
+	RestoredStore  Kind = "restored store" // the platform responds with 503, and is restored from a copy of before
 	ChangeTables   Kind = "change tables"  // another revision is published
 )
 
