--- a/x
+++ /dev/null
@@ -1,1 +0,0 @@
-/root/.pyenv/libexec/pyenv-hooks: line 24: enable: cannot open shared object /root/.pyenv/libexec/pyenv-realpath.dylib: /root/.pyenv/libexec/pyenv-realpath.dylib: cannot open shared object file: No such file or directory
