--- a/internal/core/fleet/problem.go
+++ b/internal/core/fleet/problem.go
@@ -13,6 +13,8 @@
 	BadRequest       Cause = "BadRequest"     // the request is malformed
 	TooLarge         Cause = "TooLarge"       // the body or the headers exceed their size limit
 	NoRoute          Cause = "NoRoute"        // no route matches
+	Unauthorized     Cause = "Unauthorized"   // the request has no API key of a client account
+	OverCap          Cause = "OverCap"        // the client account has used up its rate and burst
 	NoTables         Cause = "NoTables"       // the node has no tables yet
 	NoTarget         Cause = "NoTarget"       // the pool has no target in service
 	Overloaded       Cause = "Overloaded"     // no slot is free and the request is not queued
--- a/internal/core/fleet/request.go
+++ b/internal/core/fleet/request.go
@@ -10,6 +10,9 @@
 	// Path is the canonical path (CanonicalPath), in which routes are matched. The target receives the path as the caller sent it.
 	Path   string
 	Caller Caller
+	// Credential is the API key that the request carries. Account is the account that holds it; the reducer sets it.
+	Credential Credential
+	Account    AccountName
 	// Idempotent is the value of the caller's header; absent if the caller sent none.
 	Idempotent Option[bool]
 	Key        IdempotencyKey
@@ -55,6 +58,8 @@
 	// unless the target is faulty, the attempt is not idempotent and no trial request is due.
 	Forced bool
 	Caller Caller
+	// Account is the client account of the request; empty if the tables have none, for public routes and for child requests.
+	Account AccountName
 	// Deadline is in the local time of the node that holds this value. Nodes send each other the remaining time instead.
 	Deadline time.Time
 	// Goal is the latest local time at which the response is of full use; zero means the deadline.
--- a/internal/core/fleet/tables.go
+++ b/internal/core/fleet/tables.go
@@ -29,6 +29,8 @@
 	Attempts int
 	// Priority orders the requests in the queue of a full target, before their class does; 0 is served first.
 	Priority int
+	// Public is true if requests need no API key although the tables have client accounts.
+	Public bool
 }
 
 // WeightedPool is a pool that receives a weighted share of a route's requests.
@@ -76,6 +78,8 @@
 	// Routes keeps the order of the routes table.
 	Routes []Route
 	Pools  Map[PoolName, Pool]
+	// Accounts holds the client accounts. If there are none, requests need no API key.
+	Accounts Map[AccountName, Account]
 	// Limits restricts what callers may send. A zero field leaves the node's setting in force.
 	Limits Limits
 	// Unread has a text for each entry or word of the revision that this node cannot read, such as a field with a value of another
