--- a/internal/edge/peer/forward_header.go
+++ b/internal/edge/peer/forward_header.go
@@ -21,6 +21,7 @@
 	headerAttempt = "Jayfold-Attempt" // id, budget (time to the deadline), goal, baseline and fingerprint
 	headerTarget  = "Jayfold-Target"  // target, pool, pool size, sender, class, idempotent, priority and revision
 	headerCaller  = "Jayfold-Caller"  // client account
+	headerAccount = "Jayfold-Account" // authenticated client account
 	headerKey     = "Jayfold-Key"     // idempotency key
 	headerMode    = "Jayfold-Mode"    // mode words, separated by spaces
 	headerVerify  = "Jayfold-Verify"  // sender; the request only verifies that the peer responds
@@ -78,6 +79,9 @@
 	if a.Caller != "" {
 		h.Set(headerCaller, string(a.Caller))
 	}
+	if a.Account != "" {
+		h.Set(headerAccount, string(a.Account))
+	}
 	if a.Key != "" {
 		h.Set(headerKey, string(a.Key))
 	}
@@ -134,6 +138,7 @@
 			BudgetCharged: slices.Contains(mode, modeBudgetCharged),
 			Forced:        slices.Contains(mode, modeForced),
 			Caller:        fleet.Caller(d.optionalValue(headerCaller)),
+			Account:       fleet.AccountName(d.optionalValue(headerAccount)),
 			Key:           fleet.IdempotencyKey(d.optionalValue(headerKey)),
 		},
 		Revision: fleet.Revision(d.number(targetFields[7], 10)),
