core/attempt, core/membership, core/node: fewer bytes cross zones where ZoneTraffic is Metered

Change: an ingress has a credit per pool for refusals by other zones; the copies of records that leave a zone no longer grow with its size; crash suspicions mostly stay in the zone.

--- a/internal/core/attempt/finish.go
+++ b/internal/core/attempt/finish.go
@@ -27,6 +27,9 @@
 		return s, nil
 	}
 	s.attempts = s.attempts.decremented(a.target)
+	if !a.ownZone {
+		s = s.withCrossZoneOutcome(ctx.Now, req.template.Pool, outcome.Verdict())
+	}
 	problem, failed := outcome.Problem.Get()
 	if !failed {
 		req = req.withoutAttempt(id).withStep(ctx.Now, a, problem, 0)
--- a/internal/core/attempt/picker.go
+++ b/internal/core/attempt/picker.go
@@ -65,6 +65,9 @@
 	if ownZone {
 		return p.ownZone
 	}
+	if !p.mayCrossZones() {
+		return buffer
+	}
 	for i := range p.candidates {
 		if p.candidates[i].AvailabilityZone != p.state.zone {
 			buffer = append(buffer, int32(i))
--- a/internal/core/attempt/placement.go
+++ b/internal/core/attempt/placement.go
@@ -178,6 +178,9 @@
 // queueTarget returns the target with the shortest queue among those of the own zone, or of the others, that refused a
 // probe because they were full; -1 if the wait there would end after latest.
 func (p *picker) queueTarget(ownZone bool, latest time.Time) int {
+	if !ownZone && !p.mayCrossZones() {
+		return -1
+	}
 	best, shortest := -1, time.Duration(0)
 	for _, r := range p.request.refusals {
 		if r.cause != fleet.Overloaded || r.mode != probing || r.ownZone != ownZone {
@@ -205,7 +208,11 @@
 	onlyShedding := full && !p.request.template.Idempotent
 	best := -1
 	var lowest float64
+	mayCross := p.mayCrossZones()
 	for i := range p.candidates {
+		if !mayCross && p.candidates[i].AvailabilityZone != p.state.zone {
+			continue
+		}
 		v := p.targetView(i)
 		if p.request.hasTried(p.candidates[i].Target.ID) || p.request.finallyRefusedBy(p.candidates[i].Target.ID) {
 			continue
--- a/internal/core/attempt/state.go
+++ b/internal/core/attempt/state.go
@@ -36,6 +36,8 @@
 	drainDeadline time.Time
 	// pruneCursor is the pool to prune next.
 	pruneCursor fleet.PoolName
+	// meteredZones is true if bytes between availability zones are expensive, so that requests cross zones only while that pays.
+	meteredZones bool
 }
 
 // withPool returns the state with the view of a pool replaced.
--- a/internal/core/fleet/settings.go
+++ b/internal/core/fleet/settings.go
@@ -12,6 +12,8 @@
 	StopGrace time.Duration
 	// LogLevel is the lowest level that is logged: debug, info, warn or error.
 	LogLevel string
+	// MeteredZones is true if bytes between availability zones are expensive.
+	MeteredZones bool
 	// Limits apply where the tables set none.
 	Limits Limits
 }
--- a/internal/core/membership/gossip.go
+++ b/internal/core/membership/gossip.go
@@ -92,7 +92,7 @@
 	if known && peer.AvailabilityZone != s.Self().AvailabilityZone {
 		queue = &s.crossZoneGossip
 		if len(s.ownZone.ids) > 0 {
-			limit = crossZoneSends
+			limit = s.crossZoneShare(crossZoneSends)
 		}
 	}
 	var records []fleet.Member
--- a/internal/core/membership/probe.go
+++ b/internal/core/membership/probe.go
@@ -97,7 +97,7 @@
 	if s.probeCount != firstCrossZoneProbe {
 		return s, []effect.Effect{ping}
 	}
-	s, pings := s.pingAll(s.crossZonePeers(firstCrossZonePeers))
+	s, pings := s.pingAll(s.crossZonePeers(s.crossZoneShare(firstCrossZonePeers)))
 	return s, append(pings, ping)
 }
 
--- a/internal/core/membership/state.go
+++ b/internal/core/membership/state.go
@@ -61,6 +61,8 @@
 	lastTick    time.Time
 	reconnect   reconnect
 	staleLogged time.Time
+	// meteredZones is true if bytes between availability zones are expensive.
+	meteredZones bool
 }
 
 // New returns the state of a node that knows only its own record.
--- a/internal/core/node/settings.go
+++ b/internal/core/node/settings.go
@@ -30,6 +30,7 @@
 func (s State) settingsReloaded(body event.SettingsReloaded) (State, []effect.Effect) {
 	s.admission = s.admission.WithSettings(body.Settings)
 	s.shutdown = s.shutdown.withGrace(body.Settings.StopGrace)
+	s = s.withMeteredZones(body.Settings.MeteredZones)
 	line := effect.WriteLog{Level: effect.Info, Component: "settings", Message: "taken in", Fields: []effect.LogField{
 		{Name: "Cause", Value: body.Cause},
 		{Name: "Changed", Value: strings.Join(body.Changed, " ")},
@@ -50,3 +51,11 @@
 		},
 	}}
 }
+
+// withMeteredZones returns the state with the components told whether bytes between availability zones are expensive.
+func (s State) withMeteredZones(metered bool) State {
+	s.meteredZones = metered
+	s.attempts = s.attempts.WithMeteredZones(metered)
+	s.membership = new(s.membership.WithMeteredZones(metered))
+	return s
+}
--- a/internal/core/node/state.go
+++ b/internal/core/node/state.go
@@ -42,6 +42,8 @@
 	epoch       epoch.State
 	firstTables firstTables
 	shutdown    shutdown
+	// meteredZones is true if bytes between availability zones are expensive.
+	meteredZones bool
 	// pendingAcks holds the calls of leaving targets that have no reply yet.
 	pendingAcks []pendingAck
 }
@@ -49,16 +51,18 @@
 // New returns the initial state of a node with the given member record.
 func New(self fleet.Member, settings fleet.Settings) State {
 	return State{
-		attempts:   attempt.New(self.AvailabilityZone),
+		attempts:   attempt.New(self.AvailabilityZone).WithMeteredZones(settings.MeteredZones),
 		admission:  admission.New(self.Node, settings),
 		detection:  detection.New(),
 		ejection:   ejection.New(self.Node),
-		membership: new(membership.New(self)),
+		membership: new(membership.New(self).WithMeteredZones(settings.MeteredZones)),
 		orders:     orders.New(self.Node),
 		quarantine: quarantine.New(),
 		tables:     new(tables.New()),
 		epoch:      epoch.New(),
 		shutdown:   shutdown{grace: settings.StopGrace},
+
+		meteredZones: settings.MeteredZones,
 	}
 }
 
--- a/internal/process/settings/diff.go
+++ b/internal/process/settings/diff.go
@@ -12,6 +12,7 @@
 	{"Retries", true, func(a, b Settings) bool { return a.Retries == b.Retries }},
 	{"Heartbeat", true, func(a, b Settings) bool { return a.Heartbeat == b.Heartbeat }},
 	{"StopGrace", true, func(a, b Settings) bool { return a.StopGrace == b.StopGrace }},
+	{"ZoneTraffic", true, func(a, b Settings) bool { return a.ZoneTraffic == b.ZoneTraffic }},
 	{"LogLevel", true, func(a, b Settings) bool { return a.LogLevel == b.LogLevel }},
 	{"Limits.MaxBodyBytes", true, func(a, b Settings) bool { return a.Limits.MaxBodyBytes == b.Limits.MaxBodyBytes }},
 	{"Limits.MaxHeaderBytes", true, func(a, b Settings) bool { return a.Limits.MaxHeaderBytes == b.Limits.MaxHeaderBytes }},
--- a/internal/process/settings/parser.go
+++ b/internal/process/settings/parser.go
@@ -71,6 +71,7 @@
 		configfile.Optional("Retries", configfile.Object(retryFields(&s.Retries)...)),
 		configfile.Optional("Heartbeat", configfile.Duration(&s.Heartbeat, minTimeout, maxHeartbeat)),
 		configfile.Optional("StopGrace", configfile.Duration(&s.StopGrace, minTimeout, MaxStopGrace)),
+		configfile.Optional("ZoneTraffic", configfile.OneOf(&s.ZoneTraffic, ZoneTrafficFree, ZoneTrafficMetered)),
 		configfile.Optional("LogLevel", configfile.OneOf(&s.LogLevel, "debug", "info", "warn", "error")),
 		configfile.Optional("Limits", configfile.Object(limitFields(&s.Limits)...)),
 	}
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -58,11 +58,19 @@
 	Heartbeat time.Duration
 	// StopGrace is the time from SIGTERM until the process is terminated forcibly.
 	StopGrace time.Duration
+	// ZoneTraffic is ZoneTrafficMetered if bytes between availability zones are expensive, and ZoneTrafficFree otherwise.
+	ZoneTraffic string
 	// LogLevel is the lowest level of log lines that are written: debug, info, warn or error.
 	LogLevel string
 	Limits   Limits
 }
 
+// The values of Settings.ZoneTraffic.
+const (
+	ZoneTrafficFree    = "Free"
+	ZoneTrafficMetered = "Metered"
+)
+
 // Listen are the addresses on which the node listens.
 type Listen struct {
 	// Callers receives requests from callers.
@@ -102,9 +110,11 @@
 // defaults returns the settings with the default values of optional fields.
 func defaults() Settings {
 	return Settings{
-		LogLevel:  "info",
-		Retries:   node.DefaultSettings().RetryBudget,
-		Heartbeat: node.DefaultSettings().HeartbeatInterval,
+		LogLevel: "info",
+		// By default requests cross zones whenever that may help them.
+		ZoneTraffic: ZoneTrafficFree,
+		Retries:     node.DefaultSettings().RetryBudget,
+		Heartbeat:   node.DefaultSettings().HeartbeatInterval,
 		// Covers the longest deadline of a route and the time until callers notice that the node is leaving.
 		StopGrace: node.DefaultSettings().StopGrace,
 		Limits: Limits{
@@ -148,6 +158,7 @@
 		RetryBudget:       s.Retries,
 		HeartbeatInterval: s.Heartbeat,
 		StopGrace:         s.StopGrace,
+		MeteredZones:      s.ZoneTraffic == ZoneTrafficMetered,
 		LogLevel:          s.LogLevel,
 		Limits: fleet.Limits{
 			HeaderBytes:   s.Limits.MaxHeaderBytes,
--- a/internal/process/settings/settings_test.go
+++ b/internal/process/settings/settings_test.go
@@ -57,7 +57,7 @@
 			`s:1:48: Host: want the IP address of this host, such as 10.0.1.11`,
 			`s:1:69: Listen: is an array; want an object with Callers, Targets, Peers, Forward, Operators, Ready`,
 			`s:1:73: Nod: unknown field; want Node, AvailabilityZone, Host, Listen, Advertise, Platform, DefaultCaller, `+
-				`Retries, Heartbeat, StopGrace, LogLevel, Limits`,
+				`Retries, Heartbeat, StopGrace, ZoneTraffic, LogLevel, Limits`,
 			`s:2:15: LogLevel: "loud" is not allowed; want debug or info or warn or error`,
 			`s:2:50: Limits.MaxBodyBytes: 1.5 is not allowed; want a whole number from 1024 to 67108864`,
 			`s:2:70: Limits.BodyTimeout: "1h" is not allowed; want a duration from "100ms" to "10m0s", such as "1.5s" or "24h"`,
