accounts: requests on routes that are not public need the API key of a client account

Cause: section 1 of docs/design/hard-load.md. Nothing authenticated callers, and targets could not tell for whom a request runs.

Change: the tables hold accounts (a section of the routes file; a list of the users' platform's configuration) and public routes. internal/core/accounts finds the account of a key in an index that is built once a revision, and decides about each request in the reducer of the ingress. The effect that forwards an attempt says whether the headers about accounts are removed, so that this follows the tables of the decision. Targets get the account's name. A request that waits when its key is revoked gets 401 if it has not run. Priorities combine as account*256+route. An account, field or key that cannot be read costs only itself; tables in which no account can be read accept nobody.

Decided: a request on a public route is as urgent as the least urgent account; a header without a value is no key; a list of accounts that is no list rejects the revision like a list of routes that is none. An order's saved response is not replayed to another account.

--- a/internal/core/admission/child.go
+++ b/internal/core/admission/child.go
@@ -11,6 +11,9 @@
 // parentDraws is the number of equally likely random values that decide about a request whose parent is unknown.
 const parentDraws = 1 << 16
 
+// maxRecentAttempts is the number of attempts of a request that are looked up: 4 targets and 12 refusals, the defaults of the ingress.
+const maxRecentAttempts = 16
+
 // ChildRequest describes a request that a target on this host may have made while it was serving another one.
 type ChildRequest struct {
 	// Parent is the request named as the parent; empty if the request names none.
@@ -37,6 +40,23 @@
 // HasRunOf reports whether an attempt of the request runs on this host.
 func (s State) HasRunOf(id fleet.RequestID) bool { return len(s.runsOf(id)) > 0 }
 
+// HasRecentlyRun reports whether an attempt of the request runs on this host or has started here within seenRetention. The ids of
+// attempts are remembered anyway; only the first maxRecentAttempts of a request are looked up.
+func (s State) HasRecentlyRun(id fleet.RequestID) bool {
+	if id == "" {
+		return false
+	}
+	if s.HasRunOf(id) {
+		return true
+	}
+	for n := 1; n <= maxRecentAttempts; n++ {
+		if started, _ := s.seen.get(fleet.NewAttemptID(id, n)); started {
+			return true
+		}
+	}
+	return false
+}
+
 // ChildRequestSeen records that a child request of a request running on this host has arrived.
 func (s State) ChildRequestSeen(now time.Time, parent fleet.RequestID) State {
 	return s.withRunsOf(parent, func(run Run) Run {
--- a/internal/core/attempt/defer.go
+++ b/internal/core/attempt/defer.go
@@ -47,6 +47,9 @@
 // resumeDeferred picks a target for a deferred request again.
 func (s State) resumeDeferred(ctx Context, req activeRequest) (State, []effect.Effect) {
 	req.deferred = false
+	if ctx.revoked(req) {
+		return s.refuseRevoked(ctx, req)
+	}
 	if next, effects, ok := s.startOrDefer(ctx, req); ok {
 		return next, effects
 	}
--- a/internal/core/attempt/finish.go
+++ b/internal/core/attempt/finish.go
@@ -83,6 +83,9 @@
 		return s.continueWithOther(ctx, req)
 	}
 	if req.mayRetry(ctx.Now) {
+		if ctx.revoked(req) {
+			return s.refuseRevoked(ctx, req)
+		}
 		if next, effects, ok := s.startAnother(ctx, req); ok {
 			return next, effects
 		}
@@ -104,12 +107,12 @@
 }
 
 // startAnother starts another attempt. It returns false if the request may crash too many targets, if its fingerprint is
-// quarantined, or if no target is left to try.
+// quarantined, if its API key was revoked, or if no target is left to try.
 func (s State) startAnother(ctx Context, req activeRequest) (State, []effect.Effect, bool) {
 	if req.mayExceedCrashes() {
 		return s, nil, false
 	}
-	if ctx.quarantined(req) {
+	if ctx.quarantined(req) || ctx.revoked(req) {
 		return s, nil, false
 	}
 	return s.startOrDefer(ctx, req)
--- a/internal/core/attempt/request.go
+++ b/internal/core/attempt/request.go
@@ -32,6 +32,9 @@
 	// template holds what all attempts of the request have in common.
 	template fleet.Attempt
 	received time.Time
+	// credential is the API key of the request, and keysChecked is true if the tables under which it arrived require keys.
+	credential  fleet.Credential
+	keysChecked bool
 	// maxTargets bounds the targets that may run the request.
 	maxTargets int
 	// attemptCount is the number of attempts started so far.
--- a/internal/core/attempt/state.go
+++ b/internal/core/attempt/state.go
@@ -17,6 +17,7 @@
 	"cmp"
 	"time"
 
+	"jayfold.dev/jayfold/internal/core/accounts"
 	"jayfold.dev/jayfold/internal/core/effect"
 	"jayfold.dev/jayfold/internal/core/fleet"
 )
@@ -57,6 +58,8 @@
 	// Revision is that of the tables in force, and RevisionAge the time since they came into force.
 	Revision    fleet.Revision
 	RevisionAge time.Duration
+	// Accounts is the index of the accounts in force.
+	Accounts accounts.Index
 	// Quarantined reports whether requests with a fingerprint are refused. It may be nil if no fingerprint is suspected.
 	Quarantined func(fleet.Fingerprint) bool
 }
@@ -91,11 +94,14 @@
 			Priority:      route.Priority,
 			ParentRetried: request.ParentRetried,
 			Caller:        request.Caller,
+			Account:       request.Account,
 			Deadline:      ctx.Now.Add(timeout),
 			Goal:          ctx.Now.Add(min(cmp.Or(route.Goal, timeout), timeout)),
 			Fingerprint:   request.Fingerprint,
 			Key:           request.Key,
 		},
+		credential:  request.Credential,
+		keysChecked: ctx.Accounts.RequiresKeys(),
 		maxTargets:  cmp.Or(route.Attempts, defaultMaxTargets),
 		revision:    ctx.Revision,
 		revisionAge: ctx.RevisionAge,
@@ -171,7 +177,9 @@
 	started := req.withAttempt(ctx.Now, attempt, activeAttempt{
 		mode: chosen.mode, ownZone: ownZone, queueWait: req.queueWaitAt(c.Target.ID),
 	})
-	return s, started, effect.ForwardAttempt{Attempt: attempt, CrossZone: !ownZone}
+	return s, started, effect.ForwardAttempt{
+		Attempt: attempt, CrossZone: !ownZone, RemoveCredentials: req.keysChecked || ctx.Accounts.RequiresKeys(),
+	}
 }
 
 // queueWaitAt returns the expected wait that a target reported when it refused the request as full; 0 if it has not done so.
--- a/internal/core/attempt/steps.go
+++ b/internal/core/attempt/steps.go
@@ -91,6 +91,9 @@
 	if req.parent != "" {
 		line.Fields = append(line.Fields, effect.LogField{Name: "Parent", Value: string(req.parent)})
 	}
+	if req.template.Account != "" {
+		line.Fields = append(line.Fields, effect.LogField{Name: "Account", Value: string(req.template.Account)})
+	}
 	for _, e := range final {
 		switch e := e.(type) {
 		case effect.RelayResponse:
--- a/internal/core/effect/effect.go
+++ b/internal/core/effect/effect.go
@@ -25,6 +25,8 @@
 	Revision fleet.Revision
 	// CrossZone is true if the target is in another availability zone. Unnecessary traffic between zones is expensive.
 	CrossZone bool
+	// RemoveCredentials is true if the tables have accounts. The API key and an account that the caller named are then not forwarded.
+	RemoveCredentials bool
 }
 
 // RelayResponse passes the response to an attempt on to the caller.
--- a/internal/core/effect/status.go
+++ b/internal/core/effect/status.go
@@ -18,13 +18,16 @@
 	// Epoch is that of the platform's data; 0 if it is unknown.
 	Epoch fleet.Epoch
 	// Unread has a text for each part of the revision in force that this node cannot read.
-	Unread      []string
-	Draining    bool
-	InFlight    int
-	Services    []ServiceStatus
-	Targets     []TargetStatus
-	Members     []fleet.Member
-	Quarantined []QuarantineStatus
+	Unread []string
+	// Accounts counts the accounts in force, and UnusableAccounts the entries that cannot be read.
+	Accounts         int
+	UnusableAccounts int
+	Draining         bool
+	InFlight         int
+	Services         []ServiceStatus
+	Targets          []TargetStatus
+	Members          []fleet.Member
+	Quarantined      []QuarantineStatus
 }
 
 // ServiceStatus is the state of a pool as seen by this node.
--- a/internal/core/event/platform.go
+++ b/internal/core/event/platform.go
@@ -1,6 +1,7 @@
 package event
 
 import (
+	"jayfold.dev/jayfold/internal/core/accounts"
 	"jayfold.dev/jayfold/internal/core/fleet"
 	"jayfold.dev/jayfold/internal/core/routing"
 )
@@ -28,6 +29,8 @@
 	Tables fleet.Tables
 	// Router is built from Tables. Building it takes 1.7 ms at the design size, which is too long for a step of the reducer.
 	Router routing.Router
+	// Accounts is built from Tables, too. For 19,000 accounts it takes longer than a step of the reducer may.
+	Accounts accounts.Index
 	// Content is the encoded revision, kept to be sent to peers.
 	Content []byte
 }
--- a/internal/core/fleet/account.go
+++ b/internal/core/fleet/account.go
@@ -30,6 +30,12 @@
 	Burst float64
 }
 
+// MaxAccountPriority is the largest priority of an account.
+const MaxAccountPriority = 100
+
+// MaxAttemptPriority is the largest value of Attempt.Priority.
+const MaxAttemptPriority = (MaxAccountPriority+1)*PriorityLevels - 1
+
 // PriorityLevels exceeds the largest priority of a route, so that Attempt.Priority orders attempts by the priority of their
 // account first: account*PriorityLevels + route.
 const PriorityLevels = 256
--- a/internal/core/fleet/problem.go
+++ b/internal/core/fleet/problem.go
@@ -14,6 +14,7 @@
 	TooLarge         Cause = "TooLarge"       // the body or the headers exceed their size limit
 	NoRoute          Cause = "NoRoute"        // no route matches
 	Unauthorized     Cause = "Unauthorized"   // the request has no API key of a client account
+	UnknownParent    Cause = "UnknownParent"  // the request has no API key and names a parent that has not run on this host
 	OverCap          Cause = "OverCap"        // the client account has used up its rate and burst
 	NoTables         Cause = "NoTables"       // the node has no tables yet
 	NoTarget         Cause = "NoTarget"       // the pool has no target in service
--- a/internal/core/fleet/tables.go
+++ b/internal/core/fleet/tables.go
@@ -80,6 +80,9 @@
 	Pools  Map[PoolName, Pool]
 	// Accounts holds the client accounts. If there are none, requests need no API key.
 	Accounts Map[AccountName, Account]
+	// UnusableAccounts counts the entries of accounts that were left out because they cannot be read. Tables in which every entry is
+	// unusable still require API keys.
+	UnusableAccounts int
 	// Limits restricts what callers may send. A zero field leaves the node's setting in force.
 	Limits Limits
 	// Unread has a text for each entry or word of the revision that this node cannot read, such as a field with a value of another
@@ -113,6 +116,9 @@
 // Pool returns the pool with the given name.
 func (t Tables) Pool(name PoolName) (Pool, bool) { return t.Pools.Get(name) }
 
+// RequiresKeys reports whether requests on routes that are not public need an API key.
+func (t Tables) RequiresKeys() bool { return t.Accounts.Len() > 0 || t.UnusableAccounts > 0 }
+
 // WithUnread returns the tables with one more text about an entry that this node cannot read.
 func (t Tables) WithUnread(text string) Tables {
 	t.Unread = append(slices.Clip(t.Unread), text)
--- a/internal/core/node/ingress.go
+++ b/internal/core/node/ingress.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"jayfold.dev/jayfold/internal/core/accounts"
 	"jayfold.dev/jayfold/internal/core/admission"
 	"jayfold.dev/jayfold/internal/core/attempt"
 	"jayfold.dev/jayfold/internal/core/effect"
@@ -20,6 +21,7 @@
 		JustStarted: s.membership.JustStarted(now),
 		Revision:    s.Revision(),
 		RevisionAge: s.tables.Age(now),
+		Accounts:    s.tables.Accounts(),
 	}
 	if suspects := s.quarantine.Suspects(); suspects.Any() {
 		ctx.Quarantined = func(f fleet.Fingerprint) bool { return suspects.Quarantined(now, f) }
@@ -27,8 +29,9 @@
 	return ctx
 }
 
-// requestArrived refuses a request that arrives before the first tables, matches no route or is quarantined, or whose body is complete
-// only after the listener of a stopping node has closed: the node might end before the request. It starts any other request.
+// requestArrived refuses a request that arrives before the first tables, matches no route, is not accepted for an account or is
+// quarantined, or whose body is complete only after the listener of a stopping node has closed: the node might end before the request.
+// It starts any other request.
 func (s State) requestArrived(ev event.Event, body event.RequestArrived) (State, []effect.Effect) {
 	request := body.Request
 	if s.shutdown.drainingCallers {
@@ -41,9 +44,20 @@
 	if !ok {
 		return s, refuse(request, fleet.NoRoute, "no route matches "+request.Method+" "+request.Path)
 	}
+	decision := s.checkAccount(ev.At, request, route)
+	if problem, refused := decision.Problem.Get(); refused {
+		return s, append(refuseWith(request, problem), accounts.Count(decision.Reason))
+	}
 	if s.quarantine.Suspects().Quarantined(ev.At, request.Fingerprint) {
 		return s, refuse(request, fleet.Quarantined, "requests with this fingerprint have crashed several targets")
 	}
+	request.Account = decision.Account.Name
+	route.Priority += decision.Priority * fleet.PriorityLevels
+	return s.startRequest(ev, request, route)
+}
+
+// startRequest starts a request that was accepted.
+func (s State) startRequest(ev event.Event, request fleet.Request, route fleet.Route) (State, []effect.Effect) {
 	s.splitter, route.Pool = s.splitter.NextPool(route, ev.Random)
 	idempotent := routing.IsIdempotent(route, request)
 	route.Class = s.classOf(route, request, idempotent)
@@ -65,11 +79,11 @@
 }
 
 func refuse(request fleet.Request, cause fleet.Cause, detail string) []effect.Effect {
-	return []effect.Effect{effect.RefuseRequest{
-		Request: request.ID,
-		Problem: fleet.NewProblem(cause, fleet.NotRun, detail),
-		Parent:  request.Parent,
-	}}
+	return refuseWith(request, fleet.NewProblem(cause, fleet.NotRun, detail))
+}
+
+func refuseWith(request fleet.Request, problem fleet.Problem) []effect.Effect {
+	return []effect.Effect{effect.RefuseRequest{Request: request.ID, Problem: problem, Parent: request.Parent}}
 }
 
 func (s State) requestCanceled(ev event.Event, body event.RequestCanceled) (State, []effect.Effect) {
--- a/internal/core/node/logging.go
+++ b/internal/core/node/logging.go
@@ -94,6 +94,8 @@
 				{Name: "Path", Value: body.Request.Path},
 				{Name: "Cause", Value: string(refusal.Problem.Cause)},
 				{Name: "Verdict", Value: refusal.Problem.Verdict},
+				{Name: "Detail", Value: refusal.Problem.Detail},
+				{Name: "Parent", Value: string(refusal.Parent)},
 				{Name: "Revision", Value: uint64(s.Revision())},
 				{Name: "RevisionAge", Value: s.tables.Age(ev.At).Round(time.Millisecond)},
 				{Name: "Newest", Value: uint64(s.tables.NewestRevision())},
@@ -104,7 +106,10 @@
 }
 
 // refusedOnArrival holds the causes for which a request is refused before a target is selected.
-var refusedOnArrival = map[fleet.Cause]bool{fleet.NoTables: true, fleet.NoRoute: true, fleet.Quarantined: true}
+var refusedOnArrival = map[fleet.Cause]bool{
+	fleet.NoTables: true, fleet.NoRoute: true, fleet.Unauthorized: true, fleet.UnknownParent: true, fleet.OverCap: true,
+	fleet.Quarantined: true,
+}
 
 // healthLines returns the log line about a target whose health has changed.
 func (s State) healthLines(after State, id fleet.TargetID) []effect.Effect {
--- a/internal/core/node/platform.go
+++ b/internal/core/node/platform.go
@@ -53,7 +53,7 @@
 		return s, nil
 	}
 	before, shouldNotify := s.Revision(), s.tables.ShouldNotifyPeers(body.Tables.Revision)
-	s, effects := s.withTables(s.tables.TablesDecoded(ev.At, body.Tables, body.Router, body.Content))
+	s, effects := s.withTables(s.tables.TablesDecoded(ev.At, body.Tables, body.Router, body.Accounts, body.Content))
 	if s.Revision() != before {
 		effects = append(effects, effect.SetTables{Tables: s.tables.Current()})
 	}
--- a/internal/core/node/status.go
+++ b/internal/core/node/status.go
@@ -19,6 +19,8 @@
 		PlatformReachable: s.tables.PlatformReachable(),
 		Epoch:             s.epoch.Current(),
 		Unread:            s.tables.Current().Unread,
+		Accounts:          s.tables.Accounts().Len(),
+		UnusableAccounts:  s.tables.Current().UnusableAccounts,
 		Draining:          s.shutdown.inProgress(),
 		InFlight:          s.attempts.InFlight() + s.admission.InFlight(),
 		Services:          s.serviceStatuses(),
--- a/internal/core/orders/admission.go
+++ b/internal/core/orders/admission.go
@@ -19,7 +19,7 @@
 	if known.state == running && known.attempt.ID == attempt.ID {
 		return s, admit(attempt)
 	}
-	if known.fingerprint != attempt.Fingerprint {
+	if known.fingerprint != attempt.Fingerprint || known.belongsToOther(attempt.Account) {
 		return s, refuse(attempt, fleet.NotRun, "another order uses the idempotency key")
 	}
 	known.lastSent = now
@@ -164,3 +164,9 @@
 		Report:  fleet.TargetReport{Target: attempt.Target, Class: attempt.Class},
 	}
 }
+
+// belongsToOther reports whether an order was sent by another account, which must not get its response. An order from before the tables
+// had accounts has none.
+func (r record) belongsToOther(account fleet.AccountName) bool {
+	return r.attempt.Account != "" && account != "" && r.attempt.Account != account
+}
--- a/internal/core/tables/epoch_test.go
+++ b/internal/core/tables/epoch_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"jayfold.dev/jayfold/internal/core/accounts"
 	"jayfold.dev/jayfold/internal/core/effect"
 	"jayfold.dev/jayfold/internal/core/event"
 	"jayfold.dev/jayfold/internal/core/fleet"
@@ -107,7 +108,7 @@
 	})
 	t.Run("a lost revision is not read, and isn't shown as the newest one", func(t *testing.T) {
 		is := is.New(t)
-		s, _ := watching().TablesDecoded(start, fleet.Tables{Revision: 6}, routing.Router{}, nil)
+		s, _ := watching().TablesDecoded(start, fleet.Tables{Revision: 6}, routing.Router{}, accounts.Index{}, nil)
 		s, _ = s.HeadRead(start, 1<<63, tables.Fleet{Members: 540, Epoch: 1}, fleet.TablesHead{Revision: 7}, fleet.Position{Epoch: 1, Version: 9})
 		is.Equal(s.NewestRevision(), fleet.Revision(7))
 		s = s.EpochChanged(start, 0, inEpoch(2))
@@ -134,7 +135,7 @@
 func TestLostRevisionIsWrittenAgain(t *testing.T) {
 	later := start.Add(10 * time.Second)
 	inForce := func(revision fleet.Revision) tables.State {
-		s, _ := watching().TablesDecoded(start, fleet.Tables{Revision: revision}, routing.Router{}, []byte("content"))
+		s, _ := watching().TablesDecoded(start, fleet.Tables{Revision: revision}, routing.Router{}, accounts.Index{}, []byte("content"))
 		return s.EpochChanged(start, 0, inEpoch(2))
 	}
 	read := func(s tables.State, head fleet.TablesHead) tables.State {
@@ -161,7 +162,7 @@
 	}
 	t.Run("a copy that lags shows no loss", func(t *testing.T) {
 		s := watchingAt(t, fleet.Position{Epoch: 2, Version: 23})
-		s, _ = s.TablesDecoded(start, fleet.Tables{Revision: 7}, routing.Router{}, nil)
+		s, _ = s.TablesDecoded(start, fleet.Tables{Revision: 7}, routing.Router{}, accounts.Index{}, nil)
 		_, effects := read(s, fleet.TablesHead{Revision: 6}).Tick(later, 0)
 		is.New(t).Equal(len(restorations(effects)), 0)
 	})
--- a/internal/core/tables/logging_test.go
+++ b/internal/core/tables/logging_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"jayfold.dev/jayfold/internal/core/accounts"
 	"jayfold.dev/jayfold/internal/core/effect"
 	"jayfold.dev/jayfold/internal/core/fleet"
 	"jayfold.dev/jayfold/internal/core/routing"
@@ -37,7 +38,7 @@
 // and could not read.
 func TestRevisionIsLogged(t *testing.T) {
 	decoded := func(s tables.State, after time.Duration, r fleet.Revision) []effect.Effect {
-		_, effects := s.TablesDecoded(start.Add(after), fleet.Tables{Revision: r}, routing.Router{}, nil)
+		_, effects := s.TablesDecoded(start.Add(after), fleet.Tables{Revision: r}, routing.Router{}, accounts.Index{}, nil)
 		return effects
 	}
 	read := func(watcher bool) tables.State {
@@ -77,13 +78,13 @@
 func TestUnreadPartsAreReported(t *testing.T) {
 	is := is.New(t)
 	revision := fleet.Tables{Revision: 7}.WithUnread(`route "a" has the unknown type "stream"`).WithUnread("Limits: want an object")
-	state, effects := tables.New().TablesDecoded(start, revision, routing.Router{}, nil)
+	state, effects := tables.New().TablesDecoded(start, revision, routing.Router{}, accounts.Index{}, nil)
 	assertLine(t, effects, "a part of the revision cannot be read",
 		map[string]any{"Revision": fleet.Revision(7), "Count": 2, "First": `route "a" has the unknown type "stream"`})
 	is.True(slices.ContainsFunc(effects, func(e effect.Effect) bool {
 		counter, ok := e.(effect.AddToCounter)
 		return ok && counter.Name == "tables_unread" && counter.Delta == 2
 	}))
-	_, effects = state.TablesDecoded(start, revision, routing.Router{}, nil)
+	_, effects = state.TablesDecoded(start, revision, routing.Router{}, accounts.Index{}, nil)
 	is.Equal(len(effects), 0) // once for each revision
 }
--- a/internal/core/tables/simulation_test.go
+++ b/internal/core/tables/simulation_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"jayfold.dev/jayfold/internal/core/accounts"
 	"jayfold.dev/jayfold/internal/core/effect"
 	"jayfold.dev/jayfold/internal/core/event"
 	"jayfold.dev/jayfold/internal/core/fleet"
@@ -242,7 +243,7 @@
 	}
 	sim.post(i, false, func(s tables.State) (tables.State, []effect.Effect) {
 		shouldNotify := s.ShouldNotifyPeers(r)
-		s, effects := s.TablesDecoded(sim.now, fleet.Tables{Revision: r}, routing.Router{}, []byte("content"))
+		s, effects := s.TablesDecoded(sim.now, fleet.Tables{Revision: r}, routing.Router{}, accounts.Index{}, []byte("content"))
 		if shouldNotify {
 			for range notifiedPeers {
 				sim.notifications = append(sim.notifications, [2]int{i, sim.zonePeer(i)})
--- a/internal/core/tables/state.go
+++ b/internal/core/tables/state.go
@@ -17,6 +17,7 @@
 	"slices"
 	"time"
 
+	"jayfold.dev/jayfold/internal/core/accounts"
 	"jayfold.dev/jayfold/internal/core/effect"
 	"jayfold.dev/jayfold/internal/core/fleet"
 	"jayfold.dev/jayfold/internal/core/routing"
@@ -30,6 +31,7 @@
 	// content is the encoded form of current, which is sent to peers.
 	content        []byte
 	router         routing.Router
+	accounts       accounts.Index
 	newestRevision fleet.Revision
 	// newestSince is the time at which newestRevision was first seen, and lateLogged the newest revision for which a log line says
 	// that it is not in force.
@@ -66,6 +68,9 @@
 // Router returns the router of the tables in force.
 func (s State) Router() routing.Router { return s.router }
 
+// Accounts returns the index of the accounts in force.
+func (s State) Accounts() accounts.Index { return s.accounts }
+
 // NewestRevision returns the highest revision seen anywhere.
 func (s State) NewestRevision() fleet.Revision { return s.newestRevision }
 
@@ -96,8 +101,10 @@
 	return s, slices.Concat(watching, asking, fetching, restoring, late)
 }
 
-// TablesDecoded brings a revision into force if it is newer than the current one. The router is built from t.
-func (s State) TablesDecoded(now time.Time, t fleet.Tables, router routing.Router, content []byte) (State, []effect.Effect) {
+// TablesDecoded brings a revision into force if it is newer than the current one. The router and the index are built from t.
+func (s State) TablesDecoded(
+	now time.Time, t fleet.Tables, router routing.Router, index accounts.Index, content []byte,
+) (State, []effect.Effect) {
 	source := s.sourceOf(t.Revision)
 	s.fetch = s.fetch.finished(t.Revision)
 	s.peerRequest = s.peerRequest.afterDecoding(t.Revision)
@@ -108,6 +115,11 @@
 	s.inForceSince = now
 	s.content = content
 	s.router = router
+	s.accounts = index
+	if t.RequiresKeys() && !index.RequiresKeys() {
+		// Without its index, tables with accounts would accept every request.
+		s.accounts = accounts.New(t)
+	}
 	s = s.withNewest(now, t.Revision).withoutOutdatedHolders()
 	s, fetching := s.startFetch(now)
 	return s, append(append(fetching, s.inForceLog(now, source)), s.unreadReports()...)
--- a/internal/core/tables/state_test.go
+++ b/internal/core/tables/state_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"jayfold.dev/jayfold/internal/core/accounts"
 	"jayfold.dev/jayfold/internal/core/effect"
 	"jayfold.dev/jayfold/internal/core/event"
 	"jayfold.dev/jayfold/internal/core/fleet"
@@ -66,15 +67,15 @@
 	})
 
 	t.Run("a late reply with an older revision is dropped", func(t *testing.T) {
-		s, _ := asked(t).TablesDecoded(start, fleet.Tables{Revision: 8}, routing.Router{}, nil)
+		s, _ := asked(t).TablesDecoded(start, fleet.Tables{Revision: 8}, routing.Router{}, accounts.Index{}, nil)
 		s, effects := s.MessageReceived(start, content("a", 7))
 		is.New(t).Equal(len(effects), 0)
-		s, _ = s.TablesDecoded(start, fleet.Tables{Revision: 7}, routing.Router{}, nil)
+		s, _ = s.TablesDecoded(start, fleet.Tables{Revision: 7}, routing.Router{}, accounts.Index{}, nil)
 		is.New(t).Equal(s.Current().Revision, fleet.Revision(8))
 	})
 
 	t.Run("only a peer with an older revision receives the tables", func(t *testing.T) {
-		s, _ := tables.New().TablesDecoded(start, fleet.Tables{Revision: 7}, routing.Router{}, []byte("content"))
+		s, _ := tables.New().TablesDecoded(start, fleet.Tables{Revision: 7}, routing.Router{}, accounts.Index{}, []byte("content"))
 		request := message.Envelope{From: "a", Address: "address", Message: message.TablesRequest{Revision: 6}}
 		_, effects := s.MessageReceived(start, request)
 		assertSentTo(t, effects, "a")
@@ -112,19 +113,19 @@
 	})
 
 	t.Run("an older revision on the platform changes nothing", func(t *testing.T) {
-		s, _ := watching().TablesDecoded(start, fleet.Tables{Revision: 8}, routing.Router{}, nil)
+		s, _ := watching().TablesDecoded(start, fleet.Tables{Revision: 8}, routing.Router{}, accounts.Index{}, nil)
 		s, effects := s.HeadRead(start, 0, tables.Fleet{Members: 3, IsWatcher: true}, fleet.TablesHead{Revision: 7}, fleet.Position{Version: 9})
 		is.New(t).Equal(len(effects), 1) // the log line
 		is.New(t).Equal(s.Current().Revision, fleet.Revision(8))
 	})
 
 	t.Run("a revision received from a peer is not read from the platform", func(t *testing.T) {
-		s, _ := watching().TablesDecoded(start, fleet.Tables{Revision: 6}, routing.Router{}, nil)
+		s, _ := watching().TablesDecoded(start, fleet.Tables{Revision: 6}, routing.Router{}, accounts.Index{}, nil)
 		s, effects := s.HeadRead(start, 1<<63, tables.Fleet{Members: 540, IsWatcher: true}, fleet.TablesHead{Revision: 7}, fleet.Position{Version: 9})
 		is.New(t).Equal(len(effects), 0)
 		s, effects = s.PeerRevisionSeen(start, "a", "address", 7)
 		assertSentTo(t, effects, "a")
-		s, _ = s.TablesDecoded(start, fleet.Tables{Revision: 7}, routing.Router{}, nil)
+		s, _ = s.TablesDecoded(start, fleet.Tables{Revision: 7}, routing.Router{}, accounts.Index{}, nil)
 		_, effects = s.Tick(start.Add(time.Minute), 0)
 		is.New(t).Equal(effects, []effect.Effect{effect.WatchHead{From: fleet.Position{Version: 9}, Wait: 3 * time.Second}})
 	})
@@ -226,6 +227,6 @@
 	}
 	router := routing.New(t)
 	for b.Loop() {
-		tables.New().TablesDecoded(start, t, router, nil)
+		tables.New().TablesDecoded(start, t, router, accounts.Index{}, nil)
 	}
 }
--- a/internal/edge/caller/exchange.go
+++ b/internal/edge/caller/exchange.go
@@ -22,6 +22,9 @@
 	request  fleet.Request
 	incoming *http.Request
 	body     []byte
+	// withoutCredentials is incoming without the headers about client accounts; nil until an attempt is forwarded without them. Only
+	// the goroutine of the request uses it.
+	withoutCredentials *http.Request
 
 	// cancels holds the functions that cancel the attempts. Only the goroutine of the request uses it.
 	cancels map[fleet.AttemptID]context.CancelFunc
@@ -96,12 +99,27 @@
 	ctx, cancel := context.WithCancel(context.WithoutCancel(x.incoming.Context()))
 	x.cancels[forward.Attempt.ID] = cancel
 	seams := x.server.seams
-	seams.Recovery.Go("forward attempt", func() { x.forwardAttempt(ctx, forward) }, func() {
+	outgoing := x.outgoing(forward)
+	seams.Recovery.Go("forward attempt", func() { x.forwardAttempt(ctx, forward, outgoing) }, func() {
 		problem := fleet.NewProblem(fleet.InternalError, fleet.MayHaveRun, "forwarding the attempt failed")
 		seams.Post(event.AttemptFinished{Attempt: forward.Attempt.ID, Outcome: fleet.Outcome{Problem: fleet.Some(problem)}})
 	})
 }
 
+// outgoing returns the request to forward. Attempts may run at the same time, so that the headers of the incoming request are not
+// changed.
+func (x *exchange) outgoing(forward effect.ForwardAttempt) *http.Request {
+	if !forward.RemoveCredentials {
+		return x.incoming
+	}
+	if x.withoutCredentials == nil {
+		x.withoutCredentials = x.incoming.WithContext(x.incoming.Context())
+		x.withoutCredentials.Header = x.incoming.Header.Clone()
+		x.server.protocol.RemoveCredentials(x.withoutCredentials.Header)
+	}
+	return x.withoutCredentials
+}
+
 func (x *exchange) cancelAttempt(id fleet.AttemptID) {
 	if cancel, ok := x.cancels[id]; ok {
 		cancel()
@@ -109,10 +127,10 @@
 }
 
 // forwardAttempt forwards the request once and posts the outcome.
-func (x *exchange) forwardAttempt(ctx context.Context, forward effect.ForwardAttempt) {
+func (x *exchange) forwardAttempt(ctx context.Context, forward effect.ForwardAttempt, outgoing *http.Request) {
 	seams := x.server.seams
 	started := seams.Now()
-	response, report, err := seams.Forward(ctx, forward, x.incoming, x.body)
+	response, report, err := seams.Forward(ctx, forward, outgoing, x.body)
 	var outcome fleet.Outcome
 	if err == nil {
 		outcome, err = x.bufferResponse(forward.Attempt.ID, response)
--- a/internal/edge/caller/protocol.go
+++ b/internal/edge/caller/protocol.go
@@ -12,6 +12,8 @@
 	// Decode translates a request whose body has been read. It may change the headers that are forwarded to the target. If
 	// the request that it returns has no id, the server generates one. Errors are of type fleet.Problem.
 	Decode func(r *http.Request, body []byte) (fleet.Request, error)
+	// RemoveCredentials removes the API key, and an account that the caller named, from the headers that are forwarded.
+	RemoveCredentials func(header http.Header)
 	// Refuse responds with a problem.
 	Refuse func(w http.ResponseWriter, request fleet.RequestID, problem fleet.Problem)
 	// SetHeaders sets the headers that jayfold adds to a target's response.
@@ -20,5 +22,5 @@
 
 // NewProtocol returns jayfold's own protocol for callers.
 func NewProtocol() Protocol {
-	return Protocol{Decode: decodeRequest, Refuse: writeRefusal, SetHeaders: setHeaders}
+	return Protocol{Decode: decodeRequest, RemoveCredentials: removeCredentials, Refuse: writeRefusal, SetHeaders: setHeaders}
 }
--- a/internal/edge/caller/refusal.go
+++ b/internal/edge/caller/refusal.go
@@ -33,6 +33,9 @@
 	fleet.BadRequest:     http.StatusBadRequest,
 	fleet.TooLarge:       http.StatusRequestEntityTooLarge,
 	fleet.NoRoute:        http.StatusNotFound,
+	fleet.Unauthorized:   http.StatusUnauthorized,
+	fleet.UnknownParent:  http.StatusServiceUnavailable,
+	fleet.OverCap:        http.StatusTooManyRequests,
 	fleet.NoTables:       http.StatusServiceUnavailable,
 	fleet.NoTarget:       http.StatusServiceUnavailable,
 	fleet.Overloaded:     http.StatusServiceUnavailable,
@@ -67,9 +70,12 @@
 	header := w.Header()
 	setHeaders(header, id, problem.Verdict)
 	header.Set("Content-Type", "application/json")
-	if status == http.StatusServiceUnavailable {
+	if status == http.StatusServiceUnavailable || problem.Cause == fleet.OverCap {
 		header.Set("Retry-After", retryAfterSeconds(problem.RetryAfter))
 	}
+	if status == http.StatusUnauthorized {
+		header.Set("WWW-Authenticate", headerAccountKey)
+	}
 	if problem.Cause == fleet.TooLarge || problem.Cause == fleet.BadRequest {
 		// The rest of the request may still arrive on the connection.
 		header.Set("Connection", "close")
--- a/internal/edge/caller/request.go
+++ b/internal/edge/caller/request.go
@@ -22,6 +22,8 @@
 	headerIdempotent = "Jayfold-Idempotent"
 	headerKey        = "Idempotency-Key"
 	headerParent     = "Jayfold-Parent"
+	headerAccountKey = "Jayfold-Account-Key"
+	headerAccount    = "Jayfold-Account"
 )
 
 // maxNameBytes limits the length of client account names, parent ids and idempotency keys, which are sent between nodes, stored
@@ -102,6 +104,7 @@
 		Host:        host,
 		Path:        fleet.CanonicalPath(r.URL.EscapedPath()),
 		Caller:      fleet.Caller(caller),
+		Credential:  fleet.NewCredential(r.Header.Values(headerAccountKey)),
 		Parent:      fleet.RequestID(parent),
 		Idempotent:  idempotent,
 		Key:         fleet.IdempotencyKey(key),
@@ -110,6 +113,12 @@
 	}, nil
 }
 
+// removeCredentials removes the headers about client accounts. They are headers of jayfold, which forwarding removes in any case.
+func removeCredentials(header http.Header) {
+	header.Del(headerAccountKey)
+	header.Del(headerAccount)
+}
+
 func badRequest(detail string) fleet.Problem {
 	return fleet.NewProblem(fleet.BadRequest, fleet.NotRun, detail)
 }
--- a/internal/edge/caller/server_test.go
+++ b/internal/edge/caller/server_test.go
@@ -248,6 +248,7 @@
 	for cause, status := range map[fleet.Cause]int{
 		fleet.NoRoute: 404, fleet.Quarantined: 429, fleet.Overloaded: 503, fleet.NoTarget: 503, fleet.NoTables: 503,
 		fleet.TargetFailed: 502, fleet.Broken: 502, fleet.DeadlinePassed: 504, fleet.KeyConflict: 409,
+		fleet.Unauthorized: 401, fleet.UnknownParent: 503, fleet.OverCap: 429,
 	} {
 		t.Run(string(cause), func(t *testing.T) {
 			ts := newTestServer(t)
@@ -257,7 +258,8 @@
 			}
 			got := ts.do(t, ts.request(t, "GET", "/a", ""))
 			assertRefusal(t, got, status, "NotRun")
-			is.New(t).Equal(got.header.Get("Retry-After") == "2", status == 503)
+			is.New(t).Equal(got.header.Get("Retry-After") == "2", status == 503 || cause == fleet.OverCap)
+			is.New(t).Equal(got.header.Get("Www-Authenticate") != "", status == 401)
 		})
 	}
 }
--- a/internal/edge/operator/status.go
+++ b/internal/edge/operator/status.go
@@ -18,13 +18,16 @@
 	// Epoch is that of the platform's data; 0 if the platform doesn't tell.
 	Epoch uint64
 	// Unread lists the parts of the revision that the node cannot read.
-	Unread      []string `json:",omitempty"`
-	Draining    bool
-	InFlight    int
-	Services    []service
-	Targets     []target
-	Quarantined []quarantined
-	Members     []member
+	Unread []string `json:",omitempty"`
+	// Accounts counts the client accounts in force, and UnusableAccounts the entries that cannot be read.
+	Accounts         int `json:",omitempty"`
+	UnusableAccounts int `json:",omitempty"`
+	Draining         bool
+	InFlight         int
+	Services         []service
+	Targets          []target
+	Quarantined      []quarantined
+	Members          []member
 }
 
 type service struct {
@@ -90,6 +93,8 @@
 		Platform:         platformStatus[s.PlatformReachable],
 		Epoch:            uint64(s.Epoch),
 		Unread:           s.Unread,
+		Accounts:         s.Accounts,
+		UnusableAccounts: s.UnusableAccounts,
 		Draining:         s.Draining,
 		InFlight:         s.InFlight,
 		Services:         translateAll(s.Services, newService),
--- a/internal/edge/operator/status_text.go
+++ b/internal/edge/operator/status_text.go
@@ -84,6 +84,9 @@
 	fmt.Fprintf(b, "Node      %s in %s, %s, %d in flight\n", s.Node, s.AvailabilityZone, state, s.InFlight)
 	fmt.Fprintf(b, "Revision  %d here, %d newest seen, platform %s%s%s\n",
 		s.Revision, s.NewestRevision, strings.ToLower(s.Platform), s.epochText(), s.unreadText())
+	if s.Accounts > 0 || s.UnusableAccounts > 0 {
+		fmt.Fprintf(b, "Accounts  %d in force, %d unusable\n", s.Accounts, s.UnusableAccounts)
+	}
 	fmt.Fprintf(b, "Members   %d alive, %d suspect, %d leaving, %d dead\n",
 		counts["Alive"], counts["Suspect"], counts["Leaving"], counts["Dead"])
 }
--- a/internal/edge/peer/forward_header.go
+++ b/internal/edge/peer/forward_header.go
@@ -37,8 +37,8 @@
 	maxTimeLeft = time.Hour
 	// maxBaseline exceeds the p95 of any pool.
 	maxBaseline = time.Hour
-	// maxPriority bounds an attempt's priority; a larger number is reduced to it. The tables files allow at most 100.
-	maxPriority = 255
+	// maxPriority bounds an attempt's priority; a larger number is reduced to it.
+	maxPriority = fleet.MaxAttemptPriority
 	// maxPoolSize exceeds the number of targets of all pools at the design size.
 	maxPoolSize = 1 << 16
 )
--- a/internal/edge/platform/client.go
+++ b/internal/edge/platform/client.go
@@ -23,6 +23,7 @@
 	"sync/atomic"
 	"time"
 
+	"jayfold.dev/jayfold/internal/core/accounts"
 	"jayfold.dev/jayfold/internal/core/effect"
 	"jayfold.dev/jayfold/internal/core/event"
 	"jayfold.dev/jayfold/internal/core/fleet"
@@ -128,7 +129,7 @@
 		if err != nil {
 			return event.TablesRejected{Revision: e.Head.Revision, Detail: err.Error()}
 		}
-		return event.TablesDecoded{Tables: tables, Router: routing.New(tables), Content: content}
+		return event.TablesDecoded{Tables: tables, Router: routing.New(tables), Accounts: accounts.New(tables), Content: content}
 	})
 }
 
--- a/internal/edge/tablesfile/check.go
+++ b/internal/edge/tablesfile/check.go
@@ -11,7 +11,7 @@
 // check returns returns the problems that involve more than one entry or field.
 func (d *draft) check() configfile.Problems {
 	pools, poolProblems := d.checkPoolNames()
-	return append(d.checkRoutes(pools).all(), poolProblems.all()...)
+	return slices.Concat(d.checkRoutes(pools).all(), poolProblems.all(), d.checkAccounts())
 }
 
 // problemsByEntry holds the problems of each entry of a table, by the index of the entry.
--- a/internal/edge/tablesfile/diff.go
+++ b/internal/edge/tablesfile/diff.go
@@ -14,7 +14,7 @@
 type Change struct {
 	// Kind is Added, Removed or Changed.
 	Kind Kind
-	// Table is "route", "pool" or "limits". Name is the name of the route or pool.
+	// Table is "route", "pool", "limits" or "account". Name is the name of the route, pool or account.
 	Table string
 	Name  string
 	// Detail lists all fields of an added entry or the changed fields of a changed one.
@@ -36,13 +36,15 @@
 	return strings.TrimSpace(fmt.Sprintf("%c %s %s %s", c.Kind, c.Table, c.Name, c.Detail))
 }
 
-// Diff returns the changes between two revisions: routes, pools and limits, each sorted by name. It ignores the order of the
+// Diff returns the changes between two revisions: routes, pools, limits and accounts, each sorted by name. Keys of accounts appear as
+// hashes. It ignores the order of the
 // routes, which has no influence on matching.
 func Diff(from, to fleet.Tables) []Change {
 	return slices.Concat(
 		diffTable("route", routeFields(from), routeFields(to)),
 		diffTable("pool", poolFields(from), poolFields(to)),
 		diffTable("limits", limitFields(from), limitFields(to)),
+		diffTable("account", accountFields(from), accountFields(to)),
 	)
 }
 
@@ -65,6 +67,14 @@
 	return all
 }
 
+func accountFields(t fleet.Tables) map[string]fields {
+	all := make(map[string]fields, t.Accounts.Len())
+	for _, wire := range wireAccounts(t, hashPrefix) {
+		all[string(wire.Name)] = newFields(wire)
+	}
+	return all
+}
+
 func limitFields(t fleet.Tables) map[string]fields {
 	wire := newWireLimits(t.Limits)
 	if wire == nil {
--- a/internal/edge/tablesfile/encode.go
+++ b/internal/edge/tablesfile/encode.go
@@ -34,6 +34,9 @@
 	Pools    []wirePool
 	Limits   *wireLimits `json:",omitempty"`
 	Unread   []string    `json:",omitempty"`
+	// UnusableAccounts counts the entries of accounts that were left out of Accounts.
+	Accounts         []wireAccount `json:",omitempty"`
+	UnusableAccounts int           `json:",omitempty"`
 }
 
 type wireLimits struct {
@@ -61,6 +64,7 @@
 	Goal       string `json:",omitempty"`
 	Attempts   int    `json:",omitempty"`
 	Priority   int    `json:",omitempty"`
+	Public     bool   `json:",omitempty"`
 }
 
 type wirePool struct {
@@ -81,6 +85,8 @@
 		Pools:    wirePools(t),
 		Limits:   newWireLimits(t.Limits),
 		Unread:   t.Unread,
+
+		Accounts: wireAccounts(t, ""), UnusableAccounts: t.UnusableAccounts,
 	}
 	// Neither step can fail: writes to a buffer succeed, and every value of the wire types can be encoded.
 	_ = json.NewEncoder(w).Encode(wire)
@@ -102,6 +108,7 @@
 			Goal:       optionalDuration(r.Goal),
 			Attempts:   r.Attempts,
 			Priority:   r.Priority,
+			Public:     r.Public,
 		}
 		for _, share := range r.Split {
 			wire.Split = append(wire.Split, wireShare(share))
@@ -178,6 +185,9 @@
 	Pools    []json.RawMessage
 	Limits   json.RawMessage
 	Unread   []string
+	Accounts []json.RawMessage
+	// UnusableAccounts counts the entries that the writer of the content has left out.
+	UnusableAccounts int
 }
 
 func decompress(content []byte) ([]byte, error) {
@@ -198,9 +208,10 @@
 // Render returns the contents of the two files that operators edit.
 func Render(t fleet.Tables) (routes, pools []byte) {
 	routes = marshalIndented(struct {
-		Routes []wireRoute
-		Limits *wireLimits `json:",omitempty"`
-	}{wireRoutes(t), newWireLimits(t.Limits)})
+		Routes   []wireRoute
+		Limits   *wireLimits   `json:",omitempty"`
+		Accounts []wireAccount `json:",omitempty"`
+	}{wireRoutes(t), newWireLimits(t.Limits), wireAccounts(t, hashPrefix)})
 	return routes, marshalIndented(struct{ Pools []wirePool }{wirePools(t)})
 }
 
--- a/internal/edge/tablesfile/entry.go
+++ b/internal/edge/tablesfile/entry.go
@@ -54,6 +54,7 @@
 		configfile.Optional("Goal", configfile.Duration(&r.Goal, minDeadline, maxDeadline)),
 		configfile.Optional("Attempts", configfile.Int(&r.Attempts, 1, maxAttempts)),
 		configfile.Optional("Priority", configfile.Int(&r.Priority, 0, maxPriority)),
+		configfile.Optional("Public", configfile.Bool(func(b bool) { r.Public = b })),
 	)
 	if problems == nil && (r.Pool == "") == (len(r.Split) == 0) {
 		problems = v.Problem("want either Pool or Split")
--- a/internal/edge/tablesfile/parse.go
+++ b/internal/edge/tablesfile/parse.go
@@ -32,6 +32,7 @@
 	problems = append(problems, routesValue.Object(
 		configfile.Required("Routes", configfile.Array(d.readRoute)),
 		configfile.Optional("Limits", d.readLimits),
+		configfile.Optional("Accounts", configfile.Array(d.readAccount)),
 	)...)
 	poolsValue, poolsProblems := configfile.Parse(pools.Name, pools.Content)
 	d.poolsInvalid = len(poolsProblems) > 0
@@ -46,9 +47,10 @@
 
 // draft collects the entries of both tables with their positions until they have been validated.
 type draft struct {
-	routes []routeEntry
-	pools  []poolEntry
-	limits fleet.Limits
+	routes   []routeEntry
+	pools    []poolEntry
+	accounts []accountEntry
+	limits   fleet.Limits
 	// acceptsUnknown is true if an unknown word has a meaning instead of a problem. unread has a text for each such word and for each
 	// entry that was set aside.
 	acceptsUnknown bool
@@ -83,5 +85,8 @@
 			t.Pools = t.Pools.With(entry.pool.Name, entry.pool)
 		}
 	}
+	for _, entry := range d.accounts {
+		t.Accounts = t.Accounts.With(entry.account.Name, entry.account)
+	}
 	return t
 }
--- a/internal/edge/tablesfile/tolerant.go
+++ b/internal/edge/tablesfile/tolerant.go
@@ -35,7 +35,8 @@
 		}
 		t = t.WithUnread(text[:min(len(text), maxUnreadBytes)])
 	}
-	return t
+	t.UnusableAccounts = max(raw.UnusableAccounts, 0)
+	return accountFormat.ReadAccounts(t, "Accounts", raw.Accounts)
 }
 
 // readEntries reads the entries of a table one at a time. Parsing all of them at once would take half of a node's memory.
--- a/internal/edge/target/protocol.go
+++ b/internal/edge/target/protocol.go
@@ -41,6 +41,7 @@
 	headerRequest = "Jayfold-Request"
 	headerTimeout = "Jayfold-Timeout"
 	headerCaller  = "Jayfold-Caller"
+	headerAccount = "Jayfold-Account"
 	headerPrefix  = "Jayfold-"
 )
 
@@ -58,6 +59,9 @@
 	if run.Attempt.Caller != "" {
 		header.Set(headerCaller, string(run.Attempt.Caller))
 	}
+	if run.Attempt.Account != "" {
+		header.Set(headerAccount, string(run.Attempt.Account))
+	}
 	header.Set(headerRequest, string(run.Attempt.ID.Request()))
 	header.Set(headerTimeout, remaining.Round(time.Microsecond).String())
 }
--- a/internal/lab/capacity/size.go
+++ b/internal/lab/capacity/size.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"jayfold.dev/jayfold/internal/core/accounts"
 	"jayfold.dev/jayfold/internal/core/effect"
 	"jayfold.dev/jayfold/internal/core/event"
 	"jayfold.dev/jayfold/internal/core/fleet"
@@ -95,7 +96,7 @@
 		r.receive(message.SyncReply{Members: r.peers})
 	}
 	tables := size.tables()
-	r.reduce(event.TablesDecoded{Tables: tables, Router: routing.New(tables)})
+	r.reduce(event.TablesDecoded{Tables: tables, Router: routing.New(tables), Accounts: accounts.New(tables)})
 	for i := range r.self.Targets {
 		r.sendHeartbeat(i)
 	}
--- a/internal/lab/replay/nodes.go
+++ b/internal/lab/replay/nodes.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"jayfold.dev/jayfold/internal/core/accounts"
 	"jayfold.dev/jayfold/internal/core/effect"
 	"jayfold.dev/jayfold/internal/core/event"
 	"jayfold.dev/jayfold/internal/core/fleet"
@@ -111,7 +112,7 @@
 		})
 	}
 	for _, n := range f.nodes {
-		f.post(n, event.TablesDecoded{Tables: tables, Router: routing.New(tables)})
+		f.post(n, event.TablesDecoded{Tables: tables, Router: routing.New(tables), Accounts: accounts.New(tables)})
 	}
 }
 
--- a/internal/process/node/decode.go
+++ b/internal/process/node/decode.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"jayfold.dev/jayfold/internal/core/accounts"
 	"jayfold.dev/jayfold/internal/core/effect"
 	"jayfold.dev/jayfold/internal/core/event"
 	"jayfold.dev/jayfold/internal/core/routing"
@@ -15,5 +16,5 @@
 		post(event.TablesRejected{Revision: e.Revision, Detail: err.Error()})
 		return
 	}
-	post(event.TablesDecoded{Tables: tables, Router: routing.New(tables), Content: e.Content})
+	post(event.TablesDecoded{Tables: tables, Router: routing.New(tables), Accounts: accounts.New(tables), Content: e.Content})
 }
