--- a/internal/core/orders/state_test.go
+++ b/internal/core/orders/state_test.go
@@ -62,6 +62,21 @@
 		_, decision := s.AttemptArrived(start, order("b.1", "club"))
 		is.Equal(decision.Effects, []effect.Effect{effect.ReplayResponse{Attempt: "b.1", Original: "a.1"}})
 	})
+	t.Run("after the response, by another account", func(t *testing.T) {
+		is := is.New(t)
+		sent := func(id fleet.AttemptID, account fleet.AccountName) fleet.Attempt {
+			attempt := order(id, "club")
+			attempt.Account = account
+			return attempt
+		}
+		s, _ := New("n").AttemptArrived(start, sent("a.1", "acme"))
+		s, _ = s.ClaimFinished(start, "a.1", fleet.ClaimCreated, false)
+		s, _ = s.RunFinished("a.1", fleet.Outcome{Status: 201})
+		_, decision := s.AttemptArrived(start, sent("b.1", "zeta"))
+		assertRefused(is, decision, fleet.NotRun)
+		_, decision = s.AttemptArrived(start, sent("c.1", "acme"))
+		is.Equal(decision.Effects, []effect.Effect{effect.ReplayResponse{Attempt: "c.1", Original: "a.1"}})
+	})
 	t.Run("after an unknown outcome", func(t *testing.T) {
 		is := is.New(t)
 		broken := fleet.Some(fleet.NewProblem(fleet.Broken, fleet.MayHaveRun, ""))
--- a/internal/edge/tablesfile/account.go
+++ b/internal/edge/tablesfile/account.go
@@ -13,7 +13,7 @@
 
 // wireAccount is an account in the encoded form and in the rendered files, which have hashes of keys and never the keys.
 type wireAccount struct {
-	Name     fleet.AccountName
+	Name     string
 	Keys     []string `json:",omitempty"`
 	Priority int      `json:",omitempty"`
 	Rate     float64  `json:",omitempty"`
@@ -24,7 +24,7 @@
 func wireAccounts(t fleet.Tables, prefix string) []wireAccount {
 	accounts := make([]wireAccount, 0, t.Accounts.Len())
 	for _, a := range t.Accounts.All() {
-		wire := wireAccount{Name: a.Name, Priority: a.Priority, Rate: a.Rate, Burst: a.Burst}
+		wire := wireAccount{Name: string(a.Name), Priority: a.Priority, Rate: a.Rate, Burst: a.Burst}
 		for _, key := range a.Keys {
 			wire.Keys = append(wire.Keys, prefix+hex.EncodeToString(key[:]))
 		}
--- a/internal/edge/tablesfile/account_format.go
+++ b/internal/edge/tablesfile/account_format.go
@@ -25,13 +25,29 @@
 // AccountFormat is the format of entries of accounts: the names of their fields, and how a key is written.
 type AccountFormat struct {
 	Name, Keys, Priority, Rate, Burst string
+	// Decode decodes an entry in one step; false if a field has a value of another type. The fields are then decoded one by one, which
+	// takes five times as long.
+	Decode func(entry json.RawMessage) (AccountFields, bool)
 	// ParseKey returns the hash of a key; false if the key cannot be read.
 	ParseKey func(text string) (fleet.KeyHash, bool)
 }
 
+// AccountFields holds the fields of an entry as they are written.
+type AccountFields struct {
+	Name        string
+	Keys        []string
+	Priority    int
+	Rate, Burst float64
+}
+
 // accountFormat is the format of the encoded form, which has hashes only.
 var accountFormat = AccountFormat{
 	Name: "Name", Keys: "Keys", Priority: "Priority", Rate: "Rate", Burst: "Burst", ParseKey: parseKeyHash,
+	Decode: func(entry json.RawMessage) (AccountFields, bool) {
+		var wire wireAccount
+		err := json.Unmarshal(entry, &wire)
+		return AccountFields(wire), err == nil
+	},
 }
 
 // accountReader collects the accounts of a revision. A text about an entry names the entry and never contains a key.
@@ -47,7 +63,9 @@
 func (f AccountFormat) ReadAccounts(tables fleet.Tables, table string, entries []json.RawMessage) fleet.Tables {
 	r := accountReader{format: f, tables: tables}
 	for i, entry := range entries {
-		r.read(fmt.Sprintf("%s[%d]", table, i), entry)
+		if !r.readWhole(entry) {
+			r.read(fmt.Sprintf("%s[%d]", table, i), entry)
+		}
 	}
 	r.resolveSharedKeys(table)
 	return r.tables
@@ -62,6 +80,31 @@
 	r.tables = r.tables.WithUnread(text[:min(len(text), maxUnreadBytes)])
 }
 
+// readWhole adds the account of an entry without any fault. It returns false if the entry may have one.
+func (r *accountReader) readWhole(entry json.RawMessage) bool {
+	fields, ok := r.format.Decode(entry)
+	if !ok || !isAccountName(fields.Name) || len(fields.Keys) > maxAccountKeys {
+		return false
+	}
+	inBounds := fields.Priority >= 0 && fields.Priority <= fleet.MaxAccountPriority && fields.Rate >= 0 && fields.Rate <= maxRate &&
+		fields.Burst >= 0 && fields.Burst <= maxRate
+	name := fleet.AccountName(fields.Name)
+	if _, taken := r.tables.Accounts.Get(name); taken || !inBounds {
+		return false
+	}
+	account := fleet.Account{Name: name, Priority: fields.Priority, Rate: fields.Rate, Burst: fields.Burst}
+	if len(fields.Keys) > 0 {
+		account.Keys = make([]fleet.KeyHash, len(fields.Keys))
+	}
+	for i, text := range fields.Keys {
+		if account.Keys[i], ok = r.format.ParseKey(text); !ok {
+			return false
+		}
+	}
+	r.tables.Accounts = r.tables.Accounts.With(name, account)
+	return true
+}
+
 // read adds the account of an entry.
 func (r *accountReader) read(where string, entry json.RawMessage) {
 	var wire map[string]json.RawMessage
--- a/internal/edge/tablesfile/diff.go
+++ b/internal/edge/tablesfile/diff.go
@@ -70,7 +70,7 @@
 func accountFields(t fleet.Tables) map[string]fields {
 	all := make(map[string]fields, t.Accounts.Len())
 	for _, wire := range wireAccounts(t, hashPrefix) {
-		all[string(wire.Name)] = newFields(wire)
+		all[wire.Name] = newFields(wire)
 	}
 	return all
 }
