edge/caller: connection loop for HTTP/1 with concurrent pipelined requests

Cause: net/http parses a head before a bound of ours applies, and serves pipelined requests one after the other. Change: HTTP/1 connections of callers are read by a loop of this package. HTTP/2 connections are handed to net/http.

--- a/internal/edge/caller/server.go
+++ b/internal/edge/caller/server.go
@@ -18,7 +18,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -36,10 +35,10 @@
 	// effectsPerRequest is the capacity of the channel for the effects for one request. Each attempt is forwarded at most once
 	// and canceled at most once.
 	effectsPerRequest = 64
-	// idleTimeout is the time after which a connection without requests is closed.
-	idleTimeout = 2 * time.Minute
 	// readyPath responds with 200 while callers should use this node, and with 503 if it has no tables or is leaving.
 	readyPath = "/jayfold/v1/ready"
+	// headSlopBytes is added to the bound of a head for the request line.
+	headSlopBytes = 4 << 10
 )
 
 // Settings configures a Server.
@@ -74,7 +73,11 @@
 	bodyTimeout time.Duration
 	bodies      *bodyMemory
 	seams       Seams
-	http        *http.Server
+	// headerTimeout is the time within which the head of a request must arrive.
+	headerTimeout time.Duration
+	conns         *conns
+	// http serves the HTTP/2 connections. Its handler serves all requests.
+	http *http.Server
 	// ready is true if callers should use this node. leaving is true if the node is about to stop.
 	ready   atomic.Bool
 	leaving atomic.Bool
@@ -94,7 +97,10 @@
 		bodyTimeout: settings.BodyTimeout,
 		bodies:      newBodyMemory(settings.BufferedBytes),
 		seams:       seams,
-		effects:     make(map[fleet.RequestID]chan effect.Effect),
+
+		headerTimeout: settings.Limits.HeaderTimeout,
+		conns:         newConns(),
+		effects:       make(map[fleet.RequestID]chan effect.Effect),
 	}
 	s.tablesLimits.Store(&fleet.Limits{})
 	s.defaultLimits.Store(&settings.Limits)
@@ -110,22 +116,12 @@
 		MaxHeaderBytes: 2 * settings.Limits.HeaderBytes,
 		Protocols:      new(http.Protocols),
 	}
-	s.http.Protocols.SetHTTP1(true)
 	s.http.Protocols.SetUnencryptedHTTP2(true)
 	return s
 }
 
 func matchAny(*http.Request, *mux.RouteMatch) bool { return true }
 
-// Serve accepts connections from listener until Shutdown is called, and then returns http.ErrServerClosed.
-func (s *Server) Serve(listener net.Listener) error { return s.http.Serve(listener) }
-
-// Shutdown closes the listeners and waits for the requests in flight until ctx ends.
-func (s *Server) Shutdown(ctx context.Context) error {
-	s.leaving.Store(true)
-	return s.http.Shutdown(ctx)
-}
-
 // SetReadiness executes effect.SetReadiness.
 func (s *Server) SetReadiness(e effect.SetReadiness) {
 	s.ready.Store(e.Ready)
@@ -134,9 +130,11 @@
 
 // ServeReady responds with 200 if callers should use this node, and with 503 otherwise.
 func (s *Server) ServeReady(w http.ResponseWriter, _ *http.Request) {
+	status := http.StatusOK
 	if !s.ready.Load() {
-		w.WriteHeader(http.StatusServiceUnavailable)
+		status = http.StatusServiceUnavailable
 	}
+	w.WriteHeader(status)
 }
 
 // ForwardAttempt executes effect.ForwardAttempt. It does not block.
@@ -169,6 +167,10 @@
 // HeaderBytes and BodyBytes have an effect.
 func (s *Server) SetDefaultLimits(limits fleet.Limits) { s.defaultLimits.Store(&limits) }
 
+// maxHeadBytes returns the size up to which a head is read. The handler refuses headers over the limit in force with a response body;
+// only much larger ones are refused while they arrive.
+func (s *Server) maxHeadBytes() int { return 2*s.limits().HeaderBytes + headSlopBytes }
+
 func (s *Server) limits() fleet.Limits {
 	return s.tablesLimits.Load().WithDefaults(*s.defaultLimits.Load())
 }
