edge/target, edge/httpresponse: refuse invalid heads and unclean ends

Cause: a body without a length ended with any end of file. After a reset the system reports the error once, to whichever of read and write comes first; when the writer of the request took it, the reader got an end of file. The end was also taken while the request was still being written. http.ReadResponse passes on or normalizes heads that the grammar of HTTP does not allow: status 000 counted as informational, 600 and 999 as responses, "Content-Length : 1" as a field of its own.

Change: httpresponse.Reader peeks at the raw lines of a head within its bound and checks them before net/http parses them; the error is a fixed text. A failed write no longer closes the connection at once, so that a response with a length that has already arrived is still read.

--- a/internal/edge/target/endpoint.go
+++ b/internal/edge/target/endpoint.go
@@ -1,7 +1,6 @@
 package target
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"slices"
@@ -10,6 +9,7 @@
 	"time"
 
 	"jayfold.dev/jayfold/internal/core/fleet"
+	"jayfold.dev/jayfold/internal/edge/httpresponse"
 )
 
 const (
@@ -23,8 +23,6 @@
 	idleMargin = time.Second
 	// maxRefused bounds the refused requests that are remembered. An attempt at the same request follows within seconds, if at all.
 	maxRefused = 64
-	// readBufferBytes is enough for the headers of a typical response.
-	readBufferBytes = 4 << 10
 )
 
 // endpointKey is a target's address and its maximum number of connections.
@@ -51,8 +49,7 @@
 // conn is a connection to a target. It carries one request at a time.
 type conn struct {
 	net.Conn
-	reader   *bufio.Reader
-	head     *headLimit
+	reader   *httpresponse.Reader
 	endpoint *endpoint
 	// lastResponse is the time at which the last response ended; zero for a new connection.
 	lastResponse time.Time
@@ -85,8 +82,7 @@
 		}
 		return nil, err
 	}
-	head := &headLimit{source: opened}
-	return &conn{Conn: opened, reader: bufio.NewReaderSize(head, readBufferBytes), head: head, endpoint: e}, nil
+	return &conn{Conn: opened, reader: httpresponse.NewReader(opened), endpoint: e}, nil
 }
 
 // popUsable removes and returns an idle connection on which a request may be sent. It closes those on which none may be sent.
--- a/internal/edge/target/exchange.go
+++ b/internal/edge/target/exchange.go
@@ -23,10 +23,7 @@
 	maxBufferedBodyBytes = 2 << 10
 )
 
-var (
-	errMismatched        = errors.New("the connection returned responses to other requests")
-	errSwitchedProtocols = errors.New("the target switched protocols without a request to do so")
-)
+var errMismatched = errors.New("the connection returned responses to other requests")
 
 // exchange is one request on a connection to a target and its response.
 type exchange struct {
@@ -44,11 +41,15 @@
 	wroteAny atomic.Bool
 	// wroteAll is true if the whole request has been written.
 	wroteAll atomic.Bool
-	ended    atomic.Bool
+	// socketFailed is true if a write to the connection has failed.
+	socketFailed atomic.Bool
+	// writeEnded is closed when the write of the request has ended.
+	writeEnded chan struct{}
+	ended      atomic.Bool
 }
 
 func newExchange(ctx context.Context, cancel context.CancelFunc, c *conn, boundary *recovery.Boundary) *exchange {
-	e := &exchange{ctx: ctx, cancel: cancel, conn: c, recovery: boundary}
+	e := &exchange{ctx: ctx, cancel: cancel, conn: c, recovery: boundary, writeEnded: make(chan struct{})}
 	e.stopCloseOnDone = context.AfterFunc(ctx, boundary.Func("close connection", func() { _ = c.Close() }))
 	return e
 }
@@ -65,7 +66,7 @@
 		e.recovery.Go("write request", func() { e.write(request) }, func() { _ = e.conn.Close() })
 	}
 	for range maxMismatchedResponses {
-		response, err := e.readResponse(request)
+		response, err := e.conn.reader.ReadResponse(request)
 		if err != nil {
 			return nil, e.contextErrorOr(err)
 		}
@@ -82,40 +83,29 @@
 	return nil, errMismatched
 }
 
-// write writes the request. A failed write closes the connection, so its error appears as a read error.
+// write writes the request. If it fails, the connection is closed, so that the error appears as a read error, unless the connection
+// itself has failed: a read then returns without waiting, and the target may have sent its whole response before.
 func (e *exchange) write(request *http.Request) {
-	err := request.Write(trackingWriter{e})
-	if err != nil {
+	defer close(e.writeEnded)
+	switch err := request.Write(trackingWriter{e}); {
+	case err == nil:
+		e.wroteAll.Store(true)
+	case !e.socketFailed.Load():
 		_ = e.conn.Close()
-		return
 	}
-	e.wroteAll.Store(true)
 }
 
-// trackingWriter sets wroteAny before each write.
+// trackingWriter sets wroteAny before each write, and socketFailed after one that fails.
 type trackingWriter struct{ *exchange }
 
 // Write implements io.Writer.
 func (w trackingWriter) Write(p []byte) (int, error) {
 	w.wroteAny.Store(true)
-	return w.conn.Write(p)
-}
-
-// readResponse reads the headers of the next response that is not informational.
-func (e *exchange) readResponse(request *http.Request) (*http.Response, error) {
-	e.conn.head.begin()
-	defer e.conn.head.end()
-	for {
-		response, err := http.ReadResponse(e.conn.reader, request)
-		switch {
-		case err != nil:
-			return nil, err
-		case response.StatusCode == http.StatusSwitchingProtocols:
-			return nil, errSwitchedProtocols
-		case response.StatusCode >= http.StatusOK:
-			return response, nil
-		}
+	n, err := w.conn.Write(p)
+	if err != nil {
+		w.socketFailed.Store(true)
 	}
+	return n, err
 }
 
 // contextErrorOr returns the error of ctx if ctx is done, since this closes the connection and makes reads fail, and otherwise
@@ -165,44 +155,3 @@
 	}
 	return 0
 }
-
-// responseBody is the body of a target's response. It converts read errors to problems and releases the connection at the end.
-type responseBody struct {
-	exchange *exchange
-	response *http.Response
-	body     io.ReadCloser
-}
-
-// Read implements io.Reader.
-func (b *responseBody) Read(p []byte) (int, error) {
-	n, err := b.body.Read(p)
-	switch {
-	case err == nil:
-		return n, nil
-	case errors.Is(err, io.EOF):
-		b.exchange.end(b.reusable())
-		return n, io.EOF
-	}
-	err = b.exchange.contextErrorOr(err)
-	b.exchange.end(false)
-	switch {
-	case errors.Is(err, context.DeadlineExceeded):
-		return n, fleet.NewProblem(fleet.DeadlinePassed, fleet.MayHaveRun, "the deadline passed during the response")
-	case errors.Is(err, context.Canceled):
-		return n, fleet.NewProblem(fleet.Canceled, fleet.MayHaveRun, "the run was canceled during the response")
-	default:
-		return n, fleet.NewProblem(fleet.Broken, fleet.MayHaveRun, "the connection failed during the response: "+err.Error())
-	}
-}
-
-// reusable reports whether the connection can be used for another request after this response. A target that responded before
-// it had read the whole request would read the rest of it as the next request.
-func (b *responseBody) reusable() bool {
-	return !b.response.Close && b.exchange.isIdentified(b.response) && b.exchange.wroteAll.Load() && b.exchange.conn.reader.Buffered() == 0
-}
-
-// Close implements io.Closer. It closes the connection unless the response has been read to its end.
-func (b *responseBody) Close() error {
-	b.exchange.end(false)
-	return nil
-}
