edge/platform, platform: check the responses of the store

Cause: the clients of the store took what net/http passes on.

Change: httpresponse.CheckedDial checks the first head of a connection and the end of file for NewTransport, whose calls have one connection each. Errors tell the number of a status and not its reason, and quote no ETag; the reason in a target's status is cut after 128 bytes, since it appears in log lines.

--- a/internal/edge/httpresponse/doc.go
+++ b/internal/edge/httpresponse/doc.go
@@ -6,5 +6,9 @@
 //	reader := httpresponse.NewReader(conn)
 //	response, err := reader.ReadResponse(request)
 //
+// A client of net/http checks the heads of its connections, which carry one response each, with
+//
+//	transport := &http.Transport{DialContext: httpresponse.CheckedDial(dialer.DialContext)}
+//
 // A body without a length ends with its connection. EndedCleanly reports whether that end can be relied on.
 package httpresponse
--- a/internal/edge/httpresponse/reader.go
+++ b/internal/edge/httpresponse/reader.go
@@ -15,6 +15,8 @@
 	maxHeadBytes = 64 << 10
 	// bufferBytes is enough for the head of a typical response. A longer head doubles the buffer as often as necessary.
 	bufferBytes = 4 << 10
+	// maxStatusBytes bounds the status with its reason, which appears in log lines.
+	maxStatusBytes = 128
 )
 
 var (
@@ -51,6 +53,7 @@
 		case response.StatusCode == http.StatusSwitchingProtocols:
 			return nil, errSwitchedProtocols
 		case response.StatusCode >= http.StatusOK:
+			response.Status = response.Status[:min(len(response.Status), maxStatusBytes)]
 			return response, nil
 		}
 	}
--- a/internal/edge/platform/objectapi.go
+++ b/internal/edge/platform/objectapi.go
@@ -100,13 +100,14 @@
 	}
 }
 
+var errBadETag = errors.New("the ETag is not a version")
+
 // response is a response of the platform with its whole body.
 type response struct {
-	status     int
-	statusText string
-	etag       string
-	epoch      fleet.Epoch
-	body       []byte
+	status int
+	etag   string
+	epoch  fleet.Epoch
+	body   []byte
 }
 
 func (r response) version() (uint64, error) {
@@ -116,13 +117,13 @@
 	}
 	version, err := strconv.ParseUint(strings.Trim(r.etag, `"`), 10, 64)
 	if err != nil || version == 0 {
-		return 0, fmt.Errorf("the ETag %q is not a version", r.etag)
+		return 0, errBadETag
 	}
 	return version, nil
 }
 
 func (r response) statusError() error {
-	return errors.New("the platform responded with status " + r.statusText)
+	return fmt.Errorf("the platform responded with status %d", r.status)
 }
 
 func (o objectAPI) list(ctx context.Context, prefix string) (List, error) {
@@ -158,12 +159,12 @@
 		return 0, err
 	}
 	switch status := r.status; {
-	case status < http.StatusMultipleChoices, status == http.StatusNotFound && method == http.MethodDelete:
+	case status >= http.StatusOK && status < http.StatusMultipleChoices, status == http.StatusNotFound && method == http.MethodDelete:
 		return r.epoch, nil
 	case status == http.StatusPreconditionFailed:
 		return 0, CallError{Call: method + " " + key, Epoch: r.epoch, Err: ErrConflict}
 	default:
-		unknown := status >= http.StatusInternalServerError
+		unknown := status < http.StatusOK || status >= http.StatusInternalServerError
 		return 0, CallError{Call: method + " " + key, OutcomeUnknown: unknown, Epoch: r.epoch, Err: r.statusError()}
 	}
 }
@@ -199,7 +200,7 @@
 		return response{}, CallError{Call: call, OutcomeUnknown: write, Err: err}
 	}
 	return response{
-		status: res.StatusCode, statusText: res.Status, etag: res.Header.Get("ETag"), epoch: parseEpoch(res.Header.Get(epochHeader)), body: body,
+		status: res.StatusCode, etag: res.Header.Get("ETag"), epoch: parseEpoch(res.Header.Get(epochHeader)), body: body,
 	}, nil
 }
 
--- a/internal/edge/platform/transport.go
+++ b/internal/edge/platform/transport.go
@@ -4,6 +4,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"jayfold.dev/jayfold/internal/edge/httpresponse"
 )
 
 // dialTimeout bounds the dial of a connection. The platform responds within milliseconds, so a dial that takes longer means a
@@ -18,8 +20,14 @@
 // while it is read.
 const maxHeadBytes = 64 << 10
 
-// NewTransport returns a transport for calls to the platform that detects dead connections and heads without end.
+// NewTransport returns a transport for calls to the platform, over http and not https, that detects dead connections, invalid heads and
+// heads without end. Each call has its own connection, of which the first response is checked.
 func NewTransport() *http.Transport {
 	dialer := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive}
-	return &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes}
+	return &http.Transport{
+		DialContext:            httpresponse.CheckedDial(dialer.DialContext),
+		DisableCompression:     true,
+		DisableKeepAlives:      true,
+		MaxResponseHeaderBytes: maxHeadBytes,
+	}
 }
--- a/internal/edge/target/invalid_head_test.go
+++ b/internal/edge/target/invalid_head_test.go
@@ -117,6 +117,17 @@
 	}
 }
 
+// TestLongReason guards against a reason of any length in log lines.
+func TestLongReason(t *testing.T) {
+	is := is.New(t)
+	text := "HTTP/1.1 500 " + strings.Repeat("long ", 1000) + "\r\nContent-Length: 0\r\n\r\n"
+	address := serveConns(t, respondOnce(text, make(chan bool, 1)))
+	response, err := newClient().Run(t.Context(), newRun(address, 2*time.Second), httptest.NewRequest(http.MethodGet, "/", nil))
+	is.NoErr(err)
+	is.NoErr(response.Body.Close())
+	is.True(len(response.Status) < 200)
+}
+
 // TestValidHeads guards against refusing what the grammar allows.
 func TestValidHeads(t *testing.T) {
 	for name, head := range map[string]string{
