core/usage: rate limits of client accounts over the whole fleet

Cause: accounts have a rate and a burst, which nothing enforces.

Change: each node owns an equal share of each rate limit and leases it to the allocator of its zone, which leases all shares of the zone to the allocator of the fleet. That node keeps a token bucket for each account. A request of an account with a rate needs a token; it waits for one up to 400 ms and is refused with OverCap (429) if the account is over its limit. While an account has requested no more than rate x 5 + burst tokens in 5 s, its requests are granted even if the bucket is empty. A lease names the clock of its holder, so that a delayed message never renews it, and shares that are leased are used by nobody else. Without accounts with a rate, nothing is sent.

--- a/internal/core/membership/state.go
+++ b/internal/core/membership/state.go
@@ -19,6 +19,7 @@
 package membership
 
 import (
+	"iter"
 	"math/bits"
 	"math/rand/v2"
 	"slices"
@@ -122,6 +123,9 @@
 	return members
 }
 
+// All yields all records in node id order. The records must not be modified.
+func (s State) All() iter.Seq2[fleet.NodeID, *fleet.Member] { return s.members.All() }
+
 // Len returns the number of records, including this node's own.
 func (s State) Len() int { return s.members.Len() }
 
--- a/internal/core/node/ingress.go
+++ b/internal/core/node/ingress.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"time"
+
 	"jayfold.dev/jayfold/internal/core/admission"
 	"jayfold.dev/jayfold/internal/core/attempt"
 	"jayfold.dev/jayfold/internal/core/effect"
@@ -37,6 +39,15 @@
 	if s.Revision() == 0 {
 		return s, refuse(request, fleet.NoTables, "this node has no tables yet")
 	}
+	if _, ok := s.tables.Router().Match(request); ok && s.isRateLimited(request.Account) &&
+		!s.quarantine.Suspects().Quarantined(ev.At, request.Fingerprint) {
+		return s.limitRequest(ev, request)
+	}
+	return s.startRequest(ev, request, ev.At)
+}
+
+// startRequest starts a request that arrived at the given time and has waited for a token since, or refuses it.
+func (s State) startRequest(ev event.Event, request fleet.Request, arrived time.Time) (State, []effect.Effect) {
 	route, ok := s.tables.Router().Match(request)
 	if !ok {
 		return s, refuse(request, fleet.NoRoute, "no route matches "+request.Method+" "+request.Path)
@@ -44,6 +55,10 @@
 	if s.quarantine.Suspects().Quarantined(ev.At, request.Fingerprint) {
 		return s, refuse(request, fleet.Quarantined, "requests with this fingerprint have crashed several targets")
 	}
+	if waited := ev.At.Sub(arrived); waited > 0 {
+		route.Deadline, route.Goal = remaining(route.Deadline, waited), remaining(route.Goal, waited)
+		request.Timeout = remaining(request.Timeout, waited)
+	}
 	s.splitter, route.Pool = s.splitter.NextPool(route, ev.Random)
 	idempotent := routing.IsIdempotent(route, request)
 	route.Class = s.classOf(route, request, idempotent)
@@ -73,6 +88,7 @@
 }
 
 func (s State) requestCanceled(ev event.Event, body event.RequestCanceled) (State, []effect.Effect) {
+	s.usage = s.usage.RequestCanceled(body.Request)
 	next, effects := s.attempts.RequestCanceled(ev.At, body.Request)
 	s.attempts = next
 	return s, effects
--- a/internal/core/node/messages.go
+++ b/internal/core/node/messages.go
@@ -23,6 +23,8 @@
 		s.ejection, more = s.ejection.MessageReceived(s.ejectionContext(ev), envelope.From, envelope.Message)
 	case message.CrashSuspicions:
 		s, more = s.crashSuspicionsReceived(ev, body)
+	case message.UsageRequest, message.UsageReply:
+		s, more = s.usageMessageReceived(ev, envelope)
 	case message.SyncReply:
 		s, more = s.syncReplyReceived(ev, envelope, body)
 	default:
@@ -40,9 +42,9 @@
 	return s, append(effects, more...)
 }
 
-func (s State) messageSendFailed(body event.MessageSendFailed) (State, []effect.Effect) {
+func (s State) messageSendFailed(ev event.Event, body event.MessageSendFailed) (State, []effect.Effect) {
 	s.membership = new(s.membership.MessageSendFailed(body.To))
-	return s, nil
+	return s.usageSendFailed(ev, body.To)
 }
 
 func (s State) peerRevisionSeen(ev event.Event, body event.PeerRevisionSeen) (State, []effect.Effect) {
--- a/internal/core/node/metrics.go
+++ b/internal/core/node/metrics.go
@@ -32,7 +32,12 @@
 		if info, ok := s.attempts.RequestInfo(body.Request); ok {
 			effects = append(effects, s.requestMetric(ev, info, outcomeCanceled))
 		}
-	case event.RequestArrived, event.RequestTimerFired, event.Tick:
+		if _, ok := s.usage.WaitingRequest(body.Request); ok {
+			canceled := effect.RefuseRequest{Request: body.Request, Problem: fleet.Problem{Cause: outcomeCanceled}}
+			effects = append(effects, s.refusalMetric(ev, canceled))
+		}
+	case event.RequestArrived, event.RequestTimerFired, event.Tick, event.MessageReceived, event.MessageSendFailed,
+		event.TablesDecoded:
 	default:
 		return effects
 	}
@@ -54,6 +59,15 @@
 	if info, ok := s.attempts.RequestInfo(e.Request); ok {
 		return s.requestMetric(ev, info, outcome)
 	}
+	if waiting, ok := s.usage.WaitingRequest(e.Request); ok {
+		if route, found := s.tables.Router().Match(waiting.Request); found {
+			return effect.RecordRequest{
+				MetricLabels: s.metricLabels(route.Pool, route.Class, outcome),
+				Caller:       waiting.Request.Caller,
+				Duration:     fleet.Some(ev.At.Sub(waiting.Arrived)),
+			}
+		}
+	}
 	if arrived, ok := ev.Body.(event.RequestArrived); ok {
 		if route, found := s.tables.Router().Match(arrived.Request); found {
 			return effect.RecordRequest{MetricLabels: s.metricLabels(route.Pool, route.Class, outcome)}
--- a/internal/core/node/platform.go
+++ b/internal/core/node/platform.go
@@ -56,6 +56,9 @@
 	s, effects := s.withTables(s.tables.TablesDecoded(ev.At, body.Tables, body.Router, body.Content))
 	if s.Revision() != before {
 		effects = append(effects, effect.SetTables{Tables: s.tables.Current()})
+		var limited []effect.Effect
+		s, limited = s.usageTablesChanged(ev)
+		effects = append(effects, limited...)
 	}
 	if shouldNotify {
 		var pings []effect.Effect
--- a/internal/core/node/state.go
+++ b/internal/core/node/state.go
@@ -24,6 +24,7 @@
 	"jayfold.dev/jayfold/internal/core/quarantine"
 	"jayfold.dev/jayfold/internal/core/routing"
 	"jayfold.dev/jayfold/internal/core/tables"
+	"jayfold.dev/jayfold/internal/core/usage"
 )
 
 // State is the state of one node. It is immutable, and so are the values behind its pointers. A step, which is one call of
@@ -38,6 +39,7 @@
 	membership  *membership.State
 	orders      orders.State
 	quarantine  quarantine.State
+	usage       usage.State
 	tables      *tables.State
 	epoch       epoch.State
 	firstTables firstTables
@@ -56,6 +58,7 @@
 		membership: new(membership.New(self)),
 		orders:     orders.New(self.Node),
 		quarantine: quarantine.New(),
+		usage:      usage.New(self.Node, self.AvailabilityZone),
 		tables:     new(tables.New()),
 		epoch:      epoch.New(),
 		shutdown:   shutdown{grace: settings.StopGrace},
@@ -125,7 +128,7 @@
 	case event.MessageReceived:
 		return s.messageReceived(ev, body)
 	case event.MessageSendFailed:
-		return s.messageSendFailed(body)
+		return s.messageSendFailed(ev, body)
 	case event.PeerRevisionSeen:
 		return s.peerRevisionSeen(ev, body)
 	default:
--- a/internal/core/node/status.go
+++ b/internal/core/node/status.go
@@ -20,7 +20,7 @@
 		Epoch:             s.epoch.Current(),
 		Unread:            s.tables.Current().Unread,
 		Draining:          s.shutdown.inProgress(),
-		InFlight:          s.attempts.InFlight() + s.admission.InFlight(),
+		InFlight:          s.attempts.InFlight() + s.admission.InFlight() + s.usage.Waiting(),
 		Services:          s.serviceStatuses(),
 		Targets:           s.targetStatuses(now),
 		Members:           s.membership.Members(),
--- a/internal/core/node/tick.go
+++ b/internal/core/node/tick.go
@@ -23,10 +23,11 @@
 	if s.shutdown.shouldDrainTargets(ev.At) {
 		s, leaving = s.drainTargets(ev)
 	}
+	s, limited := s.tickUsage(ev)
 	s, acks := s.completeAcks(ev.At)
-	s.shutdown, stop = s.shutdown.tick(ev.At, s.attempts.InFlight()+s.admission.InFlight())
+	s.shutdown, stop = s.shutdown.tick(ev.At, s.attempts.InFlight()+s.admission.InFlight()+s.usage.Waiting())
 	effects := append(attempts, s.completeReports(ev.At, admission)...)
-	for _, more := range [][]effect.Effect{ejection, suspicions, membership, orders, tables, first, leaving, acks, stop} {
+	for _, more := range [][]effect.Effect{ejection, suspicions, membership, orders, tables, first, leaving, limited, acks, stop} {
 		effects = append(effects, more...)
 	}
 	return s, effects
--- a/internal/edge/caller/refusal.go
+++ b/internal/edge/caller/refusal.go
@@ -42,6 +42,7 @@
 	fleet.UnknownTarget:  http.StatusServiceUnavailable,
 	fleet.Duplicate:      http.StatusBadGateway,
 	fleet.Quarantined:    http.StatusTooManyRequests,
+	fleet.OverCap:        http.StatusTooManyRequests,
 	fleet.DeadlinePassed: http.StatusGatewayTimeout,
 	fleet.Canceled:       http.StatusGatewayTimeout,
 	fleet.Unreachable:    http.StatusBadGateway,
@@ -67,7 +68,7 @@
 	header := w.Header()
 	setHeaders(header, id, problem.Verdict)
 	header.Set("Content-Type", "application/json")
-	if status == http.StatusServiceUnavailable {
+	if status == http.StatusServiceUnavailable || problem.Cause == fleet.OverCap {
 		header.Set("Retry-After", retryAfterSeconds(problem.RetryAfter))
 	}
 	if problem.Cause == fleet.TooLarge || problem.Cause == fleet.BadRequest {
--- a/internal/edge/peer/message_codec.go
+++ b/internal/edge/peer/message_codec.go
@@ -87,6 +87,8 @@
 	newCodec("Suspicions", messageLimit, crashSuspicionsToWire, crashSuspicionsFromWire),
 	newCodec("TablesRequest", messageLimit, tablesRequestToWire, tablesRequestFromWire),
 	newCodec("TablesContent", contentLimit, tablesContentToWire, tablesContentFromWire),
+	newCodec("UsageRequest", messageLimit, usageRequestToWire, usageRequestFromWire),
+	newCodec("UsageReply", messageLimit, usageReplyToWire, usageReplyFromWire),
 }
 
 // encode returns the encoded envelope, or an error if the message is of an unknown kind or too large.
--- a/internal/edge/peer/message_test.go
+++ b/internal/edge/peer/message_test.go
@@ -262,6 +262,8 @@
 	"Suspicions":    messageGenerator[message.CrashSuspicions](),
 	"TablesRequest": messageGenerator[message.TablesRequest](),
 	"TablesContent": messageGenerator[message.TablesContent](),
+	"UsageRequest":  messageGenerator[message.UsageRequest](),
+	"UsageReply":    messageGenerator[message.UsageReply](),
 }
 
 func messageGenerator[M message.Message]() *rapid.Generator[message.Message] {
