--- a/internal/core/node/ingress.go
+++ b/internal/core/node/ingress.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"time"
+
 	"jayfold.dev/jayfold/internal/core/accounts"
 	"jayfold.dev/jayfold/internal/core/admission"
 	"jayfold.dev/jayfold/internal/core/attempt"
@@ -29,9 +31,14 @@
 	return ctx
 }
 
-// requestArrived refuses a request that arrives before the first tables, matches no route, is not accepted for an account or is
-// quarantined, or whose body is complete only after the listener of a stopping node has closed: the node might end before the request.
-// It starts any other request.
+// acceptedRequest is a request that passed the checks of its arrival, and its route.
+type acceptedRequest struct {
+	request fleet.Request
+	route   fleet.Route
+}
+
+// requestArrived refuses a request that arrives before the first tables, or whose body is complete only after the listener of a stopping
+// node has closed: the node might end before the request. A request of an account with a rate limit may have to wait for a token.
 func (s State) requestArrived(ev event.Event, body event.RequestArrived) (State, []effect.Effect) {
 	request := body.Request
 	if s.shutdown.drainingCallers {
@@ -40,24 +47,52 @@
 	if s.Revision() == 0 {
 		return s, refuse(request, fleet.NoTables, "this node has no tables yet")
 	}
+	accepted, refusal := s.acceptRequest(ev, request)
+	switch {
+	case refusal != nil:
+		return s, refusal
+	case s.isRateLimited(accepted.request.Account):
+		return s.limitRequest(ev, accepted.request)
+	}
+	return s.startRequest(ev, accepted)
+}
+
+// acceptRequest refuses a request that matches no route, is not accepted for an account, or is quarantined.
+func (s State) acceptRequest(ev event.Event, request fleet.Request) (acceptedRequest, []effect.Effect) {
 	route, ok := s.tables.Router().Match(request)
 	if !ok {
-		return s, refuse(request, fleet.NoRoute, "no route matches "+request.Method+" "+request.Path)
+		return acceptedRequest{}, refuse(request, fleet.NoRoute, "no route matches "+request.Method+" "+request.Path)
 	}
 	decision := s.checkAccount(ev.At, request, route)
 	if problem, refused := decision.Problem.Get(); refused {
-		return s, append(refuseWith(request, problem), accounts.Count(decision.Reason))
+		return acceptedRequest{}, append(refuseWith(request, problem), accounts.Count(decision.Reason))
 	}
 	if s.quarantine.Suspects().Quarantined(ev.At, request.Fingerprint) {
-		return s, refuse(request, fleet.Quarantined, "requests with this fingerprint have crashed several targets")
+		return acceptedRequest{}, refuse(request, fleet.Quarantined, "requests with this fingerprint have crashed several targets")
 	}
 	request.Account = decision.Account.Name
 	route.Priority += decision.Priority * fleet.PriorityLevels
-	return s.startRequest(ev, request, route)
+	return acceptedRequest{request: request, route: route}, nil
+}
+
+// resumeRequest starts a request that has waited for a token since its arrival. The tables may have changed meanwhile, so that it is
+// checked again.
+func (s State) resumeRequest(ev event.Event, request fleet.Request, arrived time.Time) (State, []effect.Effect) {
+	accepted, refusal := s.acceptRequest(ev, request)
+	if refusal != nil {
+		return s, refusal
+	}
+	if waited := ev.At.Sub(arrived); waited > 0 {
+		accepted.route.Deadline = remaining(accepted.route.Deadline, waited)
+		accepted.route.Goal = remaining(accepted.route.Goal, waited)
+		accepted.request.Timeout = remaining(accepted.request.Timeout, waited)
+	}
+	return s.startRequest(ev, accepted)
 }
 
 // startRequest starts a request that was accepted.
-func (s State) startRequest(ev event.Event, request fleet.Request, route fleet.Route) (State, []effect.Effect) {
+func (s State) startRequest(ev event.Event, accepted acceptedRequest) (State, []effect.Effect) {
+	request, route := accepted.request, accepted.route
 	s.splitter, route.Pool = s.splitter.NextPool(route, ev.Random)
 	idempotent := routing.IsIdempotent(route, request)
 	route.Class = s.classOf(route, request, idempotent)
@@ -87,6 +122,7 @@
 }
 
 func (s State) requestCanceled(ev event.Event, body event.RequestCanceled) (State, []effect.Effect) {
+	s.usage = s.usage.RequestCanceled(body.Request)
 	next, effects := s.attempts.RequestCanceled(ev.At, body.Request)
 	s.attempts = next
 	return s, effects
--- a/internal/core/node/status.go
+++ b/internal/core/node/status.go
@@ -22,11 +22,13 @@
 		Accounts:          s.tables.Accounts().Len(),
 		UnusableAccounts:  s.tables.Current().UnusableAccounts,
 		Draining:          s.shutdown.inProgress(),
-		InFlight:          s.attempts.InFlight() + s.admission.InFlight(),
+		InFlight:          s.attempts.InFlight() + s.admission.InFlight() + s.usage.Waiting(),
 		Services:          s.serviceStatuses(),
 		Targets:           s.targetStatuses(now),
 		Members:           s.membership.Members(),
 		Quarantined:       s.quarantine.Status(now),
+		RateLimits:        s.usage.Status(now),
+		Waiting:           s.usage.Waiting(),
 	}
 }
 
--- a/internal/edge/operator/status.go
+++ b/internal/edge/operator/status.go
@@ -27,7 +27,10 @@
 	Services         []service
 	Targets          []target
 	Quarantined      []quarantined
-	Members          []member
+	// RateLimits is absent if no account has a rate limit. Waiting is the number of requests that wait for a token.
+	RateLimits []rateLimit `json:",omitempty"`
+	Waiting    int         `json:",omitempty"`
+	Members    []member
 }
 
 type service struct {
@@ -61,6 +64,13 @@
 	Until       time.Time
 }
 
+type rateLimit struct {
+	Shard     int
+	Allocator string
+	Shares    int
+	Members   int
+}
+
 type member struct {
 	Node             string
 	AvailabilityZone string
@@ -100,6 +110,8 @@
 		Services:         translateAll(s.Services, newService),
 		Targets:          translateAll(s.Targets, newTarget),
 		Quarantined:      translateAll(s.Quarantined, newQuarantined),
+		RateLimits:       translateAll(s.RateLimits, newRateLimit),
+		Waiting:          s.Waiting,
 		Members:          translateAll(s.Members, newMember),
 	}
 }
@@ -125,6 +137,10 @@
 	return quarantined{Fingerprint: uint64(q.Fingerprint), Until: q.Until}
 }
 
+func newRateLimit(r effect.RateLimitStatus) rateLimit {
+	return rateLimit{Shard: r.Shard, Allocator: string(r.Allocator), Shares: r.Shares, Members: r.Members}
+}
+
 func newMember(m fleet.Member) member {
 	return member{
 		Node:             string(m.Node),
