edge/caller: a truncated response to an HTTP/1.0 caller is reset

Cause: a response whose rest cannot be read ended with a panic of http.ErrAbortHandler. net/http then closes the connection with a clean end, which ends a response to a caller of HTTP/1.0.

Change: the connection is taken over and reset; streams of HTTP/2 are aborted as before.

--- a/internal/edge/caller/exchange.go
+++ b/internal/edge/caller/exchange.go
@@ -197,7 +197,8 @@
 			return
 		}
 		if err != nil {
-			panic(http.ErrAbortHandler)
+			abort(w)
+			return
 		}
 		_ = control.Flush()
 	}
