core/cost, attempt, admission: placement by expected cost

Cause: targets are compared by requests per slot. A fast and a slow target with the same count look alike, one long run counts like a short one, and a request whose two random candidates of the own zone are full is sent to other zones at once.

Change: with the setting Placement "cost" a sidecar estimates waits from the ages of its runs and the distribution of their times, and reports the mean run time of the class (header Jayfold-Cost). An ingress chooses the target that completes the request first, waits in its own zone while that meets the goal, and sends a request to another zone at most twice. The replay gets loads with a heavy tail, two speeds, a cold pool, uneven zones, moved clients and an overload of uneven zones (experiment placement).

--- a/internal/core/admission/heartbeat.go
+++ b/internal/core/admission/heartbeat.go
@@ -74,10 +74,12 @@
 	return s, fleet.Some(crash)
 }
 
-// newProcess returns the target after the first heartbeat of a process. The queue and the retry budget carry over from the
+// newProcess returns the target after the first heartbeat of a process. The queue, the retry budget and the costs carry over from the
 // previous process; runs count only for the process that they run on.
 func (s State) newProcess(now time.Time, id fleet.TargetID, old localTarget, h fleet.Heartbeat) localTarget {
-	l := localTarget{firstHeartbeat: now, queue: old.queue, retryBudget: old.retryBudget.startedAt(now)}
+	l := localTarget{
+		firstHeartbeat: now, queue: old.queue, retryBudget: old.retryBudget.startedAt(now), costs: old.costs,
+	}
 	for attempt, run := range s.running.All() {
 		if run.Attempt.Target == id && run.Instance == h.Instance {
 			l.running = l.running.With(attempt)
@@ -154,6 +156,14 @@
 func (s State) refreshQueue(ctx Context, id fleet.TargetID) (State, []effect.Effect) {
 	l, _ := s.targets.Get(id)
 	var effects []effect.Effect
+	if s.byCost() && l.costs != nil {
+		for _, late := range s.lateByCost(ctx.Now, l) {
+			s, l = s.dequeue(l, late.attempt)
+			effects = append(effects, s.refuse(ctx.Now, late.attempt, late.cause)...)
+		}
+		s, started := s.startQueued(ctx, id)
+		return s, append(effects, started...)
+	}
 	var work time.Duration
 	for _, q := range l.inQueueOrder(ctx.Now) {
 		cause := fleet.Overloaded
--- a/internal/core/admission/localtarget.go
+++ b/internal/core/admission/localtarget.go
@@ -27,7 +27,9 @@
 	running      fleet.Set[fleet.AttemptID]
 	queue        queue
 	serviceTimes serviceTimes
-	usage        usage
+	// costs holds the observed run times; nil until the first run, and unless targets are placed by cost.
+	costs *runCosts
+	usage usage
 	// retryBudget is the target's share of its pool's retry budget.
 	retryBudget retryBudget
 	// unreachable is true if the process refused a connection or died and has sent no heartbeat since.
--- a/internal/core/admission/run.go
+++ b/internal/core/admission/run.go
@@ -90,6 +90,9 @@
 		l.running = l.running.Without(id)
 		if duration, complete := serviceTime(ctx.Now, run, outcome); complete {
 			l.serviceTimes = l.serviceTimes.with(run.Attempt.Class, duration)
+			if s.byCost() {
+				l.costs = l.costs.with(run.Attempt.Class, duration)
+			}
 		}
 		s.targets = s.targets.With(run.Attempt.Target, l)
 	}
--- a/internal/core/admission/state.go
+++ b/internal/core/admission/state.go
@@ -193,7 +193,7 @@
 // enqueue queues an attempt, or refuses it if it is a probe or would start too late. In a full queue, the less urgent of the
 // attempt and the last one in the queue is refused.
 func (s State) enqueue(ctx Context, l localTarget, attempt fleet.Attempt) (State, []effect.Effect) {
-	wait := l.expectedWait(ctx.Now, attempt)
+	wait := s.expectedWait(ctx.Now, l, attempt)
 	if attempt.Probe || l.tooLate(ctx.Now, attempt, wait) {
 		return s, s.refuse(ctx.Now, attempt, fleet.Overloaded)
 	}
@@ -277,7 +277,8 @@
 		Target:       attempt.Target,
 		Class:        attempt.Class,
 		Load:         s.Load(attempt.Target),
-		ExpectedWait: l.expectedWait(now, attempt),
+		ExpectedWait: s.expectedWait(now, l, attempt),
+		MeanTime:     s.meanTime(l, attempt.Class),
 	}
 }
 
--- /dev/null
+++ b/internal/core/attempt/cost_view.go
@@ -0,0 +1,84 @@
+package attempt
+
+import (
+	"time"
+
+	"jayfold.dev/jayfold/internal/core/cost"
+	"jayfold.dev/jayfold/internal/core/fleet"
+)
+
+// meanSmoothing is the weight of one report in a pool's mean run time.
+const meanSmoothing = 1.0 / 16
+
+// costView is what an ingress knows of the expected waits and run times on a target. It is kept only if targets are placed by cost.
+type costView struct {
+	zone fleet.AvailabilityZone
+	// wait is the wait at the last report, and sent the number of attempts sent to the target since.
+	wait cost.Hint
+	sent int
+	// means holds the reported mean run time of each class; 0 if unknown.
+	means [len(fleet.Classes)]time.Duration
+}
+
+// poolCosts is what an ingress knows of the run times in a pool and of the waits in its zones.
+type poolCosts struct {
+	means [len(fleet.Classes)]time.Duration
+	zones fleet.Map[fleet.AvailabilityZone, cost.Hint]
+}
+
+// withAttempt returns the pool after an attempt was sent to a target.
+func (p *poolView) withAttempt(id fleet.TargetID, zone fleet.AvailabilityZone) *poolView {
+	v := *p.target(id)
+	v.cost.zone = zone
+	v.cost.sent++
+	return p.withTarget(id, v)
+}
+
+// withCosts returns the pool after a report, with the waits and run times that it contains. old is the view of the target before
+// the report.
+func (p *poolView) withCosts(now time.Time, old costView, r fleet.TargetReport) *poolView {
+	v := *p.target(r.Target)
+	v.cost = costView{zone: old.zone, wait: cost.NewHint(now, r.ExpectedWait), means: old.means}
+	next := p.withTarget(r.Target, v)
+	if old.zone != "" {
+		zone, _ := p.costs.zones.Get(old.zone)
+		next.costs.zones = p.costs.zones.With(old.zone, zone.Smoothed(now, r.ExpectedWait))
+	}
+	if r.MeanTime <= 0 || int(r.Class) >= len(next.costs.means) {
+		return next
+	}
+	v.cost.means[r.Class] = r.MeanTime
+	next = next.withTarget(r.Target, v)
+	if mean := &next.costs.means[r.Class]; *mean == 0 {
+		*mean = r.MeanTime
+	} else {
+		*mean += time.Duration(meanSmoothing * float64(r.MeanTime-*mean))
+	}
+	return next
+}
+
+// runTime returns the expected run time of a class on a target: the mean of the pool if the target has not reported one.
+func (p *poolView) runTime(v *targetView, class fleet.Class) time.Duration {
+	if mean := v.cost.means[class]; mean > 0 {
+		return mean
+	}
+	return p.costs.means[class]
+}
+
+// expectedWait returns the time that a new attempt is expected to wait on a target with the given number of slots, and whether that
+// is known. The attempts that this ingress has sent to the target since its last report take the slots that were free then, or
+// wait before the new one.
+func (p *poolView) expectedWait(now time.Time, v *targetView, class fleet.Class, slots int) (time.Duration, bool) {
+	if now.Sub(v.updatedAt) > loadLifetime && !now.Before(v.fullUntil) || v.load.Slots == 0 {
+		return 0, false
+	}
+	wait := v.cost.wait.Wait(now)
+	ahead := v.cost.sent
+	if free := v.load.Slots - v.load.InFlight - v.load.Queued; wait == 0 && free > 0 {
+		ahead -= free - 1
+	}
+	if ahead <= 0 {
+		return wait, true
+	}
+	return wait + time.Duration(ahead)*p.runTime(v, class)/time.Duration(max(slots, 1)), true
+}
--- a/internal/core/attempt/finish.go
+++ b/internal/core/attempt/finish.go
@@ -52,7 +52,11 @@
 		return s
 	}
 	name := req.template.Pool
-	s = s.withPool(name, s.pool(name).withReport(ctx.Now, r))
+	reported := s.pool(name).withReport(ctx.Now, r)
+	if s.byCost {
+		reported = reported.withCosts(ctx.Now, s.pool(name).target(r.Target).cost, r)
+	}
+	s = s.withPool(name, reported)
 	s.unreachable = s.unreachable.withResponse(r.Target.Node())
 	return s
 }
--- a/internal/core/attempt/placement.go
+++ b/internal/core/attempt/placement.go
@@ -72,6 +72,9 @@
 	if len(p.request.inFlight) > 0 {
 		steps = []func() (int, mode){p.ownZoneProbe, p.crossZoneProbe, p.ownZoneQueueForHedge}
 	}
+	if p.state.byCost {
+		steps = p.costSteps()
+	}
 	for _, step := range steps {
 		if i, m := step(); i >= 0 {
 			return placement{candidate: p.candidates[i], mode: m}, true
--- a/internal/core/attempt/pool.go
+++ b/internal/core/attempt/pool.go
@@ -10,6 +10,7 @@
 type poolView struct {
 	targets   fleet.HashMap[fleet.TargetID, *targetView]
 	baselines [len(fleet.Classes)]baseline
+	costs     poolCosts
 }
 
 // unknownPool is the view of a pool without reports.
--- a/internal/core/attempt/state.go
+++ b/internal/core/attempt/state.go
@@ -36,6 +36,8 @@
 	drainDeadline time.Time
 	// pruneCursor is the pool to prune next.
 	pruneCursor fleet.PoolName
+	// byCost is true if targets are compared by expected completion time instead of requests per slot.
+	byCost bool
 }
 
 // withPool returns the state with the view of a pool replaced.
@@ -71,6 +73,12 @@
 	return State{zone: zone}
 }
 
+// WithPlacement returns the state with another way of choosing targets, which applies from the next attempt on.
+func (s State) WithPlacement(placement fleet.Placement) State {
+	s.byCost = placement == fleet.PlacementByCost
+	return s
+}
+
 // RequestArrived accepts a request and starts its first attempt. If no target may take it, the request is deferred or refused.
 func (s State) RequestArrived(ctx Context, request fleet.Request, route fleet.Route, idempotent bool) (State, []effect.Effect) {
 	timeout := route.Deadline
@@ -168,6 +176,9 @@
 	s.attempts = s.attempts.incremented(c.Target.ID)
 	s.unreachable = s.unreachable.withAttempt(ctx, c.Node)
 	ownZone := c.AvailabilityZone == s.zone
+	if s.byCost {
+		s = s.withPool(attempt.Pool, s.pool(attempt.Pool).withAttempt(c.Target.ID, c.AvailabilityZone))
+	}
 	started := req.withAttempt(ctx.Now, attempt, activeAttempt{
 		mode: chosen.mode, ownZone: ownZone, queueWait: req.queueWaitAt(c.Target.ID),
 	})
--- a/internal/core/attempt/view.go
+++ b/internal/core/attempt/view.go
@@ -31,6 +31,7 @@
 	// reported health.
 	suspectUntil time.Time
 	health       fleet.Health
+	cost         costView
 }
 
 // unknownView is the view of a target without reports.
--- a/internal/core/fleet/load.go
+++ b/internal/core/fleet/load.go
@@ -30,6 +30,8 @@
 	Health  Health
 	// ExpectedWait is the time that another request of the same priority and class would wait for a slot.
 	ExpectedWait time.Duration
+	// MeanTime is the mean run time of requests of Class on the target; 0 if not known or if targets are not placed by cost.
+	MeanTime time.Duration
 	// BudgetCharged is true if the target refused the attempt but charged it to its share of the retry budget, so that the
 	// request's next attempt may run on another target without a further charge.
 	BudgetCharged bool
--- a/internal/core/fleet/settings.go
+++ b/internal/core/fleet/settings.go
@@ -12,6 +12,8 @@
 	StopGrace time.Duration
 	// LogLevel is the lowest level that is logged: debug, info, warn or error.
 	LogLevel string
+	// Placement is how the target of an attempt is chosen; empty means PlacementByCount.
+	Placement Placement
 	// Limits apply where the tables set none.
 	Limits Limits
 }
--- a/internal/core/node/settings.go
+++ b/internal/core/node/settings.go
@@ -17,6 +17,7 @@
 		HeartbeatInterval: time.Second,
 		StopGrace:         75 * time.Second,
 		LogLevel:          "info",
+		Placement:         fleet.PlacementByCount,
 		Limits: fleet.Limits{
 			HeaderBytes:   64 << 10,
 			BodyBytes:     1 << 20,
@@ -29,6 +30,7 @@
 // only to requests that arrive from now on. A shutdown in progress keeps its stop grace.
 func (s State) settingsReloaded(body event.SettingsReloaded) (State, []effect.Effect) {
 	s.admission = s.admission.WithSettings(body.Settings)
+	s.attempts = s.attempts.WithPlacement(body.Settings.Placement)
 	s.shutdown = s.shutdown.withGrace(body.Settings.StopGrace)
 	line := effect.WriteLog{Level: effect.Info, Component: "settings", Message: "taken in", Fields: []effect.LogField{
 		{Name: "Cause", Value: body.Cause},
--- a/internal/core/node/state.go
+++ b/internal/core/node/state.go
@@ -49,7 +49,7 @@
 // New returns the initial state of a node with the given member record.
 func New(self fleet.Member, settings fleet.Settings) State {
 	return State{
-		attempts:   attempt.New(self.AvailabilityZone),
+		attempts:   attempt.New(self.AvailabilityZone).WithPlacement(settings.Placement),
 		admission:  admission.New(self.Node, settings),
 		detection:  detection.New(),
 		ejection:   ejection.New(self.Node),
--- a/internal/edge/peer/forward_field_test.go
+++ b/internal/edge/peer/forward_field_test.go
@@ -48,7 +48,7 @@
 		is := is.New(t)
 		report := fleet.TargetReport{
 			Target: "b/t", Load: fleet.Load{InFlight: 1, Queued: 2, Slots: 3}, P95: time.Millisecond, Class: fleet.Order,
-			Ejected: true, Health: fleet.Faulty, ExpectedWait: time.Second, BudgetCharged: true, Revision: 9,
+			Ejected: true, Health: fleet.Faulty, ExpectedWait: time.Second, MeanTime: 250 * time.Microsecond, BudgetCharged: true, Revision: 9,
 			Quarantined: []fleet.Fingerprint{5},
 		}
 		assertFieldsSet(t, report)
--- a/internal/edge/peer/forward_report.go
+++ b/internal/edge/peer/forward_report.go
@@ -23,6 +23,7 @@
 	headerReport        = "Jayfold-Report"     // target, class, ejected, health and revision
 	headerBudgetCharged = "Jayfold-Lent"       // present if the target charged the attempt to its share of the retry budget
 	headerQuarantine    = "Jayfold-Quarantine" // fingerprints
+	headerCost          = "Jayfold-Cost"       // mean run time of the class in microseconds; present if targets are placed by cost
 	headerEcho          = "Jayfold-Echo"       // hash of the attempt's id
 )
 
@@ -55,6 +56,9 @@
 	if report.BudgetCharged {
 		h.Set(prefix+headerBudgetCharged, strconv.FormatBool(true))
 	}
+	if report.MeanTime > 0 {
+		h.Set(prefix+headerCost, strconv.FormatInt(report.MeanTime.Microseconds(), 10))
+	}
 	if len(report.Quarantined) > 0 {
 		h.Set(prefix+headerQuarantine, joinFingerprints(report.Quarantined))
 	}
@@ -88,6 +92,9 @@
 		Revision:      fleet.Revision(d.number(reportFields[4], 10)),
 		Quarantined:   d.fingerprints(headerQuarantine),
 	}
+	if mean := d.optionalValue(headerCost); mean != "" {
+		report.MeanTime = d.duration(field{name: headerCost, value: mean}, time.Microsecond, maxBaseline)
+	}
 	if d.err != nil {
 		return fleet.Option[fleet.TargetReport]{}
 	}
--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -38,6 +38,7 @@
 	{Name: "latency", Description: "latency that ingress and sidecar add to a lookup", Run: Latency},
 	{Name: "load", Description: "worst-case loads under jayfold and under baseline policies", Run: Load},
 	{Name: "overload", Description: "goodput and retries under overload", Run: Overload},
+	{Name: "placement", Description: "both ways of choosing targets under uneven costs, targets and zones", Run: Placement},
 	{Name: "tables", Description: "time until a change is in force everywhere", Run: Tables},
 	{Name: "traffic-after-fault", Description: "requests that reach a target after it starts to fail", Run: TrafficAfterFault},
 }
--- a/internal/lab/replay/baseline.go
+++ b/internal/lab/replay/baseline.go
@@ -82,6 +82,9 @@
 		br.attempts++
 		isRetry := br.mayHaveRun || br.request.parent != nil && br.request.parent.isRetry
 		br.mayHaveRun = true
+		if q.target.zone != br.request.zone {
+			b.site.crossed(br.request)
+		}
 		q.target.startRun(br.request, isRetry, func(result runResult) {
 			b.runFinished(br, q, result)
 			b.startQueued(q)
--- a/internal/lab/replay/nodes.go
+++ b/internal/lab/replay/nodes.go
@@ -27,7 +27,14 @@
 }
 
 // Jayfold runs the production reducer of one node on the host of each target.
-var Jayfold = Policy{Name: "jayfold", newScheduler: newNodeFleet}
+var Jayfold = Policy{Name: "jayfold", newScheduler: func(s *site) scheduler { return newNodeFleet(s, settings) }}
+
+// JayfoldByCost is Jayfold with placement by expected cost.
+var JayfoldByCost = Policy{Name: "jayfold by cost", newScheduler: func(s *site) scheduler {
+	byCost := settings
+	byCost.Placement = fleet.PlacementByCost
+	return newNodeFleet(s, byCost)
+}}
 
 // nodeFleet holds the nodes of a site, and the requests and attempts that are in flight between them.
 type nodeFleet struct {
@@ -57,7 +64,7 @@
 	timerAt time.Time
 }
 
-func newNodeFleet(s *site) scheduler {
+func newNodeFleet(s *site, settings fleet.Settings) scheduler {
 	f := &nodeFleet{
 		site: s, byID: map[fleet.NodeID]*simulatedNode{},
 		requests: map[fleet.RequestID]*request{}, attempts: map[fleet.AttemptID]*attempt{},
@@ -89,8 +96,8 @@
 
 func (f *nodeFleet) sendHeartbeat(n *simulatedNode) {
 	f.post(n, event.HeartbeatReceived{Heartbeat: fleet.Heartbeat{
-		Name: "t", Pool: fleet.PoolName(n.target.pool), Address: string(n.id), Slots: slotsPerTarget, Connections: 100, Instance: "1",
-		Started: epoch.Add(-time.Hour),
+		Name: "t", Pool: fleet.PoolName(n.target.pool), Address: string(n.id), Slots: slotsPerTarget, Connections: 100,
+		Instance: fmt.Sprint(n.target.startedAt.Unix()), Started: n.target.startedAt,
 	}})
 }
 
@@ -173,6 +180,9 @@
 	case effect.ForwardAttempt:
 		a := &attempt{ingress: n, sidecar: f.byID[e.Attempt.Node]}
 		f.attempts[e.Attempt.ID] = a
+		if e.CrossZone {
+			f.site.crossed(f.requests[e.Attempt.ID.Request()])
+		}
 		f.postAfterLatency(n, a.sidecar, event.AdmissionRequested{Attempt: e.Attempt})
 	case effect.CancelAttempt:
 		f.postAfterLatency(n, f.attempts[e.Attempt].sidecar, event.AdmissionCanceled{Attempt: e.Attempt})
--- a/internal/lab/replay/pattern.go
+++ b/internal/lab/replay/pattern.go
@@ -1,6 +1,9 @@
 package replay
 
-import "time"
+import (
+	"math/rand/v2"
+	"time"
+)
 
 // Pattern describes the load and the faults of one simulation.
 type Pattern struct {
@@ -20,6 +23,35 @@
 	// new tables come into force.
 	ordersToCatalogue func(time.Duration) bool
 	routeChanges      []time.Duration
+	// costFactor draws the factor by which the work of a request differs from the mean of its class; nil means 1.
+	costFactor func(r *rand.Rand) float64
+	// slowdownAt returns the factor for the duration of the runs that start on a target at a time, including the warm-up.
+	slowdownAt func(t *target, at time.Duration) float64
+	// zoneTargets is the number of targets of each pool by zone; zero means targetsPerZone in each zone.
+	zoneTargets [zones]int
+	// restartAt returns the time at which the process of a target restarts; nil if none does.
+	restartAt func(t *target) time.Duration
+}
+
+// work draws the duration of a run of a request on a target of normal speed.
+func (p Pattern) work(r *request, mean time.Duration) time.Duration {
+	work := lognormal(r.random, mean, workSigma)
+	if r.costFactor > 0 {
+		return time.Duration(float64(work) * r.costFactor)
+	}
+	return work
+}
+
+// targetsByZone returns the number of targets of each pool in each zone.
+func (p Pattern) targetsByZone() [zones]int {
+	if p.zoneTargets != ([zones]int{}) {
+		return p.zoneTargets
+	}
+	var counts [zones]int
+	for i := range counts {
+		counts[i] = targetsPerZone * p.size()
+	}
+	return counts
 }
 
 // condition is the behavior of a target: the shares of the requests that it aborts and sheds, and a factor for the duration of
--- a/internal/lab/replay/replay.go
+++ b/internal/lab/replay/replay.go
@@ -64,6 +64,10 @@
 	Retries float64
 	// OverBudget is the largest number of retries of a pool beyond the retry budget in any window.
 	OverBudget int
+	// MeanLatency and P99 describe the time to a successful response, P99Wait the part of it beyond the run without waits.
+	MeanLatency, P99, P99Wait time.Duration
+	// Crossings is the number of attempts sent to another availability zone per request of a client.
+	Crossings float64
 }
 
 // noise is the difference in net payoff that occurs by chance: two runs of 30 s of the same load differ by that much.
@@ -94,6 +98,10 @@
 	r.CrossZone += weight * o.CrossZone
 	r.Retries += weight * o.Retries
 	r.OverBudget = max(r.OverBudget, o.OverBudget)
+	r.MeanLatency += time.Duration(weight * float64(o.MeanLatency))
+	r.P99 += time.Duration(weight * float64(o.P99))
+	r.P99Wait += time.Duration(weight * float64(o.P99Wait))
+	r.Crossings += weight * o.Crossings
 	return r
 }
 
@@ -143,15 +151,30 @@
 	for _, pool := range pools {
 		s.retryUsage[pool] = &retryUsage{}
 	}
-	perPool := zones * targetsPerZone * p.size()
-	for i := range perPool * len(pools) {
-		s.targets = append(s.targets, &target{
-			site: s, index: i, zone: i % zones, pool: pools[i/perPool], running: map[*run]bool{},
-		})
+	for _, pool := range pools {
+		s.addTargets(pool, p.targetsByZone())
 	}
 	return s
 }
 
+// addTargets adds the targets of a pool, one zone after the other in turn.
+func (s *site) addTargets(pool string, left [zones]int) {
+	for zone := 0; left != ([zones]int{}); zone = (zone + 1) % zones {
+		if left[zone] == 0 {
+			continue
+		}
+		left[zone]--
+		t := &target{
+			site: s, index: len(s.targets), zone: zone, pool: pool, running: map[*run]bool{}, startedAt: epoch.Add(-time.Hour),
+		}
+		s.targets = append(s.targets, t)
+		if s.pattern.restartAt != nil {
+			at := s.pattern.restartAt(t)
+			s.clock.after(warmUp+at, func() { t.startedAt = s.clock.now })
+		}
+	}
+}
+
 // elapsed returns the time since the end of the warm-up; it is negative during the warm-up.
 func (s *site) elapsed() time.Duration { return s.clock.now.Sub(epoch) - warmUp }
 
@@ -194,7 +217,13 @@
 	spec := classSpecs[class]
 	pool := s.pattern.pool(class, s.elapsed())
 	s.retryUsage[pool].requests = append(s.retryUsage[pool].requests, s.clock.now)
+	costFactor := 1.0
+	if s.pattern.costFactor != nil {
+		costFactor = s.pattern.costFactor(random)
+	}
 	return &request{
+		costFactor: costFactor,
+
 		id:       fmt.Sprintf("r%06d", s.requestCount),
 		class:    class,
 		zone:     zone,
@@ -216,6 +245,13 @@
 	}
 }
 
+// crossed counts an attempt that is sent to another availability zone.
+func (s *site) crossed(*request) {
+	if at := s.elapsed(); at >= 0 && at < loadDuration {
+		s.stats.crossings++
+	}
+}
+
 func exponential(r *rand.Rand, perSecond float64) time.Duration {
 	return time.Duration(r.ExpFloat64() / perSecond * float64(time.Second))
 }
--- a/internal/lab/replay/stats.go
+++ b/internal/lab/replay/stats.go
@@ -1,6 +1,9 @@
 package replay
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // requestStats counts the results of the requests of clients, and all runs.
 type requestStats struct {
@@ -13,6 +16,10 @@
 	// aborted.
 	waitCost      float64
 	runs, retries int
+	// crossings counts the attempts sent to another availability zone.
+	crossings int
+	// latencies holds the times to successful responses, waits the parts of them beyond the run without waits.
+	latencies, waits []time.Duration
 }
 
 func (s *requestStats) runStarted(isRetry bool) {
@@ -39,6 +46,8 @@
 		return
 	}
 	s.succeededByClass[r.class]++
+	latency := now.Sub(r.arrived)
+	s.latencies, s.waits = append(s.latencies, latency), append(s.waits, latency-r.lastWork)
 	if result.zone != r.zone {
 		s.crossZone++
 	}
@@ -79,5 +88,25 @@
 		TimeToRefusal: s.timeToRefusal / time.Duration(max(s.refused, 1)),
 		CrossZone:     share(s.crossZone, s.withinGoal+s.late),
 		Retries:       share(s.retries, s.runs),
+		MeanLatency:   mean(s.latencies),
+		P99:           p99(s.latencies),
+		P99Wait:       p99(s.waits),
+		Crossings:     share(s.crossings, s.ended),
+	}
+}
+
+func mean(durations []time.Duration) time.Duration {
+	var total time.Duration
+	for _, d := range durations {
+		total += d
+	}
+	return total / time.Duration(max(len(durations), 1))
+}
+
+func p99(durations []time.Duration) time.Duration {
+	if len(durations) == 0 {
+		return 0
 	}
+	sorted := slices.Sorted(slices.Values(durations))
+	return sorted[len(sorted)*99/100]
 }
--- a/internal/lab/replay/target.go
+++ b/internal/lab/replay/target.go
@@ -21,6 +21,8 @@
 	zone    int
 	pool    string
 	running map[*run]bool
+	// startedAt is the start time of the target's process.
+	startedAt time.Time
 }
 
 // runResult is the result of a run.
@@ -55,12 +57,16 @@
 	t.running[started] = true
 	s.runStarted(r, isRetry)
 	spec := classSpecs[r.class]
-	work := lognormal(r.random, spec.meanWork, workSigma)
+	work := s.pattern.work(r, spec.meanWork)
 	failureDraw, sendsChild := r.random.Float64(), r.random.Float64() < spec.childShare
 	c := s.pattern.condition(t, s.elapsed())
 	if c.slowdown > 1 {
 		work = time.Duration(float64(work) * c.slowdown)
 	}
+	if s.pattern.slowdownAt != nil {
+		work = time.Duration(float64(work) * s.pattern.slowdownAt(t, s.elapsed()))
+	}
+	r.lastWork = work
 	s.clock.after(r.deadline.Sub(s.clock.now), func() { started.end(canceled) })
 	switch {
 	case len(t.running) > slotsPerTarget, failureDraw < c.shedShare:
--- a/internal/process/settings/diff.go
+++ b/internal/process/settings/diff.go
@@ -13,6 +13,7 @@
 	{"Heartbeat", true, func(a, b Settings) bool { return a.Heartbeat == b.Heartbeat }},
 	{"StopGrace", true, func(a, b Settings) bool { return a.StopGrace == b.StopGrace }},
 	{"LogLevel", true, func(a, b Settings) bool { return a.LogLevel == b.LogLevel }},
+	{"Placement", true, func(a, b Settings) bool { return a.Placement == b.Placement }},
 	{"Limits.MaxBodyBytes", true, func(a, b Settings) bool { return a.Limits.MaxBodyBytes == b.Limits.MaxBodyBytes }},
 	{"Limits.MaxHeaderBytes", true, func(a, b Settings) bool { return a.Limits.MaxHeaderBytes == b.Limits.MaxHeaderBytes }},
 	{"Limits.MaxBufferedBytes", false, func(a, b Settings) bool { return a.Limits.MaxBufferedBytes == b.Limits.MaxBufferedBytes }},
--- a/internal/process/settings/parser.go
+++ b/internal/process/settings/parser.go
@@ -72,6 +72,7 @@
 		configfile.Optional("Heartbeat", configfile.Duration(&s.Heartbeat, minTimeout, maxHeartbeat)),
 		configfile.Optional("StopGrace", configfile.Duration(&s.StopGrace, minTimeout, MaxStopGrace)),
 		configfile.Optional("LogLevel", configfile.OneOf(&s.LogLevel, "debug", "info", "warn", "error")),
+		configfile.Optional("Placement", configfile.OneOf(&s.Placement, "count", "cost")),
 		configfile.Optional("Limits", configfile.Object(limitFields(&s.Limits)...)),
 	}
 }
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -60,7 +60,9 @@
 	StopGrace time.Duration
 	// LogLevel is the lowest level of log lines that are written: debug, info, warn or error.
 	LogLevel string
-	Limits   Limits
+	// Placement is how targets are chosen: count compares requests per slot, cost expected completion times.
+	Placement string
+	Limits    Limits
 }
 
 // Listen are the addresses on which the node listens.
@@ -103,6 +105,7 @@
 func defaults() Settings {
 	return Settings{
 		LogLevel:  "info",
+		Placement: string(node.DefaultSettings().Placement),
 		Retries:   node.DefaultSettings().RetryBudget,
 		Heartbeat: node.DefaultSettings().HeartbeatInterval,
 		// Covers the longest deadline of a route and the time until callers notice that the node is leaving.
@@ -149,6 +152,7 @@
 		HeartbeatInterval: s.Heartbeat,
 		StopGrace:         s.StopGrace,
 		LogLevel:          s.LogLevel,
+		Placement:         fleet.Placement(s.Placement),
 		Limits: fleet.Limits{
 			HeaderBytes:   s.Limits.MaxHeaderBytes,
 			BodyBytes:     s.Limits.MaxBodyBytes,
--- a/internal/process/settings/settings_test.go
+++ b/internal/process/settings/settings_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"jayfold.dev/jayfold/internal/core/fleet"
 	"jayfold.dev/jayfold/internal/edge/configfile"
 	"jayfold.dev/jayfold/internal/process/settings"
 )
@@ -47,6 +48,18 @@
 		is.New(t).Equal(s.Limits.MaxBodyBytes, int64(1<<20))
 	})
 
+	t.Run("placement", func(t *testing.T) {
+		is := is.New(t)
+		s, err := settings.Parse("s", []byte(validSettings))
+		is.NoErr(err)
+		is.Equal(s.Reloadable().Placement, fleet.PlacementByCount)
+		s, err = settings.Parse("s", []byte(change(`"Host"`, `"Placement": "cost", "Host"`)))
+		is.NoErr(err)
+		is.Equal(s.Reloadable().Placement, fleet.PlacementByCost)
+		assertProblems(t, change(`"Host"`, `"Placement": "speed", "Host"`),
+			`s:3:54: Placement: "speed" is not allowed; want count or cost`)
+	})
+
 	t.Run("all problems are reported together", func(t *testing.T) {
 		assertProblems(t, `{"Node": 7, "AvailabilityZone": "a b", "Host": "0.0.0.0", "Listen": [], "Nod": 1,
   "LogLevel": "loud", "Limits": {"MaxBodyBytes": 1.5, "BodyTimeout": "1h"}, "LogLevel": "info"}`,
@@ -57,7 +70,7 @@
 			`s:1:48: Host: want the IP address of this host, such as 10.0.1.11`,
 			`s:1:69: Listen: is an array; want an object with Callers, Targets, Peers, Forward, Operators, Ready`,
 			`s:1:73: Nod: unknown field; want Node, AvailabilityZone, Host, Listen, Advertise, Platform, DefaultCaller, `+
-				`Retries, Heartbeat, StopGrace, LogLevel, Limits`,
+				`Retries, Heartbeat, StopGrace, LogLevel, Placement, Limits`,
 			`s:2:15: LogLevel: "loud" is not allowed; want debug or info or warn or error`,
 			`s:2:50: Limits.MaxBodyBytes: 1.5 is not allowed; want a whole number from 1024 to 67108864`,
 			`s:2:70: Limits.BodyTimeout: "1h" is not allowed; want a duration from "100ms" to "10m0s", such as "1.5s" or "24h"`,
