--- a/internal/core/attempt/pool.go
+++ b/internal/core/attempt/pool.go
@@ -11,6 +11,7 @@
 	targets   fleet.HashMap[fleet.TargetID, *targetView]
 	baselines [len(fleet.Classes)]baseline
 	crossZone crossZoneCredit
+	costs     poolCosts
 }
 
 // unknownPool is the view of a pool without reports.
--- a/internal/core/fleet/settings.go
+++ b/internal/core/fleet/settings.go
@@ -14,6 +14,8 @@
 	LogLevel string
 	// MeteredZones is true if bytes between availability zones are expensive.
 	MeteredZones bool
+	// Placement is how the target of an attempt is chosen; empty means PlacementByCount.
+	Placement Placement
 	// Limits apply where the tables set none.
 	Limits Limits
 }
--- a/internal/core/node/state.go
+++ b/internal/core/node/state.go
@@ -53,7 +53,8 @@
 // New returns the initial state of a node with the given member record.
 func New(self fleet.Member, settings fleet.Settings) State {
 	return State{
-		attempts:   attempt.New(self.AvailabilityZone).WithMeteredZones(settings.MeteredZones),
+		attempts: attempt.New(self.AvailabilityZone).WithMeteredZones(settings.MeteredZones).
+			WithPlacement(settings.Placement),
 		admission:  admission.New(self.Node, settings),
 		detection:  detection.New(),
 		ejection:   ejection.New(self.Node),
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -62,7 +62,9 @@
 	ZoneTraffic string
 	// LogLevel is the lowest level of log lines that are written: debug, info, warn or error.
 	LogLevel string
-	Limits   Limits
+	// Placement is how targets are chosen: count compares requests per slot, cost expected completion times.
+	Placement string
+	Limits    Limits
 }
 
 // The values of Settings.ZoneTraffic.
@@ -115,6 +117,7 @@
 		ZoneTraffic: ZoneTrafficFree,
 		Retries:     node.DefaultSettings().RetryBudget,
 		Heartbeat:   node.DefaultSettings().HeartbeatInterval,
+		Placement:   string(node.DefaultSettings().Placement),
 		// Covers the longest deadline of a route and the time until callers notice that the node is leaving.
 		StopGrace: node.DefaultSettings().StopGrace,
 		Limits: Limits{
@@ -160,6 +163,7 @@
 		StopGrace:         s.StopGrace,
 		MeteredZones:      s.ZoneTraffic == ZoneTrafficMetered,
 		LogLevel:          s.LogLevel,
+		Placement:         fleet.Placement(s.Placement),
 		Limits: fleet.Limits{
 			HeaderBytes:   s.Limits.MaxHeaderBytes,
 			BodyBytes:     s.Limits.MaxBodyBytes,
