accounts: attempts in a target's queue are ordered by the shares of their accounts

Within a priority every request had the same chance, so that an account that sends 40 times its usual took most of the capacity, and 16% to 20% of the requests of the others were served.

Change: start-time fair queueing among accounts by expected work in each target's queue, in files of its own; a reserved place with every fourth start for what finds no place by share; child requests go before new ones of their priority (mode word child). The order without accounts is unchanged.

--- a/internal/core/accounts/check.go
+++ b/internal/core/accounts/check.go
@@ -66,6 +66,8 @@
 	// Priority goes before that of the route: the account's, or 0 for a child request, which running work waits for. Other requests
 	// without an account are as urgent as the least urgent account.
 	Priority int
+	// Child is true for a child request without a key.
+	Child bool
 	// Problem is present if the request is refused.
 	Problem fleet.Option[fleet.Problem]
 }
@@ -76,7 +78,7 @@
 	case x.entries == nil:
 		return Decision{Reason: KeysNotRequired}
 	case a.Public && a.Parent == LocalParent:
-		return Decision{Reason: PublicRoute}
+		return Decision{Reason: PublicRoute, Child: true}
 	case a.Public:
 		return Decision{Reason: PublicRoute, Priority: x.entries.lowest}
 	case a.Credential.Kind == fleet.UnreadableCredential:
@@ -97,9 +99,9 @@
 	case a.Parent == NoParent:
 		return unauthorized(KeyMissing, "the request has no API key")
 	case a.Parent == LocalParent:
-		return Decision{Reason: ChildRequest}
+		return Decision{Reason: ChildRequest, Child: true}
 	case a.Up < restartWindow:
-		return Decision{Reason: RestartedNode}
+		return Decision{Reason: RestartedNode, Child: true}
 	}
 	problem := fleet.NewProblem(fleet.UnknownParent, fleet.NotRun, "the request has no API key and its parent has not run on this host")
 	return Decision{Reason: ParentUnknown, Problem: fleet.Some(problem.WithRetryAfter(parentRetryAfter))}
--- a/internal/core/admission/heartbeat.go
+++ b/internal/core/admission/heartbeat.go
@@ -114,6 +114,7 @@
 		updated := l.withSlots(ctx.Now)
 		updated.lastHeartbeat = l.lastHeartbeat.Add(paused)
 		updated.usage = l.usage.with(s.runsByPriority(l))
+		updated.fair = l.fair.withoutPast()
 		s.targets = s.targets.With(id, updated)
 		switch {
 		case ctx.Now.Sub(updated.lastHeartbeat) >= s.heartbeatTimeout():
--- a/internal/core/admission/localtarget.go
+++ b/internal/core/admission/localtarget.go
@@ -28,6 +28,8 @@
 	queue        queue
 	serviceTimes serviceTimes
 	usage        usage
+	// fair holds the shares of the accounts whose attempts run on the target.
+	fair fairShares
 	// retryBudget is the target's share of its pool's retry budget.
 	retryBudget retryBudget
 	// unreachable is true if the process refused a connection or died and has sent no heartbeat since.
--- a/internal/core/admission/queue.go
+++ b/internal/core/admission/queue.go
@@ -35,7 +35,9 @@
 // therefore run first, by the end of their goal, and late attempts use the remaining capacity.
 type queueKey struct {
 	priority int
-	class    fleet.Class
+	// share is the work of the attempt's account beyond that of others; 0 if no attempt has an account.
+	share time.Duration
+	class fleet.Class
 	// late is true if the attempt would finish after its goal even if it started now.
 	late bool
 	// due is the goal, or the deadline if the attempt is late.
@@ -47,6 +49,7 @@
 func (k queueKey) compare(other queueKey) int {
 	return cmp.Or(
 		cmp.Compare(k.priority, other.priority),
+		cmp.Compare(k.share, other.share),
 		cmp.Compare(other.class, k.class),
 		compareBool(k.late, other.late),
 		k.due.Compare(other.due),
@@ -67,7 +70,12 @@
 
 // displacedBy reports whether, in a full queue, the attempt with key other replaces that with key k.
 func (k queueKey) displacedBy(other queueKey) bool {
-	return cmp.Or(cmp.Compare(other.priority, k.priority), cmp.Compare(k.class, other.class), compareBool(other.late, k.late)) < 0
+	return cmp.Or(
+		cmp.Compare(other.priority, k.priority),
+		cmp.Compare(other.share, k.share),
+		cmp.Compare(k.class, other.class),
+		compareBool(other.late, k.late),
+	) < 0
 }
 
 // queueKeyOf returns the sort key of an attempt at the given time.
@@ -96,7 +104,7 @@
 		attempts = append(attempts, queuedAttempt{key: l.queueKeyOf(now, t, a), attempt: a})
 	}
 	slices.SortFunc(attempts, func(a, b queuedAttempt) int { return a.key.compare(b.key) })
-	return attempts
+	return l.withShares(attempts)
 }
 
 // unqueued is the ticket used to compare an attempt that is not in the queue. It sorts after all others.
@@ -104,6 +112,9 @@
 
 // workBefore returns the total expected duration of the queued attempts that run before a new one.
 func (l localTarget) workBefore(now time.Time, a fleet.Attempt) time.Duration {
+	if l.fair.starts > 0 || a.Account != "" {
+		return l.workBeforeByShare(now, a)
+	}
 	own := l.queueKeyOf(now, unqueued, a)
 	var work time.Duration
 	for t, queued := range l.queue.attempts.All() {
@@ -129,10 +140,8 @@
 
 // expectedWait returns the time that a new attempt is expected to wait for a slot.
 func (l localTarget) expectedWait(now time.Time, a fleet.Attempt) time.Duration {
-	if l.queue.len() == 0 && l.running.Len() < l.slots {
-		return 0
-	}
-	return l.waitBehind(now, a, l.workBefore(now, a))
+	wait, _ := l.waitByShare(now, a)
+	return wait
 }
 
 // tooLate reports whether the response to an attempt that starts after the given wait would come too late. In a lasting overload,
--- a/internal/core/admission/run.go
+++ b/internal/core/admission/run.go
@@ -30,6 +30,7 @@
 
 func (s State) startRun(ctx Context, l localTarget, attempt fleet.Attempt) (State, []effect.Effect) {
 	l.running = l.running.With(attempt.ID)
+	l.fair = l.fair.withStart(attempt, l.expectedWork(attempt))
 	l.retryBudget = l.retryBudget.withAttempt(ctx.Now, s.budgetParamsFor(ctx, attempt), attempt)
 	s.targets = s.targets.With(attempt.Target, l)
 	s.running = s.running.With(attempt.ID, Run{
--- a/internal/core/admission/state.go
+++ b/internal/core/admission/state.go
@@ -193,23 +193,20 @@
 // enqueue queues an attempt, or refuses it if it is a probe or would start too late. In a full queue, the less urgent of the
 // attempt and the last one in the queue is refused.
 func (s State) enqueue(ctx Context, l localTarget, attempt fleet.Attempt) (State, []effect.Effect) {
-	wait := l.expectedWait(ctx.Now, attempt)
-	if attempt.Probe || l.tooLate(ctx.Now, attempt, wait) {
+	if attempt.Probe {
 		return s, s.refuse(ctx.Now, attempt, fleet.Overloaded)
 	}
-	var effects []effect.Effect
-	if l.queue.len() >= queuePerSlot*l.slots {
-		queued := l.inQueueOrder(ctx.Now)
-		last := queued[len(queued)-1]
-		if !last.key.displacedBy(l.queueKeyOf(ctx.Now, unqueued, attempt)) {
-			return s, s.refuse(ctx.Now, attempt, fleet.Overloaded)
-		}
-		s, l = s.dequeue(l, last.attempt)
-		effects = s.refuse(ctx.Now, last.attempt, fleet.Overloaded)
+	wait, reserved := l.waitByShare(ctx.Now, attempt)
+	if l.tooLate(ctx.Now, attempt, wait) {
+		return s, s.refuse(ctx.Now, attempt, fleet.Overloaded)
+	}
+	s, l, effects, ok := s.makeRoom(ctx, l, attempt, reserved)
+	if !ok {
+		return s, s.refuse(ctx.Now, attempt, fleet.Overloaded)
 	}
 	s.lastTicket++
 	t := ticket(s.lastTicket)
-	l.queue = l.queue.with(t, attempt)
+	l.queue, l.fair.reserved = l.queue.with(t, attempt), l.fair.reserved.withTicket(attempt.ID, t)
 	s.queued = s.queued.With(attempt.ID, queuePosition{target: attempt.Target, ticket: t})
 	s.targets = s.targets.With(attempt.Target, l)
 	return s, effects
--- a/internal/core/attempt/state.go
+++ b/internal/core/attempt/state.go
@@ -95,6 +95,7 @@
 			ParentRetried: request.ParentRetried,
 			Caller:        request.Caller,
 			Account:       request.Account,
+			Child:         request.Child,
 			Deadline:      ctx.Now.Add(timeout),
 			Goal:          ctx.Now.Add(min(cmp.Or(route.Goal, timeout), timeout)),
 			Fingerprint:   request.Fingerprint,
--- a/internal/core/fleet/request.go
+++ b/internal/core/fleet/request.go
@@ -13,6 +13,8 @@
 	// Credential is the API key that the request carries. Account is the account that holds it; the reducer sets it.
 	Credential Credential
 	Account    AccountName
+	// Child is true if the request was accepted without an API key as a child request; the reducer sets it.
+	Child bool
 	// Idempotent is the value of the caller's header; absent if the caller sent none.
 	Idempotent Option[bool]
 	Key        IdempotencyKey
@@ -60,6 +62,8 @@
 	Caller Caller
 	// Account is the client account of the request; empty if the tables have none, for public routes and for child requests.
 	Account AccountName
+	// Child is true if the attempt belongs to a child request that was accepted without an API key.
+	Child bool
 	// Deadline is in the local time of the node that holds this value. Nodes send each other the remaining time instead.
 	Deadline time.Time
 	// Goal is the latest local time at which the response is of full use; zero means the deadline.
--- a/internal/core/node/ingress.go
+++ b/internal/core/node/ingress.go
@@ -51,7 +51,7 @@
 	if s.quarantine.Suspects().Quarantined(ev.At, request.Fingerprint) {
 		return s, refuse(request, fleet.Quarantined, "requests with this fingerprint have crashed several targets")
 	}
-	request.Account = decision.Account.Name
+	request.Account, request.Child = decision.Account.Name, decision.Child
 	route.Priority += decision.Priority * fleet.PriorityLevels
 	return s.startRequest(ev, request, route)
 }
--- a/internal/edge/peer/forward_field_test.go
+++ b/internal/edge/peer/forward_field_test.go
@@ -34,7 +34,7 @@
 		attempt := fleet.Attempt{
 			ID: "r.1", Target: "b/t", Pool: "p", PoolSize: 7, Node: "b", Ingress: "a", Class: fleet.Order, Idempotent: true, Priority: 3,
 			Probe: true, Trial: true, IsRetry: true, ParentRetried: true, BudgetCharged: true, Forced: true, Caller: "acme",
-			Account: "harbor", Key: "k",
+			Account: "harbor", Child: true, Key: "k",
 			Deadline: now.Add(2 * time.Second), Goal: now.Add(time.Second), Baseline: time.Millisecond, Fingerprint: 5,
 		}
 		assertFieldsSet(t, attempt, "Address") // not encoded: the receiver knows its own address
--- a/internal/edge/peer/forward_header.go
+++ b/internal/edge/peer/forward_header.go
@@ -95,13 +95,14 @@
 	modeParentRetried = "derived"
 	modeBudgetCharged = "borrowed"
 	modeForced        = "forced"
+	modeChild         = "child"
 )
 
 func modeWords(a fleet.Attempt) string {
 	var words []string
 	for word, applies := range map[string]bool{
 		modeProbe: a.Probe, modeTrial: a.Trial, modeRetry: a.IsRetry, modeParentRetried: a.ParentRetried,
-		modeBudgetCharged: a.BudgetCharged, modeForced: a.Forced,
+		modeBudgetCharged: a.BudgetCharged, modeForced: a.Forced, modeChild: a.Child,
 	} {
 		if applies {
 			words = append(words, word)
@@ -137,6 +138,7 @@
 			ParentRetried: slices.Contains(mode, modeParentRetried),
 			BudgetCharged: slices.Contains(mode, modeBudgetCharged),
 			Forced:        slices.Contains(mode, modeForced),
+			Child:         slices.Contains(mode, modeChild),
 			Caller:        fleet.Caller(d.optionalValue(headerCaller)),
 			Account:       fleet.AccountName(d.optionalValue(headerAccount)),
 			Key:           fleet.IdempotencyKey(d.optionalValue(headerKey)),
--- a/internal/lab/replay/nodes.go
+++ b/internal/lab/replay/nodes.go
@@ -111,6 +111,7 @@
 			Idempotent: fleet.Some(spec.idempotent), Deadline: spec.deadline, Goal: spec.goal, Attempts: 2, Priority: priorities[c],
 		})
 	}
+	tables = f.site.pattern.accounts.withAccounts(tables)
 	for _, n := range f.nodes {
 		f.post(n, event.TablesDecoded{Tables: tables, Router: routing.New(tables), Accounts: accounts.New(tables)})
 	}
@@ -133,6 +134,9 @@
 	n := candidates[f.site.policyRandom.IntN(len(candidates))]
 	arriving := fleet.Request{ID: fleet.RequestID(r.id), Method: "GET", Host: "shop", Path: paths[r.class] + r.id,
 		Timeout: r.deadline.Sub(f.site.clock.now)}
+	if r.account != noAccount {
+		arriving.Credential = fleet.NewCredential([]string{keyOf(r.account)})
+	}
 	if r.parent != nil {
 		arriving.Parent = fleet.RequestID(r.parent.request.id)
 	}
--- a/internal/lab/replay/pattern.go
+++ b/internal/lab/replay/pattern.go
@@ -7,6 +7,8 @@
 	Name string
 	// scale multiplies the number of targets and the base rates; 0 means 1.
 	scale int
+	// accounts are the client accounts that send the requests.
+	accounts accountLoad
 	// loadFactor returns the factor for the base rate of a class at a time.
 	loadFactor func(class, time.Duration) float64
 	// movedShare returns the share of the clients that have moved to the first zone at a time.
@@ -43,7 +45,11 @@
 		return 0
 	}
 	rate := baseRates[class] * float64(p.size())
-	if p.loadFactor == nil || at < 0 {
+	if at < 0 {
+		return rate
+	}
+	rate *= p.accounts.loadFactor(at)
+	if p.loadFactor == nil {
 		return rate
 	}
 	return rate * p.loadFactor(class, at)
@@ -129,7 +135,7 @@
 }
 
 // Patterns lists worst-case loads for queueing, admission and load balancing.
-var Patterns = []Pattern{
+var Patterns = append(sharingPatterns, []Pattern{
 	{Name: "calm, targets fail now and then", conditionAt: intermittentFailures},
 	{Name: "burst of all, 3x", loadFactor: burst(3, order, lookup)},
 	{Name: "burst of lookups, 5x", loadFactor: burst(5, lookup)},
@@ -154,4 +160,4 @@
 		ordersToCatalogue: func(at time.Duration) bool {
 			return between(at, 6*time.Second, 24*time.Second) && at/time.Second%2 == 0
 		}},
-}
+}...)
--- a/internal/lab/replay/replay.go
+++ b/internal/lab/replay/replay.go
@@ -64,6 +64,9 @@
 	Retries float64
 	// OverBudget is the largest number of retries of a pool beyond the retry budget in any window.
 	OverBudget int
+	// LowestShare is the lowest share of an account's requests that were served, relative to that over all accounts, and OthersServed the
+	// share that was served of the accounts but the first.
+	LowestShare, OthersServed float64
 }
 
 // noise is the difference in net payoff that occurs by chance: two runs of 30 s of the same load differ by that much.
@@ -93,6 +96,8 @@
 	r.TimeToRefusal += time.Duration(weight * float64(o.TimeToRefusal))
 	r.CrossZone += weight * o.CrossZone
 	r.Retries += weight * o.Retries
+	r.LowestShare += weight * o.LowestShare
+	r.OthersServed += weight * o.OthersServed
 	r.OverBudget = max(r.OverBudget, o.OverBudget)
 	return r
 }
@@ -111,6 +116,7 @@
 	}
 	s.clock.runUntil(epoch.Add(warmUp + loadDuration + drainDuration))
 	result := s.stats.result()
+	result.LowestShare, result.OthersServed = s.accounts.lowestShare(), s.accounts.othersServed()
 	for _, u := range s.retryUsage {
 		result.OverBudget = max(result.OverBudget, u.overBudget())
 	}
@@ -127,6 +133,7 @@
 	targets                     []*target
 	scheduler                   scheduler
 	stats                       requestStats
+	accounts                    accountStats
 	// retryUsage holds the requests and retries of each pool.
 	retryUsage   map[string]*retryUsage
 	requestCount int
@@ -139,6 +146,7 @@
 		arrivalRandom: rand.New(rand.NewPCG(seed, 1)),
 		policyRandom:  rand.New(rand.NewPCG(seed, 2)),
 		retryUsage:    map[string]*retryUsage{},
+		accounts:      accountStats{},
 	}
 	for _, pool := range pools {
 		s.retryUsage[pool] = &retryUsage{}
@@ -164,21 +172,34 @@
 		}
 		zone := s.pattern.zone(s.elapsed(), s.arrivalRandom.Float64())
 		abusive := s.arrivalRandom.Float64() < s.pattern.abusiveShare
-		s.sendRequest(class, zone, abusive, rand.New(rand.NewPCG(s.arrivalRandom.Uint64(), 0)))
+		account := noAccount
+		if s.pattern.accounts.count > 0 {
+			account = s.pattern.accounts.draw(s.elapsed(), s.arrivalRandom)
+		}
+		s.sendRequest(class, zone, account, abusive, rand.New(rand.NewPCG(s.arrivalRandom.Uint64(), 0)))
 		s.scheduleArrival(class)
 	})
 }
 
 // sendRequest sends a request of a client, which an abusive client sends again when it fails.
-func (s *site) sendRequest(class class, zone int, abusive bool, random *rand.Rand) {
+func (s *site) sendRequest(class class, zone, account int, abusive bool, random *rand.Rand) {
 	isCounted := s.elapsed() >= 0
 	r := s.newRequest(class, zone, random)
+	r.account = account
+	maxResends := s.pattern.maxResends
+	if account == heavy && inBurst(s.elapsed()) && s.pattern.accounts.resends > 0 {
+		abusive, maxResends = true, s.pattern.accounts.resends
+	}
 	var resends int
+	sent := s.elapsed()
 	r.onEnd = func(result requestResult) {
-		if abusive && resends < s.pattern.maxResends && result.response == noResponse && s.clock.now.Before(r.deadline) {
+		if account != noAccount && inBurst(sent) {
+			s.accounts.add(account, result.response == successResponse)
+		}
+		if abusive && resends < maxResends && result.response == noResponse && s.clock.now.Before(r.deadline) {
 			resends++
 			resent := s.newRequest(class, zone, random)
-			resent.deadline, resent.onEnd = r.deadline, r.onEnd
+			resent.account, resent.deadline, resent.onEnd = account, r.deadline, r.onEnd
 			s.scheduler.requestArrived(resent)
 			return
 		}
@@ -195,6 +216,7 @@
 	pool := s.pattern.pool(class, s.elapsed())
 	s.retryUsage[pool].requests = append(s.retryUsage[pool].requests, s.clock.now)
 	return &request{
+		account:  noAccount,
 		id:       fmt.Sprintf("r%06d", s.requestCount),
 		class:    class,
 		zone:     zone,
--- a/internal/lab/replay/request.go
+++ b/internal/lab/replay/request.go
@@ -42,10 +42,12 @@
 
 // request is a request of a client, or a child request.
 type request struct {
-	id      string
-	class   class
-	zone    int
-	pool    string
+	id    string
+	class class
+	zone  int
+	pool  string
+	// account is the client account that sent the request; -1 if there is none.
+	account int
 	arrived time.Time
 	// goal is the time after which a response loses most of its payoff, deadline the time after which the caller has gone.
 	goal, deadline time.Time
