--- a/test/scenario/scenario_test.go
+++ b/test/scenario/scenario_test.go
@@ -105,6 +105,7 @@
 			"raced":        raced,
 			"untilwrite":   untilWrite,
 			"inforce":      inForce,
+			"getwithkey":   getWithKey,
 		},
 	})
 }
