accounts: encoded tables keep accounts in 16 parts, whose chunks are reused

Cause: a changed key changed the compressed form of all 19,000 accounts, 871 KB.

Change: the encoded form with accounts has a gzip member for each of 16 buckets by hash of the name; chunks are cut at the members. A writer leaves out the chunks that the head names and it has read, a reader keeps those that it read last. Content that lacks a part is rejected. Without accounts the form is unchanged.

--- a/internal/edge/platform/client.go
+++ b/internal/edge/platform/client.go
@@ -59,6 +59,8 @@
 	registerMu sync.Mutex
 	// lastRegistered is the newest record of this node that was sent to the platform, guarded by registerMu.
 	lastRegistered fleet.Member
+	// chunks holds the chunks of the content that was read last.
+	chunks chunkCache
 	// cancelWatch cancels the last watch of the head.
 	cancelWatch atomic.Pointer[context.CancelFunc]
 	// lastEpoch is the epoch of the last answer.
--- a/internal/edge/platform/head.go
+++ b/internal/edge/platform/head.go
@@ -23,8 +23,9 @@
 const (
 	// chunkPrefix is the prefix of the keys of chunks. The name of the chunk follows: its SHA-256 sum in hexadecimal.
 	chunkPrefix = "tables/chunk/"
-	// maxChunks bounds the number of chunks of one revision. They hold 4 MiB, about eighty times the 52 KB of the design size.
-	maxChunks = 16
+	// maxChunks bounds the number of chunks of one revision: one for routes and pools, which take 52 KB at the design size, and one for each
+	// of the 16 parts with accounts, which take 51 KB each, with room for parts of more than one chunk.
+	maxChunks = 48
 	// maxEarlier bounds the number of earlier changes in the head. A writer whose response was lost looks for its change id
 	// there, since another writer may have replaced the head in the meantime.
 	maxEarlier = 16
--- a/internal/edge/platform/restore.go
+++ b/internal/edge/platform/restore.go
@@ -39,7 +39,7 @@
 	if err != nil {
 		return false, err
 	}
-	names, err := c.writeChunks(ctx, e.Content)
+	names, err := c.writeChunks(ctx, e.Content, nil)
 	if err != nil {
 		return false, err
 	}
--- a/internal/edge/platform/stale_chunks.go
+++ b/internal/edge/platform/stale_chunks.go
@@ -8,8 +8,8 @@
 // findStaleChunks returns the chunks that no reader needs once next has replaced head, with their versions, and next without
 // the names of chunks that have been deleted. A reader may still fetch the revision of head, so its chunks are kept.
 //
-// A writer that reads the head after it was replaced writes all its chunks again, which gives them newer versions than
-// the ones returned here. Deleting only these versions therefore never deletes a chunk of a later revision.
+// A writer that reads the head after it was replaced writes all its chunks again that this head does not name, which gives them newer
+// versions than the ones returned here. Deleting only these versions therefore never deletes a chunk of a later revision.
 func (c *Client) findStaleChunks(ctx context.Context, head, next wireHead) (wireHead, []Object) {
 	needed := slices.Concat(next.Chunks, head.Chunks)
 	next.Earlier = slices.Clone(next.Earlier)
--- a/internal/edge/platform/tables.go
+++ b/internal/edge/platform/tables.go
@@ -85,7 +85,11 @@
 ) (fleet.Revision, error) {
 	var revision fleet.Revision
 	err := errRestored
-	for range maxWriteTries {
+	for try := range maxWriteTries {
+		if try > 0 {
+			// The platform may lack what this client has read from it.
+			c.chunks.clear()
+		}
 		revision, err = c.applyOnce(ctx, tables, expected, changeID)
 		if !errors.Is(err, errRestored) {
 			break
@@ -108,7 +112,7 @@
 		return 0, RevisionConflict{Expected: expected, Found: head.Revision}
 	}
 	revision := head.nextRevision(read.Epoch)
-	names, err := c.writeChunks(ctx, tablesfile.Encode(tables.WithRevision(revision)))
+	names, err := c.writeChunks(ctx, tablesfile.Encode(tables.WithRevision(revision)), head.Chunks)
 	if err != nil {
 		return 0, err
 	}
@@ -169,21 +173,25 @@
 	return 0, fmt.Errorf("it is not known whether change %s took effect: %w", head.ChangeID, err)
 }
 
-// writeChunks writes encoded tables as chunks and returns their names. Writing a chunk again is harmless, since its name is the sum of its
-// content.
-func (c *Client) writeChunks(ctx context.Context, content []byte) ([]string, error) {
+// writeChunks writes encoded tables as chunks and returns their names. It doesn't write those that the head names and this client has read,
+// which the platform has; the head alone may name a chunk that is missing. Writing a chunk again is harmless, since its name is the sum of
+// its content.
+func (c *Client) writeChunks(ctx context.Context, content []byte, named []string) ([]string, error) {
 	chunks := splitChunks(content)
 	if len(chunks) > maxChunks {
-		return nil, fmt.Errorf("the tables take %d chunks of %d bytes; want at most %d", len(chunks), chunkSize, maxChunks)
+		return nil, fmt.Errorf("the tables take %d chunks of at most %d bytes; want at most %d", len(chunks), chunkSize, maxChunks)
 	}
 	names := make([]string, 0, len(chunks))
 	for _, chunk := range chunks {
 		sum := sha256.Sum256(chunk)
 		name := hex.EncodeToString(sum[:])
+		names = append(names, name)
+		if _, read := c.chunks.get(name); read && slices.Contains(named, name) {
+			continue
+		}
 		if err := c.writeChunk(ctx, name, chunk); err != nil {
 			return nil, err
 		}
-		names = append(names, name)
 	}
 	return names, nil
 }
@@ -205,23 +213,43 @@
 	}
 	var content []byte
 	for _, name := range head.Chunks {
-		found, err := c.store.Get(ctx, chunkPrefix+name)
+		chunk, err := c.readChunk(ctx, head.Revision, name)
 		if err != nil {
 			return nil, err
 		}
-		if found.Version == 0 {
-			return nil, CallError{Call: "GET " + chunkPrefix + name, Err: errChunkMissing}
-		}
-		if sum := sha256.Sum256(found.Value); hex.EncodeToString(sum[:]) != name {
-			err := errors.New("the value of " + chunkPrefix + name + " does not match its SHA-256 sum")
-			return nil, CorruptTables{Revision: head.Revision, Err: err}
-		}
-		content = append(content, found.Value...)
+		content = append(content, chunk...)
 	}
+	c.chunks.keep(head.Chunks, content)
 	return content, nil
 }
 
-func splitChunks(content []byte) [][]byte { return slices.Collect(slices.Chunk(content, chunkSize)) }
+// readChunk returns a chunk, from the content that was read last if that had it.
+func (c *Client) readChunk(ctx context.Context, revision fleet.Revision, name string) ([]byte, error) {
+	if chunk, ok := c.chunks.get(name); ok {
+		return chunk, nil
+	}
+	found, err := c.store.Get(ctx, chunkPrefix+name)
+	if err != nil {
+		return nil, err
+	}
+	if found.Version == 0 {
+		return nil, CallError{Call: "GET " + chunkPrefix + name, Err: errChunkMissing}
+	}
+	if sum := sha256.Sum256(found.Value); hex.EncodeToString(sum[:]) != name {
+		err := errors.New("the value of " + chunkPrefix + name + " does not match its SHA-256 sum")
+		return nil, CorruptTables{Revision: revision, Err: err}
+	}
+	return found.Value, nil
+}
+
+// splitChunks divides encoded tables at their parts, so that parts without changes have the same chunks, and parts at chunkSize.
+func splitChunks(content []byte) [][]byte {
+	var chunks [][]byte
+	for _, part := range tablesfile.Split(content) {
+		chunks = slices.AppendSeq(chunks, slices.Chunk(part, chunkSize))
+	}
+	return chunks
+}
 
 // outcomeUnknown reports whether err comes from a write that may have taken effect.
 func outcomeUnknown(err error) bool {
--- a/internal/edge/tablesfile/encode.go
+++ b/internal/edge/tablesfile/encode.go
@@ -34,9 +34,9 @@
 	Pools    []wirePool
 	Limits   *wireLimits `json:",omitempty"`
 	Unread   []string    `json:",omitempty"`
-	// UnusableAccounts counts the entries of accounts that were left out of Accounts.
-	Accounts         []wireAccount `json:",omitempty"`
-	UnusableAccounts int           `json:",omitempty"`
+	// Buckets is the number of parts with accounts that follow, and UnusableAccounts the number of entries that were left out of them.
+	Buckets          int `json:",omitempty"`
+	UnusableAccounts int `json:",omitempty"`
 }
 
 type wireLimits struct {
@@ -77,21 +77,16 @@
 // Encode returns the encoded form of the tables for the platform and for peers, which is compressed JSON. Compression keeps a
 // change at the design size within a node's limit for control traffic.
 func Encode(t fleet.Tables) []byte {
-	var out bytes.Buffer
-	w := gzip.NewWriter(&out)
-	wire := wireTables{
-		Revision: t.Revision,
-		Routes:   wireRoutes(t),
-		Pools:    wirePools(t),
-		Limits:   newWireLimits(t.Limits),
-		Unread:   t.Unread,
-
-		Accounts: wireAccounts(t, ""), UnusableAccounts: t.UnusableAccounts,
-	}
-	// Neither step can fail: writes to a buffer succeed, and every value of the wire types can be encoded.
-	_ = json.NewEncoder(w).Encode(wire)
-	_ = w.Close()
-	return out.Bytes()
+	buckets := newBuckets(t)
+	return encodeParts(wireTables{
+		Revision:         t.Revision,
+		Routes:           wireRoutes(t),
+		Pools:            wirePools(t),
+		Limits:           newWireLimits(t.Limits),
+		Unread:           t.Unread,
+		Buckets:          len(buckets),
+		UnusableAccounts: t.UnusableAccounts,
+	}, buckets)
 }
 
 func wireRoutes(t fleet.Tables) []wireRoute {
@@ -168,9 +163,9 @@
 	if err != nil {
 		return fleet.Tables{}, err
 	}
-	var raw rawTables
-	if err := json.Unmarshal(plain, &raw); err != nil {
-		return fleet.Tables{}, fmt.Errorf("the content does not decode: %w", err)
+	raw, err := readParts(plain)
+	if err != nil {
+		return fleet.Tables{}, err
 	}
 	if raw.Revision != revision || revision == 0 {
 		return fleet.Tables{}, fmt.Errorf("the content is revision %d; want %d", raw.Revision, revision)
@@ -186,7 +181,8 @@
 	Limits   json.RawMessage
 	Unread   []string
 	Accounts []json.RawMessage
-	// UnusableAccounts counts the entries that the writer of the content has left out.
+	// Buckets is the number of parts with accounts, and UnusableAccounts that of the entries that the writer has left out.
+	Buckets          int
 	UnusableAccounts int
 }
 
