--- a/internal/core/admission/cost.go
+++ b/internal/core/admission/cost.go
@@ -74,13 +74,25 @@
 
 // expectedWait returns the time that a new attempt is expected to wait for a slot of a target.
 func (s State) expectedWait(now time.Time, l localTarget, a fleet.Attempt) time.Duration {
+	wait, _ := s.waitByShare(now, l, a)
+	return wait
+}
+
+// waitInOrder returns the expected wait of a new attempt behind the queued attempts that run before it.
+func (s State) waitInOrder(now time.Time, l localTarget, a fleet.Attempt) time.Duration {
 	if !s.byCost() || l.costs == nil {
-		return l.expectedWait(now, a)
-	}
-	if l.queue.len() == 0 && l.running.Len() < l.slots {
-		return 0
+		return l.waitBehind(now, a, l.workBefore(now, a))
 	}
 	f := s.forecast(now, l)
+	if l.hasShares(a) {
+		for _, r := range l.rankedWith(now, &a) {
+			if r.key.ticket == unqueued {
+				break
+			}
+			f.slots.Take(r.work)
+		}
+		return f.wait(now, a)
+	}
 	own := l.queueKeyOf(now, unqueued, a)
 	for t, queued := range l.queue.attempts.All() {
 		if l.queueKeyOf(now, t, queued).compare(own) < 0 {
--- a/internal/core/admission/localtarget.go
+++ b/internal/core/admission/localtarget.go
@@ -30,6 +30,8 @@
 	// costs holds the observed run times; nil until the first run, and unless targets are placed by cost.
 	costs *runCosts
 	usage usage
+	// fair holds the shares of the accounts whose attempts run on the target.
+	fair fairShares
 	// retryBudget is the target's share of its pool's retry budget.
 	retryBudget retryBudget
 	// unreachable is true if the process refused a connection or died and has sent no heartbeat since.
--- a/internal/core/node/ingress.go
+++ b/internal/core/node/ingress.go
@@ -70,7 +70,7 @@
 	if s.quarantine.Suspects().Quarantined(ev.At, request.Fingerprint) {
 		return acceptedRequest{}, refuse(request, fleet.Quarantined, "requests with this fingerprint have crashed several targets")
 	}
-	request.Account = decision.Account.Name
+	request.Account, request.Child = decision.Account.Name, decision.Child
 	route.Priority += decision.Priority * fleet.PriorityLevels
 	return acceptedRequest{request: request, route: route}, nil
 }
