core/usage: requests for tokens share messages; unused tokens are returned

Cause: under high load an allocator of a zone sent one message for each request to the allocator of the fleet. Messages between two nodes are sent one after the other, 32 wait at most, and the rest is dropped. A request that its targets refused without running it used up its token.

Change: a node has at most two messages for tokens of a shard without a reply; further accounts share the next one. The token of a request that ends with NotRun goes back to its node until it expires.

--- a/internal/core/node/state.go
+++ b/internal/core/node/state.go
@@ -68,6 +68,7 @@
 // Reduce returns the state after an event and the effects to execute.
 func (s State) Reduce(ev event.Event) (State, []effect.Effect) {
 	next, effects := s.dispatch(ev)
+	next, effects = next.returnTokens(ev, effects)
 	next, effects = next.recordRefusedOrders(effects)
 	next = next.recordRunStarts(ev.At, effects).recordEndedChildren(ev.At, effects)
 	effects = s.appendMetrics(ev, effects)
--- a/internal/core/node/usage.go
+++ b/internal/core/node/usage.go
@@ -58,6 +58,22 @@
 	return s.withUsage(ev, next, result)
 }
 
+// returnTokens returns the tokens of requests that were refused without having run.
+func (s State) returnTokens(ev event.Event, effects []effect.Effect) (State, []effect.Effect) {
+	if !s.usage.HasSpent() {
+		return s, effects
+	}
+	for _, e := range effects {
+		if refusal, ok := e.(effect.RefuseRequest); ok && refusal.Problem.Verdict == fleet.NotRun {
+			next, result := s.usage.RequestNotRun(s.usageContext(ev), refusal.Request)
+			var more []effect.Effect
+			s, more = s.withUsage(ev, next, result)
+			effects = append(effects, more...)
+		}
+	}
+	return s, effects
+}
+
 // tickUsage runs the periodic work of the usage component.
 func (s State) tickUsage(ev event.Event) (State, []effect.Effect) {
 	if !s.usage.Active() {
--- a/internal/core/usage/lease.go
+++ b/internal/core/usage/lease.go
@@ -35,6 +35,10 @@
 	leasedShares int
 	leasedUntil  time.Time
 	contact      contact
+	// asks holds the messages for tokens without a reply, and pending the accounts whose requests for tokens wait for one of these
+	// replies.
+	asks    []askMessage
+	pending fleet.Set[fleet.AccountName]
 	// weights holds the fraction of all shares that this node may use, and earlier ones, the oldest first.
 	weights []weightSince
 	// topSince is the time since which this node is the allocator of the fleet.
@@ -47,6 +51,49 @@
 	weight float64
 }
 
+// askMessage is a message that asks for tokens of one or more accounts.
+type askMessage struct {
+	number   uint64
+	sent     time.Time
+	accounts int
+}
+
+// maxAsks bounds the messages of a shard that ask for tokens and have no reply. Under high load, the requests of several accounts
+// then share a message: the messages between two nodes are sent one after the other, each after the reply to the one before.
+const maxAsks = 2
+
+// maxAccounts bounds the accounts in a message.
+const maxAccounts = 256
+
+// mayAsk reports whether the step with the given number may ask for the tokens of one more account.
+func (sh shard) mayAsk(number uint64) bool {
+	last := len(sh.asks) - 1
+	if last >= 0 && sh.asks[last].number == number {
+		return sh.asks[last].accounts < maxAccounts
+	}
+	return len(sh.asks) < maxAsks
+}
+
+// withAsk returns the shard after the step with the given number has asked for the tokens of one more account.
+func (sh shard) withAsk(now time.Time, number uint64) shard {
+	last := len(sh.asks) - 1
+	if last < 0 || sh.asks[last].number != number {
+		sh.asks = append(slices.Clip(sh.asks), askMessage{number: number, sent: now, accounts: 1})
+		return sh
+	}
+	sh.asks = slices.Clone(sh.asks)
+	sh.asks[last].accounts++
+	return sh
+}
+
+// withoutAsks returns the shard without the messages for tokens that match.
+func (sh shard) withoutAsks(match func(askMessage) bool) shard {
+	if slices.ContainsFunc(sh.asks, match) {
+		sh.asks = slices.DeleteFunc(slices.Clone(sh.asks), match)
+	}
+	return sh
+}
+
 // lease is the promise of a node that shares are used by this node alone.
 type lease struct {
 	node   fleet.NodeID
--- a/internal/core/usage/model_test.go
+++ b/internal/core/usage/model_test.go
@@ -18,6 +18,7 @@
 	events     eventQueue
 	sequence   int
 	nodes      []*modelNode
+	byID       map[fleet.NodeID]*modelNode
 	zones      int
 	accounts   fleet.Map[fleet.AccountName, fleet.Account]
 	// lossPercent is the percentage of messages that are lost, and slowPercent that of messages delayed by up to 300 ms.
@@ -43,6 +44,8 @@
 	members     fleet.Map[fleet.NodeID, *fleet.Member]
 	accounts    fleet.Map[fleet.AccountName, fleet.Account]
 	mailbox     []func()
+	// sent counts the messages that the node sent.
+	sent int
 }
 
 // record holds the requests of one account.
@@ -80,7 +83,7 @@
 func newModel(seed uint64, nodes, zones int, accounts ...fleet.Account) *model {
 	m := &model{
 		now: time.Unix(1_800_000_000, 0), random: rand.New(rand.NewPCG(seed, 1)), zones: zones,
-		records: map[fleet.AccountName]*record{}, cut: func(_, _ *modelNode) bool { return false },
+		records: map[fleet.AccountName]*record{}, byID: map[fleet.NodeID]*modelNode{}, cut: func(_, _ *modelNode) bool { return false },
 	}
 	m.began = m.now
 	for _, a := range accounts {
@@ -91,6 +94,7 @@
 		m.nodes = append(m.nodes, &modelNode{index: i, id: fleet.NodeID(fmt.Sprintf("host-%03d", i)), zone: i % zones})
 	}
 	for _, n := range m.nodes {
+		m.byID[n.id] = n
 		m.start(n)
 	}
 	return m
@@ -250,12 +254,7 @@
 
 // send delivers a message with the delay of the link.
 func (m *model) send(from *modelNode, send effect.SendMessage) {
-	var to *modelNode
-	for _, n := range m.nodes {
-		if n.id == send.To {
-			to = n
-		}
-	}
+	to := m.byID[send.To]
 	kind, entries := 0, 0
 	if from.zone != to.zone {
 		kind = 1
@@ -267,6 +266,7 @@
 		entries = len(body.Grants)
 	}
 	m.messages[kind]++
+	from.sent++
 	m.bytes[kind] += messageBytes + entries*entryBytes
 	delay := 200*time.Microsecond + time.Duration(m.random.IntN(int(300*time.Microsecond)))
 	if kind == 1 {
--- a/internal/core/usage/serve.go
+++ b/internal/core/usage/serve.go
@@ -86,6 +86,7 @@
 func (s State) grant(ctx Context, result Result, name fleet.AccountName, w waiter, b batch, owed int) (State, Result) {
 	if w.local != nil {
 		result.Admitted = append(result.Admitted, *w.local)
+		s.spent = s.spent.With(w.local.Request.ID, spentToken{account: name, expires: b.expires})
 		return s.withoutWaiting(w.local.Request.ID), result
 	}
 	result.Effects = append(result.Effects, reply(ctx, w, shardOf(name), message.UsageGrant{
@@ -125,6 +126,12 @@
 		missing += w.tokens
 	}
 	i := shardOf(name)
+	sh := *s.shards[i]
+	if !sh.mayAsk(s.number) {
+		sh.pending = sh.pending.With(name)
+		return s.withShard(i, sh).withAccount(name, a), result
+	}
+	s = s.withShard(i, sh.withAsk(ctx.Now, s.number))
 	want := message.UsageWant{Account: name, Tokens: missing + a.demand.advance(ctx.Now), Debt: int(a.debt.at(ctx.Now, a.rate))}
 	s.counts.asked++
 	a.ask = ask{number: s.number, to: source.node, sent: ctx.Now}
--- a/internal/core/usage/state.go
+++ b/internal/core/usage/state.go
@@ -86,6 +86,8 @@
 	present fleet.Map[fleet.NodeID, presence]
 	// number is that of the last message.
 	number uint64
+	// spent holds the tokens of requests that have started, until they expire.
+	spent fleet.HashMap[fleet.RequestID, spentToken]
 	// lines holds the log lines of the step, and counts what the counters do not contain yet.
 	lines      []effect.Effect
 	counts     counts
--- a/internal/core/usage/steps.go
+++ b/internal/core/usage/steps.go
@@ -9,7 +9,9 @@
 
 // TablesChanged applies the rate limits of new tables. Requests of accounts that no longer exist are refused.
 func (s State) TablesChanged(ctx Context) (State, Result) {
-	s.active = anyLimited(ctx.Accounts)
+	if s.active = anyLimited(ctx.Accounts); !s.active {
+		s.spent = fleet.HashMap[fleet.RequestID, spentToken]{}
+	}
 	s = s.prepared(ctx)
 	var result Result
 	for name, a := range s.accounts.All() {
@@ -74,19 +76,23 @@
 	}
 	s, counted := s.countEffects(ctx.Now)
 	result.Effects = append(result.Effects, counted...)
-	return s.withoutIdle(ctx.Now).finished(result)
+	return s.withoutIdle(ctx.Now).withoutExpired(ctx.Now).finished(result)
 }
 
 // tickShard renews the lease of a shard if it is due.
 func (s State) tickShard(ctx Context, i int) (State, Result) {
+	isLost := func(a askMessage) bool { return ctx.Now.Sub(a.sent) >= replyTimeout }
+	s = s.withShard(i, s.shards[i].withoutAsks(isLost))
+	s, pending := s.servePending(ctx, i)
 	contact := s.shards[i].contact
 	if contact.node != "" && !contact.unanswered.IsZero() && ctx.Now.Sub(contact.unanswered) >= leaseReplyTimeout {
 		s = s.withAvoided(ctx, contact.node)
 	}
 	if s.isTop(i) || !s.shards[i].renewalDue(ctx.Now) {
-		return s, Result{}
+		return s, pending
 	}
-	return s.renew(ctx, i)
+	s, renewal := s.renew(ctx, i)
+	return s, pending.with(renewal)
 }
 
 // tickAccount ends waits that have lasted for too long, and serves the rest.
@@ -206,6 +212,25 @@
 		s, more = s.serve(ctx, g.Account, a.withReply(ctx.Now, g))
 		result = result.with(more)
 	}
+	s = s.withShard(m.Shard, s.shards[m.Shard].withoutAsks(func(a askMessage) bool { return a.number == m.Number }))
+	s, more = s.servePending(ctx, m.Shard)
+	return s, result.with(more)
+}
+
+// servePending serves the accounts whose requests for tokens had to wait.
+func (s State) servePending(ctx Context, i int) (State, Result) {
+	sh := *s.shards[i]
+	pending := sh.pending
+	if pending.Len() == 0 || !sh.mayAsk(s.number) {
+		return s, Result{}
+	}
+	sh.pending = fleet.Set[fleet.AccountName]{}
+	s = s.withShard(i, sh)
+	var result, more Result
+	for name := range pending.All() {
+		s, more = s.serve(ctx, name, s.account(name))
+		result = result.with(more)
+	}
 	return s, result
 }
 
--- a/internal/core/usage/view.go
+++ b/internal/core/usage/view.go
@@ -142,7 +142,7 @@
 			continue
 		}
 		wasTop := sh.contact.node == "" && !sh.topSince.IsZero()
-		sh.contact = contact{node: up}
+		sh.contact, sh.asks = contact{node: up}, nil
 		if up == "" {
 			sh.topSince = now
 		}
--- a/internal/edge/peer/message_bench_test.go
+++ b/internal/edge/peer/message_bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"jayfold.dev/jayfold/internal/core/fleet"
 	"jayfold.dev/jayfold/internal/core/message"
@@ -53,6 +54,15 @@
 		{"Ping/4", message.Ping{Sequence: 1 << 20, Members: hostRecords(4)}},
 		{"Ack/0", message.Ack{Sequence: 1 << 20, Subject: "host-001"}},
 		{"SyncRequest/64", message.SyncRequest{Digest: hostVersions(64)}},
+		{"UsageRequest/0", message.UsageRequest{Shard: 3, Number: 1 << 20, Stamp: 1 << 60, Shares: 20, Duration: 750 * time.Millisecond, Members: 81}},
+		{"UsageRequest/1", message.UsageRequest{
+			Shard: 3, Number: 1 << 20, Stamp: 1 << 60, Shares: 20, Duration: 750 * time.Millisecond, Members: 81,
+			Wants: []message.UsageWant{{Account: "account-00001", Tokens: 1}},
+		}},
+		{"UsageReply/1", message.UsageReply{
+			Shard: 3, Number: 1 << 20, Stamp: 1 << 60,
+			Grants: []message.UsageGrant{{Account: "account-00001", Tokens: 1, Lifetime: 400 * time.Millisecond}},
+		}},
 		{"Sync/18", message.SyncReply{Members: hostRecords(18)}},
 	} {
 		b.Run(c.name, func(b *testing.B) {
