core/usage: a young process is no allocator, by the age that its incarnation tells

Cause: nodes judged the age of another process by when they first saw it, so that each had another view after a restart, and a restarted node took itself for the allocator at once: its callers waited for tokens that only the other nodes had, in a fleet of 3 nodes a third of all requests for 6 s.

Change: the incarnation, which is the start time of a process, tells its age to all nodes alike. A node that its own allocator asks for tokens, and that has the higher rank, is the allocator from then on. A node leases nothing back to a node whose shares it holds. A leaving node remains the allocator for those that still ask it.

--- a/internal/core/usage/lease.go
+++ b/internal/core/usage/lease.go
@@ -41,6 +41,9 @@
 	pending fleet.Set[fleet.AccountName]
 	// weights holds the fraction of all shares that this node may use, and earlier ones, the oldest first.
 	weights []weightSince
+	// promotedUntil is the time until which this node is the allocator of the fleet because the node that it took for it asks this
+	// one.
+	promotedUntil time.Time
 	// topSince is the time since which this node is the allocator of the fleet.
 	topSince time.Time
 }
@@ -121,11 +124,11 @@
 	return sh
 }
 
-// sharesUntil returns the number of shares, with this node's own, that this node holds until a time.
-func (sh shard) sharesUntil(t time.Time) int {
+// sharesUntil returns the number of shares, with this node's own, that this node holds until a time, apart from those of one node.
+func (sh shard) sharesUntil(t time.Time, except fleet.NodeID) int {
 	total := 1
 	for _, l := range sh.leases {
-		if !l.ends.Before(t) {
+		if !l.ends.Before(t) && l.node != except {
 			total += l.shares
 		}
 	}
@@ -137,7 +140,7 @@
 	if slices.ContainsFunc(sh.leases, func(l lease) bool { return l.ends.Before(now) }) {
 		sh.leases = slices.DeleteFunc(slices.Clone(sh.leases), func(l lease) bool { return l.ends.Before(now) })
 	}
-	shares := sh.sharesUntil(now)
+	shares := sh.sharesUntil(now, "")
 	if now.Before(sh.leasedUntil) {
 		shares -= sh.leasedShares
 	}
@@ -183,7 +186,7 @@
 		if ends.Before(now.Add(minLease)) {
 			break
 		}
-		if n := sh.sharesUntil(ends); n > shares {
+		if n := sh.sharesUntil(ends, sh.contact.node); n > shares {
 			shares, duration = n, d
 		}
 	}
--- a/internal/core/usage/model_test.go
+++ b/internal/core/usage/model_test.go
@@ -118,7 +118,7 @@
 // start starts a node. Its peers know it at once.
 func (m *model) start(n *modelNode) {
 	n.up, n.frozen = true, false
-	n.incarnation++
+	n.incarnation = int(m.now.UnixMilli())
 	n.state = New(n.id, zoneName(n.zone))
 	n.members = fleet.Map[fleet.NodeID, *fleet.Member]{}
 	for _, other := range m.nodes {
--- a/internal/core/usage/observe.go
+++ b/internal/core/usage/observe.go
@@ -101,7 +101,7 @@
 		statuses = append(statuses, effect.RateLimitStatus{
 			Shard:     i,
 			Allocator: s.source(now, i).node,
-			Shares:    sh.sharesUntil(now),
+			Shares:    sh.sharesUntil(now, ""),
 			Members:   sh.members(s.view.members),
 		})
 	}
--- a/internal/core/usage/serve.go
+++ b/internal/core/usage/serve.go
@@ -67,7 +67,7 @@
 // ready reports whether this node may grant tokens as the allocator of the fleet. A node that has just started knows few members
 // and would take its share for a large one.
 func (s State) ready(now time.Time, i int) bool {
-	return now.Sub(s.started) >= startDelay || s.shards[i].members(0) > s.view.members
+	return now.Sub(s.view.started) >= startDelay || s.shards[i].members(0) > s.view.members
 }
 
 // settling reports whether leases to this node may still be on their way.
--- a/internal/core/usage/state.go
+++ b/internal/core/usage/state.go
@@ -51,8 +51,11 @@
 	// settleDelay is the time for which a new allocator may lack leases, so that an empty bucket does not mean that the rate limit
 	// is reached.
 	settleDelay = 3 * time.Second
-	// eligibleAfter is the time after which a new process is used as allocator. Gossip takes 4 s to reach 540 nodes.
+	// eligibleAfter is the age from which a process is used as allocator. Gossip takes 4 s to reach 540 nodes.
 	eligibleAfter = 6 * time.Second
+	// promotion is the time for which a node is the allocator of the fleet because another one asked it, although it sees itself as
+	// too young.
+	promotion = 3 * time.Second
 	// weighInterval is the interval at which the weights of the shards are determined anew, also in a process that resumes after a
 	// pause and has not had a tick yet.
 	weighInterval = 100 * time.Millisecond
@@ -67,9 +70,8 @@
 // State holds the leases, buckets, tokens and waiting requests of a node. It is immutable, and so are the values behind its
 // pointers.
 type State struct {
-	self    fleet.NodeID
-	zone    fleet.AvailabilityZone
-	started time.Time
+	self fleet.NodeID
+	zone fleet.AvailabilityZone
 	// active is true if the tables in force have an account with a rate limit. Nothing is sent otherwise.
 	active   bool
 	view     *view
@@ -83,7 +85,8 @@
 	indebted fleet.Set[fleet.AccountName]
 	// avoided holds the nodes that did not reply, and until when they are avoided.
 	avoided fleet.Map[fleet.NodeID, time.Time]
-	present fleet.Map[fleet.NodeID, presence]
+	// left holds the nodes that have left the fleet in an orderly way.
+	left fleet.Set[fleet.NodeID]
 	// number is that of the last message.
 	number uint64
 	// spent holds the tokens of requests that have started, until they expire.
@@ -222,11 +225,8 @@
 	return s
 }
 
-// prepared returns the state ready for a step: with a start time and the allocators determined.
+// prepared returns the state ready for a step, with the allocators and the weights determined.
 func (s State) prepared(ctx Context) State {
-	if s.started.IsZero() {
-		s.started = ctx.Now
-	}
 	if s.view.built.IsZero() {
 		s = s.withView(ctx)
 	}
--- a/internal/core/usage/state_test.go
+++ b/internal/core/usage/state_test.go
@@ -131,3 +131,36 @@
 		m.assertServed(t, limit, 4*2*outage.Seconds()/40)
 	}
 }
+
+// TestSmallFleetRestarts guards against a restarted node whose callers get no tokens while it is too young to be an allocator.
+func TestSmallFleetRestarts(t *testing.T) {
+	for _, zones := range []int{1, 3} {
+		limit := accountOf("a", 40)
+		m := newModel(6, 3, zones, limit)
+		m.advance(settleTime)
+		m.load("a", 0.6*limit.Rate, 60*time.Second, m.anyNode)
+		for _, n := range m.nodes {
+			m.advance(5 * time.Second)
+			m.kill(n)
+			m.advance(3 * time.Second)
+			m.start(n)
+			m.advance(10 * time.Second)
+		}
+		m.advance(10 * time.Second)
+		m.assertBound(t, limit)
+		m.assertAnswered(t)
+		t.Log(zones, m.records["a"])
+		m.assertServed(t, limit, 3*2*outage.Seconds()/60)
+	}
+}
+
+// TestFleetStart guards against a fleet that refuses requests for long after all its nodes have started.
+func TestFleetStart(t *testing.T) {
+	limit := accountOf("a", 100)
+	m := newModel(7, 81, 4, limit)
+	m.load("a", 0.6*limit.Rate, 10*time.Second, m.anyNode)
+	m.advance(11 * time.Second)
+	m.assertBound(t, limit)
+	t.Log(m.records["a"])
+	m.assertServed(t, limit, 2*outage.Seconds()/10)
+}
--- a/internal/core/usage/steps.go
+++ b/internal/core/usage/steps.go
@@ -157,10 +157,12 @@
 	if m.Shard >= shardCount || envelope.From == s.self {
 		return s, Result{}
 	}
+	s = s.withPromotion(ctx, envelope.From, m.Shard)
+	isSource := s.source(ctx.Now, m.Shard).node == envelope.From
 	asker := waiter{peer: envelope.From, address: envelope.Address, number: m.Number, until: ctx.Now.Add(relayLimit)}
 	usable := m.Duration - time.Duration(driftMargin*float64(m.Duration))
 	stamp := time.Unix(0, m.Stamp)
-	if ends := stamp.Add(usable); m.Stamp > 0 && m.Shares > 0 && !stamp.After(ctx.Now) && ends.After(ctx.Now) {
+	if ends := stamp.Add(usable); !isSource && m.Stamp > 0 && m.Shares > 0 && !stamp.After(ctx.Now) && ends.After(ctx.Now) {
 		sh := s.shards[m.Shard].withLease(lease{node: envelope.From, shares: m.Shares, ends: ends, members: m.Members})
 		s = s.withShard(m.Shard, sh.withWeight(ctx.Now, s.view.members))
 	}
@@ -171,7 +173,7 @@
 	}
 	for _, want := range m.Wants {
 		limit, limited := ctx.limit(want.Account)
-		if !limited || shardOf(want.Account) != m.Shard || want.Tokens == 0 {
+		if !limited || isSource || shardOf(want.Account) != m.Shard || want.Tokens == 0 {
 			result.Effects = append(result.Effects, reply(ctx, asker, m.Shard, message.UsageGrant{Account: want.Account}))
 			continue
 		}
--- a/internal/core/usage/view.go
+++ b/internal/core/usage/view.go
@@ -11,23 +11,17 @@
 // view holds the allocators as this node sees them.
 type view struct {
 	built time.Time
+	// started is when this node's process started.
+	started time.Time
 	// members is the number of nodes among which each rate limit is divided. Dead nodes count, because they may only be
 	// unreachable; nodes that have left do not.
 	members int
 	// upstream holds, for each shard, the node to which this node leases its shares: the allocator of its zone, or, if it is that
-	// itself, the allocator of the fleet. It is empty if this node is the allocator of the fleet. The upstream of a node always has
-	// a higher rank than the node, so that requests never go round in circles, even if nodes see different members.
+	// itself, the allocator of the fleet. It is empty if this node is the allocator of the fleet. The upstream of a node has a higher
+	// rank than the node or, if the node has just started, is an older process.
 	upstream [shardCount]upstream
 }
 
-// presence is what this node has seen of the process of another one.
-type presence struct {
-	incarnation fleet.Incarnation
-	since       time.Time
-	// gone is true if the node is leaving, dead or has left, and left if it has left in an orderly way.
-	gone, left bool
-}
-
 type upstream struct {
 	node    fleet.NodeID
 	address string
@@ -45,44 +39,69 @@
 // shardOf returns the shard of an account.
 func shardOf(name fleet.AccountName) int { return int(xxhash.Sum64String(string(name)) % shardCount) }
 
-// withView returns the state with the allocators determined from the current members.
+// allocators holds the members with the highest rank for each shard, of this node's zone and of the fleet.
+type allocators struct {
+	ofZone, ofFleet [shardCount]upstream
+}
+
+func (a *allocators) add(m *fleet.Member, ownZone bool) {
+	hash := xxhash.Sum64String(string(m.Node))
+	for i := range shardCount {
+		up := upstream{node: m.Node, address: m.PeerAddress, rank: rank(hash, i)}
+		a.ofFleet[i] = higher(a.ofFleet[i], up)
+		if ownZone {
+			a.ofZone[i] = higher(a.ofZone[i], up)
+		}
+	}
+}
+
+// withView returns the state with the allocators determined from the current members. A process that has just started is an
+// allocator only if all have just started: it may not know enough members, and others may not know it yet. A node that is leaving
+// remains one for those that still ask it.
 func (s State) withView(ctx Context) State {
 	v := view{built: ctx.Now}
-	var ofZone, ofFleet [shardCount]upstream
+	var all, aged allocators
 	for id, m := range ctx.Members {
-		s = s.withPresence(ctx.Now, m)
-		if m.Status == fleet.Leaving || m.Status == fleet.Dead && s.hasLeft(id) {
+		s = s.withPresence(id, m.Status)
+		isSelf := id == s.self
+		if isSelf {
+			v.started = time.UnixMilli(int64(m.Incarnation))
+		} else if m.Status == fleet.Leaving || m.Status == fleet.Dead && s.left.Has(id) {
 			continue
 		}
 		v.members++
-		if m.Status != fleet.Alive || s.isAvoided(ctx.Now, id) || !s.isEligible(ctx.Now, id) {
+		if !isSelf && (m.Status != fleet.Alive || s.isAvoided(ctx.Now, id)) {
 			continue
 		}
-		hash := xxhash.Sum64String(string(id))
-		for i := range shardCount {
-			up := upstream{node: id, address: m.PeerAddress, rank: rank(hash, i)}
-			ofFleet[i] = higher(ofFleet[i], up)
-			if m.AvailabilityZone == s.zone {
-				ofZone[i] = higher(ofZone[i], up)
-			}
+		all.add(m, m.AvailabilityZone == s.zone)
+		if ctx.Now.Sub(time.UnixMilli(int64(m.Incarnation))) >= eligibleAfter {
+			aged.add(m, m.AvailabilityZone == s.zone)
 		}
 	}
+	if aged.ofFleet[0].node == "" {
+		aged = all
+	}
 	for i := range shardCount {
-		switch s.self {
-		case ofFleet[i].node:
-		case ofZone[i].node:
-			v.upstream[i] = ofFleet[i]
-		default:
-			v.upstream[i] = higher(ofZone[i], upstream{})
-			if v.upstream[i].node == "" {
-				v.upstream[i] = ofFleet[i]
-			}
+		if !ctx.Now.Before(s.shards[i].promotedUntil) {
+			v.upstream[i] = aged.upstreamOf(s.self, i)
 		}
 	}
 	s.view = &v
 	return s.withContacts(ctx.Now)
 }
 
+// upstreamOf returns the upstream of a node for a shard.
+func (a *allocators) upstreamOf(self fleet.NodeID, i int) upstream {
+	switch {
+	case a.ofFleet[i].node == self:
+		return upstream{}
+	case a.ofZone[i].node == self || a.ofZone[i].node == "":
+		return a.ofFleet[i]
+	default:
+		return a.ofZone[i]
+	}
+}
+
 func higher(a, b upstream) upstream {
 	if b.node != "" && (a.node == "" || b.rank > a.rank) {
 		return b
@@ -90,34 +109,17 @@
 	return a
 }
 
-// withPresence records which process of a node runs, and whether a node has left the fleet, which its record no longer tells once it
-// is dead.
-func (s State) withPresence(now time.Time, m *fleet.Member) State {
-	known, ok := s.present.Get(m.Node)
-	switch {
-	case m.Status == fleet.Leaving || m.Status == fleet.Dead:
-		if !known.gone || m.Status == fleet.Leaving && !known.left {
-			known.gone, known.left = true, known.left || m.Status == fleet.Leaving
-			s.present = s.present.With(m.Node, known)
-		}
-	case !ok || known.gone || known.incarnation != m.Incarnation:
-		s.present = s.present.With(m.Node, presence{incarnation: m.Incarnation, since: now})
+// withPresence records whether a node has left the fleet, which its record no longer tells once it is dead.
+func (s State) withPresence(id fleet.NodeID, status fleet.MemberStatus) State {
+	switch has := s.left.Has(id); {
+	case status == fleet.Leaving && !has:
+		s.left = s.left.With(id)
+	case (status == fleet.Alive || status == fleet.Suspect) && has:
+		s.left = s.left.Without(id)
 	}
 	return s
 }
 
-// isEligible reports whether a node may be an allocator. A process that has just started may not know enough members, and others
-// may not know it yet.
-func (s State) isEligible(now time.Time, id fleet.NodeID) bool {
-	p, _ := s.present.Get(id)
-	return id == s.self || now.Sub(p.since) >= eligibleAfter || p.since.Sub(s.started) < eligibleAfter
-}
-
-func (s State) hasLeft(id fleet.NodeID) bool {
-	p, ok := s.present.Get(id)
-	return ok && p.left
-}
-
 func (s State) isAvoided(now time.Time, id fleet.NodeID) bool {
 	until, ok := s.avoided.Get(id)
 	return ok && now.Before(until)
@@ -127,6 +129,9 @@
 // upstream lasts, that node is asked, because it has the shares.
 func (s State) source(now time.Time, i int) upstream {
 	sh, up := s.shards[i], s.view.upstream[i]
+	if now.Before(sh.promotedUntil) {
+		return upstream{}
+	}
 	if sh.leasedTo.node != up.node && now.Before(sh.leasedUntil) && !s.isAvoided(now, sh.leasedTo.node) {
 		return sh.leasedTo
 	}
@@ -166,5 +171,18 @@
 	return s.withView(ctx)
 }
 
+// withPromotion returns the state after a request from a node. Two nodes take each other for the allocator of the fleet when one of
+// them has just reached the age for it and the other one notices first; the one with the higher rank then is.
+func (s State) withPromotion(ctx Context, from fleet.NodeID, i int) State {
+	if s.source(ctx.Now, i).node != from || rankOf(from, i) > rankOf(s.self, i) {
+		return s
+	}
+	sh := *s.shards[i]
+	sh.promotedUntil = ctx.Now.Add(promotion)
+	return s.withShard(i, sh).withView(ctx)
+}
+
+func rankOf(id fleet.NodeID, shard int) uint64 { return rank(xxhash.Sum64String(string(id)), shard) }
+
 // isTop reports whether this node is the allocator of the fleet for a shard, as it sees it.
 func (s State) isTop(shard int) bool { return s.view.upstream[shard].node == "" }
