--- a/internal/core/usage/lease.go
+++ b/internal/core/usage/lease.go
@@ -35,8 +35,15 @@
 	leasedShares int
 	leasedUntil  time.Time
 	contact      contact
+	// asks holds the messages for tokens without a reply, and pending the accounts whose requests for tokens wait for one of these
+	// replies.
+	asks    []askMessage
+	pending fleet.Set[fleet.AccountName]
 	// weights holds the fraction of all shares that this node may use, and earlier ones, the oldest first.
 	weights []weightSince
+	// promotedUntil is the time until which this node is the allocator of the fleet because the node that it took for it asks this
+	// one.
+	promotedUntil time.Time
 	// topSince is the time since which this node is the allocator of the fleet.
 	topSince time.Time
 }
@@ -47,6 +54,49 @@
 	weight float64
 }
 
+// askMessage is a message that asks for tokens of one or more accounts.
+type askMessage struct {
+	number   uint64
+	sent     time.Time
+	accounts int
+}
+
+// maxAsks bounds the messages of a shard that ask for tokens and have no reply. Under high load, the requests of several accounts
+// then share a message: the messages between two nodes are sent one after the other, each after the reply to the one before.
+const maxAsks = 2
+
+// maxAccounts bounds the accounts in a message.
+const maxAccounts = 256
+
+// mayAsk reports whether the step with the given number may ask for the tokens of one more account.
+func (sh shard) mayAsk(number uint64) bool {
+	last := len(sh.asks) - 1
+	if last >= 0 && sh.asks[last].number == number {
+		return sh.asks[last].accounts < maxAccounts
+	}
+	return len(sh.asks) < maxAsks
+}
+
+// withAsk returns the shard after the step with the given number has asked for the tokens of one more account.
+func (sh shard) withAsk(now time.Time, number uint64) shard {
+	last := len(sh.asks) - 1
+	if last < 0 || sh.asks[last].number != number {
+		sh.asks = append(slices.Clip(sh.asks), askMessage{number: number, sent: now, accounts: 1})
+		return sh
+	}
+	sh.asks = slices.Clone(sh.asks)
+	sh.asks[last].accounts++
+	return sh
+}
+
+// withoutAsks returns the shard without the messages for tokens that match.
+func (sh shard) withoutAsks(match func(askMessage) bool) shard {
+	if slices.ContainsFunc(sh.asks, match) {
+		sh.asks = slices.DeleteFunc(slices.Clone(sh.asks), match)
+	}
+	return sh
+}
+
 // lease is the promise of a node that shares are used by this node alone.
 type lease struct {
 	node   fleet.NodeID
@@ -74,11 +124,11 @@
 	return sh
 }
 
-// sharesUntil returns the number of shares, with this node's own, that this node holds until a time.
-func (sh shard) sharesUntil(t time.Time) int {
+// sharesUntil returns the number of shares, with this node's own, that this node holds until a time, apart from those of one node.
+func (sh shard) sharesUntil(t time.Time, except fleet.NodeID) int {
 	total := 1
 	for _, l := range sh.leases {
-		if !l.ends.Before(t) {
+		if !l.ends.Before(t) && l.node != except {
 			total += l.shares
 		}
 	}
@@ -90,7 +140,7 @@
 	if slices.ContainsFunc(sh.leases, func(l lease) bool { return l.ends.Before(now) }) {
 		sh.leases = slices.DeleteFunc(slices.Clone(sh.leases), func(l lease) bool { return l.ends.Before(now) })
 	}
-	shares := sh.sharesUntil(now)
+	shares := sh.sharesUntil(now, "")
 	if now.Before(sh.leasedUntil) {
 		shares -= sh.leasedShares
 	}
@@ -136,7 +186,7 @@
 		if ends.Before(now.Add(minLease)) {
 			break
 		}
-		if n := sh.sharesUntil(ends); n > shares {
+		if n := sh.sharesUntil(ends, sh.contact.node); n > shares {
 			shares, duration = n, d
 		}
 	}
--- a/internal/core/usage/steps.go
+++ b/internal/core/usage/steps.go
@@ -9,7 +9,9 @@
 
 // TablesChanged applies the rate limits of new tables. Requests of accounts that no longer exist are refused.
 func (s State) TablesChanged(ctx Context) (State, Result) {
-	s.active = anyLimited(ctx.Accounts)
+	if s.active = anyLimited(ctx.Accounts); !s.active {
+		s.spent = fleet.HashMap[fleet.RequestID, spentToken]{}
+	}
 	s = s.prepared(ctx)
 	var result Result
 	for name, a := range s.accounts.All() {
@@ -74,19 +76,23 @@
 	}
 	s, counted := s.countEffects(ctx.Now)
 	result.Effects = append(result.Effects, counted...)
-	return s.withoutIdle(ctx.Now).finished(result)
+	return s.withoutIdle(ctx.Now).withoutExpired(ctx.Now).finished(result)
 }
 
 // tickShard renews the lease of a shard if it is due.
 func (s State) tickShard(ctx Context, i int) (State, Result) {
+	isLost := func(a askMessage) bool { return ctx.Now.Sub(a.sent) >= replyTimeout }
+	s = s.withShard(i, s.shards[i].withoutAsks(isLost))
+	s, pending := s.servePending(ctx, i)
 	contact := s.shards[i].contact
 	if contact.node != "" && !contact.unanswered.IsZero() && ctx.Now.Sub(contact.unanswered) >= leaseReplyTimeout {
 		s = s.withAvoided(ctx, contact.node)
 	}
 	if s.isTop(i) || !s.shards[i].renewalDue(ctx.Now) {
-		return s, Result{}
+		return s, pending
 	}
-	return s.renew(ctx, i)
+	s, renewal := s.renew(ctx, i)
+	return s, pending.with(renewal)
 }
 
 // tickAccount ends waits that have lasted for too long, and serves the rest.
@@ -151,10 +157,12 @@
 	if m.Shard >= shardCount || envelope.From == s.self {
 		return s, Result{}
 	}
+	s = s.withPromotion(ctx, envelope.From, m.Shard)
+	isSource := s.source(ctx.Now, m.Shard).node == envelope.From
 	asker := waiter{peer: envelope.From, address: envelope.Address, number: m.Number, until: ctx.Now.Add(relayLimit)}
 	usable := m.Duration - time.Duration(driftMargin*float64(m.Duration))
 	stamp := time.Unix(0, m.Stamp)
-	if ends := stamp.Add(usable); m.Stamp > 0 && m.Shares > 0 && !stamp.After(ctx.Now) && ends.After(ctx.Now) {
+	if ends := stamp.Add(usable); !isSource && m.Stamp > 0 && m.Shares > 0 && !stamp.After(ctx.Now) && ends.After(ctx.Now) {
 		sh := s.shards[m.Shard].withLease(lease{node: envelope.From, shares: m.Shares, ends: ends, members: m.Members})
 		s = s.withShard(m.Shard, sh.withWeight(ctx.Now, s.view.members))
 	}
@@ -165,7 +173,7 @@
 	}
 	for _, want := range m.Wants {
 		limit, limited := ctx.limit(want.Account)
-		if !limited || shardOf(want.Account) != m.Shard || want.Tokens == 0 {
+		if !limited || isSource || shardOf(want.Account) != m.Shard || want.Tokens == 0 {
 			result.Effects = append(result.Effects, reply(ctx, asker, m.Shard, message.UsageGrant{Account: want.Account}))
 			continue
 		}
@@ -206,6 +214,25 @@
 		s, more = s.serve(ctx, g.Account, a.withReply(ctx.Now, g))
 		result = result.with(more)
 	}
+	s = s.withShard(m.Shard, s.shards[m.Shard].withoutAsks(func(a askMessage) bool { return a.number == m.Number }))
+	s, more = s.servePending(ctx, m.Shard)
+	return s, result.with(more)
+}
+
+// servePending serves the accounts whose requests for tokens had to wait.
+func (s State) servePending(ctx Context, i int) (State, Result) {
+	sh := *s.shards[i]
+	pending := sh.pending
+	if pending.Len() == 0 || !sh.mayAsk(s.number) {
+		return s, Result{}
+	}
+	sh.pending = fleet.Set[fleet.AccountName]{}
+	s = s.withShard(i, sh)
+	var result, more Result
+	for name := range pending.All() {
+		s, more = s.serve(ctx, name, s.account(name))
+		result = result.with(more)
+	}
 	return s, result
 }
 
