edge/target: a response to HEAD without a length is whole

Cause: took such a response for one that ends with its connection, which is still open, and broke it off.

Change: a response without a body ends at once.

--- a/internal/edge/target/body.go
+++ b/internal/edge/target/body.go
@@ -83,9 +83,10 @@
 	return nil
 }
 
-// endsWithConnection reports whether nothing but the end of the connection ends the body.
+// endsWithConnection reports whether nothing but the end of the connection ends the body. A response to HEAD has no body even if it tells
+// no length.
 func (b *responseBody) endsWithConnection() bool {
-	return b.response.ContentLength < 0 && len(b.response.TransferEncoding) == 0
+	return b.body != http.NoBody && b.response.ContentLength < 0 && len(b.response.TransferEncoding) == 0
 }
 
 // endedCleanly reports whether the target has ended the connection after it had received the whole request, and nothing has failed.
