accounts: keys that change in the fuzz test of requests; bounded state of the shares

Cause: no model test had accounts, and the accounts that a target keeps grew with the root of the number of starts (483 after 10,000 starts of as many accounts).

Change: in half of the runs of TestRequestsKeepTheirGuarantees the tables have an account whose key changes; an attempt that starts with a revoked key is a violation. The virtual work is divided among at most 64 accounts.

--- a/internal/core/admission/fair.go
+++ b/internal/core/admission/fair.go
@@ -12,6 +12,8 @@
 	// maxAdvance bounds how far an account's work may run ahead of the others', in runs. Without a bound, an account that a burst has
 	// served would wait long after the burst.
 	maxAdvance = 8
+	// maxAhead bounds the number of accounts among which the virtual work is taken to be divided, and so the accounts that are kept.
+	maxAhead = 64
 	// minWork is the expected work of an attempt if no run has finished yet.
 	minWork = time.Millisecond
 )
@@ -59,7 +61,7 @@
 	work = max(work, minWork)
 	tag := f.tag(a.Account)
 	if a.ID != f.reserved.id {
-		f.virtual = max(tag, f.virtual+work/time.Duration(f.finish.Len()+2))
+		f.virtual = max(tag, f.virtual+work/time.Duration(min(f.finish.Len(), maxAhead)+2))
 	}
 	f.starts++
 	f.finish = f.finish.With(a.Account, min(tag+work, f.virtual+maxAdvance*work))
--- a/internal/core/node/fuzz_test.go
+++ b/internal/core/node/fuzz_test.go
@@ -246,12 +246,16 @@
 }
 
 // TestRequestsKeepTheirGuarantees guards against orders that run twice, the verdict NotRun for a request that ran, responses to
-// other requests, and requests that never end, under all simulated faults of the network and the processes.
+// other requests, attempts that start after their API key was revoked, and requests that never end, under all simulated faults of the network and the processes.
 func TestRequestsKeepTheirGuarantees(t *testing.T) {
 	steps, seen := 0, map[string]int{}
 	rapid.Check(t, func(t *rapid.T) {
 		sim := newSimulation(rapid.Uint64().Draw(t, "random"))
 		actions := sim.actions()
+		if rapid.Bool().Draw(t, "accounts") {
+			sim.keys = &simulatedKeys{byRequest: map[fleet.RequestID]fleet.Credential{}}
+			actions["key changes"] = sim.changeKey
+		}
 		actions[""] = func(t *rapid.T) {
 			steps++
 			sim.check(t)
@@ -268,7 +272,7 @@
 		}
 	})
 	t.Log(steps, "steps:", seen)
-	for _, what := range []string{"answered", "NotRun", "MayHaveRun", "runs", "second runs"} {
+	for _, what := range []string{"answered", "NotRun", "MayHaveRun", "runs", "second runs", "with a key"} {
 		if seen[what] == 0 {
 			t.Error("the simulation never led to:", what)
 		}
--- a/internal/core/node/simulation_test.go
+++ b/internal/core/node/simulation_test.go
@@ -41,6 +41,8 @@
 	members map[fleet.NodeID]fleet.Member
 	claims  map[string]fleet.AttemptID
 	ledger  *ledger
+	// keys holds the API keys of requests; nil if no tables have accounts.
+	keys *simulatedKeys
 }
 
 // timer runs an action at a time. Timers with the same time run in the order of their sequence numbers.
@@ -230,6 +232,7 @@
 func (sim *simulation) execute(h *host, e effect.Effect) {
 	switch e := e.(type) {
 	case effect.ForwardAttempt:
+		sim.checkKey(h, e.Attempt)
 		sim.forward(h, e.Attempt)
 	case effect.CancelAttempt:
 		sim.cancelAttempt(h.streams[e.Attempt])
--- a/internal/core/node/traffic_test.go
+++ b/internal/core/node/traffic_test.go
@@ -22,9 +22,9 @@
 		limit = min(limit, timeout)
 	}
 	sim.ledger.requestSent(id, h, class != fleet.Order && key == "", sim.now.Add(limit))
-	sim.post(h, h.incarnation, event.RequestArrived{Request: fleet.Request{
+	sim.post(h, h.incarnation, event.RequestArrived{Request: sim.withKey(h, fleet.Request{
 		ID: id, Method: "GET", Path: "/" + class.String(), Key: key, Timeout: timeout, Fingerprint: fleet.Fingerprint(sim.ledger.count),
-	}})
+	})})
 }
 
 // cancel ends a request because its caller disconnected. The edge also cancels the attempts.
