accounts: peers send each other only the parts of the tables that differ

Cause: a changed key of 19,000 accounts sent the whole content of 814 KB to every node.

Change: a request for tables lists the sums of the parts that the node has, and the reply leaves them out. A node that lacks a part by then, or cannot decode the result, asks for the whole content.

--- a/internal/core/event/platform.go
+++ b/internal/core/event/platform.go
@@ -33,6 +33,8 @@
 	Accounts accounts.Index
 	// Content is the encoded revision, kept to be sent to peers.
 	Content []byte
+	// Parts divides Content.
+	Parts []fleet.TablesPart
 }
 
 // TablesRejected is the result of effect.FetchTables and effect.DecodeTables for a revision that cannot be decoded or is
--- a/internal/core/message/message.go
+++ b/internal/core/message/message.go
@@ -142,12 +142,16 @@
 // TablesRequest asks a peer for its tables if they are newer than Revision.
 type TablesRequest struct {
 	Revision fleet.Revision
+	// Parts lists the parts that the sender has, which the reply may leave out; empty if it wants the whole content.
+	Parts []fleet.PartSum
 }
 
 // TablesContent carries one encoded revision of the tables.
 type TablesContent struct {
 	Revision fleet.Revision
 	Content  []byte
+	// Parts takes the place of Content if the request lists parts.
+	Parts []fleet.TablesPart
 }
 
 // CrashSuspicions carries evidence of requests that crash targets. Each node forwards what is new to it.
--- a/internal/core/node/platform.go
+++ b/internal/core/node/platform.go
@@ -54,6 +54,7 @@
 	}
 	before, shouldNotify := s.Revision(), s.tables.ShouldNotifyPeers(body.Tables.Revision)
 	s, effects := s.withTables(s.tables.TablesDecoded(ev.At, body.Tables, body.Router, body.Accounts, body.Content))
+	s.tables = new(s.tables.WithParts(body.Tables.Revision, body.Parts))
 	if s.Revision() != before {
 		effects = append(effects, effect.SetTables{Tables: s.tables.Current()})
 	}
--- a/internal/core/tables/peers.go
+++ b/internal/core/tables/peers.go
@@ -143,7 +143,7 @@
 	return s, []effect.Effect{effect.SendMessage{
 		To:      id,
 		Address: address,
-		Message: message.TablesRequest{Revision: s.current.Revision},
+		Message: message.TablesRequest{Revision: s.current.Revision, Parts: s.partSums()},
 	}}
 }
 
@@ -167,7 +167,7 @@
 	return []effect.Effect{effect.SendMessage{
 		To:      envelope.From,
 		Address: envelope.Address,
-		Message: message.TablesContent{Revision: s.current.Revision, Content: s.content},
+		Message: s.contentFor(m),
 	}}
 }
 
@@ -180,6 +180,11 @@
 	if m.Revision <= s.current.Revision || s.peerRequest.decoding != 0 {
 		return s, nil
 	}
+	content, ok := s.joined(m)
+	if !ok {
+		s.askWhole = true
+		return s, nil
+	}
 	s.peerRequest = peerRequest{decoding: m.Revision, contentFrom: from}
-	return s, []effect.Effect{effect.DecodeTables{Revision: m.Revision, Content: m.Content}}
+	return s, []effect.Effect{effect.DecodeTables{Revision: m.Revision, Content: content}}
 }
--- a/internal/core/tables/state.go
+++ b/internal/core/tables/state.go
@@ -29,7 +29,11 @@
 	// inForceSince is the time at which current came into force.
 	inForceSince time.Time
 	// content is the encoded form of current, which is sent to peers.
-	content        []byte
+	content []byte
+	// parts divides content; nil if it is not divided. askWhole is true if the next request asks for the whole content, because a reply
+	// could not be joined or decoded.
+	parts          []fleet.TablesPart
+	askWhole       bool
 	router         routing.Router
 	accounts       accounts.Index
 	newestRevision fleet.Revision
@@ -113,7 +117,7 @@
 	}
 	s.current = t
 	s.inForceSince = now
-	s.content = content
+	s.content, s.parts, s.askWhole = content, nil, false
 	s.router = router
 	s.accounts = index
 	if t.RequiresKeys() && !index.RequiresKeys() {
@@ -128,6 +132,7 @@
 // TablesRejected handles a revision from a peer or the platform that cannot be decoded or is invalid.
 func (s State) TablesRejected(now time.Time, r fleet.Revision, detail string) (State, []effect.Effect) {
 	if s.peerRequest.decoding == r {
+		s.askWhole = true
 		s = s.blockHolder(now, s.peerRequest.contentFrom)
 		s.peerRequest = s.peerRequest.afterDecoding(r)
 	} else if s.fetch.running == r {
--- a/internal/edge/peer/message_lease.go
+++ b/internal/edge/peer/message_lease.go
@@ -25,11 +25,13 @@
 
 type wireTablesRequest struct {
 	Revision uint64
+	Parts    []fleet.PartSum `msgpack:",omitempty"`
 }
 
 type wireTablesContent struct {
 	Revision uint64
 	Content  []byte
+	Parts    []fleet.TablesPart `msgpack:",omitempty"`
 }
 
 var errInvalidLease = errors.New("a lease has a missing or oversized name, a negative duration or a share outside 0 to 1")
@@ -117,17 +119,17 @@
 }
 
 func tablesRequestToWire(m message.TablesRequest) wireTablesRequest {
-	return wireTablesRequest{Revision: uint64(m.Revision)}
+	return wireTablesRequest{Revision: uint64(m.Revision), Parts: m.Parts}
 }
 
 func tablesRequestFromWire(w wireTablesRequest) (message.TablesRequest, error) {
-	return message.TablesRequest{Revision: fleet.Revision(w.Revision)}, nil
+	return message.TablesRequest{Revision: fleet.Revision(w.Revision), Parts: w.Parts}, nil
 }
 
 func tablesContentToWire(m message.TablesContent) wireTablesContent {
-	return wireTablesContent{Revision: uint64(m.Revision), Content: m.Content}
+	return wireTablesContent{Revision: uint64(m.Revision), Content: m.Content, Parts: m.Parts}
 }
 
 func tablesContentFromWire(w wireTablesContent) (message.TablesContent, error) {
-	return message.TablesContent{Revision: fleet.Revision(w.Revision), Content: w.Content}, nil
+	return message.TablesContent{Revision: fleet.Revision(w.Revision), Content: w.Content, Parts: w.Parts}, nil
 }
--- a/internal/edge/platform/client.go
+++ b/internal/edge/platform/client.go
@@ -131,7 +131,7 @@
 		if err != nil {
 			return event.TablesRejected{Revision: e.Head.Revision, Detail: err.Error()}
 		}
-		return event.TablesDecoded{Tables: tables, Router: routing.New(tables), Accounts: accounts.New(tables), Content: content}
+		return event.TablesDecoded{Tables: tables, Router: routing.New(tables), Accounts: accounts.New(tables), Content: content, Parts: tablesfile.Parts(content)}
 	})
 }
 
--- a/internal/edge/tablesfile/parts.go
+++ b/internal/edge/tablesfile/parts.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"compress/gzip"
+	"crypto/sha256"
 	"encoding/binary"
+	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -72,6 +74,20 @@
 	return parts
 }
 
+// Parts returns the parts of the encoded form with their sums, as nodes send them to each other.
+func Parts(content []byte) []fleet.TablesPart {
+	split := Split(content)
+	parts := make([]fleet.TablesPart, len(split))
+	for i, part := range split {
+		sum := sha256.Sum256(part)
+		parts[i] = fleet.TablesPart{Sum: fleet.PartSum(hex.EncodeToString(sum[:partSumBytes])), Content: part}
+	}
+	return parts
+}
+
+// partSumBytes is the size of the sum of a part before its encoding.
+const partSumBytes = 16
+
 // partLengths returns the lengths in an extra field; false if it has none.
 func partLengths(extra []byte) ([]int, bool) {
 	if len(extra) < 4 || [2]byte(extra[:2]) != partsField || int(binary.LittleEndian.Uint16(extra[2:])) != len(extra)-4 {
--- a/internal/process/node/decode.go
+++ b/internal/process/node/decode.go
@@ -16,5 +16,5 @@
 		post(event.TablesRejected{Revision: e.Revision, Detail: err.Error()})
 		return
 	}
-	post(event.TablesDecoded{Tables: tables, Router: routing.New(tables), Accounts: accounts.New(tables), Content: e.Content})
+	post(event.TablesDecoded{Tables: tables, Router: routing.New(tables), Accounts: accounts.New(tables), Content: e.Content, Parts: tablesfile.Parts(e.Content)})
 }
