edge/memory, edge/caller: one budget for the memory that callers make a node hold

Change: connections, heads (by bytes and lines, before they are parsed), bodies, requests, held-back and unread responses and HTTP/2 heads are charged to a budget: 40% of Limits.Memory, or MaxBufferedBytes plus 32 MiB and at most 40% of what the system gives the process. A quarter is reserved for small requests; the connection that holds most for least progress is closed; refusals are 503 NotRun. Heads have a bound of lines, HTTP/2 connections a bound of control frames. debug.SetMemoryLimit is set to 85% of the memory. Limits.Memory is reloadable. Counter callers_limited by reason, one log line in 10 s for each.

--- a/internal/core/fleet/settings.go
+++ b/internal/core/fleet/settings.go
@@ -14,6 +14,9 @@
 	LogLevel string
 	// Limits apply where the tables set none.
 	Limits Limits
+	// CallerMemory is the memory in bytes that callers may make the node hold, and ProcessMemory the size towards which the runtime keeps
+	// the process; 0 means no bound.
+	CallerMemory, ProcessMemory int64
 }
 
 // RetryBudget limits the retries sent to one pool: within any Window there are at most Ratio times the pool's requests, plus
--- a/internal/edge/caller/body_memory.go
+++ b/internal/edge/caller/body_memory.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"jayfold.dev/jayfold/internal/core/fleet"
+	"jayfold.dev/jayfold/internal/edge/memory"
 )
 
 // bodiesFullRetryAfter is the delay in the refusal of a request whose body finds no memory. Bodies are held until their requests end.
@@ -29,14 +30,22 @@
 // heldBody reads the body of one request and counts its bytes as held until they are released.
 type heldBody struct {
 	memory *bodyMemory
+	holder *memory.Holder
 	source io.Reader
 	bytes  int64
+	// taken is the part of bytes that the connection holds in the budget.
+	taken int64
 }
 
 // Read implements io.Reader. The error is a fleet.Problem if there is no memory for further bytes.
 func (b *heldBody) Read(p []byte) (int, error) {
 	n, err := b.source.Read(p)
 	b.bytes += int64(n)
+	if b.holder.Take(int64(n)) {
+		b.taken += int64(n)
+	} else if err == nil {
+		err = errBodiesFull
+	}
 	if used := b.memory.used.Add(int64(n)); used <= b.memory.limit {
 		return n, err
 	}
@@ -47,4 +56,7 @@
 }
 
 // release frees the memory of the body.
-func (b *heldBody) release() { b.memory.used.Add(-b.bytes) }
+func (b *heldBody) release() {
+	b.memory.used.Add(-b.bytes)
+	b.holder.Return(b.taken)
+}
--- a/internal/edge/caller/conn.go
+++ b/internal/edge/caller/conn.go
@@ -7,6 +7,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"jayfold.dev/jayfold/internal/edge/memory"
 )
 
 const (
@@ -24,6 +26,8 @@
 	lingerBytes = 1 << 20
 	// writeTimeout is the time within which a caller must take one write of a response, of at most 64 KiB.
 	writeTimeout = 30 * time.Second
+	// progressBytes is the size of a write that counts as progress of a response.
+	progressBytes = 16 << 10
 )
 
 // conn is an HTTP/1 connection of a caller. One goroutine, serve, reads the requests and closes the connection; each request is handled
@@ -32,6 +36,7 @@
 	server *Server
 	socket net.Conn
 	remote string
+	holder *memory.Holder
 	input  input
 	// ctx ends when the caller disconnects.
 	ctx    context.Context
@@ -57,9 +62,11 @@
 }
 
 func newConn(s *Server, socket net.Conn) *conn {
-	c := &conn{server: s, socket: socket, input: newInput(socket)}
+	c := &conn{server: s, socket: socket}
 	c.changed.L = &c.mu
-	c.ctx, c.cancel = context.WithCancel(context.Background())
+	c.holder = s.budget.Open(c.fail)
+	c.input = newInput(socket, c.holder)
+	c.ctx, c.cancel = context.WithCancel(context.WithValue(context.Background(), holderKey{}, c.holder))
 	if address := socket.RemoteAddr(); address != nil {
 		c.remote = address.String()
 	}
@@ -98,16 +105,23 @@
 			return err
 		}
 	}
-	head, err := c.readHead()
+	head, lines, err := c.readHead()
 	if err != nil {
 		return c.refuseHead(err)
 	}
+	cost := headCost(len(head), lines)
+	if !c.holder.Take(cost) {
+		return c.refuseHead(errNoMemory)
+	}
 	request, body, err := c.parse(head)
 	if err != nil {
+		c.holder.Return(cost)
 		return c.refuseHead(err)
 	}
 	x := newResponseFor(c, request, body)
+	x.cost = cost
 	if err := c.start(x, x.serveRequest); err != nil {
+		c.holder.Return(cost)
 		return err
 	}
 	if body != nil {
@@ -116,8 +130,11 @@
 		if !body.complete.Load() {
 			return errLastRequest
 		}
-		c.input.unread(body.source)
+		err := c.input.unread(body.source)
 		releaseReader(body.source)
+		if err != nil {
+			return c.refuseHead(err)
+		}
 	}
 	if x.last {
 		return errLastRequest
@@ -209,8 +226,15 @@
 		c.discardInput()
 	}
 	_ = c.socket.Close()
+	c.release()
+}
+
+// release frees what the connection holds.
+func (c *conn) release() {
 	c.cancel()
 	c.input.release()
+	c.holder.Return(connCost)
+	c.holder.Close()
 }
 
 // discardInput ends the output and discards input until the caller closes the connection, within lingerTimeout.
@@ -243,8 +267,12 @@
 	n, err := c.socket.Write(p)
 	if err != nil {
 		c.fail()
+		return n, err
+	}
+	if n >= progressBytes {
+		c.holder.Progress()
 	}
-	return n, err
+	return n, nil
 }
 
 // fail resets the connection, so that an incomplete response cannot look complete.
--- a/internal/edge/caller/conn_head.go
+++ b/internal/edge/caller/conn_head.go
@@ -17,12 +17,12 @@
 // maxEmptyLines is the number of empty lines before a request that are skipped (RFC 9112, section 2.2).
 const maxEmptyLines = 4
 
-var errHeadSyntax = errors.New("the head of the request is malformed")
+var errEmptyLines = badRequest("empty lines before the request line")
 
-// readHead reads the head of a request, whose first bytes have been received. The result is valid until the next read. Errors of type
-// fleet.Problem are refusals.
-func (c *conn) readHead() ([]byte, error) {
-	limit := c.server.maxHeadBytes()
+// readHead reads the head of a request, whose first bytes have been received, and counts its lines. The result is valid until the next
+// read. Errors of type fleet.Problem are refusals.
+func (c *conn) readHead() (head []byte, lines int, err error) {
+	limit, maxLines := c.server.maxHeadBytes(), c.server.maxHeadLines()
 	line, empty, timed := 0, 0, false
 	fill := func() error {
 		if !timed {
@@ -36,20 +36,23 @@
 		n := bytes.IndexByte(received[line:], '\n')
 		switch {
 		case n < 0 && len(received) > limit, n >= 0 && line+n >= limit:
-			return nil, errHeadersTooLarge
+			return nil, 0, errHeadersTooLarge
+		case lines > maxLines:
+			return nil, 0, errTooManyLines
 		case n < 0:
 			if err := fill(); err != nil {
-				return nil, err
+				return nil, 0, err
 			}
 		case n > 1 || n == 1 && received[line] != '\r':
 			line += n + 1
+			lines++
 		case line == 0:
 			if empty++; empty > maxEmptyLines {
-				return nil, badRequest("empty lines before the request line")
+				return nil, 0, errEmptyLines
 			}
 			c.input.use(n + 1)
 		default:
-			return received[:line+n+1], nil
+			return received[:line+n+1], lines, nil
 		}
 	}
 }
@@ -86,7 +89,7 @@
 	reader.Reset(source)
 	request, err := http.ReadRequest(reader)
 	if err != nil {
-		return nil, nil, badRequest(errHeadSyntax.Error())
+		return nil, nil, badRequest("the head of the request is malformed")
 	}
 	c.input.use(len(head))
 	if detail := checkRequest(request, fields); detail != "" {
@@ -229,6 +232,7 @@
 	if !ok {
 		return err
 	}
+	c.server.limitReached(reasonOf(problem))
 	request := &http.Request{Method: http.MethodGet, ProtoMajor: 1, ProtoMinor: 1, Header: http.Header{}, Body: http.NoBody}
 	x := newResponseFor(c, request, nil)
 	x.last, x.concurrent = true, true
@@ -238,3 +242,19 @@
 	}
 	return errStopped
 }
+
+// reasonOf returns the reason under which the refusal of a head is counted.
+func reasonOf(problem fleet.Problem) string {
+	switch problem {
+	case errNoMemory:
+		return "memory"
+	case errHeadersTooLarge:
+		return "head_bytes"
+	case errTooManyLines:
+		return "head_lines"
+	case errEmptyLines:
+		return "empty_lines"
+	default:
+		return "head_syntax"
+	}
+}
--- a/internal/edge/caller/conn_input.go
+++ b/internal/edge/caller/conn_input.go
@@ -5,6 +5,8 @@
 	"io"
 	"net"
 	"sync"
+
+	"jayfold.dev/jayfold/internal/edge/memory"
 )
 
 // inputBytes is the size of a connection's input buffer. It grows for heads that don't fit.
@@ -18,18 +20,20 @@
 // input is what was received on a connection and not used yet. Only one goroutine uses it at a time.
 type input struct {
 	socket net.Conn
+	holder *memory.Holder
 	pooled *[inputBytes]byte
 	buffer []byte
 	// start and end bound the unused bytes in buffer.
 	start, end int
 }
 
-func newInput(socket net.Conn) input {
+func newInput(socket net.Conn, holder *memory.Holder) input {
 	pooled := inputPool.Get().(*[inputBytes]byte)
-	return input{socket: socket, pooled: pooled, buffer: pooled[:]}
+	return input{socket: socket, holder: holder, pooled: pooled, buffer: pooled[:]}
 }
 
 func (i *input) release() {
+	i.shrink()
 	inputPool.Put(i.pooled)
 	i.pooled, i.buffer, i.start, i.end = nil, nil, 0, 0
 }
@@ -43,6 +47,14 @@
 	i.start += n
 	if i.start == i.end {
 		i.start, i.end = 0, 0
+		i.shrink()
+	}
+}
+
+// shrink gives up a buffer that has grown.
+func (i *input) shrink() {
+	if len(i.buffer) > inputBytes {
+		i.holder.Return(int64(len(i.buffer)))
 		i.buffer = i.pooled[:]
 	}
 }
@@ -50,7 +62,9 @@
 // fill reads once from the socket.
 func (i *input) fill() error {
 	if i.end == len(i.buffer) {
-		i.makeRoom(1)
+		if err := i.makeRoom(1); err != nil {
+			return err
+		}
 	}
 	n, err := i.socket.Read(i.buffer[i.end:])
 	i.end += n
@@ -60,8 +74,8 @@
 	return err
 }
 
-// makeRoom makes room for n further bytes behind the unused ones.
-func (i *input) makeRoom(n int) {
+// makeRoom makes room for n further bytes behind the unused ones. The error is a fleet.Problem if there is no memory for them.
+func (i *input) makeRoom(n int) error {
 	unused := i.end - i.start
 	size := len(i.buffer)
 	for size-unused < n {
@@ -69,10 +83,17 @@
 	}
 	to := i.buffer
 	if size > len(i.buffer) {
+		if !i.holder.Take(int64(size)) {
+			return errNoMemory
+		}
 		to = make([]byte, size)
 	}
 	copy(to, i.bytes())
+	if size > len(i.buffer) {
+		i.shrink()
+	}
 	i.buffer, i.start, i.end = to, 0, unused
+	return nil
 }
 
 // Read implements io.Reader for bodies.
@@ -86,15 +107,18 @@
 }
 
 // unread returns the bytes that a reader of a body has buffered beyond the end of the body.
-func (i *input) unread(r *bufio.Reader) {
+func (i *input) unread(r *bufio.Reader) error {
 	rest, _ := r.Peek(r.Buffered())
 	if len(rest) == 0 {
-		return
+		return nil
 	}
 	unused := append(append([]byte(nil), rest...), i.bytes()...)
 	i.start, i.end = 0, 0
-	i.makeRoom(len(unused))
+	if err := i.makeRoom(len(unused)); err != nil {
+		return err
+	}
 	i.end = copy(i.buffer, unused)
+	return nil
 }
 
 // discard reads and drops up to limit bytes.
--- a/internal/edge/caller/conn_queue.go
+++ b/internal/edge/caller/conn_queue.go
@@ -8,6 +8,9 @@
 	for !c.hasRoom(x) && !c.failed {
 		c.changed.Wait()
 	}
+	if len(c.queue) == 0 {
+		x.wait = false
+	}
 	if !c.accepts() {
 		return errStopped
 	}
@@ -27,7 +30,15 @@
 	if len(c.queue) == 0 {
 		return true
 	}
-	return x.concurrent && c.queue[0].concurrent && len(c.queue) < maxPipelined
+	if x.wait || !x.concurrent || !c.queue[0].concurrent || len(c.queue) >= maxPipelined {
+		return false
+	}
+	// Without memory for a response that is held back, the request waits for those before it.
+	x.wait = !c.holder.TryTake(heldResponseCost)
+	if !x.wait {
+		x.cost += heldResponseCost
+	}
+	return !x.wait
 }
 
 // accepts reports whether a further request may be served. When the connection is about to close, a request is served only if no other
@@ -61,6 +72,8 @@
 func (c *conn) remove(x *response) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.holder.Return(x.cost)
+	c.holder.Progress()
 	c.queue[0] = nil
 	c.queue = c.queue[1:]
 	if !x.aborted {
--- a/internal/edge/caller/conn_response.go
+++ b/internal/edge/caller/conn_response.go
@@ -33,6 +33,9 @@
 	// concurrent is true if the request may run beside others of its connection. last is true if no further request follows it.
 	concurrent bool
 	last       bool
+	// wait is true if there is no memory to hold the response back. cost is the memory that the request holds.
+	wait bool
+	cost int64
 	// turn is closed when all responses before this one are written; nil if there were none.
 	turn chan struct{}
 	// begun is true once the head of the response has been decided. conn.mu guards it.
--- a/internal/edge/caller/exchange.go
+++ b/internal/edge/caller/exchange.go
@@ -41,7 +41,7 @@
 
 // serve handles the requests of callers.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
-	held := &heldBody{memory: s.bodies}
+	held := &heldBody{memory: s.bodies, holder: holderOf(r.Context())}
 	defer held.release()
 	body, err := s.readBody(w, r, held)
 	if err != nil {
@@ -164,6 +164,7 @@
 		x.server.protocol.Refuse(w, x.request.ID, fleet.NewProblem(fleet.Broken, fleet.MayHaveRun, "the response is not available"))
 		return
 	}
+	defer holdResponse(x.incoming.Context(), b)()
 	header := w.Header()
 	for name, values := range b.response.Header {
 		header[name] = values
--- a/internal/edge/caller/listener.go
+++ b/internal/edge/caller/listener.go
@@ -50,6 +50,12 @@
 	}
 }
 
+func (s *conns) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.open)
+}
+
 // signalEmpty closes empty unless it is closed.
 func (s *conns) signalEmpty() {
 	select {
@@ -120,22 +126,6 @@
 	}
 }
 
-// prefixedConn is a connection from which some bytes have been read already.
-type prefixedConn struct {
-	net.Conn
-	prefix []byte
-}
-
-// Read implements net.Conn.
-func (c *prefixedConn) Read(p []byte) (int, error) {
-	if len(c.prefix) == 0 {
-		return c.Conn.Read(p)
-	}
-	n := copy(p, c.prefix)
-	c.prefix = c.prefix[n:]
-	return n, nil
-}
-
 // Serve accepts connections from listener until Shutdown is called, and then returns http.ErrServerClosed.
 func (s *Server) Serve(listener net.Listener) error {
 	h := newHandover(listener)
@@ -177,16 +167,28 @@
 // serveConn serves a connection on a goroutine of its own.
 func (s *Server) serveConn(h *handover, socket net.Conn) {
 	c := newConn(s, socket)
+	if !c.holder.Take(connCost) {
+		s.limitReached("connections")
+		c.holder.Close()
+		_ = socket.Close()
+		return
+	}
 	if !s.conns.add(c) {
-		c.end()
+		_ = socket.Close()
+		c.release()
 		return
 	}
 	s.seams.Recovery.Go("serve connection", func() {
 		defer s.conns.remove(c)
-		if c.serve() {
-			h.pass(&prefixedConn{Conn: socket, prefix: append([]byte(nil), c.input.bytes()...)})
-			c.cancel()
-			c.input.release()
+		if !c.serve() {
+			return
+		}
+		prefix := append([]byte(nil), c.input.bytes()...)
+		c.release()
+		if http2 := newHTTP2Conn(s, socket, prefix); http2 != nil {
+			h.pass(http2)
+		} else {
+			_ = socket.Close()
 		}
 	}, func() { _ = socket.Close() })
 }
--- a/internal/edge/caller/refusal.go
+++ b/internal/edge/caller/refusal.go
@@ -52,7 +52,7 @@
 }
 
 func statusOf(problem fleet.Problem) int {
-	if problem == errHeadersTooLarge {
+	if problem == errHeadersTooLarge || problem == errTooManyLines {
 		return http.StatusRequestHeaderFieldsTooLarge
 	}
 	if status, ok := statusByCause[problem.Cause]; ok {
--- a/internal/edge/caller/server.go
+++ b/internal/edge/caller/server.go
@@ -28,6 +28,7 @@
 	"jayfold.dev/jayfold/internal/core/effect"
 	"jayfold.dev/jayfold/internal/core/event"
 	"jayfold.dev/jayfold/internal/core/fleet"
+	"jayfold.dev/jayfold/internal/edge/memory"
 	"jayfold.dev/jayfold/internal/edge/recovery"
 )
 
@@ -52,6 +53,8 @@
 	// BufferedBytes is the maximum number of bytes of the bodies of all requests in progress. A larger body is refused whatever its own
 	// limit is.
 	BufferedBytes int64
+	// MemoryBytes is the memory that callers may make the node hold; 0 means no bound.
+	MemoryBytes int64
 }
 
 // Seams are the external dependencies of a Server.
@@ -63,6 +66,8 @@
 	// complete once the body has ended. Errors are of type fleet.Problem.
 	Forward func(ctx context.Context, forward effect.ForwardAttempt, r *http.Request, body []byte) (
 		*http.Response, func() fleet.Option[fleet.TargetReport], error)
+	// Observe counts and logs the limits that callers reach; nil does neither. It must not block.
+	Observe func(effect.Effect)
 	// Recovery contains panics of attempts; nil contains none.
 	Recovery *recovery.Boundary
 }
@@ -72,6 +77,7 @@
 	protocol    Protocol
 	bodyTimeout time.Duration
 	bodies      *bodyMemory
+	budget      *memory.Budget
 	seams       Seams
 	// headerTimeout is the time within which the head of a request must arrive.
 	headerTimeout time.Duration
@@ -89,6 +95,8 @@
 	mu sync.Mutex
 	// effects holds, for each request in flight, the channel to its goroutine.
 	effects map[fleet.RequestID]chan effect.Effect
+	// limitLogged has the time of the last log line by limit.
+	limitLogged map[string]time.Time
 }
 
 // New returns a server that does not accept connections until Serve is called.
@@ -102,14 +110,18 @@
 		headerTimeout: settings.Limits.HeaderTimeout,
 		conns:         newConns(),
 		effects:       make(map[fleet.RequestID]chan effect.Effect),
+		limitLogged:   make(map[string]time.Time),
 	}
+	s.budget = memory.New(settings.MemoryBytes, s.evicted)
 	s.tablesLimits.Store(&fleet.Limits{})
 	s.defaultLimits.Store(&settings.Limits)
 	router := mux.NewRouter().SkipClean(true).UseEncodedPath()
 	router.HandleFunc(readyPath, s.ServeReady).Methods(http.MethodGet, http.MethodHead)
 	router.MatcherFunc(matchAny).HandlerFunc(s.serve)
 	s.http = &http.Server{
-		Handler:           router,
+		Handler:           s.chargeHTTP2(router),
+		ConnContext:       withHolder,
+		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: http2Streams, WriteByteTimeout: writeTimeout},
 		ReadHeaderTimeout: settings.Limits.HeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		// The handler refuses headers over the limit with a response body; net/http only has to reject much larger ones. This
--- a/internal/process/node/app.go
+++ b/internal/process/node/app.go
@@ -103,17 +103,18 @@
 }
 
 func newCallers(
-	s settings.Settings, seams Seams, loop *control.Loop, forwarder *peer.Forwarder, boundary *recovery.Boundary,
+	s settings.Settings, seams Seams, loop *control.Loop, forwarder *peer.Forwarder, op *operator.Operator, boundary *recovery.Boundary,
 ) *caller.Server {
 	settings := caller.Settings{
 		Protocol: seams.Callers, Limits: s.Reloadable().Limits, BodyTimeout: s.Limits.BodyTimeout,
-		BufferedBytes: s.Limits.MaxBufferedBytes,
+		BufferedBytes: s.Limits.MaxBufferedBytes, MemoryBytes: s.Reloadable().CallerMemory,
 	}
 	return caller.New(settings, caller.Seams{
 		Now:          time.Now,
 		NewRequestID: caller.RandomRequestID,
 		Post:         loop.Post,
 		Forward:      forwarder.Forward,
+		Observe:      op.Observe,
 		Recovery:     boundary,
 	})
 }
--- a/internal/process/node/dispatch.go
+++ b/internal/process/node/dispatch.go
@@ -42,6 +42,8 @@
 		d.callers.SetTablesLimits(e.Tables.Limits)
 	case effect.SetSettings:
 		d.callers.SetDefaultLimits(e.Settings.Limits)
+		d.callers.SetMemory(e.Settings.CallerMemory)
+		setMemoryLimit(e.Settings.ProcessMemory)
 		d.log.setLevel(e.Settings.LogLevel)
 	case effect.SetReadiness:
 		d.callers.SetReadiness(e)
--- a/internal/process/node/serve.go
+++ b/internal/process/node/serve.go
@@ -76,6 +76,7 @@
 				cancel()
 				return err
 			}
+			setMemoryLimit(s.Settings.Reloadable().ProcessMemory)
 			s.Operator.Observe(lifecycleLine(effect.Info, "started", s.Settings))
 			go s.Loop.Run(ctx)
 			s.Recovery.Go("watch settings", func() { s.Watcher.Run(ctx) }, nil)
--- a/internal/process/settings/diff.go
+++ b/internal/process/settings/diff.go
@@ -16,6 +16,7 @@
 	{"Limits.MaxBodyBytes", true, func(a, b Settings) bool { return a.Limits.MaxBodyBytes == b.Limits.MaxBodyBytes }},
 	{"Limits.MaxHeaderBytes", true, func(a, b Settings) bool { return a.Limits.MaxHeaderBytes == b.Limits.MaxHeaderBytes }},
 	{"Limits.MaxBufferedBytes", false, func(a, b Settings) bool { return a.Limits.MaxBufferedBytes == b.Limits.MaxBufferedBytes }},
+	{"Limits.Memory", true, func(a, b Settings) bool { return a.Limits.Memory == b.Limits.Memory }},
 	{"Limits.HeaderTimeout", false, func(a, b Settings) bool { return a.Limits.HeaderTimeout == b.Limits.HeaderTimeout }},
 	{"Limits.BodyTimeout", false, func(a, b Settings) bool { return a.Limits.BodyTimeout == b.Limits.BodyTimeout }},
 	{"Node", false, func(a, b Settings) bool { return a.Node == b.Node }},
--- a/internal/process/settings/parser.go
+++ b/internal/process/settings/parser.go
@@ -20,8 +20,11 @@
 	// minBufferedBytes is a few hundred requests of a few kilobytes.
 	minBufferedBytes = 1 << 20
 	maxBufferedBytes = 16 << 30
-	minTimeout       = 100 * time.Millisecond
-	maxTimeout       = 10 * time.Minute
+	// minMemory is what a node without requests takes.
+	minMemory  = 32 << 20
+	maxMemory  = 1 << 40
+	minTimeout = 100 * time.Millisecond
+	maxTimeout = 10 * time.Minute
 	// A target that stops without withdrawing is detected after three heartbeat intervals, so the interval is limited.
 	maxHeartbeat = 30 * time.Second
 	// With one retry per request an overload sustains itself, so the ratio must not be higher.
@@ -81,6 +84,7 @@
 		configfile.Optional("MaxBodyBytes", configfile.Int(&l.MaxBodyBytes, minBodyBytes, maxBodyBytes)),
 		configfile.Optional("MaxHeaderBytes", configfile.Int(&l.MaxHeaderBytes, minHeaderBytes, maxHeaderBytes)),
 		configfile.Optional("MaxBufferedBytes", configfile.Int(&l.MaxBufferedBytes, minBufferedBytes, maxBufferedBytes)),
+		configfile.Optional("Memory", configfile.Int(&l.Memory, minMemory, maxMemory)),
 		configfile.Optional("HeaderTimeout", configfile.Duration(&l.HeaderTimeout, minTimeout, maxTimeout)),
 		configfile.Optional("BodyTimeout", configfile.Duration(&l.BodyTimeout, minTimeout, maxTimeout)),
 	}
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -31,6 +31,7 @@
 	"jayfold.dev/jayfold/internal/core/fleet"
 	"jayfold.dev/jayfold/internal/core/node"
 	"jayfold.dev/jayfold/internal/edge/configfile"
+	"jayfold.dev/jayfold/internal/edge/memory"
 )
 
 // MaxStopGrace is the longest stop grace that the settings allow.
@@ -94,6 +95,8 @@
 	MaxHeaderBytes int
 	// MaxBufferedBytes bounds the bodies of all requests in progress together. A body is in memory until its request ends.
 	MaxBufferedBytes int64
+	// Memory is the memory in bytes for the whole process. If it is 0, the limit that the system gives the process applies.
+	Memory int64
 	// HeaderTimeout and BodyTimeout are the limits for receiving a request's headers and body.
 	HeaderTimeout time.Duration
 	BodyTimeout   time.Duration
@@ -149,6 +152,8 @@
 		HeartbeatInterval: s.Heartbeat,
 		StopGrace:         s.StopGrace,
 		LogLevel:          s.LogLevel,
+		CallerMemory:      s.Limits.callerMemory(memory.SystemLimit()),
+		ProcessMemory:     s.Limits.processMemory(memory.SystemLimit()),
 		Limits: fleet.Limits{
 			HeaderBytes:   s.Limits.MaxHeaderBytes,
 			BodyBytes:     s.Limits.MaxBodyBytes,
--- a/test/hostile/callers_test.go
+++ b/test/hostile/callers_test.go
@@ -17,14 +17,8 @@
 
 // callers are the kinds of hostile callers.
 var callers = map[string]caller{
-	"many short lines, body withheld": func(c net.Conn) {
-		var head strings.Builder
-		head.WriteString("POST /orders HTTP/1.1\r\nHost: shop\r\nContent-Length: 10\r\n")
-		for i := 0; head.Len() < 60<<10; i++ {
-			fmt.Fprintf(&head, "a%d:\r\n", i)
-		}
-		_, _ = io.WriteString(c, head.String()+"\r\n")
-	},
+	"many short lines of 16 KiB, body withheld": func(c net.Conn) { withholdBody(c, 16<<10) },
+	"many short lines of 48 KiB, body withheld": func(c net.Conn) { withholdBody(c, 48<<10) },
 	"heads that never end": func(c net.Conn) {
 		_, err := io.WriteString(c, "GET /large HTTP/1.1\r\nHost: shop\r\n")
 		for i := 0; err == nil && i < 20000; i++ {
@@ -86,6 +80,16 @@
 	},
 }
 
+// withholdBody sends a head of many short lines and no body.
+func withholdBody(c net.Conn, size int) {
+	var head strings.Builder
+	head.WriteString("POST /orders HTTP/1.1\r\nHost: shop\r\nContent-Length: 10\r\n")
+	for i := 0; head.Len() < size; i++ {
+		fmt.Fprintf(&head, "a%d:\r\n", i)
+	}
+	_, _ = io.WriteString(c, head.String()+"\r\n")
+}
+
 // frame returns an HTTP/2 frame.
 func frame(kind, flags byte, stream uint32, payload []byte) string {
 	n := len(payload)
--- a/test/hostile/hostile_test.go
+++ b/test/hostile/hostile_test.go
@@ -83,12 +83,12 @@
 	}()
 	time.Sleep(pressure)
 	answered := n.answers()
-	t.Logf("peak %d MB of %d, %d descriptors", n.peakBytes()>>20, bound>>20, n.descriptors())
 	select {
 	case <-n.ended:
 		t.Fatal("the node has ended")
 	default:
 	}
+	t.Logf("peak %d MB of %d, %d descriptors", n.peakBytes()>>20, bound>>20, n.descriptors())
 	if !answered {
 		t.Error("an ordinary request was not answered")
 	}
--- a/test/hostile/node_test.go
+++ b/test/hostile/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -59,6 +60,7 @@
 		t.Fatalf("tables apply: %v\n%s", err, out)
 	}
 	n.process, n.ended = n.start("jayfold", "node", "--settings", "n1.json")
+	n.killAbove(1 << 30)
 	n.startTarget(targets)
 	n.waitFor("http://" + n.callers + "/large")
 	return n
@@ -157,20 +159,47 @@
 	}()
 }
 
+// killAbove kills the node when its memory has exceeded a size, so that a fault does not fill the machine.
+func (n *node) killAbove(bytes int) {
+	ticker := time.NewTicker(100 * time.Millisecond)
+	go func() {
+		defer ticker.Stop()
+		for {
+			select {
+			case <-n.ended:
+				return
+			case <-ticker.C:
+				if peak, err := n.peak(); err == nil && peak > bytes {
+					_ = n.process.Process.Kill()
+					return
+				}
+			}
+		}
+	}()
+}
+
 // peakBytes returns the largest resident size that the node's process has had.
 func (n *node) peakBytes() int {
-	content, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.process.Process.Pid))
+	n.t.Helper()
+	peak, err := n.peak()
 	if err != nil {
 		n.t.Fatal(err)
 	}
+	return peak
+}
+
+func (n *node) peak() (int, error) {
+	content, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.process.Process.Pid))
+	if err != nil {
+		return 0, err
+	}
 	for line := range strings.Lines(string(content)) {
 		if fields := strings.Fields(line); len(fields) > 1 && fields[0] == "VmHWM:" {
 			kilobytes, _ := strconv.Atoi(fields[1])
-			return kilobytes << 10
+			return kilobytes << 10, nil
 		}
 	}
-	n.t.Fatal("no VmHWM")
-	return 0
+	return 0, errors.New("the node has ended")
 }
 
 // descriptors returns the number of open descriptors of the node's process.
