--- a/internal/edge/caller/conn.go
+++ b/internal/edge/caller/conn.go
@@ -121,7 +121,6 @@
 	x := newResponseFor(c, request, body)
 	x.cost = cost
 	if err := c.start(x, x.serveRequest); err != nil {
-		c.holder.Return(cost)
 		return err
 	}
 	if body != nil {
--- a/internal/edge/caller/conn_queue.go
+++ b/internal/edge/caller/conn_queue.go
@@ -12,6 +12,7 @@
 		x.wait = false
 	}
 	if !c.accepts() {
+		c.holder.Return(x.cost)
 		return errStopped
 	}
 	if len(c.queue) > 0 {
--- a/test/hostile/node_test.go
+++ b/test/hostile/node_test.go
@@ -34,7 +34,7 @@
 
 // node is a node process with a platform and a target.
 type node struct {
-	t       *testing.T
+	t       testing.TB
 	dir     string
 	callers string
 	process *exec.Cmd
@@ -42,7 +42,7 @@
 }
 
 // startNode starts a platform, a node with the given limits in its settings and a target, and waits until the node serves requests.
-func startNode(t *testing.T, limits string) *node {
+func startNode(t testing.TB, limits string) *node {
 	t.Helper()
 	n := &node{t: t, dir: t.TempDir(), callers: link.FreeAddress()}
 	platform, targets := link.FreeAddress(), link.FreeAddress()
@@ -131,6 +131,10 @@
 	large := bytes.Repeat([]byte("x"), largeBytes)
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
+		if r.URL.Path == "/orders" {
+			_, _ = io.WriteString(w, "done")
+			return
+		}
 		w.Header().Set("Content-Length", strconv.Itoa(len(large)))
 		_, _ = w.Write(large)
 	})}
