--- a/internal/edge/caller/request.go
+++ b/internal/edge/caller/request.go
@@ -3,7 +3,6 @@
 import (
 	"crypto/rand"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -43,7 +42,7 @@
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(s.bodyTimeout))
 	held.source = http.MaxBytesReader(w, r.Body, limits.BodyBytes)
-	body, err := io.ReadAll(held)
+	body, err := held.readAll(r.ContentLength)
 	if err == nil {
 		_ = control.SetReadDeadline(time.Time{})
 		return body, nil
