edge/target, edge/httpresponse: only a reset keeps the connection for reading

After a failed write the connection is left open for the reader only if the target has reset it: after any other error a read could wait until the deadline.

--- a/internal/edge/httpresponse/conn_test.go
+++ b/internal/edge/httpresponse/conn_test.go
@@ -13,6 +13,17 @@
 	"jayfold.dev/jayfold/internal/edge/httpresponse"
 )
 
+// readNext reads the next response and its body.
+func readNext(reader *httpresponse.Reader) error {
+	response, err := reader.ReadResponse(nil)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	_, err = io.Copy(io.Discard, response.Body)
+	return err
+}
+
 // TestReaderSplits guards against a head that is read in another way because its bytes arrive one by one, or is longer than the buffer.
 func TestReaderSplits(t *testing.T) {
 	long := strings.Repeat("X-Long: "+strings.Repeat("v", 100)+"\r\n", 400)
@@ -39,8 +50,7 @@
 				is.Equal(string(body), want.body)
 			}
 			is.Equal(reader.Buffered(), 0)
-			_, err := reader.ReadResponse(nil)
-			is.Equal(err, io.ErrUnexpectedEOF)
+			is.Equal(readNext(reader), io.ErrUnexpectedEOF)
 		})
 	}
 }
@@ -65,7 +75,7 @@
 		"informational responses only":  {strings.Repeat(hint, bound), false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			_, err := httpresponse.NewReader(strings.NewReader(c.text)).ReadResponse(nil)
+			err := readNext(httpresponse.NewReader(strings.NewReader(c.text)))
 			is.New(t).Equal(err == nil, c.ok)
 		})
 	}
--- a/internal/edge/target/exchange.go
+++ b/internal/edge/target/exchange.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"jayfold.dev/jayfold/internal/core/fleet"
@@ -41,8 +42,8 @@
 	wroteAny atomic.Bool
 	// wroteAll is true if the whole request has been written.
 	wroteAll atomic.Bool
-	// socketFailed is true if a write to the connection has failed.
-	socketFailed atomic.Bool
+	// socketReset is true if a write has failed because the target has reset the connection.
+	socketReset atomic.Bool
 	// writeEnded is closed when the write of the request has ended.
 	writeEnded chan struct{}
 	ended      atomic.Bool
@@ -83,27 +84,27 @@
 	return nil, errMismatched
 }
 
-// write writes the request. If it fails, the connection is closed, so that the error appears as a read error, unless the connection
-// itself has failed: a read then returns without waiting, and the target may have sent its whole response before.
+// write writes the request. If it fails, the connection is closed, so that the error appears as a read error, unless the target has reset
+// the connection: a read then returns without waiting, and the target may have sent its whole response before.
 func (e *exchange) write(request *http.Request) {
 	defer close(e.writeEnded)
 	switch err := request.Write(trackingWriter{e}); {
 	case err == nil:
 		e.wroteAll.Store(true)
-	case !e.socketFailed.Load():
+	case !e.socketReset.Load():
 		_ = e.conn.Close()
 	}
 }
 
-// trackingWriter sets wroteAny before each write, and socketFailed after one that fails.
+// trackingWriter sets wroteAny before each write, and socketReset after one that fails because of a reset.
 type trackingWriter struct{ *exchange }
 
 // Write implements io.Writer.
 func (w trackingWriter) Write(p []byte) (int, error) {
 	w.wroteAny.Store(true)
 	n, err := w.conn.Write(p)
-	if err != nil {
-		w.socketFailed.Store(true)
+	if errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) {
+		w.socketReset.Store(true)
 	}
 	return n, err
 }
