edge/target: the end of a body stays what it was

Cause: a read after the end of a body without a length asked for the state of a connection that was already closed, and turned a whole response into a canceled one. No reader in the node reads again after the end.

Change: the body keeps the error that ended it.

Measured: TestReadAfterTheEnd was red, 1 of 1, and passes.

--- a/internal/edge/target/body.go
+++ b/internal/edge/target/body.go
@@ -26,10 +26,21 @@
 	exchange *exchange
 	response *http.Response
 	body     io.ReadCloser
+	// ended is the error that ended the body, io.EOF included. The state of the connection is known only until its end.
+	ended error
 }
 
 // Read implements io.Reader.
 func (b *responseBody) Read(p []byte) (int, error) {
+	if b.ended != nil {
+		return 0, b.ended
+	}
+	n, err := b.read(p)
+	b.ended = err
+	return n, err
+}
+
+func (b *responseBody) read(p []byte) (int, error) {
 	n, err := b.body.Read(p)
 	switch {
 	case err == nil:
--- a/internal/edge/target/truncated_test.go
+++ b/internal/edge/target/truncated_test.go
@@ -138,6 +138,24 @@
 	}
 }
 
+// TestReadAfterTheEnd guards against a whole body that turns into a truncated one when it is read again after its end.
+func TestReadAfterTheEnd(t *testing.T) {
+	is := is.New(t)
+	address := serveConns(t, func(conn net.Conn) {
+		defer func() { _ = conn.Close() }()
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			_, _ = io.WriteString(conn, "HTTP/1.0 200 OK\r\n\r\nwhole")
+		}
+	})
+	response, err := newClient().Run(t.Context(), newRun(address, 5*time.Second), upload(0))
+	is.NoErr(err)
+	defer func() { _ = response.Body.Close() }()
+	_, err = io.ReadAll(response.Body)
+	is.NoErr(err)
+	_, err = response.Body.Read(make([]byte, 1))
+	is.Equal(err, io.EOF)
+}
+
 // TestEarlyResponseWithLength guards against breaking off a response that is complete by its length or its last chunk, although its
 // target never reads the rest of the request.
 func TestEarlyResponseWithLength(t *testing.T) {
