--- a/internal/edge/target/truncated_test.go
+++ b/internal/edge/target/truncated_test.go
@@ -54,6 +54,7 @@
 	"end and reset during the upload":      {requestBytes: uploadBytes, halfClose: true},
 	"end and late reset of the upload":     {requestBytes: uploadBytes, halfClose: true, wait: 20 * time.Millisecond},
 	"late reset after the whole request":   {requestBytes: 256 << 10, readAll: true, wait: 20 * time.Millisecond},
+	"end with the request in buffers":      {requestBytes: 256 << 10, halfClose: true, wait: 20 * time.Millisecond},
 	"reset after a request without upload": {readAll: true, wait: time.Millisecond},
 }
 
