--- a/internal/edge/target/truncated_test.go
+++ b/internal/edge/target/truncated_test.go
@@ -54,6 +54,7 @@
 	"end and reset during the upload":      {requestBytes: uploadBytes, halfClose: true},
 	"end and late reset of the upload":     {requestBytes: uploadBytes, halfClose: true, wait: 20 * time.Millisecond},
 	"late reset after the whole request":   {requestBytes: 256 << 10, readAll: true, wait: 20 * time.Millisecond},
+	"end with the request in buffers":      {requestBytes: 256 << 10, halfClose: true, wait: 20 * time.Millisecond},
 	"reset after a request without upload": {readAll: true, wait: time.Millisecond},
 }
 
@@ -138,6 +139,24 @@
 	}
 }
 
+// TestReadAfterTheEnd guards against a whole body that turns into a truncated one when it is read again after its end.
+func TestReadAfterTheEnd(t *testing.T) {
+	is := is.New(t)
+	address := serveConns(t, func(conn net.Conn) {
+		defer func() { _ = conn.Close() }()
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			_, _ = io.WriteString(conn, "HTTP/1.0 200 OK\r\n\r\nwhole")
+		}
+	})
+	response, err := newClient().Run(t.Context(), newRun(address, 5*time.Second), upload(0))
+	is.NoErr(err)
+	defer func() { _ = response.Body.Close() }()
+	_, err = io.ReadAll(response.Body)
+	is.NoErr(err)
+	_, err = response.Body.Read(make([]byte, 1))
+	is.Equal(err, io.EOF)
+}
+
 // TestEarlyResponseWithLength guards against breaking off a response that is complete by its length or its last chunk, although its
 // target never reads the rest of the request.
 func TestEarlyResponseWithLength(t *testing.T) {
