core/usage, core/node: a request waits for a token no longer than its deadline

Cause: a request with a short timeout waited 400 ms for its token. Found by TestRequestsKeepTheirGuarantees, in which every fourth request now belongs to an account with a rate limit: "r7 has not ended 201ms after its deadline".

Change: the wait ends at the deadline at the latest.

--- a/internal/core/node/ingress.go
+++ b/internal/core/node/ingress.go
@@ -39,9 +39,9 @@
 	if s.Revision() == 0 {
 		return s, refuse(request, fleet.NoTables, "this node has no tables yet")
 	}
-	if _, ok := s.tables.Router().Match(request); ok && s.isRateLimited(request.Account) &&
+	if route, ok := s.tables.Router().Match(request); ok && s.isRateLimited(request.Account) &&
 		!s.quarantine.Suspects().Quarantined(ev.At, request.Fingerprint) {
-		return s.limitRequest(ev, request)
+		return s.limitRequest(ev, request, route)
 	}
 	return s.startRequest(ev, request, ev.At)
 }
--- a/internal/core/node/simulation_test.go
+++ b/internal/core/node/simulation_test.go
@@ -159,6 +159,7 @@
 	tables := fleet.Tables{Revision: 1, Pools: fleet.Map[fleet.PoolName, fleet.Pool]{}.With("p", fleet.Pool{
 		Name: "p", Floor: 2, FalseEjectionInterval: time.Minute,
 	})}
+	tables.Accounts = tables.Accounts.With(limitedAccount, fleet.Account{Name: limitedAccount, Rate: 20, Burst: 10})
 	for _, class := range fleet.Classes {
 		tables.Routes = append(tables.Routes, fleet.Route{
 			Name: class.String(), PathPrefix: "/" + class.String(), Pool: "p", Class: class, Deadline: time.Second,
--- a/internal/core/node/traffic_test.go
+++ b/internal/core/node/traffic_test.go
@@ -11,6 +11,9 @@
 	"jayfold.dev/jayfold/internal/core/fleet"
 )
 
+// limitedAccount is a client account with a rate limit, to which every fourth request belongs.
+const limitedAccount fleet.AccountName = "limited"
+
 // request sends a caller's request to a node, unless the node is down or paused.
 func (sim *simulation) request(h *host, class fleet.Class, key fleet.IdempotencyKey, timeout time.Duration) {
 	if h.down || h.paused {
@@ -22,9 +25,13 @@
 		limit = min(limit, timeout)
 	}
 	sim.ledger.requestSent(id, h, class != fleet.Order && key == "", sim.now.Add(limit))
-	sim.post(h, h.incarnation, event.RequestArrived{Request: fleet.Request{
+	request := fleet.Request{
 		ID: id, Method: "GET", Path: "/" + class.String(), Key: key, Timeout: timeout, Fingerprint: fleet.Fingerprint(sim.ledger.count),
-	}})
+	}
+	if sim.ledger.count%4 == 0 {
+		request.Account = limitedAccount
+	}
+	sim.post(h, h.incarnation, event.RequestArrived{Request: request})
 }
 
 // cancel ends a request because its caller disconnected. The edge also cancels the attempts.
--- a/internal/core/node/usage.go
+++ b/internal/core/node/usage.go
@@ -47,8 +47,12 @@
 }
 
 // limitRequest lets a request of a rate-limited account wait for a token if there is none.
-func (s State) limitRequest(ev event.Event, request fleet.Request) (State, []effect.Effect) {
-	next, result := s.usage.RequestArrived(s.usageContext(ev), request)
+func (s State) limitRequest(ev event.Event, request fleet.Request, route fleet.Route) (State, []effect.Effect) {
+	left := route.Deadline
+	if request.Timeout > 0 {
+		left = min(left, request.Timeout)
+	}
+	next, result := s.usage.RequestArrived(s.usageContext(ev), request, left)
 	return s.withUsage(ev, next, result)
 }
 
--- a/internal/core/usage/bench_test.go
+++ b/internal/core/usage/bench_test.go
@@ -28,7 +28,7 @@
 	b.ReportAllocs()
 	for i := 0; b.Loop(); i++ {
 		ctx.Now = ctx.Now.Add(time.Millisecond)
-		state, _ = state.RequestArrived(ctx, fleet.Request{ID: fleet.RequestID(strconv.Itoa(i)), Account: "a"})
+		state, _ = state.RequestArrived(ctx, fleet.Request{ID: fleet.RequestID(strconv.Itoa(i)), Account: "a"}, time.Second)
 		if i%100 == 0 {
 			state, _ = state.Tick(ctx)
 		}
@@ -42,7 +42,7 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		ctx.Now = ctx.Now.Add(10 * time.Millisecond)
-		next, result := state.RequestArrived(ctx, request)
+		next, result := state.RequestArrived(ctx, request, time.Second)
 		for _, e := range result.Effects {
 			send, ok := e.(effect.SendMessage)
 			if !ok {
--- a/internal/core/usage/model_load_test.go
+++ b/internal/core/usage/model_load_test.go
@@ -15,7 +15,7 @@
 	m.requests++
 	m.records[name].sent = append(m.records[name].sent, m.now)
 	request := fleet.Request{ID: fleet.RequestID(fmt.Sprintf("r%d", m.requests)), Account: name}
-	m.step(n, func(ctx Context) (State, Result) { return n.state.RequestArrived(ctx, request) })
+	m.step(n, func(ctx Context) (State, Result) { return n.state.RequestArrived(ctx, request, time.Second) })
 }
 
 // send requests of an account at a rate for a time, to nodes that pick chooses.
--- a/internal/core/usage/state.go
+++ b/internal/core/usage/state.go
@@ -3,7 +3,7 @@
 // # Usage
 //
 //	state := usage.New(self, zone)
-//	state, result := state.RequestArrived(ctx, request)
+//	state, result := state.RequestArrived(ctx, request, left)
 //	state, result = state.MessageReceived(ctx, envelope)
 //	state, result = state.Tick(ctx)
 //
@@ -176,8 +176,9 @@
 	return account{}
 }
 
-// RequestArrived admits a request of a rate-limited account, refuses it or lets it wait for a token.
-func (s State) RequestArrived(ctx Context, request fleet.Request) (State, Result) {
+// RequestArrived admits a request of a rate-limited account, refuses it or lets it wait for a token, but not for longer than the time
+// that is left to its deadline.
+func (s State) RequestArrived(ctx Context, request fleet.Request, left time.Duration) (State, Result) {
 	w := Waiting{Request: request, Arrived: ctx.Now}
 	if _, limited := ctx.limit(request.Account); !limited {
 		return s, Result{Admitted: []Waiting{w}}
@@ -186,7 +187,7 @@
 	before := s.waiting.Len()
 	a := s.account(request.Account).withDemand(ctx.Now, 1)
 	s.waiting = s.waiting.With(request.ID, request.Account)
-	s, result := s.serve(ctx, request.Account, a.withWaiter(waiter{local: &w, tokens: 1, until: ctx.Now.Add(waitLimit)}))
+	s, result := s.serve(ctx, request.Account, a.withWaiter(waiter{local: &w, tokens: 1, until: ctx.Now.Add(min(waitLimit, left))}))
 	if s.waiting.Len() > before {
 		s.counts.waited++
 	}
