core/usage: late and overtaken messages cost no tokens; accounts without a burst get their rate

A single late reply made a node avoid its allocator, a lease that was overtaken by the next one shortened it, and the bucket of an account without a burst held one token, while refused nodes wait 50 ms before they ask again.

Change: tokens are requested again after 100 ms, and a node is avoided only if it replies to neither request nor any later one within 250 ms. A lease that ends earlier replaces none. A bucket holds at least the tokens of 0.1 s.

--- a/internal/core/usage/account.go
+++ b/internal/core/usage/account.go
@@ -52,6 +52,23 @@
 	number uint64
 	to     fleet.NodeID
 	sent   time.Time
+	// first is when the node was first asked without a reply, and earlier the number of the request before this one, whose reply
+	// may still arrive.
+	first   time.Time
+	earlier uint64
+}
+
+// matches reports whether a reply with the given number is for the request or the one before.
+func (k ask) matches(from fleet.NodeID, number uint64) bool {
+	return number != 0 && k.to == from && (number == k.number || number == k.earlier)
+}
+
+// again returns the request that follows on a request without a reply.
+func (k ask) again(next ask) ask {
+	if k.number != 0 && k.to == next.to {
+		next.first, next.earlier = k.first, k.number
+	}
+	return next
 }
 
 // demandTime is the time over which the demand of an account is averaged.
--- a/internal/core/usage/bucket.go
+++ b/internal/core/usage/bucket.go
@@ -9,8 +9,8 @@
 
 const (
 	// windowSeconds is the window over which the limits are stated: Rate*windowSeconds + Burst requests, and at most 10% and 20
-	// requests more. Tokens that are used late need 0.4 times the rate of this tolerance, and the single tokens of buckets in parts
-	// of the fleet that cannot reach each other 10 of the 20.
+	// requests more. Tokens that are used late need 0.4 times the rate of this tolerance, buckets of accounts without a burst 0.1
+	// times the rate, and the single tokens of buckets in parts of the fleet that cannot reach each other 10 of the 20.
 	windowSeconds = 5
 	// minWeight is the weight from which a bucket holds at least one token. At most 10 parts of the fleet have this weight.
 	minWeight = 0.1
@@ -31,9 +31,13 @@
 	requested window
 }
 
+// minBurstSeconds is the least size of a bucket, in seconds of the rate. It covers the time for which nodes that were refused do not
+// ask again; a smaller bucket would lose the tokens of that time.
+const minBurstSeconds = 0.1
+
 // capacity returns the size of an account's bucket for a share of the fleet.
 func capacity(limit fleet.Account, weight float64) float64 {
-	size := limit.Burst * weight
+	size := max(limit.Burst, minBurstSeconds*limit.Rate) * weight
 	if size < 1 && weight >= minWeight {
 		return 1
 	}
--- a/internal/core/usage/lease.go
+++ b/internal/core/usage/lease.go
@@ -117,8 +117,12 @@
 	unanswered time.Time
 }
 
-// withLease returns the shard with a lease in place of an earlier one of the same node.
+// withLease returns the shard with a lease in place of an earlier one of the same node. A lease that ends before that one has been
+// overtaken by it.
 func (sh shard) withLease(l lease) shard {
+	if slices.ContainsFunc(sh.leases, func(other lease) bool { return other.node == l.node && l.ends.Before(other.ends) }) {
+		return sh
+	}
 	leases := slices.DeleteFunc(slices.Clone(sh.leases), func(other lease) bool { return other.node == l.node })
 	sh.leases = append(leases, l)
 	return sh
--- a/internal/core/usage/serve.go
+++ b/internal/core/usage/serve.go
@@ -58,7 +58,7 @@
 		}
 		a = a.withDebt(ctx.Now, limit.Rate, int(a.debtAt(ctx.Now, limit, s.shards[i].weight(), top)))
 		return s.refuseAll(ctx, result, name, a, refusalTime(ctx, a.bucket.untilNext(limit, s.shards[i].weight())))
-	case a.ask.number == 0 && !ctx.Now.Before(a.askAfter):
+	case !ctx.Now.Before(a.askAfter) && (a.ask.number == 0 || ctx.Now.Sub(a.ask.sent) >= askAgain):
 		return s.sendAsk(ctx, result, source, name, a)
 	}
 	return s.withAccount(name, a), result
@@ -134,7 +134,7 @@
 	s = s.withShard(i, sh.withAsk(ctx.Now, s.number))
 	want := message.UsageWant{Account: name, Tokens: missing + a.demand.advance(ctx.Now), Debt: int(a.debt.at(ctx.Now, a.rate))}
 	s.counts.asked++
-	a.ask = ask{number: s.number, to: source.node, sent: ctx.Now}
+	a.ask = a.ask.again(ask{number: s.number, to: source.node, sent: ctx.Now, first: ctx.Now})
 	s, request := s.request(ctx, i, source, []message.UsageWant{want})
 	result.Effects = append(result.Effects, request)
 	return s.withAccount(name, a), result
--- a/internal/core/usage/state.go
+++ b/internal/core/usage/state.go
@@ -39,8 +39,9 @@
 	// relayLimit is the time after which an allocator that waits for tokens tells so to the node that asked. It is shorter than
 	// replyTimeout, so that the node does not take the allocator for dead.
 	relayLimit = 80 * time.Millisecond
-	// replyTimeout is the time after which a node that did not reply to a request for tokens is avoided for avoidDuration.
-	// leaseReplyTimeout is that for a lease, for which no request waits.
+	// askAgain is the time after which tokens are requested again, and replyTimeout that after which a node that did not reply to
+	// these requests is avoided for avoidDuration. leaseReplyTimeout is that for a lease, for which no request waits.
+	askAgain          = 100 * time.Millisecond
 	replyTimeout      = 250 * time.Millisecond
 	leaseReplyTimeout = 500 * time.Millisecond
 	avoidDuration     = 5 * time.Second
--- a/internal/core/usage/steps.go
+++ b/internal/core/usage/steps.go
@@ -81,7 +81,7 @@
 
 // tickShard renews the lease of a shard if it is due.
 func (s State) tickShard(ctx Context, i int) (State, Result) {
-	isLost := func(a askMessage) bool { return ctx.Now.Sub(a.sent) >= replyTimeout }
+	isLost := func(a askMessage) bool { return ctx.Now.Sub(a.sent) >= askAgain }
 	s = s.withShard(i, s.shards[i].withoutAsks(isLost))
 	s, pending := s.servePending(ctx, i)
 	contact := s.shards[i].contact
@@ -112,8 +112,11 @@
 		}
 	}
 	a.waiters = remaining
-	if a.ask.number != 0 && ctx.Now.Sub(a.ask.sent) >= replyTimeout {
-		if a.ask.to == s.source(ctx.Now, shardOf(name)).node {
+	if a.ask.number != 0 && ctx.Now.Sub(a.ask.first) >= replyTimeout {
+		// A node that has replied to a later message is slow or a message was lost.
+		contact := s.shards[shardOf(name)].contact
+		hasReplied := contact.node == a.ask.to && contact.stampAt.After(a.ask.first)
+		if a.ask.to == s.source(ctx.Now, shardOf(name)).node && !hasReplied {
 			s = s.withAvoided(ctx, a.ask.to)
 		}
 		a.ask = ask{}
@@ -208,7 +211,7 @@
 		if g.Debt > 0 {
 			s = s.withAccount(g.Account, a)
 		}
-		if a.ask.number != m.Number || a.ask.to != from || m.Number == 0 {
+		if !a.ask.matches(from, m.Number) {
 			continue
 		}
 		s, more = s.serve(ctx, g.Account, a.withReply(ctx.Now, g))
@@ -246,7 +249,7 @@
 func (a account) withReply(now time.Time, g message.UsageGrant) account {
 	switch {
 	case g.Tokens > 0:
-		a = a.withTokens(now, batch{tokens: g.Tokens, expires: a.ask.sent.Add(min(g.Lifetime, tokenLifetime))})
+		a = a.withTokens(now, batch{tokens: g.Tokens, expires: a.ask.first.Add(min(g.Lifetime, tokenLifetime))})
 	case g.RefusedFor > 0:
 		a.refusedUntil = now.Add(min(g.RefusedFor, 2*maxRefusal))
 	default:
