--- a/internal/edge/caller/server_test.go
+++ b/internal/edge/caller/server_test.go
@@ -246,7 +246,7 @@
 // TestRefusals guards against refusals with the wrong status or without Retry-After.
 func TestRefusals(t *testing.T) {
 	for cause, status := range map[fleet.Cause]int{
-		fleet.NoRoute: 404, fleet.Quarantined: 429, fleet.Overloaded: 503, fleet.NoTarget: 503, fleet.NoTables: 503,
+		fleet.NoRoute: 404, fleet.Quarantined: 429, fleet.OverCap: 429, fleet.Overloaded: 503, fleet.NoTarget: 503, fleet.NoTables: 503,
 		fleet.TargetFailed: 502, fleet.Broken: 502, fleet.DeadlinePassed: 504, fleet.KeyConflict: 409,
 	} {
 		t.Run(string(cause), func(t *testing.T) {
@@ -257,7 +257,7 @@
 			}
 			got := ts.do(t, ts.request(t, "GET", "/a", ""))
 			assertRefusal(t, got, status, "NotRun")
-			is.New(t).Equal(got.header.Get("Retry-After") == "2", status == 503)
+			is.New(t).Equal(got.header.Get("Retry-After") == "2", status == 503 || cause == fleet.OverCap)
 		})
 	}
 }
