--- a/internal/core/node/ingress.go
+++ b/internal/core/node/ingress.go
@@ -52,7 +52,7 @@
 	case refusal != nil:
 		return s, refusal
 	case s.isRateLimited(accepted.request.Account):
-		return s.limitRequest(ev, accepted.request)
+		return s.limitRequest(ev, accepted)
 	}
 	return s.startRequest(ev, accepted)
 }
--- a/internal/core/node/simulation_test.go
+++ b/internal/core/node/simulation_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"jayfold.dev/jayfold/internal/core/accounts"
 	"jayfold.dev/jayfold/internal/core/effect"
 	"jayfold.dev/jayfold/internal/core/event"
 	"jayfold.dev/jayfold/internal/core/fleet"
@@ -166,7 +167,10 @@
 			Name: class.String(), PathPrefix: "/" + class.String(), Pool: "p", Class: class, Deadline: time.Second,
 		})
 	}
-	sim.post(h, h.incarnation, event.TablesDecoded{Tables: tables, Router: routing.New(tables)})
+	if sim.keys == nil {
+		tables = withSimulatedAccounts(tables)
+	}
+	sim.post(h, h.incarnation, event.TablesDecoded{Tables: tables, Router: routing.New(tables), Accounts: accounts.New(tables)})
 	sim.tick(h, h.incarnation)
 }
 
--- a/internal/core/node/traffic_test.go
+++ b/internal/core/node/traffic_test.go
@@ -11,6 +11,29 @@
 	"jayfold.dev/jayfold/internal/core/fleet"
 )
 
+// The client accounts of the simulation. Every fourth request belongs to the one with a rate limit. The names are the keys.
+const (
+	limitedAccount   fleet.AccountName = "limited"
+	unlimitedAccount fleet.AccountName = "unlimited"
+)
+
+// credentialOf returns the key of the request with the given number.
+func credentialOf(number int) fleet.Credential {
+	if number%4 == 0 {
+		return fleet.NewCredential([]string{string(limitedAccount)})
+	}
+	return fleet.NewCredential([]string{string(unlimitedAccount)})
+}
+
+// withSimulatedAccounts returns the tables with the client accounts of the simulation.
+func withSimulatedAccounts(tables fleet.Tables) fleet.Tables {
+	for _, a := range []fleet.Account{{Name: limitedAccount, Rate: 20, Burst: 10}, {Name: unlimitedAccount}} {
+		a.Keys = []fleet.KeyHash{fleet.HashKey(string(a.Name))}
+		tables.Accounts = tables.Accounts.With(a.Name, a)
+	}
+	return tables
+}
+
 // request sends a caller's request to a node, unless the node is down or paused.
 func (sim *simulation) request(h *host, class fleet.Class, key fleet.IdempotencyKey, timeout time.Duration) {
 	if h.down || h.paused {
@@ -22,9 +45,13 @@
 		limit = min(limit, timeout)
 	}
 	sim.ledger.requestSent(id, h, class != fleet.Order && key == "", sim.now.Add(limit))
-	sim.post(h, h.incarnation, event.RequestArrived{Request: sim.withKey(h, fleet.Request{
+	request := sim.withKey(h, fleet.Request{
 		ID: id, Method: "GET", Path: "/" + class.String(), Key: key, Timeout: timeout, Fingerprint: fleet.Fingerprint(sim.ledger.count),
-	})})
+	})
+	if sim.keys == nil {
+		request.Credential = credentialOf(sim.ledger.count)
+	}
+	sim.post(h, h.incarnation, event.RequestArrived{Request: request})
 }
 
 // cancel ends a request because its caller disconnected. The edge also cancels the attempts.
--- a/internal/core/node/usage_test.go
+++ b/internal/core/node/usage_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"jayfold.dev/jayfold/internal/core/accounts"
 	"jayfold.dev/jayfold/internal/core/effect"
 	"jayfold.dev/jayfold/internal/core/event"
 	"jayfold.dev/jayfold/internal/core/fleet"
@@ -39,7 +40,7 @@
 }
 
 func (r *runner) useTables(tables fleet.Tables) []effect.Effect {
-	return r.reduce(event.TablesDecoded{Tables: tables, Router: routing.New(tables)})
+	return r.reduce(event.TablesDecoded{Tables: tables, Router: routing.New(tables), Accounts: accounts.New(tables)})
 }
 
 func limitedArrival(id fleet.RequestID) event.RequestArrived {
--- a/internal/core/usage/state.go
+++ b/internal/core/usage/state.go
@@ -3,7 +3,7 @@
 // # Usage
 //
 //	state := usage.New(self, zone)
-//	state, result := state.RequestArrived(ctx, request)
+//	state, result := state.RequestArrived(ctx, request, left)
 //	state, result = state.MessageReceived(ctx, envelope)
 //	state, result = state.Tick(ctx)
 //
@@ -39,8 +39,9 @@
 	// relayLimit is the time after which an allocator that waits for tokens tells so to the node that asked. It is shorter than
 	// replyTimeout, so that the node does not take the allocator for dead.
 	relayLimit = 80 * time.Millisecond
-	// replyTimeout is the time after which a node that did not reply to a request for tokens is avoided for avoidDuration.
-	// leaseReplyTimeout is that for a lease, for which no request waits.
+	// askAgain is the time after which tokens are requested again, and replyTimeout that after which a node that did not reply to
+	// these requests is avoided for avoidDuration. leaseReplyTimeout is that for a lease, for which no request waits.
+	askAgain          = 100 * time.Millisecond
 	replyTimeout      = 250 * time.Millisecond
 	leaseReplyTimeout = 500 * time.Millisecond
 	avoidDuration     = 5 * time.Second
@@ -176,8 +177,9 @@
 	return account{}
 }
 
-// RequestArrived admits a request of a rate-limited account, refuses it or lets it wait for a token.
-func (s State) RequestArrived(ctx Context, request fleet.Request) (State, Result) {
+// RequestArrived admits a request of a rate-limited account, refuses it or lets it wait for a token, but not for longer than the time
+// that is left to its deadline.
+func (s State) RequestArrived(ctx Context, request fleet.Request, left time.Duration) (State, Result) {
 	w := Waiting{Request: request, Arrived: ctx.Now}
 	if _, limited := ctx.limit(request.Account); !limited {
 		return s, Result{Admitted: []Waiting{w}}
@@ -186,7 +188,7 @@
 	before := s.waiting.Len()
 	a := s.account(request.Account).withDemand(ctx.Now, 1)
 	s.waiting = s.waiting.With(request.ID, request.Account)
-	s, result := s.serve(ctx, request.Account, a.withWaiter(waiter{local: &w, tokens: 1, until: ctx.Now.Add(waitLimit)}))
+	s, result := s.serve(ctx, request.Account, a.withWaiter(waiter{local: &w, tokens: 1, until: ctx.Now.Add(min(waitLimit, left))}))
 	if s.waiting.Len() > before {
 		s.counts.waited++
 	}
