--- a/internal/core/attempt/picker.go
+++ b/internal/core/attempt/picker.go
@@ -43,6 +43,8 @@
 	// ownZone holds the indices of the candidates in the own availability zone.
 	ownZone []int32
 	random  randomSequence
+	// lastResort is true if the own zone has no target for the request, so that it crosses zones or is refused.
+	lastResort bool
 }
 
 // pickTarget returns the placement of a request's next attempt, and false if no target may take it.
--- a/internal/core/attempt/placement.go
+++ b/internal/core/attempt/placement.go
@@ -75,6 +75,15 @@
 	if p.state.byCost {
 		steps = p.costSteps()
 	}
+	if chosen, ok := p.firstOf(steps); ok || p.mayCrossZones() || len(p.request.inFlight) > 0 {
+		return chosen, ok
+	}
+	p.lastResort = true
+	return p.firstOf(steps)
+}
+
+// firstOf returns the placement of the first step that finds a target.
+func (p *picker) firstOf(steps []func() (int, mode)) (placement, bool) {
 	for _, step := range steps {
 		if i, m := step(); i >= 0 {
 			return placement{candidate: p.candidates[i], mode: m}, true
