attempt, admission: brief waits in the own zone, remembered waits of other zones

Cause: requests waited in a queue of the own zone until their goal, since the wait was checked only against the ingress's own view, which other ingresses make out of date. An attempt that waits without a probe before it was also hedged while it waited.

Change: an attempt to wait in the own zone carries the mode word brief; the sidecar refuses it with a fresh wait if it would wait longer than a quarter of the slack to its goal. Waits reported by targets of another zone count for the whole zone and are halved each second. The expected wait of an attempt delays its hedge. A target's reported run time counts for 10 s and within a factor of 10 of the pool's.

--- a/internal/core/admission/cost.go
+++ b/internal/core/admission/cost.go
@@ -120,3 +120,10 @@
 	}
 	return l.costs.of(class).Mean()
 }
+
+// waitsTooLong reports whether an attempt that may wait only briefly would wait longer. An attempt that cannot meet its goal anyway
+// may wait.
+func (s State) waitsTooLong(now time.Time, l localTarget, a fleet.Attempt, wait time.Duration) bool {
+	run, toGoal := l.costs.of(a.Class).Mean(), a.Goal.Sub(now)
+	return a.Brief && s.byCost() && !a.Goal.IsZero() && run < toGoal && !cost.WaitsBriefly(wait, run, toGoal)
+}
--- a/internal/core/admission/state.go
+++ b/internal/core/admission/state.go
@@ -194,7 +194,7 @@
 // attempt and the last one in the queue is refused.
 func (s State) enqueue(ctx Context, l localTarget, attempt fleet.Attempt) (State, []effect.Effect) {
 	wait := s.expectedWait(ctx.Now, l, attempt)
-	if attempt.Probe || l.tooLate(ctx.Now, attempt, wait) {
+	if attempt.Probe || l.tooLate(ctx.Now, attempt, wait) || s.waitsTooLong(ctx.Now, l, attempt, wait) {
 		return s, s.refuse(ctx.Now, attempt, fleet.Overloaded)
 	}
 	var effects []effect.Effect
--- a/internal/core/attempt/cost_picker.go
+++ b/internal/core/attempt/cost_picker.go
@@ -1,8 +1,10 @@
 package attempt
 
 import (
+	"slices"
 	"time"
 
+	"jayfold.dev/jayfold/internal/core/cost"
 	"jayfold.dev/jayfold/internal/core/fleet"
 )
 
@@ -12,8 +14,11 @@
 	costDraws = 6
 	// crossZoneTime is the round trip to another zone.
 	crossZoneTime = 4 * time.Millisecond
-	// maxCrossings bounds the attempts of one request that are sent to other zones. Each costs the bytes of the request.
+	// maxCrossings bounds the attempts of one request that full targets of other zones refuse. Each costs the bytes of the request.
 	maxCrossings = 2
+	// maxBriefAttempts bounds the attempts of one request to wait briefly. If the best two queues of the zone are too long, so are
+	// the others.
+	maxBriefAttempts = 2
 	// freeWait is the expected wait below which a target is asked for a free slot.
 	freeWait = time.Millisecond
 )
@@ -21,8 +26,8 @@
 // costSteps are the steps of pick for placement by cost:
 //
 //   - The target of the own zone that completes the request first, of those that may have a free slot, is asked for it.
-//   - If all are known to be full, the request waits in the queue of the own zone that completes it first, if that meets the latency
-//     goal. Callers gain nothing from an earlier response, while each attempt in another zone costs the bytes of the request.
+//   - If all are known to be full, the request waits in the queue of the own zone that completes it first, if the wait leaves enough
+//     time to the latency goal. Callers gain nothing from an earlier response, while each attempt in another zone costs the bytes of the request.
 //   - Otherwise it goes to the target of another zone that is expected to meet the goal, and may wait there. Zones that have
 //     reported longer waits are not asked.
 //   - If no target can meet the goal, it waits in the own zone until the deadline if that zone may accept it, and is refused
@@ -43,43 +48,85 @@
 	v, candidate := p.targetView(i), &p.candidates[i]
 	class := p.request.template.Class
 	wait, known = p.pool.expectedWait(p.ctx.Now, v, class, candidate.Target.Slots)
-	total = p.pool.runTime(v, class)
+	total = p.pool.runTime(p.ctx.Now, v, class)
 	if candidate.AvailabilityZone != p.state.zone {
 		total += crossZoneTime
 		if !known {
 			zone, _ := p.pool.costs.zones.Get(candidate.AvailabilityZone)
-			wait = zone.Wait(p.ctx.Now)
+			wait = zone.Decayed(p.ctx.Now)
 		}
 	}
 	return total + wait, wait, known
 }
 
-// fastest returns the target that completes the request first, of costDraws random ones that accept allows; -1 if there is none.
-func (p *picker) fastest(among []int32, accept func(i int, wait time.Duration, known bool) bool) (int, time.Duration) {
-	best, shortest := -1, time.Duration(0)
-	consider := func(i int) {
-		if !p.eligible(i, p.targetView(i)) {
+// estimate is a target with the expected time until a request is complete on it, and the part of it that the request waits. Its index
+// is -1 if there is no target.
+type estimate struct {
+	index       int
+	total, wait time.Duration
+}
+
+// costChoice holds the targets that complete a request first among random ones: the fastest of those that may have a free slot and of
+// those that are known to be full.
+type costChoice struct {
+	free, full estimate
+}
+
+func (c *costChoice) consider(e estimate, known bool) {
+	best := &c.free
+	if e.wait >= freeWait {
+		if best = &c.full; !known {
 			return
 		}
-		total, wait, known := p.expectedTime(i)
-		if (best < 0 || total < shortest) && accept(i, wait, known) {
-			best, shortest = i, total
-		}
 	}
-	if len(among) <= costDraws {
-		start := 0
-		if len(among) > 0 {
-			start = int(p.random.next() % uint64(len(among)))
+	if best.index < 0 || e.total < best.total {
+		*best = e
+	}
+}
+
+// choose compares costDraws random eligible targets.
+func (p *picker) choose(among []int32, assumeKnown bool) costChoice {
+	c := costChoice{free: estimate{index: -1}, full: estimate{index: -1}}
+	if len(among) == 0 {
+		return c
+	}
+	start := int(p.random.next() % uint64(len(among)))
+	for n := range min(len(among), costDraws) {
+		i := int(among[(start+n)%len(among)])
+		if len(among) > costDraws {
+			i = int(among[p.random.next()%uint64(len(among))])
 		}
-		for n := range among {
-			consider(int(among[(start+n)%len(among)]))
+		if p.eligible(i, p.targetView(i)) {
+			total, wait, known := p.expectedTime(i)
+			c.consider(estimate{index: i, total: total, wait: wait}, known || assumeKnown)
+		}
+	}
+	return c
+}
+
+// chooseElsewhere compares random targets of other zones. In a large pool, it draws among all targets instead of listing those of the
+// other zones.
+func (p *picker) chooseElsewhere() costChoice {
+	var buffer [indexBufferSize]int32
+	if len(p.candidates) <= indexBufferSize/2 {
+		return p.choose(p.candidateIndices(false, buffer[:0]), true)
+	}
+	drawn := buffer[:0]
+	for range 2 * costDraws {
+		i := int32(p.random.next() % uint64(len(p.candidates)))
+		if p.candidates[i].AvailabilityZone != p.state.zone && len(drawn) < costDraws {
+			drawn = append(drawn, i)
 		}
-		return best, shortest
 	}
-	for range costDraws {
-		consider(int(among[p.random.next()%uint64(len(among))]))
+	return p.choose(drawn, true)
+}
+
+// ownZoneChoice returns the targets of the own zone to choose from. They are compared once for all steps of a choice.
+func (p *picker) ownZoneChoice() *costChoice {
+	if !p.ownZoneChosen {
+		p.ownChoice, p.ownZoneChosen = p.choose(p.ownZone, false), true
 	}
-	return best, shortest
+	return &p.ownChoice
 }
 
 // ownZoneProbeByCost returns the target of the own zone to be asked for a free slot.
@@ -87,79 +134,110 @@
 	if len(p.request.refusals) >= maxProbes {
 		return -1, probing
 	}
-	i, _ := p.fastest(p.ownZone, func(_ int, wait time.Duration, _ bool) bool { return wait < freeWait })
-	return i, probing
+	return p.ownZoneChoice().free.index, probing
 }
 
-// ownZoneQueueByCost returns the target of the own zone whose queue completes the request first, if that meets the goal.
+// ownZoneQueueByCost returns the target of the own zone whose queue completes the request first, if the wait is brief.
 func (p *picker) ownZoneQueueByCost() (int, mode) {
-	i, total := p.bestQueue()
-	if i < 0 || p.ctx.Now.Add(total+p.margin()).After(p.request.template.Goal) {
-		return -1, waiting
+	asked := 0
+	for _, r := range p.request.refusals {
+		if r.mode == briefly {
+			asked++
+		}
 	}
-	return i, waiting
-}
-
-// margin is the time by which an expected completion must precede the goal: a run often takes longer than the mean.
-func (p *picker) margin() time.Duration {
-	return max(p.pool.costs.means[p.request.template.Class]/2, p.request.template.Goal.Sub(p.request.received)/2)
+	if asked >= maxBriefAttempts {
+		return -1, briefly
+	}
+	best := p.bestQueue(probing)
+	if best.index < 0 {
+		return -1, briefly
+	}
+	run, toGoal := best.total-best.wait, p.request.template.Goal.Sub(p.ctx.Now)
+	if run < toGoal && !cost.WaitsBriefly(best.wait, run, toGoal) {
+		return -1, briefly
+	}
+	return best.index, briefly
 }
 
-// bestQueue returns the target of the own zone, of those that are full, whose queue completes the request first, and when.
-func (p *picker) bestQueue() (int, time.Duration) {
-	best, shortest := p.fastest(p.ownZone, func(_ int, wait time.Duration, known bool) bool { return known && wait > 0 })
+// bestQueue returns the target of the own zone, of those that are full, whose queue completes the request first. It leaves out targets
+// that have refused the request in another mode than those given.
+func (p *picker) bestQueue(refusedIn ...mode) estimate {
+	best := p.ownZoneChoice().full
 	for _, r := range p.request.refusals {
-		if r.cause != fleet.Overloaded || r.mode != probing || !r.ownZone ||
-			p.request.queueRefusedBy(r.target) || p.request.hasTried(r.target) {
+		if r.cause != fleet.Overloaded || !r.ownZone || p.request.hasTried(r.target) || p.request.refusedInOther(r.target, refusedIn) {
 			continue
 		}
 		i := p.indexOf(r.target)
 		if i < 0 {
 			continue
 		}
-		total, _, _ := p.expectedTime(i)
-		if best < 0 || total < shortest {
-			best, shortest = i, total
+		if total, wait, _ := p.expectedTime(i); best.index < 0 || total < best.total {
+			best = estimate{index: i, total: total, wait: wait}
 		}
 	}
-	return best, shortest
+	return best
+}
+
+// refusedInOther reports whether a target has refused the request in a mode other than those given.
+func (req activeRequest) refusedInOther(id fleet.TargetID, modes []mode) bool {
+	return slices.ContainsFunc(req.refusals, func(r refusal) bool { return r.target == id && !slices.Contains(modes, r.mode) })
+}
+
+// fullElsewhere returns the number of attempts that full targets of other zones have refused.
+func (req activeRequest) fullElsewhere() int {
+	full := 0
+	for _, r := range req.refusals {
+		if r.cause == fleet.Overloaded && !r.ownZone {
+			full++
+		}
+	}
+	return full
 }
 
 // crossZoneByCost returns the target of another zone that completes the request first, if that meets the goal, or the deadline if
 // the target may have a free slot.
 func (p *picker) crossZoneByCost() (int, mode) {
-	i, total := p.fastestElsewhere()
-	if i < 0 {
+	e := p.fastestElsewhere()
+	if e.index < 0 {
 		return -1, waiting
 	}
 	latest := p.request.template.Goal
-	if _, wait, _ := p.expectedTime(i); wait < freeWait {
+	if e.wait < freeWait {
 		latest = p.request.template.Deadline
 	}
-	if p.ctx.Now.Add(total).After(latest) {
+	if p.ctx.Now.Add(e.total).After(latest) || p.waitIsSimilar(e) {
 		return -1, waiting
 	}
-	return i, waiting
+	return e.index, waiting
+}
+
+// waitIsSimilar reports whether a queue of the own zone meets the goal with a wait that is not much longer than that on a target of
+// another zone, as in an overload of the whole pool.
+func (p *picker) waitIsSimilar(elsewhere estimate) bool {
+	own := p.bestQueue(probing, briefly)
+	if own.index < 0 || p.ctx.Now.Add(own.total).After(p.request.template.Goal) {
+		return false
+	}
+	return elsewhere.wait > own.wait/2
 }
 
 // crossZoneHedgeByCost returns a target of another zone for a hedged attempt, if one may have a free slot.
 func (p *picker) crossZoneHedgeByCost() (int, mode) {
-	i, _ := p.fastestElsewhere()
-	if i < 0 {
-		return -1, probing
-	}
-	if _, wait, _ := p.expectedTime(i); wait >= freeWait {
-		return -1, probing
+	if e := p.fastestElsewhere(); e.wait < freeWait {
+		return e.index, probing
 	}
-	return i, probing
+	return -1, probing
 }
 
-func (p *picker) fastestElsewhere() (int, time.Duration) {
-	if p.request.crossings >= maxCrossings {
-		return -1, 0
+func (p *picker) fastestElsewhere() estimate {
+	if p.request.fullElsewhere() >= maxCrossings {
+		return estimate{index: -1}
 	}
-	var buffer [indexBufferSize]int32
-	return p.fastest(p.candidateIndices(false, buffer[:0]), func(int, time.Duration, bool) bool { return true })
+	c := p.chooseElsewhere()
+	if c.free.index < 0 || c.full.index >= 0 && c.full.total < c.free.total {
+		return c.full
+	}
+	return c.free
 }
 
 // lastQueueByCost returns the best queue of the own zone although the goal is not expected to be met, unless a queue there has
@@ -170,23 +248,32 @@
 			return -1, waiting
 		}
 	}
-	if i, _ := p.bestQueue(); i >= 0 {
-		return i, waiting
+	if best := p.bestQueue(probing, briefly); best.index >= 0 {
+		return best.index, waiting
 	}
 	if i, _ := p.lessLoadedOfTwo(p.ownZone); i >= 0 {
 		return i, waiting
 	}
-	if p.request.crossings > 0 {
+	if p.request.fullElsewhere() > 0 {
 		return -1, waiting
 	}
-	i, _ := p.fastestElsewhere()
-	return i, waiting
+	return p.fastestElsewhere().index, waiting
 }
 
-// suspectTargetByCost returns a target that has recently failed, as suspectTarget does, but no target that is only full.
+// suspectTargetByCost returns a target that has recently failed, as suspectTarget does. If all targets are only full, it returns none:
+// they would refuse a forced attempt as well.
 func (p *picker) suspectTargetByCost() (int, mode) {
-	if _, full := p.request.shortestQueue(); full {
+	if _, full := p.request.shortestQueue(); full && !p.anySuspect() {
 		return -1, forced
 	}
 	return p.suspectTarget()
 }
+
+func (p *picker) anySuspect() bool {
+	for i := range p.candidates {
+		if p.ctx.Now.Before(p.targetView(i).suspectUntil) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/core/attempt/cost_view.go
+++ b/internal/core/attempt/cost_view.go
@@ -7,8 +7,15 @@
 	"jayfold.dev/jayfold/internal/core/fleet"
 )
 
-// meanSmoothing is the weight of one report in a pool's mean run time.
-const meanSmoothing = 1.0 / 16
+const (
+	// meanSmoothing is the weight of one report in a pool's mean run time.
+	meanSmoothing = 1.0 / 16
+	// meanLifetime is how long the mean run time that a target has reported is used. A target that was slow may have become warm.
+	meanLifetime = 10 * time.Second
+	// maxSpeedRatio bounds the run time of a target relative to its pool, so that no report attracts or repels all requests. Hosts
+	// have 0.16 to 0.8 cores, and a cold target is twice as slow.
+	maxSpeedRatio = 10
+)
 
 // costView is what an ingress knows of the expected waits and run times on a target. It is kept only if targets are placed by cost.
 type costView struct {
@@ -57,12 +64,26 @@
 	return next
 }
 
-// runTime returns the expected run time of a class on a target: the mean of the pool if the target has not reported one.
-func (p *poolView) runTime(v *targetView, class fleet.Class) time.Duration {
-	if mean := v.cost.means[class]; mean > 0 {
-		return mean
+// runTime returns the expected run time of a class on a target: a weighted mean of the times that the target and the pool have
+// reported. The weight of the target's falls to 0 within meanLifetime, so that a target that was slow is used again.
+func (p *poolView) runTime(now time.Time, v *targetView, class fleet.Class) time.Duration {
+	pool, own := p.costs.means[class], v.cost.means[class]
+	if own == 0 || pool == 0 {
+		return pool
+	}
+	own = min(max(own, pool/maxSpeedRatio), pool*maxSpeedRatio)
+	weight := max(1-float64(v.cost.wait.Age(now))/float64(meanLifetime), 0)
+	return pool + time.Duration(weight*float64(own-pool))
+}
+
+// expectedQueueWait returns the expected wait of an attempt that may wait on a target; 0 if it may not or the wait is unknown.
+func (s State) expectedQueueWait(now time.Time, attempt fleet.Attempt, c fleet.Candidate, m mode) time.Duration {
+	if m == probing {
+		return 0
 	}
-	return p.costs.means[class]
+	pool := s.pool(attempt.Pool)
+	wait, _ := pool.expectedWait(now, pool.target(c.Target.ID), attempt.Class, c.Target.Slots)
+	return wait
 }
 
 // expectedWait returns the time that a new attempt is expected to wait on a target with the given number of slots, and whether that
@@ -80,5 +101,5 @@
 	if ahead <= 0 {
 		return wait, true
 	}
-	return wait + time.Duration(ahead)*p.runTime(v, class)/time.Duration(max(slots, 1)), true
+	return wait + time.Duration(ahead)*p.runTime(now, v, class)/time.Duration(max(slots, 1)), true
 }
--- a/internal/core/attempt/picker.go
+++ b/internal/core/attempt/picker.go
@@ -43,6 +43,9 @@
 	// ownZone holds the indices of the candidates in the own availability zone.
 	ownZone []int32
 	random  randomSequence
+	// ownChoice is the choice among the targets of the own zone by cost, if ownZoneChosen is true.
+	ownChoice     costChoice
+	ownZoneChosen bool
 }
 
 // pickTarget returns the placement of a request's next attempt, and false if no target may take it.
--- a/internal/core/attempt/placement.go
+++ b/internal/core/attempt/placement.go
@@ -16,6 +16,8 @@
 	probing mode = iota
 	// waiting accepts a position in the target's queue.
 	waiting
+	// briefly accepts a position in the target's queue if the expected wait leaves enough time to the goal.
+	briefly
 	// forced accepts a queue position and a target that has recently failed, because no healthy target takes the request.
 	forced
 )
@@ -162,7 +164,7 @@
 // ownZoneQueueForHedge returns the target of the own zone with the shortest queue, if a hedged attempt that waits there can end before
 // the deadline. It returns none while the attempt in flight waits in a queue itself: a second position is of little use.
 func (p *picker) ownZoneQueueForHedge() (int, mode) {
-	if p.request.inFlight[0].mode == waiting {
+	if m := p.request.inFlight[0].mode; m == waiting || m == briefly {
 		return -1, waiting
 	}
 	return p.queueTarget(true, p.request.template.Deadline.Add(-p.baselineDuration())), waiting
--- a/internal/core/attempt/request.go
+++ b/internal/core/attempt/request.go
@@ -34,8 +34,6 @@
 	received time.Time
 	// maxTargets bounds the targets that may run the request.
 	maxTargets int
-	// crossings is the number of attempts sent to other availability zones.
-	crossings int
 	// attemptCount is the number of attempts started so far.
 	attemptCount int
 	inFlight     []activeAttempt
@@ -98,9 +96,6 @@
 		a.slowAt, a.lostAt = now.Add(a.queueWait+timeouts.slow), now.Add(a.queueWait+timeouts.lost)
 	}
 	req.inFlight = append(slices.Clone(req.inFlight), a)
-	if !a.ownZone {
-		req.crossings++
-	}
 	req.tried = append(slices.Clone(req.tried), attempt.Target)
 	return req.withNextTimer(now)
 }
--- a/internal/core/attempt/state.go
+++ b/internal/core/attempt/state.go
@@ -163,6 +163,7 @@
 	c := chosen.candidate
 	attempt := req.template
 	attempt.Probe = chosen.mode == probing
+	attempt.Brief = chosen.mode == briefly
 	attempt.Forced = chosen.mode == forced
 	attempt.Trial = req.nextMayBeTrial(ctx.Now)
 	attempt.IsRetry = req.nextIsRetry()
@@ -176,11 +177,13 @@
 	s.attempts = s.attempts.incremented(c.Target.ID)
 	s.unreachable = s.unreachable.withAttempt(ctx, c.Node)
 	ownZone := c.AvailabilityZone == s.zone
+	queueWait := req.queueWaitAt(c.Target.ID)
 	if s.byCost {
+		queueWait = max(queueWait, s.expectedQueueWait(ctx.Now, attempt, c, chosen.mode))
 		s = s.withPool(attempt.Pool, s.pool(attempt.Pool).withAttempt(c.Target.ID, c.AvailabilityZone))
 	}
 	started := req.withAttempt(ctx.Now, attempt, activeAttempt{
-		mode: chosen.mode, ownZone: ownZone, queueWait: req.queueWaitAt(c.Target.ID),
+		mode: chosen.mode, ownZone: ownZone, queueWait: queueWait,
 	})
 	return s, started, effect.ForwardAttempt{Attempt: attempt, CrossZone: !ownZone}
 }
--- a/internal/core/attempt/steps.go
+++ b/internal/core/attempt/steps.go
@@ -25,7 +25,7 @@
 	queueWait time.Duration
 }
 
-var modeNames = [...]string{probing: "probing", waiting: "waiting", forced: "forced"}
+var modeNames = [...]string{probing: "probing", waiting: "waiting", briefly: "briefly", forced: "forced"}
 
 // String returns the step as one phrase: target and mode, start, and how it ended.
 func (s step) String() string {
--- a/internal/core/fleet/request.go
+++ b/internal/core/fleet/request.go
@@ -45,6 +45,9 @@
 	Priority int
 	// Probe is true if the target must refuse the attempt unless it can start it at once, since other targets may be idle.
 	Probe bool
+	// Brief is true if the target must refuse the attempt unless its expected wait leaves enough time to its goal, since other
+	// targets may complete it earlier.
+	Brief bool
 	// Trial is true if the attempt may test a target that has recently failed, since the request can still be retried on another.
 	Trial bool
 	// IsRetry is true if a target has received the request before. The attempt then counts towards the pool's retry budget.
--- a/internal/edge/peer/forward_header.go
+++ b/internal/edge/peer/forward_header.go
@@ -90,6 +90,7 @@
 // The mode words of headerMode.
 const (
 	modeProbe         = "probe"
+	modeBrief         = "brief"
 	modeTrial         = "trial"
 	modeRetry         = "repeated"
 	modeParentRetried = "derived"
@@ -100,7 +101,7 @@
 func modeWords(a fleet.Attempt) string {
 	var words []string
 	for word, applies := range map[string]bool{
-		modeProbe: a.Probe, modeTrial: a.Trial, modeRetry: a.IsRetry, modeParentRetried: a.ParentRetried,
+		modeProbe: a.Probe, modeBrief: a.Brief, modeTrial: a.Trial, modeRetry: a.IsRetry, modeParentRetried: a.ParentRetried,
 		modeBudgetCharged: a.BudgetCharged, modeForced: a.Forced,
 	} {
 		if applies {
@@ -132,6 +133,7 @@
 			Idempotent:    d.boolean(targetFields[5]),
 			Priority:      int(min(d.number(targetFields[6], 10), maxPriority)),
 			Probe:         slices.Contains(mode, modeProbe),
+			Brief:         slices.Contains(mode, modeBrief),
 			Trial:         slices.Contains(mode, modeTrial),
 			IsRetry:       slices.Contains(mode, modeRetry),
 			ParentRetried: slices.Contains(mode, modeParentRetried),
--- a/internal/lab/replay/pattern.go
+++ b/internal/lab/replay/pattern.go
@@ -25,6 +25,9 @@
 	routeChanges      []time.Duration
 	// costFactor draws the factor by which the work of a request differs from the mean of its class; nil means 1.
 	costFactor func(r *rand.Rand) float64
+	// shortWork is true if all work is shorter by workScale and the rates are higher by the same factor, so that requests which
+	// cost several times the mean can meet their deadlines.
+	shortWork bool
 	// slowdownAt returns the factor for the duration of the runs that start on a target at a time, including the warm-up.
 	slowdownAt func(t *target, at time.Duration) float64
 	// zoneTargets is the number of targets of each pool by zone; zero means targetsPerZone in each zone.
@@ -36,6 +39,9 @@
 // work draws the duration of a run of a request on a target of normal speed.
 func (p Pattern) work(r *request, mean time.Duration) time.Duration {
 	work := lognormal(r.random, mean, workSigma)
+	if p.shortWork {
+		work = time.Duration(float64(work) * workScale)
+	}
 	if r.costFactor > 0 {
 		return time.Duration(float64(work) * r.costFactor)
 	}
@@ -65,6 +71,9 @@
 // child requests use 13 slots of the ordering pool, and lookups 9 slots of the catalogue pool.
 var baseRates = [...]float64{order: 40, lookup: 20}
 
+// workScale multiplies the work of all requests in patterns with short work.
+const workScale = 0.4
+
 // healthyAbortShare is the share of requests that a healthy target aborts.
 const healthyAbortShare = 0.002
 
@@ -75,6 +84,9 @@
 		return 0
 	}
 	rate := baseRates[class] * float64(p.size())
+	if p.shortWork {
+		rate /= workScale
+	}
 	if p.loadFactor == nil || at < 0 {
 		return rate
 	}
--- a/internal/lab/replay/request.go
+++ b/internal/lab/replay/request.go
@@ -56,9 +56,9 @@
 	// onEnd is called once with the result of the request; ended is true after that.
 	onEnd func(requestResult)
 	ended bool
-	// costFactor multiplies the work of every run of the request, and lastWork is the duration of its last run without waits.
+	// costFactor multiplies the work of every run of the request, and work is the duration of the run that succeeded.
 	costFactor float64
-	lastWork   time.Duration
+	work       time.Duration
 }
 
 // response is the kind of response that a caller received.
--- a/internal/lab/replay/stats.go
+++ b/internal/lab/replay/stats.go
@@ -47,7 +47,7 @@
 	}
 	s.succeededByClass[r.class]++
 	latency := now.Sub(r.arrived)
-	s.latencies, s.waits = append(s.latencies, latency), append(s.waits, latency-r.lastWork)
+	s.latencies, s.waits = append(s.latencies, latency), append(s.waits, latency-r.work)
 	if result.zone != r.zone {
 		s.crossZone++
 	}
--- a/internal/lab/replay/target.go
+++ b/internal/lab/replay/target.go
@@ -47,7 +47,9 @@
 	// isRetry is true if the request, or its parent request, was already sent to a target.
 	isRetry bool
 	ended   bool
-	onEnd   func(runResult)
+	// work is the duration of the run, with that of its child request, without waits.
+	work  time.Duration
+	onEnd func(runResult)
 }
 
 // startRun runs a request on the target. It calls onEnd once, after it has returned.
@@ -66,7 +68,7 @@
 	if s.pattern.slowdownAt != nil {
 		work = time.Duration(float64(work) * s.pattern.slowdownAt(t, s.elapsed()))
 	}
-	r.lastWork = work
+	started.work = work
 	s.clock.after(r.deadline.Sub(s.clock.now), func() { started.end(canceled) })
 	switch {
 	case len(t.running) > slotsPerTarget, failureDraw < c.shedShare:
@@ -97,6 +99,7 @@
 			r.end(childFailed)
 			return
 		}
+		r.work += childRequest.work
 		s.clock.after(rest, func() { r.end(ran) })
 	}
 	s.scheduler.requestArrived(childRequest)
@@ -108,5 +111,8 @@
 	}
 	r.ended = true
 	delete(r.target.running, r)
+	if result == ran {
+		r.request.work = r.work
+	}
 	r.onEnd(result)
 }
