attempt, node, operator: explain placement by cost

Change: the steps of a request's log line show the expected wait and run time of each attempt. The counter placements and the histogram cost_ratio record how targets were chosen and how durations compare with what was expected. The JSON status shows the expected wait and the mean run time of each local target.

--- a/internal/core/admission/cost.go
+++ b/internal/core/admission/cost.go
@@ -127,3 +127,13 @@
 	run, toGoal := l.costs.of(a.Class).Mean(), a.Goal.Sub(now)
 	return a.Brief && s.byCost() && !a.Goal.IsZero() && run < toGoal && !cost.WaitsBriefly(wait, run, toGoal)
 }
+
+// Cost returns the time that a request of priority 0 would wait for a target, and the mean run time there; 0 unless targets are placed
+// by cost.
+func (s State) Cost(now time.Time, id fleet.TargetID) (wait, mean time.Duration) {
+	l, ok := s.targets.Get(id)
+	if !ok || !s.byCost() || l.costs == nil {
+		return 0, 0
+	}
+	return s.expectedWait(now, l, fleet.Attempt{Target: id, Deadline: now.Add(maxAttemptTimeout)}), l.costs.all.Mean()
+}
--- a/internal/core/attempt/cost_view.go
+++ b/internal/core/attempt/cost_view.go
@@ -76,14 +76,20 @@
 	return pool + time.Duration(weight*float64(own-pool))
 }
 
-// expectedQueueWait returns the expected wait of an attempt that may wait on a target; 0 if it may not or the wait is unknown.
-func (s State) expectedQueueWait(now time.Time, attempt fleet.Attempt, c fleet.Candidate, m mode) time.Duration {
-	if m == probing {
-		return 0
-	}
+// expectedCost is the expected wait and run time of an attempt.
+type expectedCost struct {
+	wait, run time.Duration
+}
+
+// expectedCost returns the expected times of an attempt on a target. A probe does not wait.
+func (s State) expectedCost(now time.Time, attempt fleet.Attempt, c fleet.Candidate, m mode) expectedCost {
 	pool := s.pool(attempt.Pool)
-	wait, _ := pool.expectedWait(now, pool.target(c.Target.ID), attempt.Class, c.Target.Slots)
-	return wait
+	v := pool.target(c.Target.ID)
+	expected := expectedCost{run: pool.runTime(now, v, attempt.Class)}
+	if m != probing {
+		expected.wait, _ = pool.expectedWait(now, v, attempt.Class, c.Target.Slots)
+	}
+	return expected
 }
 
 // expectedWait returns the time that a new attempt is expected to wait on a target with the given number of slots, and whether that
--- a/internal/core/attempt/request.go
+++ b/internal/core/attempt/request.go
@@ -79,6 +79,8 @@
 	started       time.Time
 	// queueWait is the expected wait that the target reported when it refused the request as full; 0 if it has not done so.
 	queueWait time.Duration
+	// expected is the time that the ingress expected of the attempt; zero unless targets are placed by cost.
+	expected expectedCost
 	// slowAt is when the attempt is hedged, and lostAt when it is canceled if another one is in flight. Both are zero if the
 	// request is not idempotent.
 	slowAt time.Time
--- a/internal/core/attempt/state.go
+++ b/internal/core/attempt/state.go
@@ -177,14 +177,13 @@
 	s.attempts = s.attempts.incremented(c.Target.ID)
 	s.unreachable = s.unreachable.withAttempt(ctx, c.Node)
 	ownZone := c.AvailabilityZone == s.zone
-	queueWait := req.queueWaitAt(c.Target.ID)
+	active := activeAttempt{mode: chosen.mode, ownZone: ownZone, queueWait: req.queueWaitAt(c.Target.ID)}
 	if s.byCost {
-		queueWait = max(queueWait, s.expectedQueueWait(ctx.Now, attempt, c, chosen.mode))
+		active.expected = s.expectedCost(ctx.Now, attempt, c, chosen.mode)
+		active.queueWait = max(active.queueWait, active.expected.wait)
 		s = s.withPool(attempt.Pool, s.pool(attempt.Pool).withAttempt(c.Target.ID, c.AvailabilityZone))
 	}
-	started := req.withAttempt(ctx.Now, attempt, activeAttempt{
-		mode: chosen.mode, ownZone: ownZone, queueWait: queueWait,
-	})
+	started := req.withAttempt(ctx.Now, attempt, active)
 	return s, started, effect.ForwardAttempt{Attempt: attempt, CrossZone: !ownZone}
 }
 
--- a/internal/core/attempt/steps.go
+++ b/internal/core/attempt/steps.go
@@ -23,6 +23,8 @@
 	verdict fleet.Verdict
 	// queueWait is the expected wait that the target reported.
 	queueWait time.Duration
+	// expected is the time that the ingress expected of the attempt; zero unless targets are placed by cost.
+	expected expectedCost
 }
 
 var modeNames = [...]string{probing: "probing", waiting: "waiting", briefly: "briefly", forced: "forced"}
@@ -33,6 +35,9 @@
 	if s.budgetCharged {
 		text += " borrowed"
 	}
+	if s.expected.run > 0 {
+		text += fmt.Sprintf(" expected %s+%s", rounded(s.expected.wait), rounded(s.expected.run))
+	}
 	if s.cause == "" {
 		return text
 	}
@@ -62,7 +67,7 @@
 	after := a.started.Sub(req.received)
 	req.steps = append(req.steps[:len(req.steps):len(req.steps)], step{
 		target: a.target, mode: a.mode, budgetCharged: a.budgetCharged, startedAfter: after, duration: now.Sub(a.started),
-		cause: problem.Cause, verdict: problem.Verdict, queueWait: wait,
+		cause: problem.Cause, verdict: problem.Verdict, queueWait: wait, expected: a.expected,
 	})
 	return req
 }
@@ -74,6 +79,7 @@
 	for _, a := range req.inFlight {
 		steps = append(steps, step{
 			target: a.target, mode: a.mode, budgetCharged: a.budgetCharged, startedAfter: a.started.Sub(req.received),
+			expected: a.expected,
 		})
 	}
 	line := effect.WriteLog{
--- a/internal/core/effect/observe.go
+++ b/internal/core/effect/observe.go
@@ -66,7 +66,19 @@
 	Duration time.Duration
 }
 
+// RecordPlacement counts an attempt whose target was chosen by expected cost, and records how its duration compares with the expected
+// one.
+type RecordPlacement struct {
+	MetricLabels
+	// Mode is how the target was asked, and Zone is own or other.
+	Mode, Zone string
+	// Expected is the expected duration; 0 if unknown. Actual is 0 if no target has run the attempt.
+	Expected, Actual time.Duration
+}
+
 func (WriteLog) isEffect()      {}
 func (AddToCounter) isEffect()  {}
 func (RecordRequest) isEffect() {}
 func (RecordAttempt) isEffect() {}
+
+func (RecordPlacement) isEffect() {}
--- a/internal/core/effect/status.go
+++ b/internal/core/effect/status.go
@@ -48,6 +48,9 @@
 	Bad      int
 	Score    float64
 	Baseline time.Duration
+	// ExpectedWait is the time that a lookup of priority 0 would wait, and MeanTime the mean run time; both are 0 unless
+	// targets are placed by cost.
+	ExpectedWait, MeanTime time.Duration
 }
 
 // QuarantineStatus is the state of a quarantined fingerprint.
--- a/internal/core/node/metrics.go
+++ b/internal/core/node/metrics.go
@@ -28,6 +28,7 @@
 				MetricLabels: s.metricLabels(info.Pool, info.Class, outcomeLabel(body.Outcome)), Duration: body.Outcome.Duration,
 			})
 		}
+		effects = s.appendPlacement(body, effects)
 	case event.RequestCanceled:
 		if info, ok := s.attempts.RequestInfo(body.Request); ok {
 			effects = append(effects, s.requestMetric(ev, info, outcomeCanceled))
@@ -89,3 +90,23 @@
 	}
 	return unrouted
 }
+
+// appendPlacement adds the record of an attempt whose target was chosen by cost. An attempt that has not run has no actual cost.
+func (s State) appendPlacement(body event.AttemptFinished, effects []effect.Effect) []effect.Effect {
+	placement, ok := s.attempts.PlacementInfo(body.Attempt)
+	if !ok {
+		return effects
+	}
+	info, _ := s.attempts.RequestInfo(body.Attempt.Request())
+	record := effect.RecordPlacement{
+		MetricLabels: s.metricLabels(info.Pool, info.Class, outcomeLabel(body.Outcome)),
+		Mode:         placement.Mode, Zone: "own", Expected: placement.Expected,
+	}
+	if placement.CrossZone {
+		record.Zone = "other"
+	}
+	if body.Outcome.Verdict() == fleet.Ran {
+		record.Actual = body.Outcome.Duration
+	}
+	return append(effects, record)
+}
--- a/internal/core/node/metrics_test.go
+++ b/internal/core/node/metrics_test.go
@@ -86,3 +86,37 @@
 	effects := r.reduce(arrival("r2", designPath(1)))
 	is.True(slices.Contains(recordedMetrics(effects).requests, "NoTarget pool-001 Lookup"))
 }
+
+// TestPlacementIsRecorded guards against a placement by cost whose choices and errors are not measured, and against records of it while
+// targets are placed by count.
+func TestPlacementIsRecorded(t *testing.T) {
+	settings := DefaultSettings()
+	for placement, want := range map[fleet.Placement][]effect.RecordPlacement{
+		fleet.PlacementByCount: nil,
+		fleet.PlacementByCost: {{
+			MetricLabels: effect.MetricLabels{Service: "pool-001", Class: "Lookup", Outcome: "Answered"}, Mode: "probing", Zone: "own",
+			Expected: 4 * time.Millisecond, Actual: 5 * time.Millisecond,
+		}},
+	} {
+		t.Run(string(placement), func(t *testing.T) {
+			r := designFleet()
+			settings.Placement = placement
+			r.reduce(event.SettingsReloaded{Settings: settings})
+			finish := func(id fleet.RequestID) []effect.Effect {
+				a := r.reduce(arrival(id, designPath(1)))[0].(effect.ForwardAttempt).Attempt
+				return r.reduce(event.AttemptFinished{
+					Attempt: a.ID, Outcome: fleet.Outcome{Status: 200, Duration: 5 * time.Millisecond},
+					Report: fleet.Some(fleet.TargetReport{Target: a.Target, Load: fleet.Load{Slots: 4}, MeanTime: 4 * time.Millisecond}),
+				})
+			}
+			finish("r1")
+			var got []effect.RecordPlacement
+			for _, e := range finish("r2") {
+				if record, ok := e.(effect.RecordPlacement); ok {
+					got = append(got, record)
+				}
+			}
+			is.New(t).Equal(got, want)
+		})
+	}
+}
--- a/internal/core/node/reduce_bench_test.go
+++ b/internal/core/node/reduce_bench_test.go
@@ -124,7 +124,7 @@
 	}
 	report := fleet.TargetReport{
 		Target: forward.Attempt.Target, P95: time.Duration(5+i%7) * time.Millisecond, Load: fleet.Load{InFlight: i % 4, Slots: 4},
-		Revision: 1,
+		Revision: 1, MeanTime: time.Duration(3+i%5) * time.Millisecond,
 	}
 	r.reduce(event.AttemptFinished{
 		Attempt: forward.Attempt.ID, Outcome: fleet.Outcome{Status: 200}, Report: fleet.Some(report),
@@ -144,9 +144,18 @@
 
 // BenchmarkReduce measures the duration of a step at the design size, which should not exceed 10 us. The interval between
 // requests is that of a node's share of 60,000 requests per second, which is 111 requests per second.
-func BenchmarkReduce(b *testing.B) {
+func BenchmarkReduce(b *testing.B) { benchmarkReduce(b, fleet.PlacementByCount) }
+
+// BenchmarkReduceByCost measures the same steps with placement by cost.
+func BenchmarkReduceByCost(b *testing.B) { benchmarkReduce(b, fleet.PlacementByCost) }
+
+func benchmarkReduce(b *testing.B, placement fleet.Placement) {
+	b.Helper()
 	const interval = 9 * time.Millisecond
 	warm, texts := designFleet(), newRequestTexts()
+	settings := DefaultSettings()
+	settings.Placement = placement
+	warm.reduce(event.SettingsReloaded{Settings: settings})
 	for i := range 20_000 {
 		warm.now = warm.now.Add(interval)
 		warm.request(texts.id(i), texts.path(i), i, true)
--- a/internal/core/node/status.go
+++ b/internal/core/node/status.go
@@ -60,6 +60,7 @@
 	for _, t := range targets {
 		t.Ejected = s.ejection.Ejected(now, t.ID)
 		evidence := s.detection.Evidence(t.ID)
+		wait, mean := s.admission.Cost(now, t.ID)
 		statuses = append(statuses, effect.TargetStatus{
 			Target:   t,
 			Load:     s.admission.Load(t.ID),
@@ -67,6 +68,8 @@
 			Bad:      evidence.BadSamples,
 			Score:    evidence.Score,
 			Baseline: evidence.Baseline,
+
+			ExpectedWait: wait, MeanTime: mean,
 		})
 	}
 	return statuses
--- a/internal/edge/operator/metric.go
+++ b/internal/edge/operator/metric.go
@@ -32,6 +32,9 @@
 // buckets are the upper bounds of the histograms, from 0.5 ms to 16 s.
 var buckets = tally.MustMakeExponentialDurationBuckets(500*time.Microsecond, 2, 16)
 
+// costBuckets are the upper bounds of the ratio of the actual to the expected duration of an attempt, from 1/8 to 16.
+var costBuckets = tally.MustMakeExponentialValueBuckets(0.125, 2, 8)
+
 // Exporter exports the metrics to a monitoring system. The zero value exports nothing.
 type Exporter struct {
 	Reporter tally.CachedStatsReporter
@@ -87,6 +90,17 @@
 	m.recordDuration("attempt_duration", e.MetricLabels, e.Duration)
 }
 
+// recordPlacement counts an attempt by how its target was chosen, and records the ratio of its actual to its expected duration.
+func (m *metrics) recordPlacement(e effect.RecordPlacement) {
+	m.addToCounter(effect.AddToCounter{Name: "placements", Delta: 1, Labels: []effect.Label{
+		{Name: "mode", Value: e.Mode}, {Name: "zone", Value: e.Zone}, {Name: "outcome", Value: e.Outcome},
+	}})
+	if e.Expected > 0 && e.Actual > 0 {
+		labels := []effect.Label{{Name: "service", Value: e.Service}, {Name: "class", Value: e.Class}}
+		m.labeled(labels).Histogram("cost_ratio", costBuckets).RecordValue(e.Actual.Seconds() / e.Expected.Seconds())
+	}
+}
+
 func (m *metrics) countOutcome(name string, e effect.MetricLabels) {
 	m.addToCounter(effect.AddToCounter{Name: name, Delta: 1, Labels: []effect.Label{
 		{Name: "outcome", Value: e.Outcome}, {Name: "service", Value: e.Service}, {Name: "class", Value: e.Class},
--- a/internal/edge/operator/operator.go
+++ b/internal/edge/operator/operator.go
@@ -122,5 +122,7 @@
 		o.metrics.recordRequest(e)
 	case effect.RecordAttempt:
 		o.metrics.recordAttempt(e)
+	case effect.RecordPlacement:
+		o.metrics.recordPlacement(e)
 	}
 }
--- a/internal/edge/operator/operator_test.go
+++ b/internal/edge/operator/operator_test.go
@@ -77,6 +77,16 @@
 	assertContains(t, printStatus(t, address, true), `"Bad": 21`, `"NewestRevision": 8`, `"Status": "Alive"`)
 }
 
+// TestStatusShowsCosts guards against a status without the estimates by which targets are placed by cost.
+func TestStatusShowsCosts(t *testing.T) {
+	s := sampleStatus()
+	_, _, address := newTestOperator(t, s)
+	is.New(t).True(!strings.Contains(printStatus(t, address, true), "MeanTime"))
+	s.Targets[0].ExpectedWait, s.Targets[0].MeanTime = 30*time.Millisecond, 120*time.Millisecond
+	_, _, address = newTestOperator(t, s)
+	assertContains(t, printStatus(t, address, true), `"ExpectedWait": "30ms"`, `"MeanTime": "120ms"`)
+}
+
 // TestStatusFitsOnOneScreen guards against a status text that does not fit on one screen, here with 540 leaving nodes.
 func TestStatusFitsOnOneScreen(t *testing.T) {
 	s := sampleStatus()
--- a/internal/edge/operator/status.go
+++ b/internal/edge/operator/status.go
@@ -44,6 +44,14 @@
 	Queued   int
 	Slots    int
 	Evidence evidence
+	// Cost is absent unless targets are placed by cost.
+	Cost *targetCost `json:",omitempty"`
+}
+
+// targetCost holds the expected wait of a new lookup and the mean run time of all requests on a target.
+type targetCost struct {
+	ExpectedWait string
+	MeanTime     string
 }
 
 type evidence struct {
@@ -104,6 +112,10 @@
 }
 
 func newTarget(t effect.TargetStatus) target {
+	var cost *targetCost
+	if t.MeanTime > 0 {
+		cost = &targetCost{ExpectedWait: t.ExpectedWait.String(), MeanTime: t.MeanTime.String()}
+	}
 	return target{
 		Target:   string(t.Target.ID),
 		Pool:     string(t.Target.Pool),
@@ -113,6 +125,7 @@
 		Queued:   t.Load.Queued,
 		Slots:    t.Load.Slots,
 		Evidence: evidence{Judged: t.Judged, Bad: t.Bad, Score: t.Score, Baseline: t.Baseline.String()},
+		Cost:     cost,
 	}
 }
 
--- a/internal/process/node/dispatch.go
+++ b/internal/process/node/dispatch.go
@@ -55,7 +55,7 @@
 		d.operator.ReplyStatus(e)
 	case effect.AcknowledgeTarget:
 		d.targets.AcknowledgeTarget(e)
-	case effect.WriteLog, effect.AddToCounter, effect.RecordRequest, effect.RecordAttempt:
+	case effect.WriteLog, effect.AddToCounter, effect.RecordRequest, effect.RecordAttempt, effect.RecordPlacement:
 		d.operator.Observe(e)
 	default:
 		d.dispatchTraffic(e)
