--- a/internal/core/attempt/cost_picker.go
+++ b/internal/core/attempt/cost_picker.go
@@ -19,6 +19,9 @@
 	// maxBriefAttempts bounds the attempts of one request to wait briefly. If the best two queues of the zone are too long, so are
 	// the others.
 	maxBriefAttempts = 2
+	// similarWait is the factor by which the expected wait in another zone must be shorter than in the own zone while both meet the
+	// goal. In an overload of the whole pool, the waits are out of date and all zones send requests to each other.
+	similarWait = 8
 	// freeWait is the expected wait below which a target is asked for a free slot.
 	freeWait = time.Millisecond
 )
@@ -211,14 +214,14 @@
 	return e.index, waiting
 }
 
-// waitIsSimilar reports whether a queue of the own zone meets the goal with a wait that is not much longer than that on a target of
-// another zone, as in an overload of the whole pool.
+// waitIsSimilar reports whether a queue of the own zone meets the goal and a target of another zone is not expected to have a much
+// shorter wait, as in an overload of the whole pool.
 func (p *picker) waitIsSimilar(elsewhere estimate) bool {
 	own := p.bestQueue(probing, briefly)
 	if own.index < 0 || p.ctx.Now.Add(own.total).After(p.request.template.Goal) {
 		return false
 	}
-	return elsewhere.wait > own.wait/2
+	return elsewhere.wait > own.wait/similarWait
 }
 
 // crossZoneHedgeByCost returns a target of another zone for a hedged attempt, if one may have a free slot.
--- a/internal/lab/experiment/placement.go
+++ b/internal/lab/experiment/placement.go
@@ -24,12 +24,12 @@
 		return replay.Mean(patterns[i/len(policies)], policies[i%len(policies)], seeds)
 	})
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "load\tpolicy\tnet payoff\tmean\tp99\tp99 wait\tin goal\tlate\trefused\tfailed\tcrossings\tretries\t")
+	fmt.Fprintln(table, "load\tpolicy\tnet payoff\tmean\tp99\tp99 wait\tin goal\tlate\trefused\tfailed\tcrossings\tthereof refused\tretries\t")
 	for i, r := range results {
-		fmt.Fprintf(table, "%s\t%s\t%.3f\t%v\t%v\t%v\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t\n",
+		fmt.Fprintf(table, "%s\t%s\t%.3f\t%v\t%v\t%v\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t\n",
 			patterns[i/len(policies)].Name, policies[i%len(policies)].Name, r.NetPayoff, r.MeanLatency.Round(time.Millisecond),
 			r.P99.Round(time.Millisecond), r.P99Wait.Round(time.Millisecond), r.WithinGoal, r.Late, r.Refused, r.Failed,
-			r.Crossings, r.Retries)
+			r.Crossings, r.CrossingsRefused, r.Retries)
 	}
 	return table.Flush()
 }
--- a/internal/lab/replay/baseline.go
+++ b/internal/lab/replay/baseline.go
@@ -83,7 +83,7 @@
 		isRetry := br.mayHaveRun || br.request.parent != nil && br.request.parent.isRetry
 		br.mayHaveRun = true
 		if q.target.zone != br.request.zone {
-			b.site.crossed(br.request)
+			b.site.crossed()
 		}
 		q.target.startRun(br.request, isRetry, func(result runResult) {
 			b.runFinished(br, q, result)
--- a/internal/lab/replay/nodes.go
+++ b/internal/lab/replay/nodes.go
@@ -181,13 +181,16 @@
 		a := &attempt{ingress: n, sidecar: f.byID[e.Attempt.Node]}
 		f.attempts[e.Attempt.ID] = a
 		if e.CrossZone {
-			f.site.crossed(f.requests[e.Attempt.ID.Request()])
+			f.site.crossed()
 		}
 		f.postAfterLatency(n, a.sidecar, event.AdmissionRequested{Attempt: e.Attempt})
 	case effect.CancelAttempt:
 		f.postAfterLatency(n, f.attempts[e.Attempt].sidecar, event.AdmissionCanceled{Attempt: e.Attempt})
 	case effect.RefuseAttempt:
 		a := f.attempts[e.Attempt]
+		if a.ingress.target.zone != a.sidecar.target.zone {
+			f.site.crossingRefused()
+		}
 		a.outcome = fleet.Outcome{Problem: fleet.Some(e.Problem)}
 		f.finishAttempt(a, e.Attempt, e.Report)
 	case effect.StartRun:
--- a/internal/lab/replay/replay.go
+++ b/internal/lab/replay/replay.go
@@ -67,7 +67,8 @@
 	// MeanLatency and P99 describe the time to a successful response, P99Wait the part of it beyond the run without waits.
 	MeanLatency, P99, P99Wait time.Duration
 	// Crossings is the number of attempts sent to another availability zone per request of a client.
-	Crossings float64
+	// CrossingsRefused is the number of those that were refused.
+	Crossings, CrossingsRefused float64
 }
 
 // noise is the difference in net payoff that occurs by chance: two runs of 30 s of the same load differ by that much.
@@ -102,6 +103,7 @@
 	r.P99 += time.Duration(weight * float64(o.P99))
 	r.P99Wait += time.Duration(weight * float64(o.P99Wait))
 	r.Crossings += weight * o.Crossings
+	r.CrossingsRefused += weight * o.CrossingsRefused
 	return r
 }
 
@@ -246,12 +248,19 @@
 }
 
 // crossed counts an attempt that is sent to another availability zone.
-func (s *site) crossed(*request) {
+func (s *site) crossed() {
 	if at := s.elapsed(); at >= 0 && at < loadDuration {
 		s.stats.crossings++
 	}
 }
 
+// crossingRefused counts an attempt that a target in another availability zone refused.
+func (s *site) crossingRefused() {
+	if at := s.elapsed(); at >= 0 && at < loadDuration {
+		s.stats.crossingsRefused++
+	}
+}
+
 func exponential(r *rand.Rand, perSecond float64) time.Duration {
 	return time.Duration(r.ExpFloat64() / perSecond * float64(time.Second))
 }
--- a/internal/lab/replay/stats.go
+++ b/internal/lab/replay/stats.go
@@ -16,8 +16,8 @@
 	// aborted.
 	waitCost      float64
 	runs, retries int
-	// crossings counts the attempts sent to another availability zone.
-	crossings int
+	// crossings counts the attempts sent to another availability zone, crossingsRefused those that were refused.
+	crossings, crossingsRefused int
 	// latencies holds the times to successful responses, waits the parts of them beyond the run without waits.
 	latencies, waits []time.Duration
 }
@@ -92,6 +92,8 @@
 		P99:           p99(s.latencies),
 		P99Wait:       p99(s.waits),
 		Crossings:     share(s.crossings, s.ended),
+
+		CrossingsRefused: share(s.crossingsRefused, s.ended),
 	}
 }
 
