--- a/internal/core/admission/cost.go
+++ b/internal/core/admission/cost.go
@@ -132,3 +132,20 @@
 	}
 	return l.costs.of(class).Mean()
 }
+
+// waitsTooLong reports whether an attempt that may wait only briefly would wait longer. An attempt that cannot meet its goal anyway
+// may wait.
+func (s State) waitsTooLong(now time.Time, l localTarget, a fleet.Attempt, wait time.Duration) bool {
+	run, toGoal := l.costs.of(a.Class).Mean(), a.Goal.Sub(now)
+	return a.Brief && s.byCost() && !a.Goal.IsZero() && run < toGoal && !cost.WaitsBriefly(wait, run, toGoal)
+}
+
+// Cost returns the time that a request of priority 0 would wait for a target, and the mean run time there; 0 unless targets are placed
+// by cost.
+func (s State) Cost(now time.Time, id fleet.TargetID) (wait, mean time.Duration) {
+	l, ok := s.targets.Get(id)
+	if !ok || !s.byCost() || l.costs == nil {
+		return 0, 0
+	}
+	return s.expectedWait(now, l, fleet.Attempt{Target: id, Deadline: now.Add(maxAttemptTimeout)}), l.costs.all.Mean()
+}
--- a/internal/core/admission/state.go
+++ b/internal/core/admission/state.go
@@ -197,7 +197,7 @@
 		return s, s.refuse(ctx.Now, attempt, fleet.Overloaded)
 	}
 	wait, reserved := s.waitByShare(ctx.Now, l, attempt)
-	if l.tooLate(ctx.Now, attempt, wait) {
+	if l.tooLate(ctx.Now, attempt, wait) || s.waitsTooLong(ctx.Now, l, attempt, wait) {
 		return s, s.refuse(ctx.Now, attempt, fleet.Overloaded)
 	}
 	s, l, effects, ok := s.makeRoom(ctx, l, attempt, reserved)
--- a/internal/core/attempt/picker.go
+++ b/internal/core/attempt/picker.go
@@ -45,6 +45,9 @@
 	random  randomSequence
 	// lastResort is true if the own zone has no target for the request, so that it crosses zones or is refused.
 	lastResort bool
+	// ownChoice is the choice among the targets of the own zone by cost, if ownZoneChosen is true.
+	ownChoice     costChoice
+	ownZoneChosen bool
 }
 
 // pickTarget returns the placement of a request's next attempt, and false if no target may take it.
--- a/internal/core/attempt/request.go
+++ b/internal/core/attempt/request.go
@@ -37,8 +37,6 @@
 	keysChecked bool
 	// maxTargets bounds the targets that may run the request.
 	maxTargets int
-	// crossings is the number of attempts sent to other availability zones.
-	crossings int
 	// attemptCount is the number of attempts started so far.
 	attemptCount int
 	inFlight     []activeAttempt
@@ -84,6 +82,8 @@
 	started       time.Time
 	// queueWait is the expected wait that the target reported when it refused the request as full; 0 if it has not done so.
 	queueWait time.Duration
+	// expected is the time that the ingress expected of the attempt; zero unless targets are placed by cost.
+	expected expectedCost
 	// slowAt is when the attempt is hedged, and lostAt when it is canceled if another one is in flight. Both are zero if the
 	// request is not idempotent.
 	slowAt time.Time
@@ -101,9 +101,6 @@
 		a.slowAt, a.lostAt = now.Add(a.queueWait+timeouts.slow), now.Add(a.queueWait+timeouts.lost)
 	}
 	req.inFlight = append(slices.Clone(req.inFlight), a)
-	if !a.ownZone {
-		req.crossings++
-	}
 	req.tried = append(slices.Clone(req.tried), attempt.Target)
 	return req.withNextTimer(now)
 }
--- a/internal/lab/replay/stats.go
+++ b/internal/lab/replay/stats.go
@@ -16,8 +16,8 @@
 	// aborted.
 	waitCost      float64
 	runs, retries int
-	// crossings counts the attempts sent to another availability zone.
-	crossings int
+	// crossings counts the attempts sent to another availability zone, crossingsRefused those that were refused.
+	crossings, crossingsRefused int
 	// latencies holds the times to successful responses, waits the parts of them beyond the run without waits.
 	latencies, waits []time.Duration
 }
@@ -47,7 +47,7 @@
 	}
 	s.succeededByClass[r.class]++
 	latency := now.Sub(r.arrived)
-	s.latencies, s.waits = append(s.latencies, latency), append(s.waits, latency-r.lastWork)
+	s.latencies, s.waits = append(s.latencies, latency), append(s.waits, latency-r.work)
 	if result.zone != r.zone {
 		s.crossZone++
 	}
@@ -92,6 +92,8 @@
 		P99:           p99(s.latencies),
 		P99Wait:       p99(s.waits),
 		Crossings:     share(s.crossings, s.ended),
+
+		CrossingsRefused: share(s.crossingsRefused, s.ended),
 	}
 }
 
