core/node: the rate limits are behind a pointer of the node's state

Cause: a step copies the state several times, and the rate limits rarely change where they are not used.

Change: the state holds a pointer, as for the tables and the members.

--- a/internal/core/node/ingress.go
+++ b/internal/core/node/ingress.go
@@ -88,7 +88,9 @@
 }
 
 func (s State) requestCanceled(ev event.Event, body event.RequestCanceled) (State, []effect.Effect) {
-	s.usage = s.usage.RequestCanceled(body.Request)
+	if s.usage.Waiting() > 0 {
+		s.usage = new(s.usage.RequestCanceled(body.Request))
+	}
 	next, effects := s.attempts.RequestCanceled(ev.At, body.Request)
 	s.attempts = next
 	return s, effects
--- a/internal/core/node/state.go
+++ b/internal/core/node/state.go
@@ -39,7 +39,7 @@
 	membership  *membership.State
 	orders      orders.State
 	quarantine  quarantine.State
-	usage       usage.State
+	usage       *usage.State
 	tables      *tables.State
 	epoch       epoch.State
 	firstTables firstTables
@@ -58,7 +58,7 @@
 		membership: new(membership.New(self)),
 		orders:     orders.New(self.Node),
 		quarantine: quarantine.New(),
-		usage:      usage.New(self.Node, self.AvailabilityZone),
+		usage:      new(usage.New(self.Node, self.AvailabilityZone)),
 		tables:     new(tables.New()),
 		epoch:      epoch.New(),
 		shutdown:   shutdown{grace: settings.StopGrace},
--- a/internal/core/node/usage.go
+++ b/internal/core/node/usage.go
@@ -31,7 +31,7 @@
 
 // withUsage returns the state after a step of the usage component: requests that have a token start, others are refused.
 func (s State) withUsage(ev event.Event, next usage.State, result usage.Result) (State, []effect.Effect) {
-	s.usage = next
+	s.usage = &next
 	effects := result.Effects
 	for _, admitted := range result.Admitted {
 		var started []effect.Effect
