core/node: the simulation ends a report wait only for the handler that began it

Cause: of 1,500 checks of TestRequestsKeepTheirGuarantees one failed: "r746 received no response, or the response to another request". The request has no account. Its attempt had run; a late copy of the attempt had got a new handler in the simulated edge when the report wait of the first one ended, and that timer sent the new handler's empty outcome to the ingress. In edge/peer each handler waits for its own report.

Change: the timer applies to its own handler only. Nothing that the test requires is changed.

--- a/internal/core/node/traffic_test.go
+++ b/internal/core/node/traffic_test.go
@@ -179,7 +179,12 @@
 		return
 	}
 	hd.running, hd.outcome = false, outcome
-	sim.after(reportWait, func() { sim.finishHandler(h, id, incarnation, fleet.Option[fleet.TargetReport]{}) })
+	sim.after(reportWait, func() {
+		// A late copy of the attempt may have a handler of its own by then.
+		if h.handlers[id] == hd {
+			sim.finishHandler(h, id, incarnation, fleet.Option[fleet.TargetReport]{})
+		}
+	})
 	sim.post(h, incarnation, event.RunFinished{Attempt: id, Outcome: outcome})
 }
 
