attempt: ask other zones while targets of the own zone fail

Cause: in small pools whose targets fail now and then, requests waited in the own zone on targets that failed next, or were refused since the waits reported by other zones were out of date.

Change: while targets of the own zone fail, the limits for attempts in other zones do not apply.

--- a/internal/core/attempt/cost_picker.go
+++ b/internal/core/attempt/cost_picker.go
@@ -33,6 +33,7 @@
 //     time to the latency goal. Callers gain nothing from an earlier response, while each attempt in another zone costs the bytes of the request.
 //   - Otherwise it goes to the target of another zone that is expected to meet the goal, and may wait there. Zones that have
 //     reported longer waits are not asked.
+//   - While targets of the own zone fail, waits change too fast for these limits, and other zones are asked regardless of them.
 //   - If no target can meet the goal, it waits in the own zone until the deadline if that zone may accept it, and is refused
 //     otherwise.
 func (p *picker) costSteps() []func() (int, mode) {
@@ -73,6 +74,8 @@
 // those that are known to be full.
 type costChoice struct {
 	free, full estimate
+	// suspect is true if one of them has recently failed.
+	suspect bool
 }
 
 func (c *costChoice) consider(e estimate, known bool) {
@@ -99,7 +102,9 @@
 		if len(among) > costDraws {
 			i = int(among[p.random.next()%uint64(len(among))])
 		}
-		if p.eligible(i, p.targetView(i)) {
+		v := p.targetView(i)
+		c.suspect = c.suspect || p.avoids(v)
+		if p.eligible(i, v) {
 			total, wait, known := p.expectedTime(i)
 			c.consider(estimate{index: i, total: total, wait: wait}, known || assumeKnown)
 		}
@@ -208,7 +213,8 @@
 	if e.wait < freeWait {
 		latest = p.request.template.Deadline
 	}
-	if p.ctx.Now.Add(e.total).After(latest) || p.waitIsSimilar(e) {
+	isLate := p.ctx.Now.Add(e.total).After(latest)
+	if !p.ownZoneChoice().suspect && (isLate || p.waitIsSimilar(e)) {
 		return -1, waiting
 	}
 	return e.index, waiting
@@ -233,7 +239,7 @@
 }
 
 func (p *picker) fastestElsewhere() estimate {
-	if p.request.fullElsewhere() >= maxCrossings {
+	if p.request.fullElsewhere() >= maxCrossings && !p.ownZoneChoice().suspect {
 		return estimate{index: -1}
 	}
 	c := p.chooseElsewhere()
