--- a/internal/core/node/usage.go
+++ b/internal/core/node/usage.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"time"
 
 	"jayfold.dev/jayfold/internal/core/effect"
@@ -52,7 +53,8 @@
 	if request.Timeout > 0 {
 		left = min(left, request.Timeout)
 	}
-	next, result := s.usage.RequestArrived(s.usageContext(ev), request, left)
+	goal := min(cmp.Or(accepted.route.Goal, left), left)
+	next, result := s.usage.RequestArrived(s.usageContext(ev), request, usage.WaitLimit(goal, left))
 	return s.withUsage(ev, next, result)
 }
 
--- a/internal/core/usage/state.go
+++ b/internal/core/usage/state.go
@@ -3,7 +3,7 @@
 // # Usage
 //
 //	state := usage.New(self, zone)
-//	state, result := state.RequestArrived(ctx, request, left)
+//	state, result := state.RequestArrived(ctx, request, usage.WaitLimit(goal, deadline))
 //	state, result = state.MessageReceived(ctx, envelope)
 //	state, result = state.Tick(ctx)
 //
@@ -34,8 +34,11 @@
 	// tokenLifetime is how long after it was requested a token may be used. Tokens that were granted before a window of 5 s and
 	// are used in it add 0.4 times the rate to it, which the tolerance of the limits allows.
 	tokenLifetime = 400 * time.Millisecond
-	// waitLimit is the time after which a request that waits for a token is refused.
+	// waitLimit is the shortest time after which a request that waits for a token is refused, unless its deadline ends before, and
+	// goalShare the part of its latency goal for which it may wait at least. While links lose packets a reply takes several times the
+	// round trip, and a request with a goal of seconds is still of use then.
 	waitLimit = 400 * time.Millisecond
+	goalShare = 4
 	// relayLimit is the time after which an allocator that waits for tokens tells so to the node that asked. It is shorter than
 	// replyTimeout, so that the node does not take the allocator for dead.
 	relayLimit = 80 * time.Millisecond
@@ -177,9 +180,13 @@
 	return account{}
 }
 
-// RequestArrived admits a request of a rate-limited account, refuses it or lets it wait for a token, but not for longer than the time
-// that is left to its deadline.
-func (s State) RequestArrived(ctx Context, request fleet.Request, left time.Duration) (State, Result) {
+// WaitLimit returns the time for which a request may wait for a token, by the times that are left to its latency goal and its deadline.
+func WaitLimit(goal, deadline time.Duration) time.Duration {
+	return min(deadline, max(waitLimit, goal/goalShare))
+}
+
+// RequestArrived admits a request of a rate-limited account, refuses it or lets it wait for a token until the limit.
+func (s State) RequestArrived(ctx Context, request fleet.Request, limit time.Duration) (State, Result) {
 	w := Waiting{Request: request, Arrived: ctx.Now}
 	if _, limited := ctx.limit(request.Account); !limited {
 		return s, Result{Admitted: []Waiting{w}}
@@ -188,7 +195,7 @@
 	before := s.waiting.Len()
 	a := s.account(request.Account).withDemand(ctx.Now, 1)
 	s.waiting = s.waiting.With(request.ID, request.Account)
-	s, result := s.serve(ctx, request.Account, a.withWaiter(waiter{local: &w, tokens: 1, until: ctx.Now.Add(min(waitLimit, left))}))
+	s, result := s.serve(ctx, request.Account, a.withWaiter(waiter{local: &w, tokens: 1, until: ctx.Now.Add(limit)}))
 	if s.waiting.Len() > before {
 		s.counts.waited++
 	}
