--- a/internal/core/cost/distribution.go
+++ b/internal/core/cost/distribution.go
@@ -20,8 +20,8 @@
 const (
 	// meanWeight is the weight of a new run in the mean, so that it follows a target that warms up within a few runs.
 	meanWeight = 1.0 / 16
-	// shapeWeight is the weight of a new run in the shape. 3 in 100 runs take seven times the mean; the shape covers several of
-	// them.
+	// shapeWeight is the weight of a new run in the shape. The few runs in 100 that take several times the mean must not leave it
+	// before the next one.
 	shapeWeight = 1.0 / 256
 	// buckets is the number of buckets of the shape. bucketsPerOctave of them cover a factor of 2, from firstRatio on.
 	buckets          = 16
@@ -41,21 +41,19 @@
 	shape [buckets]float32
 }
 
-// defaultShape is the shape before the first run: log-normal with a standard deviation of the logarithm of 0.6, with 3 in 100 runs
-// that take seven times the mean.
+// defaultShape is the shape before the first run: log-normal with a standard deviation of the logarithm of 1, which is common for run
+// times of servers and has a heavy tail.
 var defaultShape = func() (shape [buckets]float32) {
-	const sigma, heavyShare, heavyRatio = 0.6, 0.03, 7
-	light := math.Log((1-heavyShare*heavyRatio)/(1-heavyShare)) - sigma*sigma/2
+	const sigma = 1.0
 	total := float32(0)
 	for i := range shape {
-		z := (math.Log(ratioOf(i)) - light) / sigma
+		z := (math.Log(ratioOf(i)) + sigma*sigma/2) / sigma
 		shape[i] = float32(math.Exp(-z * z / 2))
 		total += shape[i]
 	}
 	for i := range shape {
-		shape[i] *= (1 - heavyShare) / total
+		shape[i] /= total
 	}
-	shape[bucketOf(heavyRatio)] += heavyShare
 	return shape
 }()
 
