--- a/review/_standin2/case_evicted.go
+++ b/review/_standin2/case_evicted.go
@@ -19,11 +19,11 @@
 	orderWork    = 1500 * time.Millisecond
 	orderBudget  = 4 * time.Second
 	orderPhase   = 25 * time.Second
-	// headClients send one request each headPeriod, on a new connection, whose head has headLines short lines: about 20 KB, which is over
-	// MaxHeaderBytes (16,384), so that the right answer is 431. Without trouble the head has calmLines.
-	headClients = 60
+	// headClients send one request each headPeriod, on a new connection, to a route that never existed. Its head has headLines short lines,
+	// 5 KB in all, a third of MaxHeaderBytes. The right answer is 404. Without trouble the head has calmLines.
+	headClients = 200
 	headPeriod  = 200 * time.Millisecond
-	headLines   = 4000
+	headLines   = 1000
 	calmLines   = 20
 	// lostLimit is the number of lost requests from which the rule is broken: "more than three times".
 	lostLimit = 3
@@ -117,7 +117,7 @@
 	return held
 }
 
-// sendHead sends one request with a head of many lines on a new connection and reports whether the answer is a refusal of the head.
+// sendHead sends one request with a head of many lines on a new connection and reports whether the answer is a 404 or another 4xx.
 func sendHead(m *machine, lines int) bool {
 	conn, err := net.DialTimeout("tcp", m.outbound, time.Second)
 	if err != nil {
@@ -126,7 +126,7 @@
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(2 * time.Second))
 	go func() {
-		_, _ = fmt.Fprintf(conn, "GET /browse/x HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: %s\r\nDeadline-Ms: 2000\r\n%s\r\n", newID(), strings.Repeat("a:1\r\n", lines))
+		_, _ = fmt.Fprintf(conn, "GET /nowhere/x HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: %s\r\nDeadline-Ms: 2000\r\n%s\r\n", newID(), strings.Repeat("a:1\r\n", lines))
 	}()
 	var status [12]byte
 	_, err = io.ReadFull(conn, status[:])
