--- a/review/_standin2/client.go
+++ b/review/_standin2/client.go
@@ -39,6 +39,8 @@
 // client keeps one connection to the Outbound address of a machine.
 type client struct {
 	address string
+	// headers are further header lines of each attempt.
+	headers string
 	conn    net.Conn
 	reader  *bufio.Reader
 }
@@ -52,7 +54,12 @@
 
 // send sends one attempt with the given request target, byte for byte, and waits for the answer until the time budget is over.
 func (c *client) send(method, target, host, body string, deadline time.Duration) (a answer) {
-	a.sent, a.id = time.Now(), newID()
+	return c.sendID(method, target, host, body, deadline, newID())
+}
+
+// sendID is send with an id of the caller's choice.
+func (c *client) sendID(method, target, host, body string, deadline time.Duration, id string) (a answer) {
+	a.sent, a.id = time.Now(), id
 	defer func() {
 		a.took = time.Since(a.sent)
 		if a.err != nil {
@@ -72,7 +79,7 @@
 	if body != "" || method == http.MethodPost {
 		fmt.Fprintf(&head, "Content-Length: %d\r\n", len(body))
 	}
-	head.WriteString("\r\n" + body)
+	head.WriteString(c.headers + "\r\n" + body)
 	if _, a.err = io.WriteString(c.conn, head.String()); a.err != nil {
 		return a
 	}
