--- a/review/_standin2/case_evicted.go
+++ b/review/_standin2/case_evicted.go
@@ -20,10 +20,10 @@
 	orderBudget  = 4 * time.Second
 	orderPhase   = 25 * time.Second
 	// headClients send one request each headPeriod, on a new connection, to a route that never existed. Its head has headLines short lines,
-	// 5 KB in all, a third of MaxHeaderBytes. The right answer is 404. Without trouble the head has calmLines.
-	headClients = 200
+	// 7.5 KB in all, less than half of MaxHeaderBytes. The right answer is 404. Without trouble the head has calmLines.
+	headClients = 300
 	headPeriod  = 200 * time.Millisecond
-	headLines   = 1000
+	headLines   = 1500
 	calmLines   = 20
 	// lostLimit is the number of lost requests from which the rule is broken: "more than three times".
 	lostLimit = 3
