--- a/review/_standin2/client.go
+++ b/review/_standin2/client.go
@@ -14,6 +14,8 @@
 
 // answer is what a client got for one attempt.
 type answer struct {
+	// kept is true if the connection had carried an answer before.
+	kept      bool
 	sent      time.Time
 	took      time.Duration
 	id        string
@@ -59,7 +61,7 @@
 
 // sendID is send with an id of the caller's choice.
 func (c *client) sendID(method, target, host, body string, deadline time.Duration, id string) (a answer) {
-	a.sent, a.id = time.Now(), id
+	a.sent, a.id, a.kept = time.Now(), id, c.conn != nil
 	defer func() {
 		a.took = time.Since(a.sent)
 		if a.err != nil {
