--- a/review/_standin2/case_evicted.go
+++ b/review/_standin2/case_evicted.go
@@ -126,7 +126,7 @@
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(2 * time.Second))
 	go func() {
-		_, _ = fmt.Fprintf(conn, "GET /nowhere/x HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: %s\r\nDeadline-Ms: 2000\r\n%s\r\n", newID(), strings.Repeat("a:1\r\n", lines))
+		_, _ = fmt.Fprintf(conn, "GET /nowhere/x HTTP/1.1\r\nHost: shop.example\r\n%s%s%s\r\n", line("id", newID()), line("budget", "2000"), strings.Repeat("a:1\r\n", lines))
 	}()
 	var status [12]byte
 	_, err = io.ReadFull(conn, status[:])
--- a/review/_standin2/case_keyless.go
+++ b/review/_standin2/case_keyless.go
@@ -10,7 +10,7 @@
 func keyless(s *site) int {
 	s.startStore(0)
 	c := config(7, []string{"nakazilo"}, route{"r1", "shop.example", "/transfer/", "non_idempotent", "nakazilo", 4000, 2000, 1, 2})
-	c["Tenants"] = []map[string]any{{"Name": "acme", "ApiKeys": []string{tenantKey}, "Priority": 1}}
+	c[names["accounts"]] = []map[string]any{{"Name": "acme", names["keys"]: []string{tenantKey}, "Priority": 1}}
 	s.store.put("config", "main", c)
 	for _, name := range []string{"sidecar-1", "sidecar-2"} {
 		s.add(name, "si-central-a", "nakazilo", 4, 20*time.Millisecond)
--- a/review/_standin2/case_memory.go
+++ b/review/_standin2/case_memory.go
@@ -144,7 +144,7 @@
 		_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
 		var out strings.Builder
 		for range batch {
-			fmt.Fprintf(&out, "GET /browse/x HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: %s%s%s%s\r\nDeadline-Ms: 4000\r\n\r\n", newID(), newID(), newID(), newID())
+			fmt.Fprintf(&out, "GET /browse/x HTTP/1.1\r\nHost: shop.example\r\n%s%s\r\n", line("id", newID()+newID()+newID()+newID()), line("budget", "4000"))
 		}
 		if _, err := io.WriteString(conn, out.String()); err != nil {
 			return
--- a/review/_standin2/client.go
+++ b/review/_standin2/client.go
@@ -75,7 +75,7 @@
 	}
 	_ = c.conn.SetDeadline(a.sent.Add(deadline))
 	var head strings.Builder
-	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\n", method, target, host, a.id, deadline.Milliseconds())
+	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\n%s%s", method, target, host, line("id", a.id), line("budget", fmt.Sprint(deadline.Milliseconds())))
 	if body != "" || method == http.MethodPost {
 		fmt.Fprintf(&head, "Content-Length: %d\r\n", len(body))
 	}
@@ -93,7 +93,7 @@
 		a.err = err
 		return a
 	}
-	a.status, a.signature, a.body = res.StatusCode, res.Header.Get("Response-Signature"), string(text)
+	a.status, a.signature, a.body = res.StatusCode, res.Header.Get(names["proof"]), string(text)
 	if res.Close {
 		c.close()
 	}
