tables: every node watches the platform's own data

Cause: three nodes of each zone watched the platform itself, all others a copy that may be seconds old. With the three lost, a node learned of a change only when the copy showed it, until the suspicion of the lost nodes and its own watch had ended.

Change: each node watches the platform's own data, and nothing reads a copy. Nodes still notify four peers of their zone. The wait of a watch follows from the live nodes of the fleet and of the zone, so that a node that is left alone notices a lost answer or a restored platform within 3 s. Content that is being decoded from the platform isn't requested from a peer as well.

--- a/internal/core/effect/platform.go
+++ b/internal/core/effect/platform.go
@@ -12,8 +12,6 @@
 	From fleet.Position
 	// Wait is the time after which the platform returns if nothing has changed.
 	Wait time.Duration
-	// MayBeStale allows a response from a copy of the data that may be seconds old, which costs the platform less.
-	MayBeStale bool
 }
 
 // FetchTables reads the chunks of a revision from the platform, unless the head contains its content, and decodes it. Event:
--- a/internal/core/epoch/state.go
+++ b/internal/core/epoch/state.go
@@ -4,11 +4,11 @@
 // # Usage
 //
 //	state := epoch.New()
-//	state, changed := state.AnswerSeen(now, answered, mayBeStale)
+//	state, changed := state.AnswerSeen(now, answered)
 //	if changed { /* rewrite what the platform has lost */ }
 //
-// An epoch becomes current when an answer of the platform or a peer shows it for the first time. Late answers and copies may still
-// show an earlier one. A platform that shows an earlier epoch for longer than that has gone back, for example to a copy from before
+// An epoch becomes current when an answer of the platform or a peer shows it for the first time. Late answers may still show an
+// earlier one. A platform that shows an earlier epoch for longer than that has gone back, for example to a copy from before
 // its last restoration.
 package epoch
 
@@ -36,15 +36,14 @@
 // Current returns the current epoch; 0 if it is unknown.
 func (s State) Current() fleet.Epoch { return s.current }
 
-// AnswerSeen handles the epoch of an answer of the platform and reports whether the current epoch has changed. An answer that may be
-// stale comes from a copy.
-func (s State) AnswerSeen(now time.Time, e fleet.Epoch, mayBeStale bool) (State, bool) {
+// AnswerSeen handles the epoch of an answer of the platform and reports whether the current epoch has changed.
+func (s State) AnswerSeen(now time.Time, e fleet.Epoch) (State, bool) {
 	switch {
 	case e == 0 || e == s.current:
 		return s, false
 	case e > s.current:
 		return s.withCurrent(now, e), true
-	case mayBeStale || now.Sub(s.since) < lateAnswerTime:
+	case now.Sub(s.since) < lateAnswerTime:
 		return s, false
 	default:
 		return s.withCurrent(now, e), true
--- a/internal/core/event/platform.go
+++ b/internal/core/event/platform.go
@@ -20,8 +20,6 @@
 	Epoch fleet.Epoch
 	// Version is the version that the answer shows, if it is the result of effect.WatchHead.
 	Version uint64
-	// MayBeStale is true if the answer may come from a copy.
-	MayBeStale bool
 }
 
 // TablesDecoded is the result of effect.FetchTables and effect.DecodeTables for a valid revision.
--- a/internal/core/node/epoch.go
+++ b/internal/core/node/epoch.go
@@ -10,7 +10,7 @@
 // epochSeen handles the epoch of an answer of the platform.
 func (s State) epochSeen(ev event.Event, body event.EpochSeen) (State, []effect.Effect) {
 	before := s.epoch.Current()
-	next, changed := s.epoch.AnswerSeen(ev.At, body.Epoch, body.MayBeStale)
+	next, changed := s.epoch.AnswerSeen(ev.At, body.Epoch)
 	s.epoch = next
 	if !changed {
 		return s, nil
--- a/internal/core/node/platform.go
+++ b/internal/core/node/platform.go
@@ -36,14 +36,18 @@
 		if body.Call == event.CallRegisterMember {
 			s.membership = new(s.membership.RegistrationFailed(ev.At, ev.Random))
 		}
-		return s.withTables(s.tables.PlatformCallFailed(ev.At, ev.Random, body.Call, body.Detail))
+		return s.withTables(s.tables.PlatformCallFailed(ev.At, ev.Random, s.tablesFleet(), body.Call, body.Detail))
 	default:
 		return s, nil
 	}
 }
 
 func (s State) tablesFleet() tables.Fleet {
-	return tables.Fleet{Members: s.membership.Len(), IsWatcher: s.membership.IsWatcher(), Epoch: s.epoch.Current()}
+	return tables.Fleet{
+		Members:     s.membership.RoutableNodes(),
+		ZoneMembers: s.membership.RoutableZoneNodes(),
+		Epoch:       s.epoch.Current(),
+	}
 }
 
 // tablesDecoded brings a revision into force and passes it to the edges.
@@ -52,19 +56,16 @@
 		s.firstTables = s.firstTables.withHeld(ev.At, body)
 		return s, nil
 	}
-	before, shouldNotify := s.Revision(), s.tables.ShouldNotifyPeers(body.Tables.Revision)
+	before := s.Revision()
 	s, effects := s.withTables(s.tables.TablesDecoded(ev.At, body.Tables, body.Router, body.Accounts, body.Content))
 	s.tables = new(s.tables.WithParts(body.Tables.Revision, body.Parts))
 	if s.Revision() != before {
 		effects = append(effects, effect.SetTables{Tables: s.tables.Current()})
 		var limited []effect.Effect
 		s, limited = s.usageTablesChanged(ev)
-		effects = append(effects, limited...)
-	}
-	if shouldNotify {
 		var pings []effect.Effect
 		s, pings = s.withMembership(s.membership.NotifyZonePeers())
-		effects = append(effects, pings...)
+		effects = append(append(effects, limited...), pings...)
 	}
 	if before == 0 && s.Revision() != 0 && !s.shutdown.inProgress() {
 		effects = append(effects, effect.SetReadiness{Ready: true})
--- a/internal/core/tables/delay.go
+++ b/internal/core/tables/delay.go
@@ -14,21 +14,18 @@
 	// one request to a peer and the reads themselves, a change is in force within 6 s.
 	fetchDelayPerMember = 10 * time.Millisecond
 	maxFetchDelay       = 3 * time.Second
-	// watchWaitPerMember, minWatchWait and maxWatchWait set how long a watch waits. A lost response is noticed only when the
-	// watch ends. The watches of a fleet end at different times, about one every 0.6 s in a fleet of up to 30 nodes, and a node
-	// that then reads a new revision notifies its peers. A change is therefore in force within 6 s even if the responses to all
-	// watches are lost.
-	watchWaitPerMember = time.Second
-	minWatchWait       = 3 * time.Second
-	maxWatchWait       = 30 * time.Second
+	// watchWaitPerMember, watchWaitPerZoneMember, minWatchWait and maxWatchWait set how long a watch waits. A lost response, or a
+	// platform that was restored while the connection lived on, is noticed only when the watch ends. The watches of a fleet end at
+	// different times, about one every 0.6 s in a fleet of up to 30 nodes and one every 3 s in each zone, and a node that then reads
+	// a new revision notifies its zone. A change is therefore in force within 6 s even if the responses to all watches are lost,
+	// also on a node that is alone in its zone.
+	watchWaitPerMember     = time.Second
+	watchWaitPerZoneMember = 3 * time.Second
+	minWatchWait           = 3 * time.Second
+	maxWatchWait           = 30 * time.Second
 	// waitAfterFailure is the wait of a watch after a failed one. The platform may have been restored from a copy meanwhile, which only a
 	// response shows.
 	waitAfterFailure = 100 * time.Millisecond
-	// maxStaleWatchWait bounds the wait of a watch that may be stale. A node that replaces a watcher of its zone does so only
-	// when its current watch ends.
-	maxStaleWatchWait = 10 * time.Second
-	// copyLag is the time for which a copy that may lag can still have the data of an earlier epoch, whatever epoch it tells.
-	copyLag = 10 * time.Second
 	// initialRetryDelay and maxRetryDelay bound the delay after a failed call, which doubles with each failure. With a maximum
 	// of 10 s, 540 nodes make 54 to 108 calls per second during an outage, and a change made right after the outage is in force
 	// within 6 s: the first nodes read it at once and their peers request it from them. With 30 s it takes 6.5 s.
@@ -42,13 +39,12 @@
 	rejectedRetryDelay = time.Minute
 )
 
-// watchWait returns how long the next watch waits. The wait is random, up to a maximum that depends on the size of the fleet,
-// because all watches start at about the same time after a change and must not end together.
+// watchWait returns how long the next watch waits. The wait is random, up to a maximum that depends on the sizes of the fleet and of
+// the zone, because all watches start at about the same time after a change and must not end together.
 func watchWait(random uint64, f Fleet) time.Duration {
-	longest := min(maxWatchWait, max(minWatchWait, watchWaitPerMember*time.Duration(f.Members)))
-	if !f.IsWatcher {
-		longest = min(longest, maxStaleWatchWait)
-	}
+	perFleet := watchWaitPerMember * time.Duration(f.Members)
+	perZone := watchWaitPerZoneMember * time.Duration(f.ZoneMembers)
+	longest := max(minWatchWait, min(maxWatchWait, perFleet, perZone))
 	return minWatchWait + scale(longest-minWatchWait, lowFraction(random))
 }
 
@@ -77,7 +73,7 @@
 
 // retryDelay returns the delay after the given number of consecutive failures. It is drawn from the upper half of the backoff
 // bound, so that nodes whose calls failed at the same time retry at different times.
-func retryDelay(random uint64, failures int) time.Duration {
+func retryDelay(random uint64, failures int, _ Fleet) time.Duration {
 	longest := maxRetryDelay
 	if doublings := failures - 1; doublings < 5 {
 		longest = min(maxRetryDelay, initialRetryDelay<<doublings)
--- a/internal/core/tables/logging.go
+++ b/internal/core/tables/logging.go
@@ -14,23 +14,18 @@
 // source is where a node got the content of a revision.
 type source string
 
-// The sources. A copy of the platform's data may lag.
+// The sources.
 const (
 	sourcePeer     source = "Peer"
 	sourcePlatform source = "Platform"
-	sourceCopy     source = "Copy"
 )
 
 // sourceOf returns the source of a revision that has just been decoded.
 func (s State) sourceOf(r fleet.Revision) source {
-	switch {
-	case s.peerRequest.decoding == r:
+	if s.peerRequest.decoding == r {
 		return sourcePeer
-	case s.fetch.fromCopy:
-		return sourceCopy
-	default:
-		return sourcePlatform
 	}
+	return sourcePlatform
 }
 
 // withNewest records that a revision exists.
--- a/internal/core/tables/peers.go
+++ b/internal/core/tables/peers.go
@@ -61,7 +61,7 @@
 		return s, nil
 	}
 	s = s.withHolder(from, address, r)
-	if known, _ := s.holders.Get(from); now.Before(known.blockedUntil) || !s.mayRequest(now) {
+	if known, _ := s.holders.Get(from); now.Before(known.blockedUntil) || !s.mayRequest(now) || s.isDecodingHead(r) {
 		return s, nil
 	}
 	unresponsive := s.peerRequest.peer
@@ -109,6 +109,11 @@
 	return !s.peerRequest.pending(now) && !now.Before(s.nextPeerRequest)
 }
 
+// isDecodingHead reports whether this node has the content of a revision, or of a newer one, from the platform's head and decodes it.
+func (s State) isDecodingHead(r fleet.Revision) bool {
+	return s.fetch.running >= r && len(s.fetch.head.Content) > 0
+}
+
 // requestFromAny requests the tables from a random peer that has a newer revision, unless a request is pending.
 func (s State) requestFromAny(now time.Time, random uint64) (State, []effect.Effect) {
 	if !s.mayRequest(now) {
--- a/internal/core/tables/platform.go
+++ b/internal/core/tables/platform.go
@@ -17,27 +17,25 @@
 	position fleet.Position
 	// failures counts consecutive failed calls.
 	failures int
-	// wait and mayBeStale are the parameters Wait and MayBeStale of the next effect.WatchHead.
-	wait       time.Duration
-	mayBeStale bool
+	// wait is the parameter Wait of the next effect.WatchHead.
+	wait time.Duration
 }
 
 // Fleet holds the properties of the fleet on which the timing of calls to the platform depends.
 type Fleet struct {
-	// Members is the number of nodes. Delays grow with it.
+	// Members is the number of nodes. Delays that keep the fleet within the rates of the platform grow with it.
 	Members int
-	// IsWatcher is true if this node is one of the few in its zone that watch the platform's own data. The others watch a copy,
-	// which costs less, and learn of a change from a watcher if the copy lags.
-	IsWatcher bool
+	// ZoneMembers is the number of nodes in the availability zone of this node, including itself. They pass on what one of them learns,
+	// so that the times for which this node may rely on them grow with it.
+	ZoneMembers int
 	// Epoch is the current epoch of the platform's data; 0 if it is unknown.
 	Epoch fleet.Epoch
 }
 
 // fetch is the state of the call that reads a revision from the platform, of which at most one runs at a time.
 type fetch struct {
-	// head is the newest head read from the platform, or from the copy if fromCopy is true.
-	head     fleet.TablesHead
-	fromCopy bool
+	// head is the newest head read from the platform.
+	head fleet.TablesHead
 	// running is the revision that is being read, or 0.
 	running fleet.Revision
 	// due is the time from which the revision of head may be read, unless a peer sends it first.
@@ -65,7 +63,7 @@
 		return s, nil
 	}
 	s.watch.running = true
-	return s, []effect.Effect{effect.WatchHead{From: s.watch.position, Wait: s.watch.wait, MayBeStale: s.watch.mayBeStale}}
+	return s, []effect.Effect{effect.WatchHead{From: s.watch.position, Wait: s.watch.wait}}
 }
 
 // startFetch starts to read the newest revision from the platform if that is due. It lets a pending request to a peer finish
@@ -89,20 +87,14 @@
 	effects := s.recoveryLog(position)
 	s.platformReachable = true
 	fetchDelay := s.fetchDelay(random, f.Members)
-	fromCopy, earlier := s.watch.mayBeStale, s.watch.position
-	s.watch = watch{
-		due:        now.Add(rewatchDelay(random, f.Members)),
-		position:   position,
-		wait:       watchWait(random, f),
-		mayBeStale: !f.IsWatcher && !now.Before(s.noCopyUntil),
-	}
+	earlier := s.watch.position
+	s.watch = watch{due: now.Add(rewatchDelay(random, f.Members)), position: position, wait: watchWait(random, f)}
 	if position.Epoch.Differs(f.Epoch) {
-		// The answer is late, or the copy still is of an earlier epoch. Its position is of no use, and the copy would answer like that
-		// again.
-		s.watch.position, s.watch.mayBeStale = earlier, false
+		// The answer is late, and its position is of no use.
+		s.watch.position = earlier
 		if earlier.Version == 0 {
 			// The next watch doesn't wait at the platform.
-			s.watch.due = now.Add(retryDelay(random, 1))
+			s.watch.due = now.Add(retryDelay(random, 1, f))
 		}
 	}
 	if head.Revision == 0 {
@@ -110,14 +102,13 @@
 	}
 	s = s.withNewest(now, head.Revision)
 	if head.Revision < s.current.Revision {
-		s = s.withOlderHead(now, random, f, head, fromCopy)
+		s = s.withOlderHead(now, random, f, head)
 		return s, append(effects, log(effect.Warn, "the platform has an older revision",
 			effect.LogField{Name: "Revision", Value: head.Revision}, effect.LogField{Name: "InForce", Value: s.current.Revision}))
 	}
 	s.restoreDue = time.Time{}
 	if head.Revision > s.fetch.head.Revision {
 		s.fetch.head = head
-		s.fetch.fromCopy = fromCopy
 		s.fetch.due = now.Add(fetchDelay)
 		s.fetch.failures = 0
 	}
@@ -136,7 +127,6 @@
 // platform no longer has the position of the running one. A revision that was read in an earlier epoch and is not in force may be lost.
 func (s State) EpochChanged(now time.Time, random uint64, f Fleet) State {
 	s.watch = watch{due: now.Add(rewatchDelay(random, f.Members)), wait: watchWait(random, f), failures: s.watch.failures}
-	s.noCopyUntil = now.Add(copyLag)
 	s.fetch = fetch{running: s.fetch.running}
 	s.newestRevision, s.newestSince = s.current.Revision, now
 	for _, h := range s.holders.All() {
@@ -157,7 +147,9 @@
 }
 
 // PlatformCallFailed handles a failed call to the platform. Calls that do not concern the tables are ignored.
-func (s State) PlatformCallFailed(now time.Time, random uint64, call event.PlatformCall, detail string) (State, []effect.Effect) {
+func (s State) PlatformCallFailed(
+	now time.Time, random uint64, f Fleet, call event.PlatformCall, detail string,
+) (State, []effect.Effect) {
 	var effects []effect.Effect
 	switch call {
 	case event.CallWatchHead:
@@ -168,16 +160,16 @@
 		s.watch.running = false
 		s.watch.failures++
 		s.watch.wait = waitAfterFailure
-		s.watch.due = now.Add(retryDelay(random, s.watch.failures))
+		s.watch.due = now.Add(retryDelay(random, s.watch.failures, f))
 	case event.CallFetchTables:
 		s.platformReachable = false
 		s.fetch.running = 0
 		s.fetch.failures++
-		s.fetch.due = now.Add(retryDelay(random, s.fetch.failures))
+		s.fetch.due = now.Add(retryDelay(random, s.fetch.failures, f))
 		effects = append(effects, log(effect.Warn, "reading a revision from the platform failed",
 			effect.LogField{Name: "Revision", Value: s.fetch.head.Revision}, effect.LogField{Name: "Error", Value: detail}))
 	case event.CallRestoreTables:
-		s.restoreDue = now.Add(retryDelay(random, 1))
+		s.restoreDue = now.Add(retryDelay(random, 1, f))
 		effects = append(effects, log(effect.Warn, "writing a revision to the platform again failed",
 			effect.LogField{Name: "Revision", Value: s.current.Revision}, effect.LogField{Name: "Error", Value: detail}))
 	}
--- a/internal/core/tables/restore.go
+++ b/internal/core/tables/restore.go
@@ -7,11 +7,11 @@
 	"jayfold.dev/jayfold/internal/core/fleet"
 )
 
-// withOlderHead handles a head that is older than the revision in force. The platform's own data has one after the platform has been restored
+// withOlderHead handles a head that is older than the revision in force. The platform has one after it has been restored
 // from a copy. The revision in force was accepted, and is written again so that nodes that start later have it too. The delay lets
 // few nodes of a fleet do this; the others see the result in time. Tables in the format of another program are written by that program.
-func (s State) withOlderHead(now time.Time, random uint64, f Fleet, head fleet.TablesHead, fromCopy bool) State {
-	if !fromCopy && len(head.Content) == 0 {
+func (s State) withOlderHead(now time.Time, random uint64, f Fleet, head fleet.TablesHead) State {
+	if len(head.Content) == 0 {
 		s.restoreDue = now.Add(spreadDelay(random, f.Members))
 	}
 	return s
--- a/internal/core/tables/state.go
+++ b/internal/core/tables/state.go
@@ -7,9 +7,9 @@
 //	tables := state.Current()
 //
 // A node learns of a revision in two ways: from a watch on the platform's head, and from the revision in every message of
-// another node. A few nodes in each availability zone watch the head itself and notify others of a change at once; the rest
-// watch a copy that may lag. A node gets the revision from a peer that has it, or else from the platform. After a change each
-// node waits for a random time before it reads the platform, so that a few nodes read it and the others get it from a peer.
+// another node. Every node watches the platform's own data, since a node that left it to others would go on with an old revision
+// when those are lost, frozen or cut off. A node gets the content from a peer that has it, or else from the platform. After a
+// change each node waits for a random time before it reads the content, so that a few nodes read it and the others get it from a peer.
 // A revision that is not newer than the one in force is never adopted.
 package tables
 
@@ -47,8 +47,6 @@
 	peerRequest peerRequest
 	// restoreDue is the time at which the revision in force is written to the platform again; zero if the platform has it.
 	restoreDue time.Time
-	// noCopyUntil is the time until which watches don't use the copy, after the platform has been restored from an older one.
-	noCopyUntil time.Time
 	// nextPeerRequest is the earliest time of the next request to a peer.
 	nextPeerRequest time.Time
 	// platformReachable is true if no watch or fetch has failed since the last successful watch.
@@ -78,13 +76,6 @@
 // NewestRevision returns the highest revision seen anywhere.
 func (s State) NewestRevision() fleet.Revision { return s.newestRevision }
 
-// ShouldNotifyPeers reports whether this node should notify others of a revision that it is about to adopt. It should if the
-// revision comes from the platform's own data or from a peer, since the copy may still lag. A revision that the copy shows to
-// one node needs no notification, because the copy shows it to all.
-func (s State) ShouldNotifyPeers(r fleet.Revision) bool {
-	return r > s.current.Revision && (!s.watch.mayBeStale || s.peerRequest.decoding == r)
-}
-
 // Position returns the position of the last answer of the platform.
 func (s State) Position() fleet.Position { return s.watch.position }
 
--- a/internal/edge/platform/client.go
+++ b/internal/edge/platform/client.go
@@ -101,7 +101,7 @@
 		(*running)()
 	}
 	c.startWithin(ctx, 0, callFailed(event.CallWatchHead, errCallPanicked), func(ctx context.Context) event.Body {
-		found, err := c.store.Watch(ctx, HeadKey, e.From, WatchOptions{Wait: e.Wait, MayBeStale: e.MayBeStale})
+		found, err := c.store.Watch(ctx, HeadKey, e.From, e.Wait)
 		if err != nil {
 			return callFailed(event.CallWatchHead, err)
 		}
--- a/internal/edge/platform/epoch.go
+++ b/internal/edge/platform/epoch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"jayfold.dev/jayfold/internal/core/event"
 	"jayfold.dev/jayfold/internal/core/fleet"
@@ -17,11 +18,9 @@
 			c.epochSeen(max(found.Epoch, epochOf(err)))
 			return found, err
 		},
-		Watch: func(ctx context.Context, key string, from fleet.Position, options WatchOptions) (Object, error) {
-			found, err := s.Watch(ctx, key, from, options)
-			c.postEpoch(event.EpochSeen{
-				Epoch: max(found.Epoch, epochOf(err)), Version: found.Version, MayBeStale: options.MayBeStale,
-			})
+		Watch: func(ctx context.Context, key string, from fleet.Position, wait time.Duration) (Object, error) {
+			found, err := s.Watch(ctx, key, from, wait)
+			c.postEpoch(event.EpochSeen{Epoch: max(found.Epoch, epochOf(err)), Version: found.Version})
 			return found.resultFrom(from), err
 		},
 		List: func(ctx context.Context, prefix string) (List, error) {
--- a/internal/edge/platform/objectapi.go
+++ b/internal/edge/platform/objectapi.go
@@ -12,6 +12,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"time"
 
 	"jayfold.dev/jayfold/internal/core/fleet"
 )
@@ -70,14 +71,11 @@
 }
 
 // watch waits until the object has another version. If nothing changes it returns the object with its version, but no value.
-func (o objectAPI) watch(ctx context.Context, key string, from fleet.Position, options WatchOptions) (Object, error) {
-	query := fmt.Sprintf("?after=%d&wait=%s", from.Version, options.Wait)
+func (o objectAPI) watch(ctx context.Context, key string, from fleet.Position, wait time.Duration) (Object, error) {
+	query := fmt.Sprintf("?after=%d&wait=%s", from.Version, wait)
 	if from.Epoch != 0 {
 		query += fmt.Sprintf("&epoch=%d", from.Epoch)
 	}
-	if options.MayBeStale {
-		query += "&stale=1"
-	}
 	return o.read(ctx, key, query)
 }
 
--- a/internal/edge/platform/store.go
+++ b/internal/edge/platform/store.go
@@ -15,9 +15,9 @@
 	// Get reads an object. One that does not exist has version 0.
 	Get func(ctx context.Context, key string) (Object, error)
 	// Watch waits until an object differs from the given position, which comes from an earlier read of the same key. If
-	// nothing changes it returns the object without its value, but with the version for the next watch. From version 0 it
-	// reads the object.
-	Watch func(ctx context.Context, key string, from fleet.Position, options WatchOptions) (Object, error)
+	// nothing changes within the wait it returns the object without its value, but with the version for the next watch. From
+	// version 0 it reads the object. It never reads a copy that may lag.
+	Watch func(ctx context.Context, key string, from fleet.Position, wait time.Duration) (Object, error)
 	// List reads all objects whose keys begin with a prefix.
 	List func(ctx context.Context, prefix string) (List, error)
 	// Put writes an object and Delete deletes it if the condition holds; otherwise the CallError wraps ErrConflict. Deleting
@@ -45,14 +45,6 @@
 	Objects []Object
 }
 
-// WatchOptions are the options of Store.Watch.
-type WatchOptions struct {
-	// Wait is the time after which the platform returns if nothing has changed.
-	Wait time.Duration
-	// MayBeStale allows a response from a copy of the data that may be seconds old.
-	MayBeStale bool
-}
-
 // Condition is the precondition of a write. The zero value always holds.
 type Condition struct {
 	// Set is true if there is a condition: the object must have Version, or must not exist if Version is 0.
@@ -108,15 +100,15 @@
 			defer cancel()
 			return s.Get(ctx, key)
 		},
-		Watch: func(ctx context.Context, key string, from fleet.Position, options WatchOptions) (Object, error) {
-			timeout := options.Wait + watchTimeoutMargin
+		Watch: func(ctx context.Context, key string, from fleet.Position, wait time.Duration) (Object, error) {
+			timeout := wait + watchTimeoutMargin
 			if from.Version > 0 {
 				// A watch with a short wait has as much time as any other call on a slow platform.
 				timeout = max(timeout, callTimeout)
 			}
 			ctx, cancel := context.WithTimeout(ctx, timeout)
 			defer cancel()
-			return s.Watch(ctx, key, from, options)
+			return s.Watch(ctx, key, from, wait)
 		},
 		List: func(ctx context.Context, prefix string) (List, error) {
 			ctx, cancel := context.WithTimeout(ctx, callTimeout)
