tables: a node that is alone in its zone calls the platform again within a second

Callers would see an old configuration for seconds after an outage of the platform at a node that is the only one left in its zone.

Cause: the delay after failed calls doubles up to 10 s, since 540 nodes share the platform's rate and one of the first to reach it tells the others. A node without peers has nobody who tells it.

Change: the delay is at most 0.13 s per live node of the zone, between 1 and 10 s: as before in a zone of 77.

--- a/internal/core/tables/alone_test.go
+++ b/internal/core/tables/alone_test.go
@@ -8,9 +8,12 @@
 	"github.com/matryer/is"
 )
 
-// inForceAlone is the bound of the users for a fleet of some machines, within which a change is in force on each machine that can reach the
-// platform.
-const inForceAlone = 2 * time.Second
+// The bounds of the users for a fleet of some machines: a change is in force within inForceAlone on each machine whose platform is sound, and
+// a machine counts again recoveredAlone after the platform is back.
+const (
+	inForceAlone   = 2 * time.Second
+	recoveredAlone = 3 * time.Second
+)
 
 // newSilentFleet returns a fleet with a revision in force whose nodes don't hear from each other any more, as if each were the only one that
 // is left.
@@ -70,6 +73,24 @@
 	}
 }
 
+// TestRecoveryWithoutPeers guards against a node that is the only one left in its zone and calls the platform again so late after an outage
+// that it goes on with an old revision.
+func TestRecoveryWithoutPeers(t *testing.T) {
+	for _, outage := range []time.Duration{time.Second, 5 * time.Second, 20 * time.Second, time.Minute} {
+		t.Run(fmt.Sprint(outage), func(t *testing.T) {
+			for seed := range uint64(20) {
+				sim := newSilentFleet(t, 3, 1)
+				sim.random = newRandom(seed)
+				sim.setOutage(true)
+				sim.run(outage)
+				sim.head++
+				sim.setOutage(false)
+				assertInForce(t, sim, recoveredAlone)
+			}
+		})
+	}
+}
+
 // TestChangeFromOneNode guards against a change that stays unknown in a zone of which only one node can reach the platform.
 func TestChangeFromOneNode(t *testing.T) {
 	for _, c := range []struct{ nodes, zoneSize int }{{15, 5}, {fleetSize, designZoneSize}} {
--- a/internal/core/tables/delay.go
+++ b/internal/core/tables/delay.go
@@ -26,11 +26,14 @@
 	// waitAfterFailure is the wait of a watch after a failed one. The platform may have been restored from a copy meanwhile, which only a
 	// response shows.
 	waitAfterFailure = 100 * time.Millisecond
-	// initialRetryDelay and maxRetryDelay bound the delay after a failed call, which doubles with each failure. With a maximum
-	// of 10 s, 540 nodes make 54 to 108 calls per second during an outage, and a change made right after the outage is in force
-	// within 6 s: the first nodes read it at once and their peers request it from them. With 30 s it takes 6.5 s.
-	initialRetryDelay = time.Second
-	maxRetryDelay     = 10 * time.Second
+	// initialRetryDelay bounds the delay after a failed call, which doubles with each failure up to retryDelayPerMember for each
+	// node of the zone, at most maxRetryDelay. In zones of 77, 540 nodes make 54 to 108 calls per second during an outage, and a
+	// change made right after the outage is in force within 6 s: the first nodes read it at once and their peers request it from
+	// them. With 30 s it takes 6.5 s. The nodes of a small zone repeat their calls at least once a second, since few peers or none
+	// could tell them of a change.
+	initialRetryDelay   = time.Second
+	retryDelayPerMember = 130 * time.Millisecond
+	maxRetryDelay       = 10 * time.Second
 	// failuresWithoutFetchDelay is the number of consecutive failures after which the retry delays alone spread the nodes over
 	// at least 2 s, so that a fetch needs no delay of its own.
 	failuresWithoutFetchDelay = 3
@@ -73,10 +76,10 @@
 
 // retryDelay returns the delay after the given number of consecutive failures. It is drawn from the upper half of the backoff
 // bound, so that nodes whose calls failed at the same time retry at different times.
-func retryDelay(random uint64, failures int, _ Fleet) time.Duration {
-	longest := maxRetryDelay
+func retryDelay(random uint64, failures int, f Fleet) time.Duration {
+	longest := min(maxRetryDelay, max(initialRetryDelay, retryDelayPerMember*time.Duration(f.ZoneMembers)))
 	if doublings := failures - 1; doublings < 5 {
-		longest = min(maxRetryDelay, initialRetryDelay<<doublings)
+		longest = min(longest, initialRetryDelay<<doublings)
 	}
 	return scale(longest, (1+lowFraction(random))/2)
 }
--- a/internal/core/tables/state_test.go
+++ b/internal/core/tables/state_test.go
@@ -112,6 +112,17 @@
 		}
 	})
 
+	t.Run("a node that is alone in its zone retries within a second", func(t *testing.T) {
+		s, at := watching(), start
+		for _, wait := range []time.Duration{500, 500, 500} {
+			s, _ = s.PlatformCallFailed(at, 0, tables.Fleet{Members: 540, ZoneMembers: 1}, event.CallWatchHead, "outage")
+			at = at.Add(wait * time.Millisecond)
+			var effects []effect.Effect
+			s, effects = s.Tick(at, 0)
+			is.New(t).Equal(len(effects), 1)
+		}
+	})
+
 	t.Run("an older revision on the platform changes nothing", func(t *testing.T) {
 		s, _ := watching().TablesDecoded(start, fleet.Tables{Revision: 8}, routing.Router{}, accounts.Index{}, nil)
 		s, effects := s.HeadRead(start, 0, tables.Fleet{Members: 3}, fleet.TablesHead{Revision: 7}, fleet.Position{Version: 9})
