membership: a node announces its record after losses in its zone

Callers of other zones were sent to a target that had left, whose node refused them, and never to one that had joined, for minutes after the other nodes of the target's zone were lost at the moment of the change.

Cause: only the members of a zone gossip its records to other zones, each with one to three copies, and a node counts on members whose loss it doesn't know yet.

Change: a node that finds a member of its zone suspect or dead pings one member of each other zone with its record, once a second until one there confirms the newest version, for 30 s. Nothing is sent in calm.

--- a/internal/core/membership/kept.go
+++ b/internal/core/membership/kept.go
@@ -19,6 +19,8 @@
 	// onPlatform and atPeer are the sequence numbers of the newest versions that the platform, in the current epoch of its data, and any
 	// peer have confirmed.
 	onPlatform, atPeer uint64
+	// inZone holds the sequence numbers of the newest versions that any member of each other availability zone has confirmed.
+	inZone fleet.Map[fleet.AvailabilityZone, uint64]
 	// carried holds the sequence number of the own record in each recent ping, by the sequence number of the ping.
 	carried fleet.Map[uint64, uint64]
 }
@@ -39,11 +41,14 @@
 	return k
 }
 
-// withAck returns the state after the Ack of a ping.
-func (k keptRecord) withAck(ping uint64) keptRecord {
+// withAck returns the state after the Ack of a ping by a member of a zone.
+func (k keptRecord) withAck(ping uint64, zone fleet.AvailabilityZone) keptRecord {
 	if sequence, ok := k.carried.Get(ping); ok {
 		k.atPeer = max(k.atPeer, sequence)
 		k.carried = k.carried.Without(ping)
+		if known, ok := k.inZone.Get(zone); !ok || sequence > known {
+			k.inZone = k.inZone.With(zone, sequence)
+		}
 	}
 	return k
 }
@@ -70,7 +75,8 @@
 // forwards confirms nothing, since that node has sent a ping of its own.
 func (s State) recordAck(envelope message.Envelope, m message.Ack) State {
 	if envelope.From == m.Subject {
-		s.kept = s.kept.withAck(m.Sequence)
+		from, _ := s.Member(envelope.From)
+		s.kept = s.kept.withAck(m.Sequence, from.AvailabilityZone)
 	}
 	return s
 }
--- a/internal/core/membership/record.go
+++ b/internal/core/membership/record.go
@@ -62,7 +62,7 @@
 
 // applyRecord stores a record and updates the deadlines that depend on its status.
 func (s State) applyRecord(now time.Time, m fleet.Member) State {
-	s = s.withRecord(m)
+	s = s.noteZoneLoss(now, m).withRecord(m)
 	s.deadlines = s.deadlines.Without(m.Node)
 	s.deadMembers = s.deadMembers.Without(m.Node)
 	switch m.Status {
--- a/internal/core/membership/state.go
+++ b/internal/core/membership/state.go
@@ -52,16 +52,17 @@
 	deadlines fleet.Map[fleet.NodeID, time.Time]
 	// deadMembers holds the times at which the records of dead members are dropped, deadCursor the member at which the next check
 	// begins.
-	deadMembers fleet.Map[fleet.NodeID, time.Time]
-	deadCursor  fleet.NodeID
-	own         ownRecord
-	kept        keptRecord
-	sync        syncState
-	seeds       seeds
-	started     time.Time
-	lastTick    time.Time
-	reconnect   reconnect
-	staleLogged time.Time
+	deadMembers  fleet.Map[fleet.NodeID, time.Time]
+	deadCursor   fleet.NodeID
+	own          ownRecord
+	kept         keptRecord
+	sync         syncState
+	announcement announcement
+	seeds        seeds
+	started      time.Time
+	lastTick     time.Time
+	reconnect    reconnect
+	staleLogged  time.Time
 	// meteredZones is true if bytes between availability zones are expensive.
 	meteredZones bool
 }
@@ -160,6 +161,7 @@
 	State.resumeAfterPause,
 	State.discover,
 	State.publishOwnRecord,
+	State.announceOwnRecord,
 	State.expireDeadlines,
 	State.dropDeadMembers,
 	State.runProbe,
