accounts: an unknown parent admits no request on a node that has just started

Cause: calls of targets carry no key and are known by their parent. A node that has just started doesn't know what its targets run, and accepted any parent for 60 s.

Change: only a parent that the node knows admits a request without a key; any other gets 503 (not run). The response of a run from before the start was lost with the connections of the earlier process.

TestChildRequestAfterRestart and a case of TestCheck asked for the fault: that an unknown parent is accepted for a minute. They are replaced by TestUnknownParentAfterStart and "an unknown parent", which ask for the refusal at any time and failed before.

--- a/internal/core/accounts/check.go
+++ b/internal/core/accounts/check.go
@@ -7,10 +7,6 @@
 	"jayfold.dev/jayfold/internal/core/fleet"
 )
 
-// restartWindow is the time after the start of a node for which a request without a key that names an unknown parent is accepted: the
-// node may have restarted while the parent ran.
-const restartWindow = 60 * time.Second
-
 // parentRetryAfter is the time after which a caller should repeat a request whose parent is not known.
 const parentRetryAfter = time.Second
 
@@ -21,8 +17,6 @@
 	Public bool
 	// Parent tells what is known of the request that the request names as its parent.
 	Parent Parent
-	// Up is the time since the node started.
-	Up time.Duration
 }
 
 // Parent is what a node knows of the parent that a request names.
@@ -48,12 +42,10 @@
 	PublicRoute     Reason = "PublicRoute"
 	KeyAccepted     Reason = "KeyAccepted"
 	ChildRequest    Reason = "ChildRequest"
-	// RestartedNode accepts a child request of a parent that may have started before the node did.
-	RestartedNode Reason = "RestartedNode"
-	KeyUnreadable Reason = "KeyUnreadable"
-	KeyUnknown    Reason = "KeyUnknown"
-	KeyMissing    Reason = "KeyMissing"
-	ParentUnknown Reason = "ParentUnknown"
+	KeyUnreadable   Reason = "KeyUnreadable"
+	KeyUnknown      Reason = "KeyUnknown"
+	KeyMissing      Reason = "KeyMissing"
+	ParentUnknown   Reason = "ParentUnknown"
 	// KeyRevoked is the reason if the key is revoked while the request waits.
 	KeyRevoked Reason = "KeyRevoked"
 )
@@ -93,15 +85,15 @@
 	return Decision{Reason: KeyAccepted, Account: account, Priority: account.Priority}
 }
 
-// checkParent decides about a request without a key. Targets send no keys with the requests that they make while they run another.
+// checkParent decides about a request without a key. Targets send no keys with the requests that they make while they run another. Anybody
+// can name a parent, so that only one that this node knows counts, also just after its start: what ran before lost its response with
+// the node's earlier process.
 func checkParent(a Arrival) Decision {
-	switch {
-	case a.Parent == NoParent:
+	switch a.Parent {
+	case NoParent:
 		return unauthorized(KeyMissing, "the request has no API key")
-	case a.Parent == LocalParent:
+	case LocalParent:
 		return Decision{Reason: ChildRequest, Child: true}
-	case a.Up < restartWindow:
-		return Decision{Reason: RestartedNode, Child: true}
 	}
 	problem := fleet.NewProblem(fleet.UnknownParent, fleet.NotRun, "the request has no API key and its parent has not run on this host")
 	return Decision{Reason: ParentUnknown, Problem: fleet.Some(problem.WithRetryAfter(parentRetryAfter))}
--- a/internal/core/accounts/check_test.go
+++ b/internal/core/accounts/check_test.go
@@ -3,7 +3,6 @@
 import (
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
 
@@ -48,7 +47,6 @@
 // calls of running work that are refused.
 func TestCheck(t *testing.T) {
 	index := newIndex(account("acme", 3, "key-a", "key-b"), account("zeta", 7, "key-z"))
-	const recently, later = 59 * time.Second, time.Minute
 	for name, c := range map[string]struct {
 		arrival  accounts.Arrival
 		account  fleet.AccountName
@@ -61,7 +59,7 @@
 		"an unknown key":            {arrival: accounts.Arrival{Credential: credential("key-x")}, cause: fleet.Unauthorized},
 		"the start of a key":        {arrival: accounts.Arrival{Credential: credential("key-")}, cause: fleet.Unauthorized},
 		"the name of an account":    {arrival: accounts.Arrival{Credential: credential("acme")}, cause: fleet.Unauthorized},
-		"no key":                    {arrival: accounts.Arrival{Up: recently}, cause: fleet.Unauthorized},
+		"no key":                    {arrival: accounts.Arrival{}, cause: fleet.Unauthorized},
 		"an empty key":              {arrival: accounts.Arrival{Credential: credential("")}, cause: fleet.Unauthorized},
 		"a key twice":               {arrival: accounts.Arrival{Credential: credential("key-a", "key-a")}, cause: fleet.Unauthorized},
 		"two keys":                  {arrival: accounts.Arrival{Credential: credential("key-a", "key-z")}, cause: fleet.Unauthorized},
@@ -74,9 +72,8 @@
 			arrival: accounts.Arrival{Public: true, Credential: credential("a", "b")}, priority: 7,
 		},
 		"a child request to a public route": {arrival: accounts.Arrival{Public: true, Parent: accounts.LocalParent}},
-		"a child request":                   {arrival: accounts.Arrival{Parent: accounts.LocalParent, Up: later}},
-		"a child request after a restart":   {arrival: accounts.Arrival{Parent: accounts.UnknownParent, Up: recently}},
-		"an unknown parent":                 {arrival: accounts.Arrival{Parent: accounts.UnknownParent, Up: later}, cause: fleet.UnknownParent},
+		"a child request":                   {arrival: accounts.Arrival{Parent: accounts.LocalParent}},
+		"an unknown parent":                 {arrival: accounts.Arrival{Parent: accounts.UnknownParent}, cause: fleet.UnknownParent},
 		"a child request with a key": {
 			arrival: accounts.Arrival{Parent: accounts.LocalParent, Credential: credential("key-a")}, account: "acme", priority: 3,
 		},
--- a/internal/core/membership/state.go
+++ b/internal/core/membership/state.go
@@ -142,14 +142,6 @@
 // JustStarted reports whether this node has just started and may lack targets.
 func (s State) JustStarted(now time.Time) bool { return now.Sub(s.started) < startupDuration }
 
-// Uptime returns the time since this node started.
-func (s State) Uptime(now time.Time) time.Duration {
-	if s.started.IsZero() {
-		return 0
-	}
-	return now.Sub(s.started)
-}
-
 // PeerAddress returns the address for messages to a node.
 func (s State) PeerAddress(id fleet.NodeID) (string, bool) {
 	m, ok := s.Member(id)
--- a/internal/core/node/accounts.go
+++ b/internal/core/node/accounts.go
@@ -1,14 +1,12 @@
 package node
 
 import (
-	"time"
-
 	"jayfold.dev/jayfold/internal/core/accounts"
 	"jayfold.dev/jayfold/internal/core/fleet"
 )
 
 // checkAccount decides whether a request that matches a route is accepted, and for which account.
-func (s State) checkAccount(now time.Time, request fleet.Request, route fleet.Route) accounts.Decision {
+func (s State) checkAccount(request fleet.Request, route fleet.Route) accounts.Decision {
 	index := s.tables.Accounts()
 	if !index.RequiresKeys() {
 		return index.Check(accounts.Arrival{})
@@ -17,7 +15,6 @@
 		Credential: request.Credential,
 		Public:     route.Public,
 		Parent:     s.parentOf(request),
-		Up:         s.membership.Uptime(now),
 	})
 }
 
--- a/internal/core/node/accounts_test.go
+++ b/internal/core/node/accounts_test.go
@@ -97,13 +97,16 @@
 	}
 }
 
-// TestChildRequestAfterRestart guards against requests of targets that are refused because the node has restarted while they ran.
-func TestChildRequestAfterRestart(t *testing.T) {
+// TestUnknownParentAfterStart guards against requests without a key that run on a node that has just started, because they name a parent that
+// it can't know.
+func TestUnknownParentAfterStart(t *testing.T) {
 	is, r := is.New(t), newParentNode()
 	r.reduce(event.Tick{})
 	r.applyAccounts("key")
-	attempt, _, _ := r.send("r", "/stock/1", "", "unknown")
-	is.Equal(attempt.Pool, fleet.PoolName("stock"))
+	attempt, problem, _ := r.send("r", "/stock/1", "", "unknown")
+	is.Equal(attempt.ID, fleet.AttemptID(""))
+	is.Equal(problem.Cause, fleet.UnknownParent)
+	is.Equal(problem.Verdict, fleet.NotRun)
 }
 
 // TestRevokedKeyOnNode guards against a revoked key that is accepted again when an older revision arrives.
--- a/internal/core/node/ingress.go
+++ b/internal/core/node/ingress.go
@@ -63,7 +63,7 @@
 	if !ok {
 		return acceptedRequest{}, refuse(request, fleet.NoRoute, "no route matches "+request.Method+" "+request.Path)
 	}
-	decision := s.checkAccount(ev.At, request, route)
+	decision := s.checkAccount(request, route)
 	if problem, refused := decision.Problem.Get(); refused {
 		return acceptedRequest{}, append(refuseWith(request, problem), accounts.Count(decision.Reason))
 	}
