admission: the ids of refused attempts have a bound

Cause: the ids of refused attempts were kept for two to four minutes like those of attempts that ran. The targets bound the number of the latter, nothing that of the former.

An attempt that waits is known as long as it waits. An ingress sends an attempt only once.

--- a/internal/core/admission/attempt_test.go
+++ b/internal/core/admission/attempt_test.go
@@ -1,6 +1,7 @@
 package admission_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -29,6 +30,15 @@
 			h.submit("0", fleet.Order)
 			h.submit("x", fleet.Order)
 		}, fleet.MayHaveRun},
+		{"first attempt is queued while many others are refused", func(h *harness) {
+			h.submit("0", fleet.Order)
+			h.submit("x", fleet.Order)
+			h.service = admission.OutOfService
+			for i := range 100_000 {
+				h.submit(fmt.Sprint("refused", i), fleet.Lookup)
+			}
+			h.service = admission.InService
+		}, fleet.MayHaveRun},
 		{"first attempt was refused", func(h *harness) {
 			h.service = admission.OutOfService
 			h.submit("x", fleet.Order)
--- a/internal/core/admission/run.go
+++ b/internal/core/admission/run.go
@@ -39,7 +39,7 @@
 		LastSign: ctx.Now,
 		Instance: l.heartbeat.Instance,
 	})
-	s.seen = s.seen.with(ctx.Now, attempt.ID, true)
+	s.seen = s.seen.withStarted(ctx.Now, attempt.ID)
 	return s, []effect.Effect{effect.StartRun{
 		Attempt:     attempt,
 		Address:     l.heartbeat.Address,
--- a/internal/core/admission/state.go
+++ b/internal/core/admission/state.go
@@ -103,7 +103,7 @@
 
 // AttemptArrived starts, queues or refuses an attempt.
 func (s State) AttemptArrived(ctx Context, attempt fleet.Attempt) (State, []effect.Effect) {
-	if started, ok := s.seen.get(attempt.ID); ok {
+	if started, ok := s.received(attempt.ID); ok {
 		return s, s.refuseDuplicate(ctx.Now, attempt, started)
 	}
 	if limit := ctx.Now.Add(maxAttemptTimeout); attempt.Deadline.After(limit) {
@@ -116,7 +116,7 @@
 	if !refused && s.canStart(ctx, l, attempt) {
 		return s.startRun(ctx, l, attempt)
 	}
-	s.seen = s.seen.with(ctx.Now, attempt.ID, false)
+	s.seen = s.seen.withRefused(ctx.Now, attempt.ID)
 	if refused && s.chargesRefusal(ctx, l, attempt, cause) {
 		return s.refuseCharged(ctx, l, attempt, cause)
 	}
@@ -126,6 +126,15 @@
 	return s.enqueue(ctx, l, attempt)
 }
 
+// received reports whether an attempt has started and whether its id has been received before. Attempts that wait are known as long as they
+// do, however many others are refused meanwhile.
+func (s State) received(id fleet.AttemptID) (started, known bool) {
+	if _, queued := s.queued.Get(id); queued {
+		return false, true
+	}
+	return s.seen.get(id)
+}
+
 // refusalCause returns the cause for which a target must refuse the attempt regardless of its load, if there is one.
 func (s State) refusalCause(ctx Context, l localTarget, attempt fleet.Attempt) (fleet.Cause, bool) {
 	switch service := ctx.ServiceState(attempt.Target); {
@@ -261,7 +270,7 @@
 		return s, s.refuse(ctx.Now, attempt, fleet.Canceled)
 	}
 	if _, ok := s.seen.get(id); !ok {
-		s.seen = s.seen.with(ctx.Now, id, false)
+		s.seen = s.seen.withRefused(ctx.Now, id)
 	}
 	return s, nil
 }
