caller: idle connections make room for new ones

Cause: only memory bounded the connections of callers, and a failed accept was repeated without closing anything. The descriptors of the process ran out first.

Change: callers may use half of the descriptors that the system allows. At that number the connection that has been idle for longest is closed for a new one; one with a request in progress stays. A failed accept closes the oldest idle connection, too.

--- a/internal/edge/caller/conn.go
+++ b/internal/edge/caller/conn.go
@@ -62,7 +62,7 @@
 }
 
 func newConn(s *Server, socket net.Conn) *conn {
-	c := &conn{server: s, socket: socket}
+	c := &conn{server: s, socket: socket, waiting: true}
 	c.changed.L = &c.mu
 	c.holder = s.budget.Open(c.fail)
 	c.input = newInput(socket, c.holder)
@@ -150,12 +150,14 @@
 	err := c.input.fill()
 	c.mu.Lock()
 	c.waiting, c.used = false, true
+	c.server.conns.setIdle(c, false)
 	c.mu.Unlock()
 	return err
 }
 
 // setIdleDeadline sets the deadline for the first byte of the next request.
 func (c *conn) setIdleDeadline() {
+	c.server.conns.setIdle(c, len(c.queue) == 0)
 	switch {
 	case len(c.queue) > 0:
 		_ = c.socket.SetReadDeadline(time.Time{})
--- a/internal/edge/caller/conn_http2.go
+++ b/internal/edge/caller/conn_http2.go
@@ -60,6 +60,7 @@
 		s.limitReached("connections")
 		return nil
 	}
+	s.conns.addHTTP2(1)
 	return c
 }
 
@@ -118,6 +119,7 @@
 		c.holder.Return(http2ConnCost + c.headsCost)
 		c.heads, c.headsCost, c.closed = 0, 0, true
 		c.holder.Close()
+		c.server.conns.addHTTP2(-1)
 	})
 	return c.Conn.Close()
 }
--- a/internal/edge/caller/listener.go
+++ b/internal/edge/caller/listener.go
@@ -17,17 +17,24 @@
 
 // conns holds the open HTTP/1 connections.
 type conns struct {
-	mu     sync.Mutex
-	open   map[*conn]struct{}
-	closed bool
+	mu   sync.Mutex
+	open map[*conn]struct{}
+	idle idleConns
+	// http2 is the number of open HTTP/2 connections, and limit that of all connections from which on idle ones are closed; 0 means no
+	// limit.
+	http2, limit int
+	closed       bool
 	// empty is closed when the last connection ends after the server was closed.
 	empty chan struct{}
 	// listeners are closed when the server shuts down.
 	listeners map[*handover]struct{}
 }
 
-func newConns() *conns {
-	return &conns{open: make(map[*conn]struct{}), empty: make(chan struct{}), listeners: make(map[*handover]struct{})}
+func newConns(limit int) *conns {
+	return &conns{
+		open: make(map[*conn]struct{}), idle: newIdleConns(), limit: limit,
+		empty: make(chan struct{}), listeners: make(map[*handover]struct{}),
+	}
 }
 
 // add registers a connection. It returns false if the server is closed.
@@ -38,6 +45,7 @@
 		return false
 	}
 	s.open[c] = struct{}{}
+	s.idle.add(c)
 	return true
 }
 
@@ -45,6 +53,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.open, c)
+	s.idle.remove(c)
 	if s.closed && len(s.open) == 0 {
 		s.signalEmpty()
 	}
@@ -149,6 +158,8 @@
 		case h.isClosed() || errors.Is(err, net.ErrClosed):
 			return http.ErrServerClosed
 		default:
+			// Without free descriptors no connection can be accepted until another one is closed.
+			s.conns.closeOldestIdle()
 			delay = min(max(2*delay, minAcceptDelay), maxAcceptDelay)
 			time.Sleep(delay)
 		}
@@ -166,6 +177,11 @@
 
 // serveConn serves a connection on a goroutine of its own.
 func (s *Server) serveConn(h *handover, socket net.Conn) {
+	if !s.conns.makeRoom() {
+		s.limitReached("descriptors")
+		_ = socket.Close()
+		return
+	}
 	c := newConn(s, socket)
 	if !c.holder.Take(connCost) {
 		s.limitReached("connections")
--- a/internal/edge/caller/rawcaller_test.go
+++ b/internal/edge/caller/rawcaller_test.go
@@ -84,7 +84,13 @@
 }
 
 func newPathServer(t *testing.T) *pathServer {
-	ts := newTestServer(t)
+	t.Helper()
+	return newPathServerOf(t, newTestServer(t))
+}
+
+// newPathServerOf returns a path server in place of a test server that has not been used.
+func newPathServerOf(t *testing.T, ts *testServer) *pathServer {
+	t.Helper()
 	ps := &pathServer{testServer: ts, releases: map[string]chan io.Reader{}, started: make(chan string, 100)}
 	next := 0
 	ts.server.seams.NewRequestID = func() fleet.RequestID {
--- a/internal/edge/caller/server.go
+++ b/internal/edge/caller/server.go
@@ -55,6 +55,8 @@
 	BufferedBytes int64
 	// MemoryBytes is the memory that callers may make the node hold; 0 means no bound.
 	MemoryBytes int64
+	// MaxConnections is the number of connections from which on idle ones are closed for new ones; 0 means no limit.
+	MaxConnections int
 }
 
 // Seams are the external dependencies of a Server.
@@ -108,7 +110,7 @@
 		seams:       seams,
 
 		headerTimeout: settings.Limits.HeaderTimeout,
-		conns:         newConns(),
+		conns:         newConns(settings.MaxConnections),
 		effects:       make(map[fleet.RequestID]chan effect.Effect),
 		limitLogged:   make(map[string]time.Time),
 	}
--- a/internal/process/node/app.go
+++ b/internal/process/node/app.go
@@ -108,6 +108,7 @@
 	settings := caller.Settings{
 		Protocol: seams.Callers, Limits: s.Reloadable().Limits, BodyTimeout: s.Limits.BodyTimeout,
 		BufferedBytes: s.Limits.MaxBufferedBytes, MemoryBytes: s.Reloadable().CallerMemory,
+		MaxConnections: settings.CallerConnections(),
 	}
 	return caller.New(settings, caller.Seams{
 		Now:          time.Now,
