caller: the order of idle connections takes one lock a request

Cause: the list of idle connections was changed under the lock of all connections at each start and end of a wait, with an allocation. Change: open connections stay in the list; one that becomes idle moves to its end, and whether it is idle is an atomic flag.

--- a/internal/edge/caller/conn.go
+++ b/internal/edge/caller/conn.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"jayfold.dev/jayfold/internal/edge/memory"
@@ -42,6 +43,9 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 
+	// idle is true while the connection waits for a request and has none in progress.
+	idle atomic.Bool
+
 	mu sync.Mutex
 	// changed is signaled when a response has ended or the connection has failed.
 	changed sync.Cond
@@ -62,7 +66,8 @@
 }
 
 func newConn(s *Server, socket net.Conn) *conn {
-	c := &conn{server: s, socket: socket, waiting: true}
+	c := &conn{server: s, socket: socket}
+	c.idle.Store(true)
 	c.changed.L = &c.mu
 	c.holder = s.budget.Open(c.fail)
 	c.input = newInput(socket, c.holder)
@@ -150,14 +155,14 @@
 	err := c.input.fill()
 	c.mu.Lock()
 	c.waiting, c.used = false, true
-	c.server.conns.setIdle(c, false)
+	c.setIdle(false)
 	c.mu.Unlock()
 	return err
 }
 
 // setIdleDeadline sets the deadline for the first byte of the next request.
 func (c *conn) setIdleDeadline() {
-	c.server.conns.setIdle(c, len(c.queue) == 0)
+	c.setIdle(len(c.queue) == 0 && !c.closing)
 	switch {
 	case len(c.queue) > 0:
 		_ = c.socket.SetReadDeadline(time.Time{})
--- a/internal/edge/caller/listener.go
+++ b/internal/edge/caller/listener.go
@@ -19,7 +19,8 @@
 type conns struct {
 	mu   sync.Mutex
 	open map[*conn]struct{}
-	idle idleConns
+	// order has the open connections in the order in which idle ones are closed.
+	order idleOrder
 	// http2 is the number of open HTTP/2 connections, and limit that of all connections from which on idle ones are closed; 0 means no
 	// limit.
 	http2, limit int
@@ -32,7 +33,7 @@
 
 func newConns(limit int) *conns {
 	return &conns{
-		open: make(map[*conn]struct{}), idle: newIdleConns(), limit: limit,
+		open: make(map[*conn]struct{}), order: newIdleOrder(), limit: limit,
 		empty: make(chan struct{}), listeners: make(map[*handover]struct{}),
 	}
 }
@@ -45,7 +46,7 @@
 		return false
 	}
 	s.open[c] = struct{}{}
-	s.idle.add(c)
+	s.order.add(c)
 	return true
 }
 
@@ -53,7 +54,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.open, c)
-	s.idle.remove(c)
+	s.order.remove(c)
 	if s.closed && len(s.open) == 0 {
 		s.signalEmpty()
 	}
