memory: a request on which the node works keeps its connection

Cause: when the budget for callers is used up, the connection with the largest product of bytes held and time without progress is closed. The time in which a target runs a request counted as time without progress of its caller, so that an order of 35 KB had a larger product than a head of 1.5 MB that is there for some milliseconds.

Change: the time in which the node works on a request doesn't count against the caller.

--- a/internal/edge/caller/exchange.go
+++ b/internal/edge/caller/exchange.go
@@ -26,6 +26,9 @@
 	// the goroutine of the request uses it.
 	withoutCredentials *http.Request
 
+	// endWork records that the response is about to be written.
+	endWork func()
+
 	// cancels holds the functions that cancel the attempts. Only the goroutine of the request uses it.
 	cancels map[fleet.AttemptID]context.CancelFunc
 
@@ -67,6 +70,9 @@
 		responses: make(map[fleet.AttemptID]bufferedResponse),
 	}
 	defer x.close()
+	held.holder.StartWork()
+	x.endWork = sync.OnceFunc(held.holder.EndWork)
+	defer x.endWork()
 	s.seams.Post(event.RequestArrived{Request: request})
 	x.executeEffects(w, effects)
 }
@@ -85,9 +91,11 @@
 			case effect.CancelAttempt:
 				x.cancelAttempt(e.Attempt)
 			case effect.RefuseRequest:
+				x.endWork()
 				x.server.protocol.Refuse(w, x.request.ID, e.Problem)
 				return
 			case effect.RelayResponse:
+				x.endWork()
 				x.relay(w, e.Attempt)
 				return
 			}
--- a/internal/edge/caller/idle_test.go
+++ b/internal/edge/caller/idle_test.go
@@ -30,7 +30,7 @@
 func TestIdleConnectionsMakeRoom(t *testing.T) {
 	const limit = 10
 	t.Run("new connections are served, and the oldest idle ones are closed", func(t *testing.T) {
-		ts := newLimitedServer(t, limit)
+		ts := newLimitedServer(t, limit, 0)
 		var callers []*rawCaller
 		for range 3 * limit {
 			c := ts.dial(t)
@@ -45,7 +45,7 @@
 		last.wantBody("hello", false)
 	})
 	t.Run("connections that have sent nothing make room", func(t *testing.T) {
-		ts := newLimitedServer(t, limit)
+		ts := newLimitedServer(t, limit, 0)
 		for range 3 * limit {
 			ts.dial(t)
 		}
@@ -55,7 +55,7 @@
 		assertOpen(t, ts, limit)
 	})
 	t.Run("a request in progress keeps its connection", func(t *testing.T) {
-		ps := newPathServerOf(t, newLimitedServer(t, limit))
+		ps := newPathServerOf(t, newLimitedServer(t, limit, 0))
 		running := ps.dial(t)
 		running.get("/order")
 		ps.wantStarted(t, "/order")
@@ -70,7 +70,7 @@
 		running.wantBody("hello", false)
 	})
 	t.Run("without an idle connection a new one is closed", func(t *testing.T) {
-		ps := newPathServerOf(t, newLimitedServer(t, limit))
+		ps := newPathServerOf(t, newLimitedServer(t, limit, 0))
 		var running []*rawCaller
 		for i := range limit {
 			c := ps.dial(t)
--- a/internal/edge/caller/server_test.go
+++ b/internal/edge/caller/server_test.go
@@ -38,11 +38,11 @@
 
 func newTestServer(t *testing.T) *testServer {
 	t.Helper()
-	return newLimitedServer(t, 0)
+	return newLimitedServer(t, 0, 0)
 }
 
-// newLimitedServer returns a server with a limit for the number of connections; 0 means none.
-func newLimitedServer(t *testing.T, maxConnections int) *testServer {
+// newLimitedServer returns a server with limits for the number of connections and for the memory that callers may make it hold; 0 means none.
+func newLimitedServer(t *testing.T, maxConnections int, memoryBytes int64) *testServer {
 	t.Helper()
 	ts := &testServer{reduce: forwardOnce, forward: func(context.Context, []byte) (*http.Response, error) {
 		return newResponse(http.StatusOK, strings.NewReader("hello")), nil
@@ -50,7 +50,7 @@
 	settings := Settings{
 		Protocol:    NewProtocol(),
 		Limits:      fleet.Limits{HeaderBytes: 4 << 10, BodyBytes: 100, HeaderTimeout: time.Second},
-		BodyTimeout: 300 * time.Millisecond, BufferedBytes: 1 << 20, MaxConnections: maxConnections,
+		BodyTimeout: 300 * time.Millisecond, BufferedBytes: 1 << 20, MaxConnections: maxConnections, MemoryBytes: memoryBytes,
 	}
 	ts.server = New(settings, Seams{
 		Now:          time.Now,
--- a/internal/edge/memory/budget.go
+++ b/internal/edge/memory/budget.go
@@ -10,8 +10,9 @@
 //	}
 //	defer holder.Return(cost)
 //
-// When the budget is exhausted, the connection that holds the most for the longest time without progress is closed. A share of the budget is
-// reserved for small requests, so that ordinary callers are served while others hold the rest.
+// When the budget is exhausted, the connection that holds the most for the longest time without progress of its caller is closed. The time in
+// which the node works on a request is no fault of the caller, and a connection that holds little meanwhile is never closed. A share of
+// the budget is reserved for small requests, so that ordinary callers are served while others hold the rest.
 package memory
 
 import (
@@ -62,6 +63,8 @@
 	held   atomic.Int64
 	// progress is the time of the last progress, in Unix nanoseconds.
 	progress atomic.Int64
+	// working is the number of the connection's requests on which the node works.
+	working atomic.Int64
 }
 
 // Open adds a connection. evict closes it; it is called on a goroutine of its own.
@@ -84,6 +87,35 @@
 // Progress records that the connection has made progress, such as a complete response.
 func (h *Holder) Progress() { h.progress.Store(time.Now().UnixNano()) }
 
+// StartWork records that the node works on a complete request of the connection, which waits for it. Work ends with EndWork.
+func (h *Holder) StartWork() {
+	if h != nil {
+		h.working.Add(1)
+	}
+}
+
+// EndWork records that the caller's part begins, such as the reading of the response.
+func (h *Holder) EndWork() {
+	if h != nil {
+		h.Progress()
+		h.working.Add(-1)
+	}
+}
+
+// evictionCost returns the product of the bytes held and the time without progress of the caller; 0 if the connection must not be closed.
+func (h *Holder) evictionCost(now time.Time) float64 {
+	held := h.held.Load()
+	working := h.working.Load() > 0
+	if held < minEvictedBytes || working && held <= smallBytes {
+		return 0
+	}
+	stalled := time.Duration(now.UnixNano() - h.progress.Load())
+	if working {
+		stalled = 0
+	}
+	return float64(held) * float64(stalled+time.Millisecond)
+}
+
 // Take takes bytes from the budget. If it returns false, nothing was taken, and the connection that is the worst to keep is closed.
 func (h *Holder) Take(bytes int64) bool {
 	if h.TryTake(bytes) {
@@ -130,7 +162,7 @@
 	h.budget.used.Add(-bytes)
 }
 
-// evictOne closes the connection with the largest product of bytes held and time without progress.
+// evictOne closes the connection with the largest eviction cost, if there is one.
 func (b *Budget) evictOne() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -142,12 +174,7 @@
 	var worst *Holder
 	var worstCost float64
 	for h := range b.open {
-		held := h.held.Load()
-		if held < minEvictedBytes {
-			continue
-		}
-		cost := float64(held) * (float64(now.UnixNano()-h.progress.Load()) + float64(time.Millisecond))
-		if cost > worstCost {
+		if cost := h.evictionCost(now); cost > worstCost {
 			worst, worstCost = h, cost
 		}
 	}
--- a/internal/edge/memory/memory_test.go
+++ b/internal/edge/memory/memory_test.go
@@ -43,6 +43,35 @@
 	is.Equal(<-closed, "stalled")
 }
 
+// TestEvictionDuringWork guards against the eviction of a connection whose request runs at a target, in place of those that use up the memory.
+func TestEvictionDuringWork(t *testing.T) {
+	now := time.Now()
+	open := func(held int64, age time.Duration, working bool) *Holder {
+		h := New(1<<20, nil).Open(func() {})
+		h.held.Store(held)
+		h.progress.Store(now.Add(-age).UnixNano())
+		if working {
+			h.StartWork()
+		}
+		return h
+	}
+	t.Run("one that holds little is kept", func(t *testing.T) {
+		is.New(t).Equal(open(35<<10, time.Minute, true).evictionCost(now), 0.0)
+	})
+	t.Run("one that holds much counts as if it had just made progress", func(t *testing.T) {
+		is := is.New(t)
+		is.Equal(open(1<<20, time.Minute, true).evictionCost(now), open(1<<20, 0, false).evictionCost(now))
+		is.True(open(1<<20, time.Minute, true).evictionCost(now) < open(100<<10, time.Second, false).evictionCost(now))
+	})
+	t.Run("after the work the caller's time counts from its end", func(t *testing.T) {
+		is := is.New(t)
+		h := open(35<<10, time.Minute, true)
+		h.EndWork()
+		is.True(h.evictionCost(time.Now()) > 0)
+		is.True(h.evictionCost(time.Now()) < open(35<<10, time.Second, false).evictionCost(now))
+	})
+}
+
 // TestSystemLimit guards against a limit that is not found in one of the places where systems keep it.
 func TestSystemLimit(t *testing.T) {
 	for name, c := range map[string]struct {
