--- a/internal/core/admission/seen.go
+++ b/internal/core/admission/seen.go
@@ -72,3 +72,12 @@
 	_, ok := s.older.Get(id)
 	return ok
 }
+
+// received reports whether an attempt has started and whether its id has been received before. Attempts that wait are known as long as they
+// do, however many others are refused meanwhile.
+func (s State) received(id fleet.AttemptID) (started, known bool) {
+	if _, queued := s.queued.Get(id); queued {
+		return false, true
+	}
+	return s.seen.get(id)
+}
--- a/internal/core/admission/state.go
+++ b/internal/core/admission/state.go
@@ -126,15 +126,6 @@
 	return s.enqueue(ctx, l, attempt)
 }
 
-// received reports whether an attempt has started and whether its id has been received before. Attempts that wait are known as long as they
-// do, however many others are refused meanwhile.
-func (s State) received(id fleet.AttemptID) (started, known bool) {
-	if _, queued := s.queued.Get(id); queued {
-		return false, true
-	}
-	return s.seen.get(id)
-}
-
 // refusalCause returns the cause for which a target must refuse the attempt regardless of its load, if there is one.
 func (s State) refusalCause(ctx Context, l localTarget, attempt fleet.Attempt) (fleet.Cause, bool) {
 	switch service := ctx.ServiceState(attempt.Target); {
