--- a/review/_standin3/case_drain.go
+++ b/review/_standin3/case_drain.go
@@ -19,8 +19,8 @@
 		n := w.addNode([]string{"palermo", "catania", "siracusa"}[i%3], service, 284, nil)
 		n.start()
 	}
-	w.store.operatorPut(`{"Version":7,"Routes":[{"Name":"r-orders","Host":"orders.example","PathPrefix":"/orders/","RouteType":"non_idempotent",
-		"TimeoutMs":2000,"TargetLatencyMs":1000,"Priority":1,"Service":"ordini","Attempts":2}],
+	w.store.operatorPut(`{"Version":7,"Routes":[{"Name":"r-orders","Host":"orders.example","PathPrefix":"/orders/","@kind@":"non_idempotent",
+		"TimeoutMs":2000,"@latency@":1000,"Priority":1,"Service":"ordini","Attempts":2}],
 		"Services":[{"Name":"ordini","HealthCheckPath":"/health","MaxConnections":330,"Protocol":"h1","Tls":false}],
 		"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":67108864,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}`)
 	var endpoints []*endpoint
--- a/review/_standin3/case_gone.go
+++ b/review/_standin3/case_gone.go
@@ -28,8 +28,8 @@
 	for range 5 {
 		w.addNode("sohar-a", service, 284, nil).start()
 	}
-	w.store.operatorPut(`{"Version":7,"Routes":[{"Name":"r-quotes","Host":"quotes.example","PathPrefix":"/quotes/","RouteType":"idempotent",
-		"TimeoutMs":6000,"TargetLatencyMs":3000,"Priority":2,"Service":"quoting","Attempts":2}],
+	w.store.operatorPut(`{"Version":7,"Routes":[{"Name":"r-quotes","Host":"quotes.example","PathPrefix":"/quotes/","@kind@":"idempotent",
+		"TimeoutMs":6000,"@latency@":3000,"Priority":2,"Service":"quoting","Attempts":2}],
 		"Services":[{"Name":"quoting","HealthCheckPath":"/health","MaxConnections":1380,"Protocol":"h1","Tls":false}],
 		"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":67108864,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}`)
 	for i, n := range w.nodes {
--- a/review/_standin3/case_quota.go
+++ b/review/_standin3/case_quota.go
@@ -20,10 +20,10 @@
 	for range 4 {
 		w.addNode("si-central-a", service, 284, nil).start()
 	}
-	w.store.operatorPut(fmt.Sprintf(`{"Version":7,"Routes":[{"Name":"r-q","Host":"quotes.example","PathPrefix":"/q/","RouteType":"idempotent",
-		"TimeoutMs":4000,"TargetLatencyMs":2000,"Priority":2,"Service":"nakazilo","Attempts":2}],
+	w.store.operatorPut(fmt.Sprintf(`{"Version":7,"Routes":[{"Name":"r-q","Host":"quotes.example","PathPrefix":"/q/","@kind@":"idempotent",
+		"TimeoutMs":4000,"@latency@":2000,"Priority":2,"Service":"nakazilo","Attempts":2}],
 		"Services":[{"Name":"nakazilo","HealthCheckPath":"/health","MaxConnections":1380,"Protocol":"h1","Tls":false}],
-		"Tenants":[{"Name":"acme","ApiKeys":["key-acme"],"Priority":0,"RatePerS":%d,"Burst":%d},{"Name":"zeta","ApiKeys":["key-zeta"],"Priority":0}],
+		"@accounts@":[{"Name":"acme","@keys@":["key-acme"],"Priority":0,"@rate@":%d,"Burst":%d},{"Name":"zeta","@keys@":["key-zeta"],"Priority":0}],
 		"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":67108864,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}`, rate, burst))
 	for i, n := range w.nodes {
 		newEndpoint(w.all, fmt.Sprintf("i-%08d", i), service, n.zone, n.app, n.ctl, 15)
--- a/review/_standin3/case_slow.go
+++ b/review/_standin3/case_slow.go
@@ -18,8 +18,8 @@
 	for range 3 {
 		w.addNode("palermo", service, 284, nil).start()
 	}
-	w.store.operatorPut(`{"Version":7,"Routes":[{"Name":"r-c","Host":"catalogue.example","PathPrefix":"/c/","RouteType":"idempotent",
-		"TimeoutMs":2000,"TargetLatencyMs":1000,"Priority":2,"Service":"catalogo","Attempts":2}],
+	w.store.operatorPut(`{"Version":7,"Routes":[{"Name":"r-c","Host":"catalogue.example","PathPrefix":"/c/","@kind@":"idempotent",
+		"TimeoutMs":2000,"@latency@":1000,"Priority":2,"Service":"catalogo","Attempts":2}],
 		"Services":[{"Name":"catalogo","HealthCheckPath":"/health","MaxConnections":330,"Protocol":"h1","Tls":false}],
 		"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":67108864,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}`)
 	for i, n := range w.nodes {
@@ -38,7 +38,7 @@
 					c, err := net.DialTimeout("tcp", n.outbound, time.Second)
 					if err == nil {
 						open.Add(1)
-						_, err = c.Write([]byte(fmt.Sprintf("POST /c/w20/slow HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: 4000\r\nContent-Length: 4000\r\n\r\n", host, newID())))
+						_, err = c.Write([]byte(fmt.Sprintf(wire("POST /c/w20/slow HTTP/1.1\r\nHost: %s\r\n@id@: %s\r\n@budget@: 4000\r\nContent-Length: 4000\r\n\r\n"), host, newID())))
 						for err == nil {
 							_ = c.SetReadDeadline(time.Now().Add(2 * time.Second))
 							if _, err = c.Read(make([]byte, 1)); err != nil {
--- a/review/_standin3/client.go
+++ b/review/_standin3/client.go
@@ -39,7 +39,7 @@
 	if body != "" || method == http.MethodPost {
 		length = "Content-Length: " + strconv.Itoa(len(body)) + "\r\n"
 	}
-	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\n%s%s\r\n%s",
+	return fmt.Sprintf(wire("%s %s HTTP/1.1\r\nHost: %s\r\n@id@: %s\r\n@budget@: %d\r\n%s%s\r\n%s"),
 		method, path, host, id, deadline.Milliseconds(), more, length, body)
 }
 
@@ -70,7 +70,7 @@
 	if err != nil {
 		return answer{err: err}
 	}
-	a := answer{status: res.StatusCode, body: string(body), signature: res.Header.Get("Response-Signature")}
+	a := answer{status: res.StatusCode, body: string(body), signature: res.Header.Get(wire("@proof@"))}
 	if s, err := strconv.ParseFloat(res.Header.Get("Retry-After"), 64); err == nil {
 		a.retryAfter = time.Duration(s * float64(time.Second))
 	}
--- a/review/_standin3/endpoint.go
+++ b/review/_standin3/endpoint.go
@@ -111,7 +111,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.sequence++
-	return fmt.Sprintf(`{"Service":%q,"Address":%q,"Zone":%q,"Version":"v1","Slots":%d,"State":%q,"ColdRemainingMs":0,"Seq":%d,"born":%d}`,
+	return fmt.Sprintf(`{"Service":%q,"Address":%q,"Zone":%q,"Version":"v1","Slots":%d,"State":%q,"@cold@":0,"Seq":%d,"born":%d}`,
 		e.service, e.address, e.zone, e.slots, e.state, e.sequence, e.born)
 }
 
@@ -173,25 +173,25 @@
 	if err != nil {
 		return
 	}
-	attempt := r.Header.Get("Attempt-Id")
-	w.Header().Set("Attempt-Id", attempt)
-	if target := r.Header.Get("Target-Instance"); target != "" && target != e.id {
+	attempt := r.Header.Get(wire("@id@"))
+	w.Header().Set(wire("@id@"), attempt)
+	if target := r.Header.Get(wire("@target@")); target != "" && target != e.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	e.mu.Lock()
-	w.Header().Set("Server-Load", fmt.Sprintf("%d,0,%d", e.running, e.slots))
+	w.Header().Set(wire("@load@"), fmt.Sprintf("%d,0,%d", e.running, e.slots))
 	if e.running >= e.slots {
 		e.mu.Unlock()
-		w.Header().Set("Not-Executed", "1")
+		w.Header().Set(wire("@notRun@"), "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	e.running++
 	e.mu.Unlock()
 	one := &run{
-		attempt: attempt, endpoint: e.id, path: r.URL.RequestURI(), caller: r.Header.Get("Caller-Service"),
-		tenant: r.Header.Get("Tenant"), began: time.Now(),
+		attempt: attempt, endpoint: e.id, path: r.URL.RequestURI(), caller: r.Header.Get(wire("@caller@")),
+		tenant: r.Header.Get(wire("@account@")), began: time.Now(),
 	}
 	e.all.mu.Lock()
 	e.all.list = append(e.all.list, one)
@@ -204,7 +204,7 @@
 		return
 	}
 	limit := time.Hour
-	if ms, err := strconv.Atoi(r.Header.Get("Deadline-Ms")); err == nil {
+	if ms, err := strconv.Atoi(r.Header.Get(wire("@budget@"))); err == nil {
 		limit = time.Duration(ms) * time.Millisecond
 	}
 	work := workOf(r.URL.Path)
@@ -223,7 +223,7 @@
 	if dropped {
 		return
 	}
-	w.Header().Set("Response-Signature", "sig."+attempt)
+	w.Header().Set(wire("@proof@"), "sig."+attempt)
 	if work > limit {
 		w.WriteHeader(http.StatusGatewayTimeout)
 	}
--- a/review/_standin3/store.go
+++ b/review/_standin3/store.go
@@ -71,7 +71,7 @@
 	defer s.mu.Unlock()
 	o := s.kinds["config"]["main"]
 	o.Metadata.Name = "main"
-	o.Spec = json.RawMessage(config)
+	o.Spec = json.RawMessage(wire(config))
 	s.put("config", o)
 }
 
@@ -145,12 +145,12 @@
 	for _, n := range names {
 		items = append(items, s.kinds[kind][n])
 	}
-	reply(w, http.StatusOK, map[string]any{"items": items, "More": false, "CurrentRev": s.rev})
+	reply(w, http.StatusOK, map[string]any{"items": items, "More": false, wire("@revision@"): s.rev})
 }
 
 func (s *store) watch(w http.ResponseWriter, r *http.Request, kind string) {
 	from, _ := strconv.ParseUint(r.URL.Query().Get("Watch"), 10, 64)
-	wait, _ := strconv.Atoi(r.URL.Query().Get("WaitMs"))
+	wait, _ := strconv.Atoi(r.URL.Query().Get(wire("@wait@")))
 	end := time.Now().Add(time.Duration(wait) * time.Millisecond)
 	wake := time.AfterFunc(time.Until(end), func() { s.mu.Lock(); s.changed.Broadcast(); s.mu.Unlock() })
 	defer wake.Stop()
@@ -174,7 +174,7 @@
 			return
 		}
 		if len(events) > 0 || !time.Now().Before(end) {
-			reply(w, http.StatusOK, map[string]any{"events": events, "CurrentRev": s.rev})
+			reply(w, http.StatusOK, map[string]any{"events": events, wire("@revision@"): s.rev})
 			return
 		}
 		s.changed.Wait()
--- a/review/_standin3/world.go
+++ b/review/_standin3/world.go
@@ -94,7 +94,7 @@
 	n.ctl, n.app = n.ip+":"+port["control"], n.ip+":"+port["app"]
 	values := map[string]string{
 		"Node": n.name, "Zone": zone, "Ip": n.ip, "Service": service, "Listen.Outbound": n.outbound, "Listen.Inbound": n.inbound,
-		"Listen.Ready": n.ready, "Listen.Control": n.ctl, "InternalPortRange.0": port["first"], "InternalPortRange.1": port["last"],
+		"Listen.Ready": n.ready, "Listen.Control": n.ctl, wire("@ports@.0"): port["first"], wire("@ports@.1"): port["last"],
 		"HeartbeatMs": "1500", "Limits.MemoryMb": fmt.Sprint(memoryMb), "Platform.Address": w.store.address,
 		"Bounds.RetryBudgetRatio": "0.2", "Bounds.RetryWindowS": "10", "Bounds.RetrySlack": "58", "Bounds.GraceS": "6",
 	}
@@ -119,18 +119,27 @@
 
 // start starts the program with the command of the deploy file, with the descriptors that the settings of the pages give a machine.
 func (n *node) start() {
+	check(n.startProcess())
+}
+
+func (n *node) startProcess() error {
 	n.w.mu.Lock()
 	defer n.w.mu.Unlock()
 	if n.w.ended {
-		return
+		return nil
 	}
 	log, err := os.OpenFile(filepath.Join(n.w.folder, n.name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
-	check(err)
+	if err != nil {
+		return err
+	}
 	n.command = exec.Command("/bin/sh", "-c", "ulimit -n 4100; exec target/sidecar")
-	n.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + n.w.folder, "JAYFOLD_BOOT=" + n.settings}
+	n.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + n.w.folder, wire("@settingsFile@=") + n.settings}
 	n.command.Stdout, n.command.Stderr = log, log
 	n.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	check(n.command.Start())
+	if err := n.command.Start(); err != nil {
+		n.command = nil
+		return err
+	}
 	n.exited = make(chan struct{})
 	command, exited := n.command, n.exited
 	go func() {
@@ -140,6 +149,7 @@
 		close(exited)
 	}()
 	record("%s: process %d started", n.name, n.command.Process.Pid)
+	return nil
 }
 
 // kill sends SIGKILL to the node's process and waits for its end.
