--- a/review/_standin3/case_drain.go
+++ b/review/_standin3/case_drain.go
@@ -14,7 +14,7 @@
 // start again while the store is busy for a moment, and a ping that each of these endpoints sent before it left arrives late.
 func caseDrain(w *world) bool {
 	const service, host, drainMs = "ordini", "orders.example", 2 * time.Second
-	const count = 6
+	const count = 16
 	for i := range count {
 		n := w.addNode([]string{"palermo", "catania", "siracusa"}[i%3], service, 284, nil)
 		n.start()
@@ -33,7 +33,7 @@
 	// Clients on the machines whose endpoints stay send orders all the while.
 	stop := make(chan struct{})
 	var clients sync.WaitGroup
-	for _, n := range w.nodes[4:] {
+	for _, n := range w.nodes[4:7] {
 		clients.Add(1)
 		go func() {
 			defer clients.Done()
--- a/review/_standin3/case_poison.go
+++ b/review/_standin3/case_poison.go
@@ -7,11 +7,15 @@
 	"time"
 )
 
-func init() { cases["poison"] = casePoison }
+func init() {
+	cases["poison"] = func(w *world) bool { return casePoison(w, false) }
+	cases["quiet"] = func(w *world) bool { return casePoison(w, true) }
+}
 
 // casePoison looks for a request that crashes each endpoint that runs it and is let through again and again: it comes again every few seconds,
-// at any machine, while all processes are killed and started again from time to time.
-func casePoison(w *world) bool {
+// at any machine, while all processes are killed and started again from time to time. If quiet is true, nothing is killed, no other request
+// comes, and the port of a crashing endpoint closes 0.1 s after its connections; without the disruption it closes at once.
+func casePoison(w *world, quiet bool) bool {
 	const service, host, window = "ordini", "orders.example", 3 * time.Second
 	for i := range 4 {
 		n := w.addNode([]string{"palermo", "catania", "siracusa"}[i%3], service, 284, nil)
@@ -24,6 +28,9 @@
 	for i, n := range w.nodes {
 		e := newEndpoint(w.all, fmt.Sprintf("i-%08d", i), service, n.zone, n.app, n.ctl, 4)
 		e.back = 2500 * time.Millisecond
+		if quiet && trouble {
+			e.portCloses = 100 * time.Millisecond
+		}
 	}
 	w.waitReady(10 * time.Second)
 	time.Sleep(5 * time.Second)
@@ -37,6 +44,9 @@
 				return
 			case <-time.After(100 * time.Millisecond):
 			}
+			if quiet {
+				continue
+			}
 			id := newID()
 			go send(w.nodes[i%4].outbound, http.MethodPost, "/orders/w100/"+id, host, id, 5*time.Second, "", "order "+id)
 		}
@@ -55,7 +65,7 @@
 		record("the request comes (attempt %s, at %s): %v", id, n.name, a)
 	}
 	for phase := range 4 {
-		if phase > 0 && trouble {
+		if phase > 0 && trouble && !quiet {
 			for _, n := range w.nodes {
 				n.kill()
 			}
--- a/review/_standin3/endpoint.go
+++ b/review/_standin3/endpoint.go
@@ -42,15 +42,17 @@
 	id, service, address, control, zone string
 	slots                               int
 	back                                time.Duration
-	all                                 *runs
-	mu                                  sync.Mutex
-	server                              *http.Server
-	running, sequence, crashes          int
-	born                                int64
-	state                               string
-	stop                                chan struct{}
-	beats                               bool
-	conns                               map[net.Conn]bool
+	// portCloses is the time from the end of the connections to that of the listener in a crash.
+	portCloses                 time.Duration
+	all                        *runs
+	mu                         sync.Mutex
+	server                     *http.Server
+	running, sequence, crashes int
+	born                       int64
+	state                      string
+	stop                       chan struct{}
+	beats                      bool
+	conns                      map[net.Conn]bool
 }
 
 func newEndpoint(all *runs, id, service, zone, address, control string, slots int) *endpoint {
@@ -149,6 +151,12 @@
 	default:
 		close(stop)
 	}
+	if e.portCloses > 0 {
+		for c := range conns {
+			_ = c.Close()
+		}
+		time.Sleep(e.portCloses)
+	}
 	_ = server.Close()
 }
 
--- a/review/_standin3/world.go
+++ b/review/_standin3/world.go
@@ -54,6 +54,8 @@
 	mu                                 sync.Mutex
 	exited                             chan struct{}
 	bounds                             map[string]string
+	// oneCore is true if the process runs on one core only, as the machines of the pages show one.
+	oneCore bool
 }
 
 var theWorld *world
@@ -132,7 +134,11 @@
 	if err != nil {
 		return err
 	}
-	n.command = exec.Command("/bin/sh", "-c", "ulimit -n 4100; exec target/sidecar")
+	line := "ulimit -n 4100; exec target/sidecar"
+	if _, err := exec.LookPath("taskset"); n.oneCore && err == nil {
+		line = "ulimit -n 4100; exec taskset -c 0 target/sidecar"
+	}
+	n.command = exec.Command("/bin/sh", "-c", line)
 	n.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + n.w.folder, wire("@settingsFile@=") + n.settings}
 	n.command.Stdout, n.command.Stderr = log, log
 	n.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
