--- a/review/_standin3/case_memory.go
+++ b/review/_standin3/case_memory.go
@@ -51,7 +51,7 @@
 		n.start()
 	}
 	w.store.operatorPut(`{"Version":7,"Routes":[{"Name":"r-orders","Host":"orders.example","PathPrefix":"/orders/","@kind@":"non_idempotent",
-		"TimeoutMs":4000,"@latency@":3000,"Priority":1,"Service":"ordini","Attempts":2}],
+		"TimeoutMs":8000,"@latency@":6000,"Priority":1,"Service":"ordini","Attempts":2}],
 		"Services":[{"Name":"ordini","HealthCheckPath":"/health","MaxConnections":1410,"Protocol":"h1","Tls":false}],
 		"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":67108864,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}`)
 	for i, n := range w.nodes {
@@ -91,7 +91,7 @@
 					}
 					id := newID()
 					_ = c.SetDeadline(time.Now().Add(9 * time.Second))
-					_, err := io.WriteString(c, request(http.MethodPost, "/orders/w1800/"+id, host, id, 8*time.Second, "", "order"))
+					_, err := io.WriteString(c, request(http.MethodPost, "/orders/w4000/"+id, host, id, 8*time.Second, "", "order"))
 					a := answer{err: err}
 					if err == nil {
 						a = readAnswer(r, http.MethodPost)
