--- a/review/_standin3/main.go
+++ b/review/_standin3/main.go
@@ -1,4 +1,4 @@
-// Command review3 holds the stand-ins of the cases review/11 to review/15 and their checks: the platform's store, endpoints and clients, in
+// Command review3 holds the stand-ins of the cases review/11 and review/13 to review/15 and their checks: the platform's store, endpoints and clients, in
 // one process, which starts the program of the deploy file as separate processes.
 //
 // # Usage
